--- /dev/null
+++ b/internal/structs/request.go
@@ -0,0 +1,56 @@
+package structs
+
+import "time"
+
+// RequestKey identifies a request across instances and retries by the caller.
+type RequestKey struct {
+	Workspace string
+	ID        string
+}
+
+// Request is a caller's request.
+type Request struct {
+	Key     RequestKey
+	Service string
+	Body    []byte
+	// Deadline is on the local clock.
+	Deadline time.Time
+}
+
+// Outcome is how a request ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// OutcomeDone means that the whole answer was received.
+	OutcomeDone Outcome = iota + 1
+	// OutcomeNotRun means that no backend server ran the request.
+	OutcomeNotRun
+	// OutcomeUnknown means that a backend server may have run the request.
+	OutcomeUnknown
+	// OutcomePending means that the request is in progress.
+	OutcomePending
+)
+
+// String returns the outcome's stable word.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeDone:
+		return "done"
+	case OutcomeNotRun:
+		return "not_run"
+	case OutcomeUnknown:
+		return "unknown"
+	case OutcomePending:
+		return "pending"
+	default:
+		return "unspecified"
+	}
+}
+
+// Result is a request's outcome with its answer or reason.
+type Result struct {
+	Outcome Outcome
+	Reason  string
+	Answer  []byte
+}
--- /dev/null
+++ b/proto/generate.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Regenerates gen/ from proto/. Needs protoc (Debian: protobuf-compiler).
+# The result is committed; no build or test runs this script.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$(mktemp -d)
+trap 'rm -rf "$bin"' EXIT
+go build -o "$bin/" google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+PATH="$bin:$PATH" protoc -I proto \
+  --go_out=. --go_opt=module=github.com/lentilwinch/lentilwinch \
+  --connect-go_out=. --connect-go_opt=module=github.com/lentilwinch/lentilwinch \
+  proto/lentilwinch/v1/scheduler.proto proto/platform/v1/platform.proto proto/backend/v1/backend.proto
