Read settings and tickets strictly

An operator mends a document once when every problem is shown at once, so both readers walk the JSON themselves and collect unknown and repeated fields, wrong types, ranges and contradictions with path, value and what is allowed. encoding/json stops at the first problem and takes field names in any case, which ruled it out for all but the tokens.

--- /dev/null
+++ b/internal/settings/document/document.go
@@ -0,0 +1,177 @@
+// Package document reads JSON documents strictly: unknown and repeated fields,
+// wrong types and bad syntax are all reported together, each with its path,
+// the value found and what is allowed.
+package document
+
+import (
+	"reflect"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+)
+
+// Root is the path of findings about the document as a whole.
+const Root = "document"
+
+// Decode reads a JSON object of at most maxBytes into the struct that into
+// points to and adds what it finds to f. Fields that the document doesn't name
+// keep their values. It understands structs with json tags, slices, strings,
+// integers and booleans; other types panic, as they are a defect of the
+// caller.
+func Decode(doc []byte, maxBytes int, into any, f *Findings) {
+	if len(doc) > maxBytes {
+		f.Add(Root, strconv.Itoa(len(doc))+" bytes", "at most "+strconv.Itoa(maxBytes)+" bytes")
+		return
+	}
+	if !utf8.Valid(doc) {
+		f.Add(Root, "bytes that are not UTF-8", "a JSON object in UTF-8")
+		return
+	}
+	root, err := parse(doc)
+	if err != nil {
+		f.Add(Root, err.Error(), "a JSON object")
+		return
+	}
+	d := decoder{findings: f}
+	d.decode("", root, reflect.ValueOf(into).Elem())
+}
+
+type decoder struct {
+	findings *Findings
+}
+
+func (d *decoder) decode(path string, n node, into reflect.Value) {
+	switch into.Kind() {
+	case reflect.Struct:
+		d.decodeStruct(path, n, into)
+	case reflect.Slice:
+		d.decodeSlice(path, n, into)
+	case reflect.String:
+		d.decodeString(path, n, into)
+	case reflect.Bool:
+		d.decodeBool(path, n, into)
+	case reflect.Int, reflect.Int64:
+		d.decodeInt(path, n, into)
+	default:
+		panic("document: unsupported type " + into.Type().String())
+	}
+}
+
+func (d *decoder) wrongType(path string, n node, want kind) bool {
+	if n.kind == want {
+		return false
+	}
+	if path == "" {
+		path = Root
+	}
+	d.findings.Add(path, n.shown(), string(want))
+	return true
+}
+
+func (d *decoder) decodeStruct(path string, n node, into reflect.Value) {
+	if d.wrongType(path, n, kindObject) {
+		return
+	}
+	fields := fieldsOf(into.Type())
+	seen := make(map[string]bool, len(n.members))
+	for _, m := range n.members {
+		at := Join(path, shownName(m.name))
+		index, known := fields.index(m.name)
+		switch {
+		case !known:
+			d.findings.Add(at, "unknown field", "one of "+strings.Join(fields.names, ", "))
+		case seen[m.name]:
+			d.findings.Add(at, "repeated field", "each field once")
+		default:
+			d.decode(at, m.value, into.Field(index))
+		}
+		seen[m.name] = true
+	}
+}
+
+func (d *decoder) decodeSlice(path string, n node, into reflect.Value) {
+	if d.wrongType(path, n, kindArray) {
+		return
+	}
+	out := reflect.MakeSlice(into.Type(), len(n.items), len(n.items))
+	for i, item := range n.items {
+		d.decode(Index(path, i), item, out.Index(i))
+	}
+	into.Set(out)
+}
+
+func (d *decoder) decodeString(path string, n node, into reflect.Value) {
+	if d.wrongType(path, n, kindString) {
+		return
+	}
+	into.SetString(n.text)
+}
+
+func (d *decoder) decodeBool(path string, n node, into reflect.Value) {
+	if d.wrongType(path, n, kindBool) {
+		return
+	}
+	into.SetBool(n.text == "true")
+}
+
+func (d *decoder) decodeInt(path string, n node, into reflect.Value) {
+	if d.wrongType(path, n, kindNumber) {
+		return
+	}
+	value, err := strconv.ParseInt(n.text, 10, into.Type().Bits())
+	if err != nil {
+		d.findings.Add(path, n.text, "a whole number without fraction or exponent, of at most 64 bits")
+		return
+	}
+	into.SetInt(value)
+}
+
+// shownName returns a field's name as paths show it: a strange one is quoted.
+func shownName(name string) string {
+	for i := range len(name) {
+		if !isNameByte(name[i]) {
+			return strconv.Quote(shorten(name))
+		}
+	}
+	return shorten(name)
+}
+
+func isNameByte(b byte) bool {
+	return b == '_' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9'
+}
+
+// fieldSet is the json names of a struct's fields, in order.
+type fieldSet struct {
+	names []string
+}
+
+func fieldsOf(t reflect.Type) fieldSet {
+	var out fieldSet
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		out.names = append(out.names, name)
+	}
+	return out
+}
+
+func (s fieldSet) index(name string) (int, bool) {
+	for i, known := range s.names {
+		if known == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Join returns the path of a field of the object at path.
+func Join(path, field string) string {
+	if path == "" {
+		return field
+	}
+	return path + "." + field
+}
+
+// Index returns the path of an item of the array at path.
+func Index(path string, i int) string {
+	return path + "[" + strconv.Itoa(i) + "]"
+}
--- /dev/null
+++ b/internal/settings/document/node.go
@@ -0,0 +1,162 @@
+package document
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+)
+
+// maxDepth bounds the nesting of objects and arrays.
+const maxDepth = 16
+
+type kind string
+
+const (
+	kindNull   kind = "null"
+	kindBool   kind = "a boolean"
+	kindNumber kind = "a number"
+	kindString kind = "a string"
+	kindArray  kind = "an array"
+	kindObject kind = "an object"
+)
+
+// node is a JSON value with its members in document order.
+type node struct {
+	kind    kind
+	text    string
+	items   []node
+	members []member
+}
+
+type member struct {
+	name  string
+	value node
+}
+
+// syntaxError says why and where bytes aren't JSON.
+type syntaxError struct {
+	offset int64
+	reason string
+}
+
+// Error returns the reason and the offset in bytes.
+func (e *syntaxError) Error() string {
+	return e.reason + " at byte " + strconv.FormatInt(e.offset, 10)
+}
+
+// FaultCode returns fault.Invalid.
+func (e *syntaxError) FaultCode() fault.Code {
+	return fault.Invalid
+}
+
+// parse reads one JSON value that fills the document.
+func parse(doc []byte) (node, error) {
+	p := parser{dec: json.NewDecoder(bytes.NewReader(doc))}
+	p.dec.UseNumber()
+	root, err := p.value(0)
+	if err != nil {
+		return node{}, p.syntax(err)
+	}
+	if _, err := p.dec.Token(); !errors.Is(err, io.EOF) {
+		return node{}, &syntaxError{offset: p.dec.InputOffset(), reason: "more data after the document"}
+	}
+	return root, nil
+}
+
+type parser struct {
+	dec *json.Decoder
+}
+
+func (p *parser) syntax(err error) error {
+	var own *syntaxError
+	if errors.As(err, &own) {
+		return own
+	}
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return &syntaxError{offset: syntax.Offset, reason: syntax.Error()}
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return &syntaxError{offset: p.dec.InputOffset(), reason: "unexpected end"}
+	}
+	return &syntaxError{offset: p.dec.InputOffset(), reason: err.Error()}
+}
+
+func (p *parser) value(depth int) (node, error) {
+	token, err := p.dec.Token()
+	if err != nil {
+		return node{}, err
+	}
+	switch t := token.(type) {
+	case json.Delim:
+		return p.composite(t, depth+1)
+	case string:
+		return node{kind: kindString, text: t}, nil
+	case json.Number:
+		return node{kind: kindNumber, text: t.String()}, nil
+	case bool:
+		return node{kind: kindBool, text: strconv.FormatBool(t)}, nil
+	default:
+		return node{kind: kindNull, text: "null"}, nil
+	}
+}
+
+func (p *parser) composite(open json.Delim, depth int) (node, error) {
+	if depth > maxDepth {
+		return node{}, &syntaxError{offset: p.dec.InputOffset(), reason: "nested too deeply"}
+	}
+	if open == '{' {
+		return p.object(depth)
+	}
+	return p.array(depth)
+}
+
+func (p *parser) object(depth int) (node, error) {
+	out := node{kind: kindObject}
+	for p.dec.More() {
+		token, err := p.dec.Token()
+		if err != nil {
+			return node{}, err
+		}
+		name, ok := token.(string)
+		if !ok {
+			return node{}, &syntaxError{offset: p.dec.InputOffset(), reason: "object key is not a string"}
+		}
+		value, err := p.value(depth)
+		if err != nil {
+			return node{}, err
+		}
+		out.members = append(out.members, member{name: name, value: value})
+	}
+	_, err := p.dec.Token()
+	return out, err
+}
+
+func (p *parser) array(depth int) (node, error) {
+	out := node{kind: kindArray}
+	for p.dec.More() {
+		value, err := p.value(depth)
+		if err != nil {
+			return node{}, err
+		}
+		out.items = append(out.items, value)
+	}
+	_, err := p.dec.Token()
+	return out, err
+}
+
+// shown returns the value as a finding shows it.
+func (n node) shown() string {
+	switch n.kind {
+	case kindString:
+		return strconv.Quote(n.text)
+	case kindArray, kindObject:
+		return string(n.kind)
+	default:
+		return n.text
+	}
+}
--- /dev/null
+++ b/internal/settings/document/rules.go
@@ -0,0 +1,53 @@
+package document
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// nameRule is what names allow.
+const nameRule = "1 to 63 characters: a-z, 0-9 and -, beginning and ending with a letter or digit"
+
+const maxNameBytes = 63
+
+// Name asks for a name of an instance, region, failure domain, workspace or
+// service.
+func (f *Findings) Name(path, value string) {
+	if !validName(value) {
+		f.Add(path, strconv.Quote(value), nameRule)
+	}
+}
+
+func validName(s string) bool {
+	if s == "" || len(s) > maxNameBytes {
+		return false
+	}
+	for i := range len(s) {
+		inner := i > 0 && i < len(s)-1
+		if !isAlphanumeric(s[i]) && (s[i] != '-' || !inner) {
+			return false
+		}
+	}
+	return true
+}
+
+func isAlphanumeric(b byte) bool {
+	return b >= 'a' && b <= 'z' || b >= '0' && b <= '9'
+}
+
+// Between asks for a number from low to high.
+func (f *Findings) Between(path string, value, low, high int64) {
+	if value >= low && value <= high {
+		return
+	}
+	allowed := strconv.FormatInt(low, 10) + " to " + strconv.FormatInt(high, 10)
+	f.Add(path, strconv.FormatInt(value, 10), allowed)
+}
+
+// OneOf asks for one of the allowed words.
+func (f *Findings) OneOf(path, value string, allowed []string) {
+	if !slices.Contains(allowed, value) {
+		f.Add(path, strconv.Quote(value), "one of "+strings.Join(allowed, ", "))
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,145 @@
+// Package settings reads the daemon's settings. A bad document is refused with
+// every problem at once.
+package settings
+
+import "time"
+
+// Milliseconds is a span of time as the settings state it.
+type Milliseconds int64
+
+// Duration returns the span.
+func (m Milliseconds) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// Daemon is the settings of one instance.
+type Daemon struct {
+	// InstanceID differs between all instances.
+	InstanceID    string `json:"instance_id"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	// ListenAddress is the IP:port that the instance binds.
+	ListenAddress string `json:"listen_address"`
+	// AdvertiseAddress is the IP:port at which peers reach the instance.
+	AdvertiseAddress string      `json:"advertise_address"`
+	Platform         Platform    `json:"platform"`
+	Session          Session     `json:"session"`
+	Ownership        Ownership   `json:"ownership"`
+	WorkerLease      WorkerLease `json:"worker_lease"`
+	Config           Config      `json:"config"`
+	Peers            Peers       `json:"peers"`
+	Requests         Requests    `json:"requests"`
+	Jobs             Jobs        `json:"jobs"`
+	Log              Log         `json:"log"`
+	Drain            Drain       `json:"drain"`
+}
+
+// Platform locates the platform's services, each by IP:port.
+type Platform struct {
+	TableAddress     string `json:"table_address"`
+	ObjectsAddress   string `json:"objects_address"`
+	InstancesAddress string `json:"instances_address"`
+	WorkersAddress   string `json:"workers_address"`
+	// CallTimeoutMillis bounds one call to the platform.
+	CallTimeoutMillis Milliseconds `json:"call_timeout_ms"`
+}
+
+// Session sets how an instance shows that it lives.
+type Session struct {
+	// HeartbeatMillis is the time between renewals of the session row.
+	HeartbeatMillis Milliseconds `json:"heartbeat_ms"`
+	// TTLMillis is the time after which an unrenewed session has lapsed.
+	TTLMillis Milliseconds `json:"ttl_ms"`
+	// PollMillis is the time between readings of the other sessions.
+	PollMillis Milliseconds `json:"poll_ms"`
+}
+
+// Ownership sets how failure domains find their owners.
+type Ownership struct {
+	// Domains lists the failure domains of the region.
+	Domains []string `json:"domains"`
+	// PollMillis is the time between readings of the owner rows.
+	PollMillis Milliseconds `json:"poll_ms"`
+}
+
+// WorkerLease sets the leases on workers.
+type WorkerLease struct {
+	TTLMillis   Milliseconds `json:"ttl_ms"`
+	RenewMillis Milliseconds `json:"renew_ms"`
+}
+
+// Config sets how tickets come into force.
+type Config struct {
+	// PollMillis is the time between readings of the version row.
+	PollMillis Milliseconds `json:"poll_ms"`
+	// StaleAfterMillis is the time without table and peers after which the
+	// instance stops being ready.
+	StaleAfterMillis Milliseconds `json:"stale_after_ms"`
+}
+
+// Peers sets the links between instances.
+type Peers struct {
+	HeartbeatMillis Milliseconds `json:"heartbeat_ms"`
+	// ReadDeadlineMillis is the silence after which a link is replaced.
+	ReadDeadlineMillis Milliseconds `json:"read_deadline_ms"`
+	MaxMessageBytes    int64        `json:"max_message_bytes"`
+}
+
+// Requests sets the dispatch of requests.
+type Requests struct {
+	// QueueLimit bounds the waiting requests of an instance.
+	QueueLimit   int   `json:"queue_limit"`
+	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// BackendConnectionsPerServer bounds the connections from this instance to
+	// one backend server.
+	BackendConnectionsPerServer int `json:"backend_connections_per_server"`
+	// ClaimFlushMillis is how long a claim may wait for others to share its
+	// commit.
+	ClaimFlushMillis Milliseconds `json:"claim_flush_ms"`
+	// ClaimBatch bounds the claims of one commit.
+	ClaimBatch int `json:"claim_batch"`
+}
+
+// Jobs sets the running of gangs.
+type Jobs struct {
+	CheckpointTimeoutMillis Milliseconds `json:"checkpoint_timeout_ms"`
+	// MaxAttempts bounds the attempts that a job's own failures may end.
+	MaxAttempts int `json:"max_attempts"`
+	// ReclaimBoundMillis bounds the time in which lent accelerators come back.
+	ReclaimBoundMillis Milliseconds `json:"reclaim_bound_ms"`
+}
+
+// Log sets the log.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string `json:"level"`
+}
+
+// Drain sets the planned stop.
+type Drain struct {
+	// HandoverTimeoutMillis bounds the handing over of ownership; requests in
+	// flight are bound by their own deadlines alone.
+	HandoverTimeoutMillis Milliseconds `json:"handover_timeout_ms"`
+}
+
+// Default returns the settings of everything but identity and addresses.
+func Default() Daemon {
+	return Daemon{
+		Platform:    Platform{CallTimeoutMillis: 1000},
+		Session:     Session{HeartbeatMillis: 500, TTLMillis: 2000, PollMillis: 500},
+		Ownership:   Ownership{PollMillis: 500},
+		WorkerLease: WorkerLease{TTLMillis: 15000, RenewMillis: 3000},
+		Config:      Config{PollMillis: 1000, StaleAfterMillis: 4000},
+		Peers:       Peers{HeartbeatMillis: 500, ReadDeadlineMillis: 2000, MaxMessageBytes: 4 << 20},
+		Requests: Requests{
+			QueueLimit:                  2048,
+			MaxBodyBytes:                1 << 20,
+			BackendConnectionsPerServer: 7,
+			ClaimFlushMillis:            4,
+			ClaimBatch:                  64,
+		},
+		Jobs:  Jobs{CheckpointTimeoutMillis: 2000, MaxAttempts: 3, ReclaimBoundMillis: 3000},
+		Log:   Log{Level: "info"},
+		Drain: Drain{HandoverTimeoutMillis: 5000},
+	}
+}
