--- /dev/null
+++ b/internal/breaker/budget.go
@@ -0,0 +1,34 @@
+package breaker
+
+// RetryBudget bounds retries to a share of successes, so that retries can't
+// multiply an overload.
+type RetryBudget struct {
+	tokens float64
+	share  float64
+	burst  float64
+}
+
+// NewRetryBudget returns a full budget that gains share tokens with each
+// success and holds at most burst tokens.
+func NewRetryBudget(share, burst float64) RetryBudget {
+	return RetryBudget{tokens: burst, share: share, burst: burst}
+}
+
+// Succeed adds a success's share.
+func (b *RetryBudget) Succeed() {
+	b.tokens = min(b.burst, b.tokens+b.share)
+}
+
+// Take spends a token and reports whether there was one.
+func (b *RetryBudget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Tokens returns the retries that may be made now.
+func (b *RetryBudget) Tokens() float64 {
+	return b.tokens
+}
--- /dev/null
+++ b/internal/dispatch/items.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import "time"
+
+const (
+	// levels is the number of effective classes.
+	levels = 3
+	// none is the absent item.
+	none int32 = -1
+)
+
+type itemState uint8
+
+const (
+	stateFree itemState = iota
+	stateQueued
+	stateInFlight
+	// stateEnded items wait for Retry.
+	stateEnded
+)
+
+// item is a request known to the dispatcher. Items live in a pool and are
+// linked by index, so that steady work allocates nothing.
+type item struct {
+	id         uint64
+	service    *service
+	server     *server
+	deadline   time.Duration
+	queuedAt   time.Duration
+	startedAt  time.Duration
+	cost       time.Duration
+	prev, next int32
+	attempt    int
+	level      uint8
+	state      itemState
+	repeatable bool
+	// long in-flight items count against the slots for long work.
+	long bool
+	// charged items were paid for from their workspace's deficit.
+	charged   bool
+	cancelled bool
+}
+
+// pool holds the items and finds them by ID.
+type pool struct {
+	items []item
+	free  []int32
+	index map[uint64]int32
+}
+
+func newPool(capacity int) pool {
+	return pool{
+		items: make([]item, 0, capacity),
+		free:  make([]int32, 0, capacity),
+		index: make(map[uint64]int32, 2*capacity),
+	}
+}
+
+func (p *pool) add(it item) int32 {
+	var i int32
+	if n := len(p.free); n > 0 {
+		i = p.free[n-1]
+		p.free = p.free[:n-1]
+		p.items[i] = it
+	} else {
+		i = int32(len(p.items))
+		p.items = append(p.items, it)
+	}
+	p.index[it.id] = i
+	return i
+}
+
+func (p *pool) remove(i int32) {
+	delete(p.index, p.items[i].id)
+	p.items[i] = item{}
+	p.free = append(p.free, i)
+}
+
+func (p *pool) find(id uint64) (int32, bool) {
+	i, ok := p.index[id]
+	return i, ok
+}
+
+// list is a doubly linked list of pooled items.
+type list struct {
+	head, tail int32
+	len        int
+}
+
+func newList() list {
+	return list{head: none, tail: none}
+}
+
+func (l *list) pushBack(p *pool, i int32) {
+	it := &p.items[i]
+	it.prev, it.next = l.tail, none
+	if l.tail == none {
+		l.head = i
+	} else {
+		p.items[l.tail].next = i
+	}
+	l.tail = i
+	l.len++
+}
+
+func (l *list) pushFront(p *pool, i int32) {
+	it := &p.items[i]
+	it.prev, it.next = none, l.head
+	if l.head == none {
+		l.tail = i
+	} else {
+		p.items[l.head].prev = i
+	}
+	l.head = i
+	l.len++
+}
+
+func (l *list) remove(p *pool, i int32) {
+	it := &p.items[i]
+	if it.prev == none {
+		l.head = it.next
+	} else {
+		p.items[it.prev].next = it.next
+	}
+	if it.next == none {
+		l.tail = it.prev
+	} else {
+		p.items[it.next].prev = it.prev
+	}
+	it.prev, it.next = none, none
+	l.len--
+}
--- /dev/null
+++ b/internal/dispatch/stats.go
@@ -0,0 +1,133 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+// Stats is a snapshot for the state dump.
+type Stats struct {
+	Queued     int              `json:"queued"`
+	InFlight   int              `json:"in_flight"`
+	Classes    []ClassStats     `json:"classes"`
+	Workspaces []WorkspaceStats `json:"workspaces"`
+	Services   []ServiceStats   `json:"services"`
+	Servers    []ServerStats    `json:"servers"`
+	// LongLimit is the number of slots that long work may take from here.
+	LongLimit    int     `json:"long_limit_slots"`
+	RetryTokens  float64 `json:"retry_tokens"`
+	Dispatched   int64   `json:"dispatched"`
+	Retried      int64   `json:"retried"`
+	Refused      int64   `json:"refused"`
+	Expired      int64   `json:"expired"`
+	Stragglers   int64   `json:"stragglers"`
+	RefusedFull  int64   `json:"refused_slots_full"`
+	RefusedLeave int64   `json:"refused_leaving"`
+}
+
+// ClassStats describes a class by its effective rank.
+type ClassStats struct {
+	Class    structs.Class `json:"class"`
+	Queued   int           `json:"queued"`
+	InFlight int           `json:"in_flight"`
+}
+
+// WorkspaceStats describes a workspace.
+type WorkspaceStats struct {
+	Name     string `json:"name"`
+	Queued   int    `json:"queued"`
+	InFlight int    `json:"in_flight"`
+	// NominalHere is this instance's part of the nominal slots.
+	NominalHere int `json:"nominal_here_slots"`
+}
+
+// ServiceStats describes what was learned of a service's run times.
+type ServiceStats struct {
+	Workspace string        `json:"workspace"`
+	Name      string        `json:"name"`
+	Class     structs.Class `json:"class"`
+	Queued    int           `json:"queued"`
+	Median    time.Duration `json:"median_run_ns"`
+	High      time.Duration `json:"p95_run_ns"`
+	Learned   bool          `json:"learned"`
+}
+
+// ServerStats describes a backend server.
+type ServerStats struct {
+	ID    string `json:"id"`
+	Slots int    `json:"slots"`
+	// InFlight is this instance's work there; Others is that of the other
+	// instances as last reported.
+	InFlight int    `json:"in_flight"`
+	Long     int    `json:"long"`
+	Others   int    `json:"others"`
+	Leaving  bool   `json:"leaving"`
+	Circuit  string `json:"circuit"`
+}
+
+var classes = [levels]structs.Class{
+	structs.ClassUrgent,
+	structs.ClassNormal,
+	structs.ClassBatch,
+}
+
+// Stats returns a snapshot. It allocates and is not for the dispatch path.
+func (d *Dispatcher) Stats() Stats {
+	s := d.counters
+	s.Queued = d.queued
+	s.LongLimit = d.longLimit
+	s.RetryTokens = d.budget.Tokens()
+	for l := range d.level {
+		s.InFlight += d.level[l].inFlight
+		s.Classes = append(s.Classes, ClassStats{
+			Class:    classes[l],
+			Queued:   d.level[l].queued,
+			InFlight: d.level[l].inFlight,
+		})
+	}
+	for _, w := range d.workspaces {
+		s.Workspaces = append(s.Workspaces, WorkspaceStats{
+			Name:        w.name,
+			Queued:      w.queuedItems(),
+			InFlight:    w.inFlight,
+			NominalHere: w.nominal,
+		})
+		for _, q := range w.services {
+			s.Services = append(s.Services, q.stats())
+		}
+	}
+	for _, v := range d.servers {
+		s.Servers = append(s.Servers, v.stats(d.now))
+	}
+	return s
+}
+
+func (q *service) stats() ServiceStats {
+	e := q.run.Estimate()
+	queued := 0
+	for l := range q.fifo {
+		queued += q.fifo[l].len
+	}
+	return ServiceStats{
+		Workspace: q.workspace.name,
+		Name:      q.key.Name,
+		Class:     classes[q.levelFor(q.class)],
+		Queued:    queued,
+		Median:    e.Median,
+		High:      e.High,
+		Learned:   e.Learned,
+	}
+}
+
+func (v *server) stats(now time.Duration) ServerStats {
+	return ServerStats{
+		ID:       v.id,
+		Slots:    v.slots,
+		InFlight: v.inFlight,
+		Long:     v.long,
+		Others:   v.others,
+		Leaving:  v.leaving,
+		Circuit:  v.circuit.State(now).String(),
+	}
+}
--- /dev/null
+++ b/internal/dispatch/timers.go
@@ -0,0 +1,72 @@
+package dispatch
+
+// timers is a binary heap of servers by wakeAt that knows each server's place.
+type timers struct {
+	heap []*server
+}
+
+func (t *timers) first() (*server, bool) {
+	if len(t.heap) == 0 {
+		return nil, false
+	}
+	return t.heap[0], true
+}
+
+// set adds a server or moves it after wakeAt changed.
+func (t *timers) set(v *server) {
+	if v.timerAt < 0 {
+		v.timerAt = len(t.heap)
+		t.heap = append(t.heap, v)
+	}
+	t.up(v.timerAt)
+	t.down(v.timerAt)
+}
+
+func (t *timers) remove(v *server) {
+	at := v.timerAt
+	if at < 0 {
+		return
+	}
+	last := len(t.heap) - 1
+	t.swap(at, last)
+	t.heap = t.heap[:last]
+	v.timerAt = -1
+	if at < last {
+		t.up(at)
+		t.down(at)
+	}
+}
+
+func (t *timers) swap(i, j int) {
+	t.heap[i], t.heap[j] = t.heap[j], t.heap[i]
+	t.heap[i].timerAt = i
+	t.heap[j].timerAt = j
+}
+
+func (t *timers) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if t.heap[parent].wakeAt <= t.heap[i].wakeAt {
+			return
+		}
+		t.swap(i, parent)
+		i = parent
+	}
+}
+
+func (t *timers) down(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(t.heap) {
+			return
+		}
+		if right := child + 1; right < len(t.heap) && t.heap[right].wakeAt < t.heap[child].wakeAt {
+			child = right
+		}
+		if t.heap[i].wakeAt <= t.heap[child].wakeAt {
+			return
+		}
+		t.swap(i, child)
+		i = child
+	}
+}
