Outgoing adapters to the platform and backend servers, fakes at the ports

The fakes work out tasks, leases and slots from the time at which they are looked at, without goroutines, so they serve synctest bubbles and the stand-ins alike.

--- /dev/null
+++ b/internal/adapter/peer/codec.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+)
+
+const (
+	maxNesting  = 8
+	maxElements = 16384
+	maxPairs    = 1024
+)
+
+// hello is the first message in each direction.
+type hello struct {
+	Version int            `cbor:"1,keyasint"`
+	Hello   port.PeerHello `cbor:"2,keyasint"`
+}
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// mustDecMode refuses what our encoder never makes. Unknown fields are
+// ignored, so that a field can be added without a new version.
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxPairs,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func encode(value any) ([]byte, error) {
+	data, err := encMode.Marshal(value)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, "encode peer message", err)
+	}
+	return data, nil
+}
+
+// decodeHello reads the first message. It fails with fault.Invalid for garbage
+// and with *VersionError for another version.
+func decodeHello(data []byte) (port.PeerHello, error) {
+	var h hello
+	if err := decMode.Unmarshal(data, &h); err != nil {
+		return port.PeerHello{}, fault.Wrap(fault.Invalid, "peer hello", err)
+	}
+	if h.Version != protocolVersion {
+		return port.PeerHello{}, &VersionError{Theirs: h.Version, Ours: protocolVersion}
+	}
+	if h.Hello.Instance == "" || h.Hello.Incarnation == "" {
+		return port.PeerHello{}, fault.New(fault.Invalid, "peer hello names no instance or incarnation")
+	}
+	return h.Hello, nil
+}
+
+// decodeMessage reads any later message. It fails with fault.Invalid.
+func decodeMessage(data []byte) (port.PeerMessage, error) {
+	var m port.PeerMessage
+	if err := decMode.Unmarshal(data, &m); err != nil {
+		return port.PeerMessage{}, fault.Wrap(fault.Invalid, "peer message", err)
+	}
+	if fields(m) != 1 {
+		return port.PeerMessage{}, fault.New(fault.Invalid, "peer message must hold exactly one field")
+	}
+	return m, nil
+}
+
+func fields(m port.PeerMessage) int {
+	n := 0
+	for _, set := range [...]bool{
+		m.Hello != nil,
+		m.Load != nil,
+		m.Notice != nil,
+		m.ConfigRequest != nil,
+		m.Config != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/fake/table.go
+++ b/internal/fake/table.go
@@ -7,24 +7,12 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
-	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 )
 
-// TableFaults says how a table misbehaves. The zero value is healthy.
-type TableFaults struct {
-	// Down refuses every call before it has any effect.
-	Down bool
-	// LoseAnswers lets commits take effect and then reports them uncertain.
-	LoseAnswers bool
-	// Hang blocks every call until its context ends; a commit then never takes
-	// effect.
-	Hang bool
-	// Delay is waited before each call.
-	Delay time.Duration
-}
+// TableFaults says how a table misbehaves.
+type TableFaults = Faults
 
 // TableCounts counts what a table was asked, in rows as well as calls.
 type TableCounts struct {
@@ -37,7 +25,7 @@
 	rows     map[string]port.Row
 	keys     []string
 	revision int64
-	faults   TableFaults
+	gate     gate
 	counts   TableCounts
 	// onCommit is called with each transaction that took effect.
 	onCommit func(port.Txn)
@@ -50,9 +38,7 @@
 
 // SetFaults replaces the table's faults.
 func (t *Table) SetFaults(f TableFaults) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.faults = f
+	t.gate.set(f)
 }
 
 // OnCommit sets a function to be called, under the table's lock, with each
@@ -72,7 +58,7 @@
 
 // Get implements port.Table.
 func (t *Table) Get(ctx context.Context, keys ...string) ([]port.Row, error) {
-	if _, err := t.enter(ctx); err != nil {
+	if _, err := t.gate.enter(ctx, "table read"); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
@@ -90,7 +76,7 @@
 
 // Scan implements port.Table.
 func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]port.Row, bool, error) {
-	if _, err := t.enter(ctx); err != nil {
+	if _, err := t.gate.enter(ctx, "table read"); err != nil {
 		return nil, false, err
 	}
 	t.mu.Lock()
@@ -116,7 +102,7 @@
 
 // Commit implements port.Table.
 func (t *Table) Commit(ctx context.Context, txn port.Txn) (int64, error) {
-	faults, err := t.enter(ctx)
+	faults, err := t.gate.enterMutation(ctx, "table commit")
 	if err != nil {
 		return 0, err
 	}
@@ -125,7 +111,7 @@
 	t.counts.Commits++
 	if keys := t.failing(txn.Conditions); len(keys) > 0 {
 		t.counts.Conflicts++
-		return 0, t.answer(faults, &port.ConflictError{Keys: keys})
+		return 0, faults.answer(&port.ConflictError{Keys: keys})
 	}
 	t.revision++
 	for _, w := range txn.Writes {
@@ -134,38 +120,7 @@
 	if t.onCommit != nil {
 		t.onCommit(txn)
 	}
-	return t.revision, t.answer(faults, nil)
-}
-
-// enter waits and fails as the faults say before a call has any effect.
-func (t *Table) enter(ctx context.Context) (TableFaults, error) {
-	t.mu.Lock()
-	f := t.faults
-	t.mu.Unlock()
-	if f.Hang {
-		<-ctx.Done()
-		return f, fault.Wrap(fault.Uncertain, "table call", ctx.Err())
-	}
-	if f.Delay > 0 {
-		timer := time.NewTimer(f.Delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return f, fault.Wrap(fault.Uncertain, "table call", ctx.Err())
-		}
-	}
-	if f.Down {
-		return f, fault.New(fault.Unavailable, "table is down")
-	}
-	return f, ctx.Err()
-}
-
-func (t *Table) answer(f TableFaults, err error) error {
-	if f.LoseAnswers {
-		return fault.New(fault.Uncertain, "answer was lost")
-	}
-	return err
+	return t.revision, faults.answer(nil)
 }
 
 func (t *Table) failing(conditions []port.Condition) []string {
--- /dev/null
+++ b/internal/fake/workers.go
@@ -0,0 +1,284 @@
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+// Workers is a set of workers with their agents. Tasks run in the time of
+// time.Now and have a TaskPayload. It is safe for concurrent use.
+type Workers struct {
+	gate     gate
+	objects  port.Objects
+	usageLag time.Duration
+
+	mu     sync.Mutex
+	order  []string
+	agents map[string]*agent
+	log    *eventLog
+}
+
+// NewWorkers returns healthy workers that checkpoint into objects and report
+// usage with a lag.
+func NewWorkers(objects port.Objects, usageLag time.Duration, workers ...structs.Worker) *Workers {
+	w := &Workers{
+		objects:  objects,
+		usageLag: usageLag,
+		agents:   make(map[string]*agent),
+		log:      &eventLog{},
+	}
+	for _, worker := range workers {
+		w.order = append(w.order, worker.ID)
+		w.agents[worker.ID] = newAgent(worker, w.log)
+	}
+	return w
+}
+
+// SetListFaults replaces the faults of the inventory.
+func (w *Workers) SetListFaults(f Faults) {
+	w.gate.set(f)
+}
+
+// SetFaults replaces the faults of the named workers, or of all.
+func (w *Workers) SetFaults(f WorkerFaults, ids ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(ids) == 0 {
+		ids = w.order
+	}
+	now := time.Now()
+	for _, id := range ids {
+		if a, ok := w.agents[id]; ok {
+			a.setFaults(now, f)
+		}
+	}
+}
+
+// Events returns what the workers saw, by time, and how many events were not
+// kept.
+func (w *Workers) Events() ([]Event, int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	for _, id := range w.order {
+		w.agents[id].advance(now)
+	}
+	return w.log.sorted(), w.log.dropped
+}
+
+// List implements port.Workers.
+func (w *Workers) List(ctx context.Context) ([]structs.Worker, error) {
+	if _, err := w.gate.enter(ctx, "worker list"); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]structs.Worker, 0, len(w.order))
+	for _, id := range w.order {
+		a := w.agents[id]
+		worker := a.worker
+		if a.faults.Leaving {
+			worker.State = structs.StateLeaving
+		}
+		out = append(out, worker)
+	}
+	return out, nil
+}
+
+// Reserve implements port.Workers.
+func (w *Workers) Reserve(
+	ctx context.Context, worker structs.Worker, id structs.LeaseID, accelerators int, ttl time.Duration,
+) error {
+	return w.do(ctx, worker.ID, func(a *agent, now time.Time) error {
+		return a.reserve(now, id, accelerators, ttl)
+	})
+}
+
+// Renew implements port.Workers.
+func (w *Workers) Renew(
+	ctx context.Context, worker structs.Worker, ids []structs.LeaseID, ttl time.Duration,
+) ([]structs.LeaseStatus, error) {
+	var out []structs.LeaseStatus
+	err := w.do(ctx, worker.ID, func(a *agent, now time.Time) error {
+		for _, id := range ids {
+			if l, ok := a.leases[id]; ok {
+				l.expires = now.Add(ttl)
+			}
+			out = append(out, a.status(now, id, w.usageLag))
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// Start implements port.Workers.
+func (w *Workers) Start(
+	ctx context.Context, worker structs.Worker, id structs.LeaseID, payload []byte, checkpoint string,
+) error {
+	resumed, err := w.load(ctx, checkpoint)
+	if err != nil {
+		return err
+	}
+	return w.do(ctx, worker.ID, func(a *agent, now time.Time) error {
+		return a.start(now, id, payload, resumed)
+	})
+}
+
+// Throttle implements port.Workers.
+func (w *Workers) Throttle(
+	ctx context.Context, worker structs.Worker, id structs.LeaseID, percent int,
+) error {
+	return w.do(ctx, worker.ID, func(a *agent, now time.Time) error {
+		l, err := a.running(id)
+		if err != nil {
+			return err
+		}
+		l.task.percent = min(max(percent, 0), fullSpeedPercent)
+		a.record(l, now, EventThrottled)
+		return nil
+	})
+}
+
+// Release implements port.Workers.
+func (w *Workers) Release(ctx context.Context, worker structs.Worker, ids []structs.LeaseID) error {
+	return w.do(ctx, worker.ID, func(a *agent, now time.Time) error {
+		for _, id := range ids {
+			a.release(now, id)
+		}
+		return nil
+	})
+}
+
+// Checkpoint implements port.Workers. The task goes on while its state is
+// saved. A second call for the same object has no effect.
+func (w *Workers) Checkpoint(
+	ctx context.Context, worker structs.Worker, id structs.LeaseID, object string,
+) error {
+	var save checkpointSave
+	err := w.do(ctx, worker.ID, func(a *agent, _ time.Time) error {
+		var err error
+		save, err = a.beginCheckpoint(id, object)
+		return err
+	})
+	if err != nil || save.done {
+		return err
+	}
+	if save.hangs {
+		<-ctx.Done()
+		return fault.Wrap(fault.Uncertain, "checkpoint", ctx.Err())
+	}
+	if err := sleep(ctx, save.takes); err != nil {
+		return fault.Wrap(fault.Uncertain, "checkpoint", err)
+	}
+	if err := w.objects.Put(ctx, object, save.data); err != nil {
+		return err
+	}
+	return w.do(ctx, worker.ID, func(a *agent, now time.Time) error {
+		return a.endCheckpoint(now, id, object)
+	})
+}
+
+// checkpointSave is what a checkpoint is about to store.
+type checkpointSave struct {
+	data  []byte
+	takes time.Duration
+	hangs bool
+	// done means that the object was stored before.
+	done bool
+}
+
+func (a *agent) beginCheckpoint(id structs.LeaseID, object string) (checkpointSave, error) {
+	l, err := a.running(id)
+	if err != nil {
+		return checkpointSave{}, err
+	}
+	if _, ok := l.task.saved[object]; ok {
+		return checkpointSave{done: true}, nil
+	}
+	if a.faults.CheckpointFails {
+		return checkpointSave{}, fault.New(fault.Refused, "checkpoint failed")
+	}
+	data, err := json.Marshal(taskCheckpoint{ProgressMillis: l.task.progress.Milliseconds()})
+	if err != nil {
+		return checkpointSave{}, fault.Wrap(fault.Internal, "checkpoint", err)
+	}
+	takes := time.Duration(l.task.payload.StateMillis) * time.Millisecond
+	return checkpointSave{data: data, takes: takes, hangs: a.faults.CheckpointHangs}, nil
+}
+
+func (a *agent) endCheckpoint(now time.Time, id structs.LeaseID, object string) error {
+	l, err := a.held(id)
+	if err != nil {
+		return err
+	}
+	l.task.saved[object] = struct{}{}
+	a.record(l, now, EventCheckpointed)
+	return nil
+}
+
+// load returns the progress that a checkpoint holds. A checkpoint that can't
+// be read refuses the start.
+func (w *Workers) load(ctx context.Context, object string) (time.Duration, error) {
+	if object == "" {
+		return 0, nil
+	}
+	data, err := w.objects.Get(ctx, object)
+	if fault.Is(err, fault.NotFound) {
+		return 0, fault.Wrap(fault.Refused, "checkpoint doesn't exist", err)
+	}
+	if err != nil {
+		return 0, err
+	}
+	var saved taskCheckpoint
+	if err := json.Unmarshal(data, &saved); err != nil {
+		return 0, fault.Wrap(fault.Refused, "checkpoint can't be read", err)
+	}
+	return time.Duration(saved.ProgressMillis) * time.Millisecond, nil
+}
+
+// do runs a call on a worker's agent after its faults.
+func (w *Workers) do(ctx context.Context, id string, f func(*agent, time.Time) error) error {
+	faults, thawed, err := w.lookup(id)
+	if err != nil {
+		return err
+	}
+	if err := faults.await(ctx, "worker call", fault.Uncertain); err != nil {
+		return err
+	}
+	if thawed != nil {
+		if err := awaitThaw(ctx, thawed); err != nil {
+			return err
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a := w.agents[id]
+	if a.faults.Crashed {
+		return fault.New(fault.Unavailable, "worker is down")
+	}
+	now := time.Now()
+	a.advance(now)
+	return faults.answer(f(a, now))
+}
+
+func (w *Workers) lookup(id string) (Faults, <-chan struct{}, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a, ok := w.agents[id]
+	if !ok {
+		return Faults{}, nil, fault.New(fault.Unavailable, "no such worker")
+	}
+	if a.faults.Frozen {
+		return a.faults.Faults, a.thawed, nil
+	}
+	return a.faults.Faults, nil, nil
+}
