--- /dev/null
+++ b/internal/duty/session/config.go
@@ -0,0 +1,45 @@
+package session
+
+import "time"
+
+// The default intervals. A session ends at most Heartbeat + TTL + Heartbeat
+// after its last renewal, which leaves time for a takeover within the bound
+// for urgent work.
+const (
+	defaultHeartbeat  = 500 * time.Millisecond
+	defaultTTL        = 2 * time.Second
+	defaultPauseLimit = time.Second
+	defaultMinTimeout = 800 * time.Millisecond
+	defaultMaxTimeout = 5 * time.Second
+)
+
+// Config holds a session's intervals. Zero fields take the defaults.
+type Config struct {
+	// Heartbeat is the time between renewals, and between scans.
+	Heartbeat time.Duration
+	// TTL is how long an observer waits for another session's revision to
+	// move before it ends that session.
+	TTL time.Duration
+	// PauseLimit is the longest gap in this process's own running that leaves
+	// its session trusted without asking the table.
+	PauseLimit time.Duration
+	// MinTimeout and MaxTimeout bound the wait for one table operation.
+	MinTimeout time.Duration
+	MaxTimeout time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	c.Heartbeat = orDefault(c.Heartbeat, defaultHeartbeat)
+	c.TTL = orDefault(c.TTL, defaultTTL)
+	c.PauseLimit = orDefault(c.PauseLimit, defaultPauseLimit)
+	c.MinTimeout = orDefault(c.MinTimeout, defaultMinTimeout)
+	c.MaxTimeout = orDefault(c.MaxTimeout, defaultMaxTimeout)
+	return c
+}
+
+func orDefault(value, fallback time.Duration) time.Duration {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -8,54 +8,54 @@
 
 // PeerHello opens a link between two instances.
 type PeerHello struct {
-	Instance    string
-	Incarnation string
-	Domain      string
+	Instance    string `cbor:"1,keyasint,omitempty"`
+	Incarnation string `cbor:"2,keyasint,omitempty"`
+	Domain      string `cbor:"3,keyasint,omitempty"`
 	// Address of the sender's own listener, host:port by IP number.
-	Address string
+	Address string `cbor:"4,keyasint,omitempty"`
 }
 
 // PeerLoad is an instance's heartbeat to its peers.
 type PeerLoad struct {
-	ConfigNumber int64
+	ConfigNumber int64 `cbor:"1,keyasint,omitempty"`
 	// QueuedRequests and BusySlots describe the instance's request dispatch.
-	QueuedRequests int
-	BusySlots      int
+	QueuedRequests int `cbor:"2,keyasint,omitempty"`
+	BusySlots      int `cbor:"3,keyasint,omitempty"`
 	// Leaving lists backend servers seen leaving.
-	Leaving []string
+	Leaving []string `cbor:"4,keyasint,omitempty"`
 	// Domains summarizes the failure domains the sender owns.
-	Domains  []DomainSummary
-	Draining bool
+	Domains  []DomainSummary `cbor:"5,keyasint,omitempty"`
+	Draining bool            `cbor:"6,keyasint,omitempty"`
 }
 
 // DomainSummary is an owner's view of its failure domain.
 type DomainSummary struct {
-	Domain           string
-	FreeAccelerators int
+	Domain           string `cbor:"1,keyasint,omitempty"`
+	FreeAccelerators int    `cbor:"2,keyasint,omitempty"`
 	// LargestBlock is the most accelerators one gang could get in a rack.
-	LargestBlock int
-	QueuedJobs   int
+	LargestBlock int `cbor:"3,keyasint,omitempty"`
+	QueuedJobs   int `cbor:"4,keyasint,omitempty"`
 }
 
 // PeerNotice hints at something the receiver would else see at its next poll.
 type PeerNotice struct {
 	// ConfigNumber is a newly accepted ticket, or 0.
-	ConfigNumber int64
+	ConfigNumber int64 `cbor:"1,keyasint,omitempty"`
 	// Domain has a new or cancelled job, or is "".
-	Domain string
+	Domain string `cbor:"2,keyasint,omitempty"`
 }
 
 // PeerConfigRequest asks for the sender's configuration if newer than After.
 type PeerConfigRequest struct {
-	After int64
+	After int64 `cbor:"1,keyasint,omitempty"`
 }
 
 // PeerConfig answers a PeerConfigRequest. Config is nil when the answerer has
 // nothing newer.
 type PeerConfig struct {
-	Number     int64
-	Workspaces []structs.Workspace
-	Services   []structs.Service
+	Number     int64               `cbor:"1,keyasint,omitempty"`
+	Workspaces []structs.Workspace `cbor:"2,keyasint,omitempty"`
+	Services   []structs.Service   `cbor:"3,keyasint,omitempty"`
 }
 
 // PeerMessage is one message on a link; exactly one field is set.
