Stand-ins for the platform and the backend servers

One process serves the whole platform over connect, another any number of backend servers; both take faults as strict JSON over HTTP and record what workers and servers saw, for the checkers. They wrap the fakes, so the lease and slot rules stand once.

--- /dev/null
+++ b/internal/standin/platform/record.go
@@ -0,0 +1,63 @@
+package platform
+
+import (
+	"net/http"
+
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/standin/control"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+// Record is what the platform saw.
+type Record struct {
+	Table  TableRecord   `json:"table"`
+	Events []EventRecord `json:"events"`
+	// DroppedEvents were too many to keep.
+	DroppedEvents int64 `json:"dropped_events"`
+}
+
+// TableRecord counts what the table service was asked.
+type TableRecord struct {
+	Commits     int64 `json:"commits"`
+	RowsWritten int64 `json:"rows_written"`
+	Reads       int64 `json:"reads"`
+	RowsRead    int64 `json:"rows_read"`
+	Conflicts   int64 `json:"conflicts"`
+}
+
+// EventRecord is something that a worker saw.
+type EventRecord struct {
+	AtUnixNanos  int64           `json:"at_unix_nanos"`
+	Kind         fake.EventKind  `json:"kind"`
+	Worker       string          `json:"worker"`
+	Lease        structs.LeaseID `json:"lease"`
+	Accelerators int             `json:"accelerators"`
+}
+
+// Record returns what the platform saw so far.
+func (p *Platform) Record() Record {
+	events, dropped := p.workers.Events()
+	out := Record{
+		Table:         TableRecord(p.table.Counts()),
+		Events:        make([]EventRecord, 0, len(events)),
+		DroppedEvents: dropped,
+	}
+	for _, e := range events {
+		out.Events = append(out.Events, eventRecord(e))
+	}
+	return out
+}
+
+func eventRecord(e fake.Event) EventRecord {
+	return EventRecord{
+		AtUnixNanos:  e.At.UnixNano(),
+		Kind:         e.Kind,
+		Worker:       e.Worker,
+		Lease:        e.Lease,
+		Accelerators: e.Accelerators,
+	}
+}
+
+func (p *Platform) record(w http.ResponseWriter, _ *http.Request) {
+	control.Write(w, p.Record())
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,69 @@
+// Package platform stands in for the platform in tests and demos: the table
+// service, the object store, the instance list and the workers with their
+// agents behind one HTTP server, with controls for faults and a record of what
+// the workers saw.
+package platform
+
+import (
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/lentilwinch/lentilwinch/gen/platform/v1/platformv1connect"
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/standin/control"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+// maxMessageBytes bounds a request's message.
+const maxMessageBytes = 16 << 20
+
+// Options says what the platform holds.
+type Options struct {
+	Fleet     Fleet
+	Instances []structs.Instance
+	// InstanceLag is the time until a change of the instance list is seen.
+	InstanceLag time.Duration
+	// UsageLag is the time between usage reports.
+	UsageLag time.Duration
+	// WorkerAddress is where the inventory says the agents are.
+	WorkerAddress string
+}
+
+// Platform is the state behind the services.
+type Platform struct {
+	options   Options
+	table     *fake.Table
+	objects   *fake.Objects
+	instances *fake.Instances
+	workers   *fake.Workers
+}
+
+// New returns a healthy platform.
+func New(o Options) *Platform {
+	objects := fake.NewObjects()
+	return &Platform{
+		options:   o,
+		table:     fake.NewTable(),
+		objects:   objects,
+		instances: fake.NewInstances(o.InstanceLag, o.Instances...),
+		workers:   fake.NewWorkers(objects, o.UsageLag, o.Fleet.Workers()...),
+	}
+}
+
+// Handler returns the services and the controls.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	limit := connect.WithReadMaxBytes(maxMessageBytes)
+	mux.Handle(platformv1connect.NewTableServiceHandler(&tableService{table: p.table}, limit))
+	mux.Handle(platformv1connect.NewObjectServiceHandler(&objectService{objects: p.objects}, limit))
+	mux.Handle(platformv1connect.NewInstanceServiceHandler(&instanceService{instances: p.instances}, limit))
+	workers := &workerService{workers: p.workers, address: p.options.WorkerAddress}
+	mux.Handle(platformv1connect.NewWorkerServiceHandler(workers, limit))
+	mux.HandleFunc("GET /healthz", control.Healthy)
+	mux.HandleFunc("GET /record", p.record)
+	mux.HandleFunc("POST /faults", p.setFaults)
+	mux.HandleFunc("POST /instances", p.changeInstances)
+	return mux
+}
