Lend only what every guaranteed shape can reclaim

Cause: a guarantee is a shape, so a count of free accelerators can't tell whether it can be had back. The keeper holds a place for each gang that nobody runs, on free accelerators plus those of lent preemptible gangs, and moves places aside or searches exactly, in bounded steps, before a start is allowed. Asks within a guarantee reclaim the gangs that lose the least accelerator time. Waiting jobs get reservations, and lent gangs are moved for them in bounds.

--- /dev/null
+++ b/internal/scheduler/asks.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+)
+
+// ask is a job within a guarantee.
+type ask struct {
+	Pending
+	kind int
+}
+
+// split assigns the guarantees' gangs that nobody runs to jobs in their order.
+// The asks come oldest first, so that an ask whose reclaim is under way keeps
+// the places that it frees; class decides who gets a guarantee's gang, and
+// every ask is then served within one reclaim.
+func (st *state) split(jobs []Pending) (asks []ask, rest []Pending) {
+	if len(st.kinds) == 0 {
+		return nil, jobs
+	}
+	kept := slices.Clone(st.kinds)
+	for i := range kept {
+		kept[i].left -= st.missing[i]
+	}
+	for _, p := range jobs {
+		if k := smallest(kept, p.Spec.Key.Workspace, shapeOf(p.Spec)); k >= 0 {
+			kept[k].left--
+			asks = append(asks, ask{Pending: p, kind: k})
+			continue
+		}
+		rest = append(rest, p)
+	}
+	slices.SortStableFunc(asks, func(a, b ask) int { return -cmp.Compare(a.Waited, b.Waited) })
+	return asks, rest
+}
+
+// serve starts an ask on free accelerators, or waits for stopping gangs, or
+// reclaims lent ones.
+func (st *state) serve(a *ask) {
+	if b, ok := st.permitted(a, st.free, a.Avoid); ok {
+		st.commit(b)
+		st.start(&a.Pending, b, false)
+		return
+	}
+	if b, ok := st.permitted(a, st.soon, nil); ok {
+		st.commit(b)
+		st.wait(&a.Pending, reasonReclaiming)
+		return
+	}
+	if b, ok := st.reclaimFor(a); ok {
+		st.stop(st.victims(b), a.Spec.Key)
+		st.commit(b)
+		st.wait(&a.Pending, reasonReclaiming)
+		return
+	}
+	st.wait(&a.Pending, reasonUnheld)
+}
+
+// permitted takes a place within a grid that leaves every other guarantee its
+// place: by best fit, else the place kept for the ask, else by search.
+func (st *state) permitted(a *ask, g *grid, avoid []string) (block, bool) {
+	sh := shapeOf(a.Spec)
+	b, ok := g.without(avoid).find(sh)
+	if ok && st.keep.permit(b, a.kind) {
+		return b, true
+	}
+	if !ok {
+		if b, ok = g.find(sh); !ok {
+			return block{}, false
+		}
+		if st.keep.permit(b, a.kind) {
+			return b, true
+		}
+	}
+	for _, b := range st.keptFor(a) {
+		if g.holds(b) && st.keep.permit(b, a.kind) {
+			return b, true
+		}
+	}
+	return st.keep.permitIn(sh, g, a.kind)
+}
+
+// keptFor lists places for the ask within the slots of its kind.
+func (st *state) keptFor(a *ask) []block {
+	var out []block
+	for i := range st.keep.slots {
+		if s := &st.keep.slots[i]; s.kind == a.kind {
+			out = append(out, within(s.block, shapeOf(a.Spec)))
+		}
+	}
+	return out
+}
+
+// within seats a shape inside a block whose kind covers it.
+func within(b block, sh shape) block {
+	out := block{accelerators: sh.accelerators}
+	left := sh.members
+	for _, t := range b.seats {
+		n := min(left, t.members*b.accelerators/sh.accelerators)
+		if n == 0 {
+			continue
+		}
+		out.seats = append(out.seats, seat{worker: t.worker, members: n})
+		left -= n
+	}
+	return out
+}
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -14,6 +14,8 @@
 	racks   []rackSpan
 	rackOf  []int
 	index   map[string]int
+	// seatOf is scratch space of block, -1 between calls.
+	seatOf []int
 }
 
 // rackSpan is the half-open range of a rack's workers in fleet.workers.
@@ -27,6 +29,7 @@
 		workers: slices.Clone(workers),
 		rackOf:  make([]int, len(workers)),
 		index:   make(map[string]int, len(workers)),
+		seatOf:  make([]int, len(workers)),
 	}
 	slices.SortFunc(f.workers, func(a, b Worker) int {
 		return cmp.Or(cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
@@ -39,6 +42,7 @@
 		f.racks[r].hi = i + 1
 		f.rackOf[i] = r
 		f.index[w.ID] = i
+		f.seatOf[i] = -1
 	}
 	return f
 }
@@ -69,84 +73,23 @@
 
 // block converts places to a block. It skips workers that left the fleet.
 func (f *fleet) block(places []Place, accelerators int) block {
-	b := block{accelerators: accelerators, seats: make([]seat, 0, 1)}
+	b := block{accelerators: accelerators}
 	for _, p := range places {
 		w, ok := f.index[p.Worker]
 		if !ok {
 			continue
 		}
-		i := slices.IndexFunc(b.seats, func(s seat) bool { return s.worker == w })
-		if i < 0 {
-			b.seats = append(b.seats, seat{worker: w, members: 1})
+		if i := f.seatOf[w]; i >= 0 {
+			b.seats[i].members++
 			continue
 		}
-		b.seats[i].members++
+		f.seatOf[w] = len(b.seats)
+		b.seats = append(b.seats, seat{worker: w, members: 1})
 	}
-	return b
-}
-
-// grid counts accelerators of each worker, with sums for each rack.
-type grid struct {
-	fleet   *fleet
-	free    []int
-	rackSum []int
-	// rackMax is the largest count of one worker of the rack.
-	rackMax []int
-}
-
-func newGrid(f *fleet, free []int) *grid {
-	g := &grid{
-		fleet:   f,
-		free:    free,
-		rackSum: make([]int, len(f.racks)),
-		rackMax: make([]int, len(f.racks)),
-	}
-	for r := range f.racks {
-		g.refresh(r)
-	}
-	return g
-}
-
-func (g *grid) refresh(r int) {
-	span := g.fleet.racks[r]
-	sum, most := 0, 0
-	for _, n := range g.free[span.lo:span.hi] {
-		sum += n
-		most = max(most, n)
-	}
-	g.rackSum[r] = sum
-	g.rackMax[r] = most
-}
-
-// take removes a block's accelerators; a count never goes below 0.
-func (g *grid) take(b block) {
-	g.add(b, -1)
-}
-
-func (g *grid) add(b block, sign int) {
-	last := -1
 	for _, s := range b.seats {
-		n := g.free[s.worker] + sign*s.members*b.accelerators
-		g.free[s.worker] = max(0, n)
-		r := g.fleet.rackOf[s.worker]
-		if last >= 0 && last != r {
-			g.refresh(last)
-		}
-		last = r
-	}
-	if last >= 0 {
-		g.refresh(last)
+		f.seatOf[s.worker] = -1
 	}
-}
-
-// holds reports whether the block fits.
-func (g *grid) holds(b block) bool {
-	for _, s := range b.seats {
-		if g.free[s.worker] < s.members*b.accelerators {
-			return false
-		}
-	}
-	return true
+	return b
 }
 
 // shape is what a gang asks for.
--- /dev/null
+++ b/internal/scheduler/policy.go
@@ -0,0 +1,28 @@
+package scheduler
+
+import "time"
+
+// Bounds of the policy.
+const (
+	// PassingLimit is the wait after which no later job may start on the
+	// accelerators reserved for a job, and after which jobs go oldest first.
+	PassingLimit = 30 * time.Minute
+	// MoveAfter is the wait after which preemptible gangs are moved for a job
+	// that would fit if the free accelerators lay together.
+	MoveAfter = 2 * time.Minute
+	// moveShare bounds moved accelerators: a job gets at most its own size
+	// divided by this moved for it.
+	moveShare = 2
+	// maxReservations is the number of waiting jobs with a reserved place.
+	maxReservations = 3
+	// packSteps bounds one exact search, decideSteps all of a decision.
+	packSteps   = 200_000
+	decideSteps = 1_000_000
+	// stepWorkers is the number of workers listed for the cost of one step.
+	stepWorkers = 8
+	// reclaimTries bounds the places weighed by their effect on guarantees
+	// for one reclaim.
+	reclaimTries = 8
+	// unknownRun stands for an expected run time that nobody gave.
+	unknownRun = time.Hour
+)
--- /dev/null
+++ b/internal/scheduler/state.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+// held is a gang with its place in the fleet's index.
+type held struct {
+	Gang
+	shape shape
+	block block
+}
+
+// reclaimable gangs are preemptible and run beyond the guarantees.
+func (h *held) reclaimable() bool {
+	return h.Lent && h.Preemptible && !h.Stopping
+}
+
+// lost is the accelerator time that stopping the gang throws away or has to
+// be spent again, at most.
+func (h *held) lost() time.Duration {
+	return h.Ran * time.Duration(h.shape.size())
+}
+
+// state is what one decision works on.
+type state struct {
+	fleet      *fleet
+	workspaces map[string]structs.Workspace
+	gangs      []held
+	kinds      []kind
+	// free counts what no gang holds, soon adds what stopping gangs hold.
+	free *grid
+	soon *grid
+	keep *keeper
+	// missing counts, by kind, the gangs that have no place.
+	missing []int
+	// borrowed counts the accelerators of lent gangs, by workspace.
+	borrowed map[string]int
+	// lentOn lists the reclaimable gangs on each worker.
+	lentOn [][]int
+	plan   Plan
+}
+
+func newState(s Snapshot) *state {
+	f := newFleet(s.Workers)
+	st := &state{
+		fleet:      f,
+		workspaces: make(map[string]structs.Workspace, len(s.Workspaces)),
+		gangs:      make([]held, len(s.Gangs)),
+		kinds:      kindsOf(s),
+		borrowed:   make(map[string]int, len(s.Workspaces)),
+		lentOn:     make([][]int, len(f.workers)),
+	}
+	for _, w := range s.Workspaces {
+		st.workspaces[w.Name] = w
+		st.borrowed[w.Name] = s.BorrowedElsewhere[w.Name]
+	}
+	for i, g := range s.Gangs {
+		sh := shape{members: len(g.Members), accelerators: g.Accelerators, adjacency: g.Adjacency}
+		st.gangs[i] = held{Gang: g, shape: sh, block: f.block(g.Members, g.Accelerators)}
+	}
+	claim(st.kinds, st.gangs)
+	st.count()
+	st.free = st.gridWithout(func(*held) bool { return true })
+	st.soon = st.gridWithout(func(h *held) bool { return !h.Stopping })
+	avail := st.gridWithout(func(h *held) bool { return !h.Stopping && !h.reclaimable() })
+	st.keep, st.missing = keep(st.kinds, avail, st.free)
+	return st
+}
+
+// count fills borrowed and lentOn.
+func (st *state) count() {
+	for i := range st.gangs {
+		g := &st.gangs[i]
+		if g.Lent && !g.Stopping {
+			st.borrowed[g.Key.Workspace] += g.shape.size()
+		}
+		if !g.reclaimable() {
+			continue
+		}
+		for _, t := range g.block.seats {
+			st.lentOn[t.worker] = append(st.lentOn[t.worker], i)
+		}
+	}
+}
+
+// gridWithout counts, on usable workers, what gangs of the given sort leave.
+func (st *state) gridWithout(holds func(*held) bool) *grid {
+	counts := make([]int, len(st.fleet.workers))
+	for i, w := range st.fleet.workers {
+		if w.Usable {
+			counts[i] = w.Accelerators
+		}
+	}
+	for i := range st.gangs {
+		g := &st.gangs[i]
+		if !holds(g) {
+			continue
+		}
+		for _, t := range g.block.seats {
+			counts[t.worker] = max(0, counts[t.worker]-t.members*g.block.accelerators)
+		}
+	}
+	return newGrid(st.fleet, counts)
+}
+
+// wholeGrid counts all accelerators, of usable workers or not.
+func wholeGrid(f *fleet) *grid {
+	counts := make([]int, len(f.workers))
+	for i, w := range f.workers {
+		counts[i] = w.Accelerators
+	}
+	return newGrid(f, counts)
+}
+
+// short reports whether some guarantee has no place now.
+func (st *state) short() bool {
+	for _, n := range st.missing {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// unheld lists the guarantees that have no place, in the order of kinds.
+func (st *state) unheld() []Unheld {
+	var out []Unheld
+	for i, n := range st.missing {
+		if n > 0 {
+			k := &st.kinds[i]
+			out = append(out, Unheld{Workspace: k.workspace, Guarantee: k.guarantee, Missing: n})
+		}
+	}
+	return out
+}
+
+// commit takes a place out of what later jobs may use.
+func (st *state) commit(b block) {
+	st.free.take(b)
+	st.soon.take(b)
+}
+
+// stop marks gangs as stopping for a job.
+func (st *state) stop(victims []int, job structs.JobKey) {
+	for _, i := range victims {
+		g := &st.gangs[i]
+		g.Stopping = true
+		st.borrowed[g.Key.Workspace] -= g.shape.size()
+		st.soon.give(st.usable(g.block))
+		st.plan.Reclaims = append(st.plan.Reclaims, Reclaim{Key: g.Key, For: job})
+	}
+}
+
+// usable drops the seats on workers that can't be used.
+func (st *state) usable(b block) block {
+	out := block{accelerators: b.accelerators}
+	for _, t := range b.seats {
+		if st.fleet.workers[t.worker].Usable {
+			out.seats = append(out.seats, t)
+		}
+	}
+	return out
+}
+
+func (st *state) start(p *Pending, b block, lent bool) {
+	st.plan.Starts = append(st.plan.Starts, Start{Key: p.Spec.Key, Places: st.fleet.places(b), Lent: lent})
+}
+
+func (st *state) wait(p *Pending, reason string) {
+	st.plan.Waiting = append(st.plan.Waiting, Verdict{Key: p.Spec.Key, Reason: reason})
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -17,6 +17,9 @@
 	Gangs      []Gang
 	Queued     []Pending
 	Workspaces []structs.Workspace
+	// BorrowedElsewhere counts, by workspace, the accelerators of lent gangs
+	// in other failure domains. They count against the borrowing limit.
+	BorrowedElsewhere map[string]int
 }
 
 // Worker is a worker of the failure domain.
@@ -43,6 +46,8 @@
 	Adjacency    structs.Adjacency
 	// Ran is the time since the attempt started.
 	Ran time.Duration
+	// Expected is the run time expected when it started, or 0.
+	Expected time.Duration
 }
 
 // Place is one member's worker.
@@ -53,7 +58,9 @@
 
 // Pending is a job that waits.
 type Pending struct {
-	Spec   structs.JobSpec
+	Spec structs.JobSpec
+	// Waited is the time since the job last entered the queue: a gang that was
+	// reclaimed starts from 0 again, behind the job it made room for.
 	Waited time.Duration
 	// Expected is the learned run time, or the declared one.
 	Expected time.Duration
@@ -76,7 +83,8 @@
 type Start struct {
 	Key    structs.JobKey
 	Places []Place
-	Lent   bool
+	// Lent is false for a gang within its workspace's guarantees.
+	Lent bool
 }
 
 // Reclaim asks that a preemptible gang is checkpointed and stopped.
