--- /dev/null
+++ b/internal/adapter/api/api.go
@@ -0,0 +1,282 @@
+// Package api serves the interface towards callers and operators over connect.
+package api
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+
+	lentilwinchv1 "github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1"
+	"github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1/lentilwinchv1connect"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+const (
+	// maxMessageBytes bounds a message read from a caller.
+	maxMessageBytes = 4 << 20
+	defaultPage     = 100
+	maxPage         = 500
+)
+
+// Requests takes callers' requests to their outcomes.
+type Requests interface {
+	Do(ctx context.Context, req structs.Request) (structs.Result, error)
+}
+
+// Outcomes reads the recorded outcomes of requests.
+type Outcomes interface {
+	Lookup(ctx context.Context, k structs.RequestKey) (structs.Result, error)
+}
+
+// Jobs operates on jobs.
+type Jobs interface {
+	Submit(ctx context.Context, spec structs.JobSpec) (structs.Job, int64, error)
+	Get(ctx context.Context, k structs.JobKey) (structs.Job, int64, error)
+	List(ctx context.Context, workspace, after string, limit int) ([]structs.Job, bool, error)
+	Cancel(ctx context.Context, k structs.JobKey) (structs.Job, int64, error)
+	Watch(ctx context.Context, k structs.JobKey, f func(structs.Job, int64) error) error
+}
+
+// Tickets accepts and returns change tickets.
+type Tickets interface {
+	Accept(ctx context.Context, document []byte) (int64, error)
+	Ticket(ctx context.Context, number int64) (int64, []byte, error)
+}
+
+// Status is a summary of the instance.
+type Status struct {
+	Instance       string
+	Incarnation    string
+	Domain         string
+	Ready          bool
+	NotReadyReason string
+	ConfigNumber   int64
+	OwnedDomains   []string
+	QueuedRequests int
+	LivePeers      int
+	BackendServers int
+	Workers        int
+}
+
+// Node describes the instance that serves the interface.
+type Node interface {
+	Status() Status
+	// Dump returns the instance's state as JSON.
+	Dump() ([]byte, error)
+	// Admit fails with fault.Draining or fault.NotReady when the instance
+	// takes no new work.
+	Admit() error
+	// Draining is closed when a planned stop begins; it ends watches.
+	Draining() <-chan struct{}
+}
+
+// Server implements the scheduler service.
+type Server struct {
+	requests Requests
+	outcomes Outcomes
+	jobs     Jobs
+	tickets  Tickets
+	node     Node
+	timeout  time.Duration
+}
+
+var _ lentilwinchv1connect.SchedulerServiceHandler = (*Server)(nil)
+
+// New returns a server whose operations on the table are bounded by timeout.
+func New(requests Requests, outcomes Outcomes, jobs Jobs, tickets Tickets, node Node, timeout time.Duration) *Server {
+	return &Server{requests: requests, outcomes: outcomes, jobs: jobs, tickets: tickets, node: node, timeout: timeout}
+}
+
+// Handler returns the path and the handler for a mux.
+func (s *Server) Handler() (string, http.Handler) {
+	return lentilwinchv1connect.NewSchedulerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+// Request implements the service.
+func (s *Server) Request(ctx context.Context, r *connect.Request[lentilwinchv1.RequestRequest]) (*connect.Response[lentilwinchv1.RequestResponse], error) {
+	if err := s.node.Admit(); err != nil {
+		return nil, asConnect(err)
+	}
+	m := r.Msg
+	if m.GetTimeoutMs() < 0 {
+		p := fault.Problem{Path: "timeout_ms", Value: strconv.FormatInt(m.GetTimeoutMs(), 10), Allowed: "0 or more"}
+		return nil, asConnect(fault.Document("request is refused", []fault.Problem{p}))
+	}
+	req := structs.Request{
+		Key:     structs.RequestKey{Workspace: m.GetWorkspace(), ID: m.GetRequestId()},
+		Service: m.GetService(),
+		Body:    m.GetBody(),
+	}
+	if m.GetTimeoutMs() > 0 {
+		req.Deadline = time.Now().Add(time.Duration(m.GetTimeoutMs()) * time.Millisecond)
+	}
+	res, err := s.requests.Do(ctx, req)
+	if err != nil {
+		return nil, asConnect(err)
+	}
+	return connect.NewResponse(&lentilwinchv1.RequestResponse{
+		Outcome:   outcomeTo(res.Outcome),
+		Reason:    res.Reason,
+		Answer:    res.Answer,
+		RequestId: m.GetRequestId(),
+	}), nil
+}
+
+// Outcome implements the service.
+func (s *Server) Outcome(ctx context.Context, r *connect.Request[lentilwinchv1.OutcomeRequest]) (*connect.Response[lentilwinchv1.OutcomeResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	res, err := s.outcomes.Lookup(ctx, structs.RequestKey{Workspace: r.Msg.GetWorkspace(), ID: r.Msg.GetRequestId()})
+	if err != nil {
+		return nil, asConnect(err)
+	}
+	return connect.NewResponse(&lentilwinchv1.OutcomeResponse{
+		Outcome: outcomeTo(res.Outcome),
+		Reason:  res.Reason,
+		Answer:  res.Answer,
+	}), nil
+}
+
+// Submit implements the service.
+func (s *Server) Submit(ctx context.Context, r *connect.Request[lentilwinchv1.SubmitRequest]) (*connect.Response[lentilwinchv1.SubmitResponse], error) {
+	if err := s.node.Admit(); err != nil {
+		return nil, asConnect(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	j, revision, err := s.jobs.Submit(ctx, specFrom(r.Msg.GetSpec()))
+	if err != nil {
+		return nil, asConnect(err)
+	}
+	return connect.NewResponse(&lentilwinchv1.SubmitResponse{Job: jobTo(j, revision)}), nil
+}
+
+// GetJob implements the service.
+func (s *Server) GetJob(ctx context.Context, r *connect.Request[lentilwinchv1.GetJobRequest]) (*connect.Response[lentilwinchv1.GetJobResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	j, revision, err := s.jobs.Get(ctx, structs.JobKey{Workspace: r.Msg.GetWorkspace(), ID: r.Msg.GetJobId()})
+	if err != nil {
+		return nil, asConnect(err)
+	}
+	return connect.NewResponse(&lentilwinchv1.GetJobResponse{Job: jobTo(j, revision)}), nil
+}
+
+// ListJobs implements the service.
+func (s *Server) ListJobs(ctx context.Context, r *connect.Request[lentilwinchv1.ListJobsRequest]) (*connect.Response[lentilwinchv1.ListJobsResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	limit, err := page(r.Msg.GetLimit())
+	if err != nil {
+		return nil, asConnect(err)
+	}
+	list, more, err := s.jobs.List(ctx, r.Msg.GetWorkspace(), r.Msg.GetAfterJobId(), limit)
+	if err != nil {
+		return nil, asConnect(err)
+	}
+	out := &lentilwinchv1.ListJobsResponse{More: more}
+	for _, j := range list {
+		out.Jobs = append(out.Jobs, jobTo(j, 0))
+	}
+	return connect.NewResponse(out), nil
+}
+
+func page(limit int32) (int, error) {
+	switch {
+	case limit == 0:
+		return defaultPage, nil
+	case limit < 0 || limit > maxPage:
+		p := fault.Problem{Path: "limit", Value: strconv.Itoa(int(limit)), Allowed: fmt.Sprintf("1 to %d", maxPage)}
+		return 0, fault.Document("list is refused", []fault.Problem{p})
+	default:
+		return int(limit), nil
+	}
+}
+
+// Cancel implements the service.
+func (s *Server) Cancel(ctx context.Context, r *connect.Request[lentilwinchv1.CancelRequest]) (*connect.Response[lentilwinchv1.CancelResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	j, revision, err := s.jobs.Cancel(ctx, structs.JobKey{Workspace: r.Msg.GetWorkspace(), ID: r.Msg.GetJobId()})
+	if err != nil {
+		return nil, asConnect(err)
+	}
+	return connect.NewResponse(&lentilwinchv1.CancelResponse{Job: jobTo(j, revision)}), nil
+}
+
+// Watch implements the service.
+func (s *Server) Watch(ctx context.Context, r *connect.Request[lentilwinchv1.WatchRequest], stream *connect.ServerStream[lentilwinchv1.WatchResponse]) error {
+	k := structs.JobKey{Workspace: r.Msg.GetWorkspace(), ID: r.Msg.GetJobId()}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-s.node.Draining():
+			cancel(fault.New(fault.Draining, "the instance is about to stop; watch again at another"))
+		case <-stop:
+		}
+	}()
+	err := s.jobs.Watch(ctx, k, func(j structs.Job, revision int64) error {
+		return stream.Send(&lentilwinchv1.WatchResponse{Job: jobTo(j, revision)})
+	})
+	if cause := context.Cause(ctx); err != nil && fault.Is(cause, fault.Draining) {
+		err = cause
+	}
+	return asConnect(err)
+}
+
+// Apply implements the service.
+func (s *Server) Apply(ctx context.Context, r *connect.Request[lentilwinchv1.ApplyRequest]) (*connect.Response[lentilwinchv1.ApplyResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	number, err := s.tickets.Accept(ctx, r.Msg.GetDocument())
+	if err != nil {
+		return nil, asConnect(err)
+	}
+	return connect.NewResponse(&lentilwinchv1.ApplyResponse{Number: number}), nil
+}
+
+// GetTicket implements the service.
+func (s *Server) GetTicket(ctx context.Context, r *connect.Request[lentilwinchv1.GetTicketRequest]) (*connect.Response[lentilwinchv1.GetTicketResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	number, document, err := s.tickets.Ticket(ctx, r.Msg.GetNumber())
+	if err != nil {
+		return nil, asConnect(err)
+	}
+	return connect.NewResponse(&lentilwinchv1.GetTicketResponse{Number: number, Document: document}), nil
+}
+
+// Status implements the service.
+func (s *Server) Status(context.Context, *connect.Request[lentilwinchv1.StatusRequest]) (*connect.Response[lentilwinchv1.StatusResponse], error) {
+	st := s.node.Status()
+	return connect.NewResponse(&lentilwinchv1.StatusResponse{
+		Instance:       st.Instance,
+		Incarnation:    st.Incarnation,
+		Domain:         st.Domain,
+		Ready:          st.Ready,
+		NotReadyReason: st.NotReadyReason,
+		ConfigNumber:   st.ConfigNumber,
+		OwnedDomains:   st.OwnedDomains,
+		QueuedRequests: int32(st.QueuedRequests),
+		LivePeers:      int32(st.LivePeers),
+		BackendServers: int32(st.BackendServers),
+		Workers:        int32(st.Workers),
+	}), nil
+}
+
+// Dump implements the service.
+func (s *Server) Dump(context.Context, *connect.Request[lentilwinchv1.DumpRequest]) (*connect.Response[lentilwinchv1.DumpResponse], error) {
+	raw, err := s.node.Dump()
+	if err != nil {
+		return nil, asConnect(err)
+	}
+	return connect.NewResponse(&lentilwinchv1.DumpResponse{Json: raw}), nil
+}
--- /dev/null
+++ b/internal/adapter/api/errors.go
@@ -0,0 +1,74 @@
+package api
+
+import (
+	"context"
+	"errors"
+
+	"connectrpc.com/connect"
+
+	lentilwinchv1 "github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+)
+
+// asConnect turns a typed failure into a connect error that carries an
+// ErrorDetail.
+func asConnect(err error) error {
+	if err == nil {
+		return nil
+	}
+	code := codeOf(err)
+	out := connect.NewError(connectCode(code), err)
+	detail, detailErr := connect.NewErrorDetail(errorDetail(code, err))
+	if detailErr == nil {
+		out.AddDetail(detail)
+	}
+	return out
+}
+
+func codeOf(err error) fault.Code {
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		if code := fault.CodeOf(err); code != fault.Internal {
+			return code
+		}
+		return fault.Timeout
+	}
+	return fault.CodeOf(err)
+}
+
+func errorDetail(code fault.Code, err error) *lentilwinchv1.ErrorDetail {
+	detail := &lentilwinchv1.ErrorDetail{Code: string(code), Message: err.Error()}
+	var typed *fault.Error
+	if !errors.As(err, &typed) {
+		return detail
+	}
+	detail.Number = typed.Number
+	for _, p := range typed.Problems {
+		detail.Problems = append(detail.Problems, &lentilwinchv1.Problem{Path: p.Path, Value: p.Value, Allowed: p.Allowed})
+	}
+	return detail
+}
+
+func connectCode(code fault.Code) connect.Code {
+	switch code {
+	case fault.Invalid:
+		return connect.CodeInvalidArgument
+	case fault.Conflict:
+		return connect.CodeAborted
+	case fault.NotFound:
+		return connect.CodeNotFound
+	case fault.Exists:
+		return connect.CodeAlreadyExists
+	case fault.Refused, fault.Unplaceable, fault.Fenced:
+		return connect.CodeFailedPrecondition
+	case fault.Unavailable, fault.Draining, fault.NotReady:
+		return connect.CodeUnavailable
+	case fault.Uncertain:
+		return connect.CodeUnknown
+	case fault.Overloaded:
+		return connect.CodeResourceExhausted
+	case fault.Timeout:
+		return connect.CodeDeadlineExceeded
+	default:
+		return connect.CodeInternal
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,220 @@
+// Package daemon wires the duties of one instance and runs them until a
+// planned stop.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/adapter/backend"
+	"github.com/lentilwinch/lentilwinch/internal/adapter/metrics"
+	"github.com/lentilwinch/lentilwinch/internal/adapter/peer"
+	"github.com/lentilwinch/lentilwinch/internal/adapter/platform"
+	"github.com/lentilwinch/lentilwinch/internal/dispatch"
+	"github.com/lentilwinch/lentilwinch/internal/duty/claims"
+	"github.com/lentilwinch/lentilwinch/internal/duty/config"
+	"github.com/lentilwinch/lentilwinch/internal/duty/fleet"
+	"github.com/lentilwinch/lentilwinch/internal/duty/gangs"
+	"github.com/lentilwinch/lentilwinch/internal/duty/jobs"
+	"github.com/lentilwinch/lentilwinch/internal/duty/membership"
+	"github.com/lentilwinch/lentilwinch/internal/duty/ownership"
+	"github.com/lentilwinch/lentilwinch/internal/duty/requests"
+	"github.com/lentilwinch/lentilwinch/internal/duty/session"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/settings"
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+	"github.com/lentilwinch/lentilwinch/internal/ticket"
+)
+
+const (
+	fleetPoll = 2 * time.Second
+	// gangTick is the time between two placement decisions.
+	gangTick = 100 * time.Millisecond
+	// inboxPoll is the time between two reads of a failure domain's inbox
+	// without a hint.
+	inboxPoll = 500 * time.Millisecond
+	// claimCommits is the number of claim commits in progress at once.
+	claimCommits  = 4
+	commitTimeout = 2 * time.Second
+	settleRetry   = 250 * time.Millisecond
+	recordTimeout = 500 * time.Millisecond
+	claimTimeout  = time.Second
+)
+
+// Daemon is one instance.
+type Daemon struct {
+	settings settings.Daemon
+	log      *zap.Logger
+	metrics  *metrics.Metrics
+
+	mesh       *peer.Mesh
+	session    *session.Session
+	ownership  *ownership.Ownership
+	membership *membership.Membership
+	config     *config.Keeper
+	fleet      *fleet.Fleet
+	gangs      *gangs.Manager
+	jobs       *jobs.Jobs
+	claims     *claims.Claims
+	requests   *requests.Requests
+	backends   *backend.Backends
+
+	draining     chan struct{}
+	drainOnce    sync.Once
+	shuttingDown atomic.Bool
+}
+
+// New wires an instance without starting it.
+func New(s settings.Daemon, log *zap.Logger) *Daemon {
+	d := &Daemon{settings: s, log: log, metrics: metrics.New(), draining: make(chan struct{})}
+	self := session.Self{Instance: s.InstanceID, Domain: s.FailureDomain, Address: s.AdvertiseAddress}
+	// The writer's name must differ between restarts, as an incarnation does.
+	first := store.New(platform.NewTable(d.platform(s.Platform.TableAddress)), store.NewWriter(s.InstanceID))
+	d.mesh = peer.New(d.peerConfig(), d.hello)
+	d.session = session.New(d.sessionConfig(), first, self)
+	d.ownership = ownership.New(d.ownershipConfig(), first, d.session, self)
+	d.membership = membership.New(membership.Config{}, platform.NewInstances(d.platform(s.Platform.InstancesAddress)))
+	workers := platform.NewWorkers(d.platform(s.Platform.WorkersAddress))
+	timeout := s.Platform.CallTimeoutMillis.Duration()
+	d.fleet = fleet.New(workers, fleetPoll, timeout, log)
+	d.config = config.New(d.keeperSettings(), first, d.mesh, liveInstances{d}, d.ticketFleet, log)
+	d.wireJobs(first, workers)
+	d.wireRequests(first)
+	return d
+}
+
+func (d *Daemon) platform(address string) platform.Settings {
+	return platform.DefaultSettings(address)
+}
+
+func (d *Daemon) peerConfig() peer.Config {
+	p := d.settings.Peers
+	return peer.Config{
+		Heartbeat:    p.HeartbeatMillis.Duration(),
+		ReadDeadline: p.ReadDeadlineMillis.Duration(),
+		MaxBytes:     p.MaxMessageBytes,
+	}
+}
+
+func (d *Daemon) sessionConfig() session.Config {
+	s := d.settings.Session
+	return session.Config{Heartbeat: s.HeartbeatMillis.Duration(), TTL: s.TTLMillis.Duration()}
+}
+
+func (d *Daemon) ownershipConfig() ownership.Config {
+	domains := d.settings.Ownership.Domains
+	return ownership.Config{
+		Domains: func() []string { return domains },
+		Poll:    d.settings.Ownership.PollMillis.Duration(),
+	}
+}
+
+func (d *Daemon) keeperSettings() config.Settings {
+	return config.Settings{
+		Poll:        d.settings.Config.PollMillis.Duration(),
+		ReadTimeout: d.settings.Platform.CallTimeoutMillis.Duration(),
+		StaleAfter:  d.settings.Config.StaleAfterMillis.Duration(),
+	}
+}
+
+func (d *Daemon) wireJobs(st *store.Store, workers port.Workers) {
+	s := d.settings
+	d.gangs = gangs.NewManager(gangs.Settings{
+		Tick:              gangTick,
+		InboxPoll:         inboxPoll,
+		LeaseTTL:          s.WorkerLease.TTLMillis.Duration(),
+		LeaseRenew:        s.WorkerLease.RenewMillis.Duration(),
+		CallTimeout:       s.Platform.CallTimeoutMillis.Duration(),
+		CheckpointTimeout: s.Jobs.CheckpointTimeoutMillis.Duration(),
+		MaxFailures:       s.Jobs.MaxAttempts,
+		Domains:           s.Ownership.Domains,
+	}, gangs.Deps{
+		Store:   st,
+		Workers: workers,
+		Fleet:   d.fleet,
+		Config:  d.config.Current,
+		Usable:  func() bool { return d.session.Usable(time.Now()) },
+		Log:     d.log,
+	}, d.ownership)
+	d.jobs = jobs.New(st, d.mesh, s.Ownership.Domains, d.config.Current, d.gangs.Summaries, d.gangs.Wake)
+}
+
+func (d *Daemon) wireRequests(st *store.Store) {
+	s := d.settings
+	d.claims = claims.New(claims.Settings{
+		Flush:         s.Requests.ClaimFlushMillis.Duration(),
+		Batch:         s.Requests.ClaimBatch,
+		Commits:       claimCommits,
+		CommitTimeout: commitTimeout,
+		SettleRetry:   settleRetry,
+	}, st, platform.NewObjects(d.platform(s.Platform.ObjectsAddress)), d.session.Incarnation, d.log)
+	bs := backend.DefaultSettings()
+	bs.MaxConns = s.Requests.BackendConnectionsPerServer
+	d.backends = backend.New(bs)
+	d.requests = requests.New(requests.Settings{
+		QueueLimit:    s.Requests.QueueLimit,
+		MaxBodyBytes:  s.Requests.MaxBodyBytes,
+		RecordTimeout: recordTimeout,
+		ClaimTimeout:  claimTimeout,
+		Dispatch:      dispatch.Settings{QueueLimit: s.Requests.QueueLimit},
+	}, d.backends, newServers(d.membership), d.claims, d.config.Current, d.sharers, d.log)
+	d.config.OnChange(func(*structs.Config) { d.requests.Reload() })
+}
+
+func (d *Daemon) hello() port.PeerHello {
+	incarnation := ""
+	if d.session != nil {
+		incarnation = d.session.Incarnation()
+	}
+	return port.PeerHello{
+		Instance:    d.settings.InstanceID,
+		Incarnation: incarnation,
+		Domain:      d.settings.FailureDomain,
+		Address:     d.settings.AdvertiseAddress,
+	}
+}
+
+// ticketFleet is what tickets are checked against.
+func (d *Daemon) ticketFleet() ticket.Fleet {
+	return ticket.Fleet{Domains: d.settings.Ownership.Domains, Holds: d.holds}
+}
+
+// Run serves until ctx ends, then makes a planned stop: it stops being ready,
+// hands over what it owns, stops accepting and finishes what is in flight. It
+// fails with fault.Unavailable when the listen address can't be bound.
+func (d *Daemon) Run(ctx context.Context) error {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", d.settings.ListenAddress)
+	if err != nil {
+		return fault.Wrap(fault.Unavailable, "listen on "+d.settings.ListenAddress, err)
+	}
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var duties sync.WaitGroup
+	for _, duty := range d.duties() {
+		duties.Go(func() { d.supervise(run, duty) })
+	}
+	server := d.httpServer()
+	duties.Go(func() { d.serve(server, listener) })
+	d.log.Info("instance_started", zap.String("instance", d.settings.InstanceID), zap.String("address", listener.Addr().String()))
+	<-ctx.Done()
+	d.drain(server)
+	stop()
+	duties.Wait()
+	d.backends.Close()
+	d.log.Info("instance_stopped")
+	return nil
+}
+
+func (d *Daemon) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); err != nil && !d.shuttingDown.Load() {
+		d.log.Error("server_failed", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/duty/claims/lookup.go
@@ -0,0 +1,121 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+// Wait returns the outcome of a request that has a row, waiting for its holder
+// until ctx ends. It fails with fault.Exists when the ID was used for a
+// different request.
+func (c *Claims) Wait(ctx context.Context, req structs.Request) (structs.Result, error) {
+	rec, ok, err := c.read(ctx, req.Key)
+	if err == nil && ok && !rec.rec.sameRequest(digestOf(req)) {
+		return structs.Result{}, fault.New(fault.Exists, "request ID "+req.Key.ID+" was used for a different request")
+	}
+	return c.wait(ctx, req), nil
+}
+
+// wait polls the row until it is final, its holder is gone or ctx ends.
+func (c *Claims) wait(ctx context.Context, req structs.Request) structs.Result {
+	delay := firstPoll
+	for {
+		res, err := c.Lookup(ctx, req.Key)
+		if err == nil && res.Outcome != structs.OutcomePending {
+			return res
+		}
+		select {
+		case <-time.After(delay):
+			delay = min(2*delay, maxPoll)
+		case <-ctx.Done():
+			return structs.Result{Outcome: structs.OutcomeUnknown, Reason: "another instance holds the request"}
+		}
+	}
+}
+
+// Lookup returns the recorded outcome of a request, OutcomePending while its
+// holder lives. Where the holder is gone it records that the outcome is
+// unknown. It fails with fault.NotFound and fault.Unavailable.
+func (c *Claims) Lookup(ctx context.Context, k structs.RequestKey) (structs.Result, error) {
+	found, ok, err := c.read(ctx, k)
+	if err != nil {
+		return structs.Result{}, err
+	}
+	if !ok {
+		return structs.Result{}, fault.New(fault.NotFound, "request "+k.ID+" has no record")
+	}
+	if found.rec.final() {
+		return c.result(ctx, found.rec)
+	}
+	rows, err := c.store.Get(ctx, store.SessionKey(found.rec.Holder))
+	if err != nil {
+		return structs.Result{}, err
+	}
+	if len(rows) > 0 {
+		return structs.Result{Outcome: structs.OutcomePending, Reason: "in progress"}, nil
+	}
+	return c.abandon(ctx, k, found)
+}
+
+// claimRow is a record as read.
+type claimRow struct {
+	rec      record
+	revision int64
+}
+
+func (c *Claims) read(ctx context.Context, k structs.RequestKey) (claimRow, bool, error) {
+	rows, err := c.store.Get(ctx, store.ClaimKey(k))
+	if err != nil {
+		return claimRow{}, false, err
+	}
+	row, ok := rows[store.ClaimKey(k)]
+	if !ok {
+		return claimRow{}, false, nil
+	}
+	return decodeClaim(row)
+}
+
+func decodeClaim(row port.Row) (claimRow, bool, error) {
+	out := claimRow{revision: row.Revision}
+	if err := store.Decode(row, &out.rec); err != nil {
+		return claimRow{}, false, err
+	}
+	return out, true, nil
+}
+
+func (c *Claims) result(ctx context.Context, rec record) (structs.Result, error) {
+	res := structs.Result{Outcome: rec.Outcome, Reason: rec.Reason, Answer: rec.Answer}
+	if rec.Object == "" {
+		return res, nil
+	}
+	answer, err := c.objects.Get(ctx, rec.Object)
+	if err != nil {
+		return structs.Result{}, err
+	}
+	res.Answer = answer
+	return res, nil
+}
+
+// abandon records an unknown outcome for a request whose holder's session has
+// ended. It never records that the request was not run: the holder may have
+// dispatched it.
+func (c *Claims) abandon(ctx context.Context, k structs.RequestKey, found claimRow) (structs.Result, error) {
+	rec := found.rec
+	rec.Outcome = structs.OutcomeUnknown
+	rec.Reason = "the instance that held the request is gone"
+	txn := new(store.Txn).Update(store.ClaimKey(k), found.revision, rec)
+	txn.RequireAbsent(store.SessionKey(found.rec.Holder))
+	_, err := c.store.Commit(ctx, txn)
+	if fault.Is(err, fault.Conflict) {
+		return structs.Result{Outcome: structs.OutcomePending, Reason: "in progress"}, nil
+	}
+	if err != nil {
+		return structs.Result{}, err
+	}
+	return structs.Result{Outcome: rec.Outcome, Reason: rec.Reason}, nil
+}
--- /dev/null
+++ b/internal/duty/fleet/fleet.go
@@ -0,0 +1,91 @@
+// Package fleet keeps the inventory of workers.
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+// Fleet is the last inventory that was read. It is safe for concurrent use.
+type Fleet struct {
+	workers port.Workers
+	poll    time.Duration
+	timeout time.Duration
+	log     *zap.Logger
+
+	mu       sync.RWMutex
+	byID     map[string]structs.Worker
+	byDomain map[string][]structs.Worker
+}
+
+// New returns an empty inventory, read every poll with a timeout.
+func New(workers port.Workers, poll, timeout time.Duration, log *zap.Logger) *Fleet {
+	return &Fleet{workers: workers, poll: poll, timeout: timeout, log: log}
+}
+
+// Run reads the inventory until ctx ends. The last good one is kept while the
+// platform doesn't answer.
+func (f *Fleet) Run(ctx context.Context) error {
+	ticker := time.NewTicker(f.poll)
+	defer ticker.Stop()
+	for {
+		f.refresh(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (f *Fleet) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+	defer cancel()
+	list, err := f.workers.List(ctx)
+	if err != nil {
+		f.log.Warn("fleet_refresh_failed", zap.Error(err))
+		return
+	}
+	f.set(list)
+}
+
+func (f *Fleet) set(list []structs.Worker) {
+	byID := make(map[string]structs.Worker, len(list))
+	byDomain := make(map[string][]structs.Worker)
+	for _, w := range list {
+		byID[w.ID] = w
+		byDomain[w.Domain] = append(byDomain[w.Domain], w)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.byID = byID
+	f.byDomain = byDomain
+}
+
+// Worker returns a worker by ID.
+func (f *Fleet) Worker(id string) (structs.Worker, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	w, ok := f.byID[id]
+	return w, ok
+}
+
+// Domain returns the workers of a failure domain, which must not be changed.
+func (f *Fleet) Domain(name string) []structs.Worker {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.byDomain[name]
+}
+
+// Len returns the number of workers.
+func (f *Fleet) Len() int {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return len(f.byID)
+}
--- /dev/null
+++ b/internal/duty/gangs/domain.go
@@ -0,0 +1,232 @@
+// Package gangs runs the jobs of the failure domains that this instance owns.
+//
+// One goroutine per failure domain holds the jobs and decides; another renews
+// the workers' leases, so that a slow decision or a slow table can't let them
+// lapse. What waits for the table or for workers runs as an operation: at most
+// one for each job, whose result comes back through a bounded ring.
+package gangs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/lentilwinch/lentilwinch/internal/duty/fleet"
+	"github.com/lentilwinch/lentilwinch/internal/duty/ownership"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/ring"
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+const (
+	eventCapacity = 1024
+	// maxStarts bounds the gangs that a failure domain starts at once.
+	maxStarts = 64
+	// maxMemberCalls bounds the calls of one operation to workers at once.
+	maxMemberCalls = 32
+	// publishInterval is the time between two renewals of the state for dumps
+	// and peers.
+	publishInterval = 500 * time.Millisecond
+	// maxRenewCalls bounds the renewals at once.
+	maxRenewCalls = 64
+)
+
+// Settings of the duty.
+type Settings struct {
+	// Tick is the time between two decisions without an event.
+	Tick time.Duration
+	// InboxPoll is the time between two reads of the inbox.
+	InboxPoll time.Duration
+	// LeaseTTL and LeaseRenew govern the workers' leases.
+	LeaseTTL   time.Duration
+	LeaseRenew time.Duration
+	// CallTimeout bounds one call to a worker or the table.
+	CallTimeout time.Duration
+	// CheckpointTimeout bounds the checkpoint of a gang before it is stopped.
+	CheckpointTimeout time.Duration
+	// MaxFailures is the number of attempts that a job may end by failing.
+	MaxFailures int
+	// Domains lists the failure domains of the region, in order.
+	Domains []string
+}
+
+// Lapse is the time after which a lease that nobody renews any more has surely
+// ended. A renewal sent just before may arrive a call timeout later, and the
+// worker's clock may run slow by a tenth.
+func (s Settings) Lapse() time.Duration {
+	return s.LeaseTTL + s.LeaseTTL/10 + s.CallTimeout
+}
+
+// Deps are what the duty works with.
+type Deps struct {
+	Store   *store.Store
+	Workers port.Workers
+	Fleet   *fleet.Fleet
+	// Config returns the configuration in force.
+	Config func() *structs.Config
+	// Usable reports whether ownership may still be relied on after a pause of
+	// this process.
+	Usable func() bool
+	Log    *zap.Logger
+}
+
+// Domain runs the jobs of one failure domain.
+type Domain struct {
+	settings Settings
+	deps     Deps
+	grant    ownership.Grant
+	log      *zap.Logger
+
+	events *ring.Ring[event]
+	wake   *ring.Ring[struct{}]
+	starts *semaphore.Weighted
+	wg     sync.WaitGroup
+	leases *leaseTable
+	health *health
+
+	// The fields below belong to the goroutine of Run but for mu's.
+	entries  map[structs.JobKey]*entry
+	byLease  map[structs.LeaseID]leaseOwner
+	inboxing bool
+	// decided and published are when decide last did each.
+	decided   time.Time
+	published time.Time
+
+	mu      sync.Mutex
+	summary port.DomainSummary
+	state   State
+}
+
+// entry is a job that isn't at its end.
+type entry struct {
+	job      structs.Job
+	revision int64
+	// busy is set while an operation runs.
+	busy bool
+	// cancelled is set once the caller asked for the job's end.
+	cancelled bool
+	// states are the members' last known ones.
+	states []structs.TaskState
+	// avoid names workers on which the job failed.
+	avoid  []string
+	queued time.Time
+	// inbox is set while the submission's inbox row exists.
+	inbox bool
+	// lapse is when leases of the attempt have surely ended that no longer
+	// are renewed; zero for an attempt that this owner began.
+	lapse time.Time
+	// reason is why the job waits.
+	reason string
+	// stopping is set while a stop is in progress, before its row says so.
+	stopping bool
+}
+
+type leaseOwner struct {
+	key    structs.JobKey
+	member int
+}
+
+// NewDomain returns a runner under a grant.
+func NewDomain(s Settings, deps Deps, grant ownership.Grant) *Domain {
+	return &Domain{
+		settings: s,
+		deps:     deps,
+		grant:    grant,
+		log:      deps.Log.With(zap.String("domain", grant.Domain)),
+		events:   ring.New[event]("gang events", eventCapacity),
+		wake:     ring.New[struct{}]("gang wake", 1),
+		starts:   semaphore.NewWeighted(maxStarts),
+		leases:   newLeaseTable(),
+		health:   newHealth(),
+		entries:  make(map[structs.JobKey]*entry),
+		byLease:  make(map[structs.LeaseID]leaseOwner),
+		summary:  port.DomainSummary{Domain: grant.Domain},
+	}
+}
+
+// Wake makes the runner read its inbox now.
+func (d *Domain) Wake() {
+	d.wake.Offer(struct{}{})
+}
+
+// Run loads the failure domain's jobs and runs them until ctx ends or the
+// grant turns out to be lost; it then fails with fault.Fenced. Operations are
+// left where they are: the next owner goes on from the rows.
+func (d *Domain) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer d.wg.Wait()
+	defer cancel(nil)
+	if err := d.load(ctx); err != nil {
+		return err
+	}
+	d.spawn(func() { d.renewLoop(ctx) })
+	ticker := time.NewTicker(d.settings.Tick)
+	defer ticker.Stop()
+	inbox := time.NewTicker(d.settings.InboxPoll)
+	defer inbox.Stop()
+	d.pollInbox(ctx)
+	for {
+		select {
+		case e := <-d.events.C():
+			if err := d.handle(ctx, e); err != nil {
+				cancel(err)
+				return err
+			}
+		case <-ticker.C:
+		case <-inbox.C:
+			d.pollInbox(ctx)
+		case <-d.wake.C():
+			d.pollInbox(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		d.decide(ctx)
+	}
+}
+
+// decide schedules and publishes at most once a tick, however many events
+// arrive.
+func (d *Domain) decide(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(d.decided) < d.settings.Tick {
+		return
+	}
+	d.decided = now
+	if d.deps.Usable() {
+		d.schedule(ctx)
+	}
+	if now.Sub(d.published) >= publishInterval {
+		d.published = now
+		d.publish()
+	}
+}
+
+func (d *Domain) spawn(f func()) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		f()
+	}()
+}
+
+// operate runs an operation on a job; its result arrives as an event.
+func (d *Domain) operate(ctx context.Context, e *entry, op func(context.Context, *operation) error) {
+	e.busy = true
+	o := &operation{domain: d, job: e.job, revision: e.revision, inbox: e.inbox, cancelled: e.cancelled, lapse: e.lapse}
+	d.spawn(func() {
+		err := op(ctx, o)
+		// The error is ctx's, which ends the runner.
+		_ = d.events.PushWait(ctx, event{done: &operationDone{operation: o, err: err}})
+	})
+}
+
+// Summary returns what peers are told about the failure domain.
+func (d *Domain) Summary() port.DomainSummary {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.summary
+}
--- /dev/null
+++ b/internal/duty/gangs/events.go
@@ -0,0 +1,201 @@
+package gangs
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/gang"
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+// event is what the runner's goroutine reacts to; exactly one field is set.
+type event struct {
+	done   *operationDone
+	inbox  *inboxRead
+	leases *leaseReport
+}
+
+// operationDone is the result of an operation.
+type operationDone struct {
+	operation *operation
+	err       error
+}
+
+// leaseReport is what a worker said about leases, or that it can't be reached
+// any more.
+type leaseReport struct {
+	statuses []structs.LeaseStatus
+}
+
+// handle fails with fault.Fenced when the grant was lost.
+func (d *Domain) handle(ctx context.Context, ev event) error {
+	switch {
+	case ev.done != nil:
+		return d.finished(ctx, ev.done)
+	case ev.inbox != nil:
+		d.received(ctx, ev.inbox)
+	case ev.leases != nil:
+		d.reported(ctx, ev.leases)
+	}
+	return nil
+}
+
+// finished takes over what an operation left in the table.
+func (d *Domain) finished(ctx context.Context, done *operationDone) error {
+	o := done.operation
+	if fault.Is(done.err, fault.Fenced) {
+		return done.err
+	}
+	e, ok := d.entries[o.job.Spec.Key]
+	if !ok {
+		return nil
+	}
+	e.busy = false
+	e.stopping = false
+	e.inbox = o.inbox
+	d.setJob(e, o.job, o.revision)
+	if done.err != nil {
+		d.log.Warn("operation_failed", zap.Stringer("job", o.job.Spec.Key), zap.Error(done.err))
+	}
+	if o.moved || o.job.State.Final() {
+		d.health.forget(o.job.Spec.Key)
+		d.forget(e)
+		return nil
+	}
+	if o.job.State == structs.JobQueued {
+		e.lapse = time.Time{}
+		e.avoid = append(e.avoid, o.failedOn...)
+	}
+	d.advance(ctx, e)
+	return nil
+}
+
+func (d *Domain) forget(e *entry) {
+	d.setJob(e, structs.Job{Spec: e.job.Spec}, e.revision)
+	delete(d.entries, e.job.Spec.Key)
+}
+
+// received adds submissions and notes cancellations.
+func (d *Domain) received(ctx context.Context, in *inboxRead) {
+	d.inboxing = false
+	var stale []string
+	for _, row := range in.jobs {
+		e := d.add(row)
+		switch {
+		case e == nil || e.job.State != structs.JobQueued:
+			stale = append(stale, store.SubmissionKey(d.grant.Domain, row.job.Spec.Key))
+		case !e.busy:
+			e.inbox = true
+		}
+	}
+	for _, k := range in.cancels {
+		e, ok := d.entries[k]
+		if !ok {
+			stale = append(stale, store.CancellationKey(d.grant.Domain, k))
+			continue
+		}
+		e.cancelled = true
+		d.advance(ctx, e)
+	}
+	if len(stale) > 0 {
+		d.spawn(func() { d.dropInbox(ctx, stale...) })
+	}
+}
+
+// reported notes the members' states.
+func (d *Domain) reported(ctx context.Context, r *leaseReport) {
+	touched := make(map[structs.JobKey]*entry)
+	for _, s := range r.statuses {
+		owner, ok := d.byLease[s.Lease]
+		if !ok {
+			continue
+		}
+		e := d.entries[owner.key]
+		e.states[owner.member] = s.State
+		touched[owner.key] = e
+	}
+	for _, e := range touched {
+		d.advance(ctx, e)
+	}
+}
+
+// advance takes the next step that doesn't need a placement.
+func (d *Domain) advance(ctx context.Context, e *entry) {
+	if e.busy {
+		return
+	}
+	switch e.job.State {
+	case structs.JobQueued:
+		if e.cancelled {
+			d.end(ctx, e, structs.JobCancelled, "cancelled by the caller")
+		}
+	case structs.JobReserving:
+		d.stop(ctx, e, structs.JobQueued, "reservation was not completed", false)
+	case structs.JobRunning:
+		d.advanceRunning(ctx, e)
+	case structs.JobStopping:
+		d.operate(ctx, e, func(ctx context.Context, o *operation) error { return o.finishStop(ctx) })
+	}
+}
+
+func (d *Domain) advanceRunning(ctx context.Context, e *entry) {
+	if e.cancelled {
+		d.stop(ctx, e, structs.JobCancelled, "cancelled by the caller", false)
+		return
+	}
+	switch gang.Judge(e.states) {
+	case gang.AllSucceeded:
+		for _, m := range e.job.Members {
+			d.health.succeeded(m.Worker)
+		}
+		d.stop(ctx, e, structs.JobSucceeded, "", false)
+	case gang.MemberLost:
+		d.stop(ctx, e, structs.JobQueued, "a member's lease was lost", false)
+	case gang.MemberFailed:
+		d.stopFailed(ctx, e)
+	case gang.Continue:
+		d.startReserved(ctx, e)
+	}
+}
+
+// startReserved starts members of a running gang whose start was lost.
+func (d *Domain) startReserved(ctx context.Context, e *entry) {
+	for _, s := range e.states {
+		if s == structs.TaskReserved {
+			d.operate(ctx, e, func(ctx context.Context, o *operation) error { return o.startAll(ctx) })
+			return
+		}
+	}
+}
+
+func (d *Domain) stopFailed(ctx context.Context, e *entry) {
+	next := structs.JobQueued
+	e.job.Failures++
+	for i, s := range e.states {
+		if s == structs.TaskFailed {
+			d.health.failed(e.job.Members[i].Worker, e.job.Spec.Key)
+			e.avoid = append(e.avoid, e.job.Members[i].Worker)
+		}
+	}
+	if e.job.Failures >= d.settings.MaxFailures {
+		next = structs.JobFailed
+	}
+	d.stop(ctx, e, next, "a member's task failed", false)
+}
+
+func (d *Domain) stop(ctx context.Context, e *entry, next structs.JobState, reason string, checkpoint bool) {
+	e.stopping = true
+	d.operate(ctx, e, func(ctx context.Context, o *operation) error {
+		return o.stop(ctx, next, reason, checkpoint)
+	})
+}
+
+func (d *Domain) end(ctx context.Context, e *entry, state structs.JobState, reason string) {
+	d.operate(ctx, e, func(ctx context.Context, o *operation) error {
+		return o.end(ctx, state, reason)
+	})
+}
--- /dev/null
+++ b/internal/duty/gangs/load.go
@@ -0,0 +1,236 @@
+package gangs
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+const (
+	// loadRetry is the time between two tries to read the jobs.
+	loadRetry = 200 * time.Millisecond
+	// getBatch is the number of rows that one Get asks for.
+	getBatch = 200
+)
+
+// QueueRecord is the index row of a job that isn't at its end.
+type QueueRecord struct {
+	Key structs.JobKey `cbor:"1,keyasint"`
+}
+
+// InboxRecord is the inbox row of a submission or a cancellation.
+type InboxRecord struct {
+	Key    structs.JobKey `cbor:"1,keyasint"`
+	Cancel bool           `cbor:"2,keyasint"`
+}
+
+// load reads every job of the failure domain, trying until ctx ends.
+func (d *Domain) load(ctx context.Context) error {
+	for {
+		keys, err := d.readIndex(ctx)
+		if err == nil {
+			err = d.readJobs(ctx, keys)
+		}
+		if err == nil {
+			d.log.Info("domain_loaded", zap.Int("jobs", len(d.entries)))
+			d.recover(ctx)
+			return nil
+		}
+		d.log.Warn("domain_load_failed", zap.Error(err))
+		select {
+		case <-time.After(loadRetry):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (d *Domain) readIndex(ctx context.Context) ([]structs.JobKey, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.CallTimeout)
+	defer cancel()
+	rows, err := d.deps.Store.ScanAll(ctx, store.QueueDomainPrefix(d.grant.Domain))
+	if err != nil {
+		return nil, err
+	}
+	keys := make([]structs.JobKey, 0, len(rows))
+	for _, row := range rows {
+		var rec QueueRecord
+		if err := store.Decode(row, &rec); err != nil {
+			return nil, err
+		}
+		keys = append(keys, rec.Key)
+	}
+	return keys, nil
+}
+
+// readJobs reads job rows and adds an entry for each that isn't known yet.
+func (d *Domain) readJobs(ctx context.Context, keys []structs.JobKey) error {
+	for len(keys) > 0 {
+		n := min(len(keys), getBatch)
+		if err := d.readBatch(ctx, keys[:n]); err != nil {
+			return err
+		}
+		keys = keys[n:]
+	}
+	return nil
+}
+
+func (d *Domain) readBatch(ctx context.Context, keys []structs.JobKey) error {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.CallTimeout)
+	defer cancel()
+	found, err := readJobRows(ctx, d.deps.Store, keys)
+	if err != nil {
+		return err
+	}
+	for _, f := range found {
+		d.add(f)
+	}
+	return nil
+}
+
+// jobRow is a job with its row's revision.
+type jobRow struct {
+	job      structs.Job
+	revision int64
+}
+
+func readJobRows(ctx context.Context, st *store.Store, keys []structs.JobKey) ([]jobRow, error) {
+	rowKeys := make([]string, len(keys))
+	for i, k := range keys {
+		rowKeys[i] = store.JobKey(k)
+	}
+	rows, err := st.Get(ctx, rowKeys...)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]jobRow, 0, len(rows))
+	for _, key := range rowKeys {
+		row, ok := rows[key]
+		if !ok {
+			continue
+		}
+		var j structs.Job
+		if err := store.Decode(row, &j); err != nil {
+			return nil, err
+		}
+		out = append(out, jobRow{job: j, revision: row.Revision})
+	}
+	return out, nil
+}
+
+func (d *Domain) add(r jobRow) *entry {
+	k := r.job.Spec.Key
+	if e, ok := d.entries[k]; ok {
+		return e
+	}
+	if r.job.State.Final() || r.job.Domain != d.grant.Domain {
+		return nil
+	}
+	e := &entry{queued: r.job.Submitted}
+	d.entries[k] = e
+	d.setJob(e, r.job, r.revision)
+	return e
+}
+
+// setJob takes over a job's row and keeps the lease index in step.
+func (d *Domain) setJob(e *entry, j structs.Job, revision int64) {
+	for _, m := range e.job.Members {
+		delete(d.byLease, m.Lease)
+	}
+	if j.Attempt != e.job.Attempt || len(e.states) != len(j.Members) {
+		e.states = make([]structs.TaskState, len(j.Members))
+	}
+	e.job = j
+	e.revision = revision
+	for i, m := range j.Members {
+		d.byLease[m.Lease] = leaseOwner{key: j.Spec.Key, member: i}
+	}
+}
+
+// recover finishes or rolls back what an earlier owner left half done. Its
+// leases may have been renewed until just now, by an owner that was paused
+// even later than that, so they count as held for two lapses.
+func (d *Domain) recover(ctx context.Context) {
+	lapse := time.Now().Add(2 * d.settings.Lapse())
+	for _, e := range d.entries {
+		e.lapse = lapse
+		switch e.job.State {
+		case structs.JobReserving:
+			d.stop(ctx, e, structs.JobQueued, "owner changed while reserving", false)
+		case structs.JobRunning:
+			d.leases.add(e.job.Members)
+			d.operate(ctx, e, func(ctx context.Context, o *operation) error { return o.startAll(ctx) })
+		case structs.JobStopping:
+			d.operate(ctx, e, func(ctx context.Context, o *operation) error { return o.finishStop(ctx) })
+		}
+	}
+}
+
+// pollInbox reads new submissions and cancellations as an operation of its own.
+func (d *Domain) pollInbox(ctx context.Context) {
+	if d.inboxing {
+		return
+	}
+	d.inboxing = true
+	d.spawn(func() {
+		in := d.readInbox(ctx)
+		// The error is ctx's, which ends the runner.
+		_ = d.events.PushWait(ctx, event{inbox: &in})
+	})
+}
+
+// inboxRead is what one poll of the inbox found.
+type inboxRead struct {
+	jobs    []jobRow
+	cancels []structs.JobKey
+}
+
+func (d *Domain) readInbox(ctx context.Context) inboxRead {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.CallTimeout)
+	defer cancel()
+	rows, err := d.deps.Store.ScanAll(ctx, store.InboxDomainPrefix(d.grant.Domain))
+	if err != nil {
+		d.log.Warn("inbox_read_failed", zap.Error(err))
+		return inboxRead{}
+	}
+	var in inboxRead
+	var keys []structs.JobKey
+	for _, row := range rows {
+		var rec InboxRecord
+		if err := store.Decode(row, &rec); err != nil {
+			d.log.Error("inbox_row_invalid", zap.String("key", row.Key), zap.Error(err))
+			continue
+		}
+		if rec.Cancel {
+			in.cancels = append(in.cancels, rec.Key)
+		} else {
+			keys = append(keys, rec.Key)
+		}
+	}
+	in.jobs = d.readInboxJobs(ctx, keys)
+	return in
+}
+
+func (d *Domain) readInboxJobs(ctx context.Context, keys []structs.JobKey) []jobRow {
+	var out []jobRow
+	for len(keys) > 0 {
+		n := min(len(keys), getBatch)
+		rows, err := readJobRows(ctx, d.deps.Store, keys[:n])
+		if err != nil {
+			d.log.Warn("inbox_jobs_read_failed", zap.Error(err))
+			return out
+		}
+		out = append(out, rows...)
+		keys = keys[n:]
+	}
+	return out
+}
+
+func checkpointObject(j structs.Job) string {
+	return strings.Join([]string{"checkpoint", j.Spec.Key.String(), time.Now().UTC().Format("20060102T150405.000")}, "/")
+}
--- /dev/null
+++ b/internal/duty/gangs/manager.go
@@ -0,0 +1,162 @@
+package gangs
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/duty/ownership"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/ring"
+)
+
+// reconcileInterval is the time between comparisons of the runners with the
+// grants, for events that were lost.
+const reconcileInterval = 500 * time.Millisecond
+
+// Grants is the ownership as the manager sees it.
+type Grants interface {
+	// Owned returns the grants in force.
+	Owned() []ownership.Grant
+	// Events hints at changes.
+	Events() *ring.Ring[ownership.Event]
+	// Recheck asks for a read of the owner rows after a fenced write.
+	Recheck()
+}
+
+// Manager runs a Domain for each failure domain that this instance owns.
+type Manager struct {
+	settings Settings
+	deps     Deps
+	grants   Grants
+
+	mu      sync.Mutex
+	runners map[string]*runner
+}
+
+type runner struct {
+	domain *Domain
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// NewManager returns a manager without runners.
+func NewManager(s Settings, deps Deps, grants Grants) *Manager {
+	return &Manager{settings: s, deps: deps, grants: grants, runners: make(map[string]*runner)}
+}
+
+// Run keeps the runners in step with the grants until ctx ends, and waits for
+// all of them.
+func (m *Manager) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reconcileInterval)
+	defer ticker.Stop()
+	defer m.stopAll()
+	for {
+		m.reconcile(ctx)
+		select {
+		case <-m.grants.Events().C():
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (m *Manager) reconcile(ctx context.Context) {
+	owned := m.grants.Owned()
+	for _, r := range m.obsolete(owned) {
+		r.stop()
+	}
+	for _, g := range owned {
+		m.ensure(ctx, g)
+	}
+}
+
+// obsolete removes and returns the runners whose grant isn't owned any more or
+// that ended by themselves.
+func (m *Manager) obsolete(owned []ownership.Grant) []*runner {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*runner
+	for name, r := range m.runners {
+		if slices.Contains(owned, r.domain.grant) && !r.ended() {
+			continue
+		}
+		delete(m.runners, name)
+		out = append(out, r)
+	}
+	return out
+}
+
+func (m *Manager) ensure(ctx context.Context, g ownership.Grant) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.runners[g.Domain]; ok {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	r := &runner{domain: NewDomain(m.settings, m.deps, g), cancel: cancel, done: make(chan struct{})}
+	m.runners[g.Domain] = r
+	go func() {
+		defer close(r.done)
+		err := r.domain.Run(ctx)
+		m.deps.Log.Info("domain_stopped", zap.String("domain", g.Domain), zap.Error(err))
+		if ctx.Err() == nil {
+			m.grants.Recheck()
+		}
+	}()
+}
+
+func (r *runner) ended() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *runner) stop() {
+	r.cancel()
+	<-r.done
+}
+
+func (m *Manager) stopAll() {
+	for _, r := range m.obsolete(nil) {
+		r.stop()
+	}
+}
+
+// Wake makes the runner of a failure domain, if any, read its inbox.
+func (m *Manager) Wake(domain string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r, ok := m.runners[domain]; ok {
+		r.domain.Wake()
+	}
+}
+
+// Summaries returns what peers are told about the owned failure domains.
+func (m *Manager) Summaries() []port.DomainSummary {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]port.DomainSummary, 0, len(m.runners))
+	for _, r := range m.runners {
+		out = append(out, r.domain.Summary())
+	}
+	return out
+}
+
+// States returns the runners' states for a dump.
+func (m *Manager) States() []State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]State, 0, len(m.runners))
+	for _, r := range m.runners {
+		out = append(out, r.domain.State())
+	}
+	return out
+}
--- /dev/null
+++ b/internal/duty/gangs/operation.go
@@ -0,0 +1,341 @@
+package gangs
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/gang"
+	"github.com/lentilwinch/lentilwinch/internal/scheduler"
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+const (
+	// startTries is the number of times that a member's start is sent.
+	startTries = 3
+	// releaseRetry is the time between two tries to reach a worker.
+	releaseRetry = 250 * time.Millisecond
+)
+
+// operation is a sequence of steps on one job: commits under the grant and
+// calls to workers.
+type operation struct {
+	domain   *Domain
+	job      structs.Job
+	revision int64
+	// inbox and cancelled say which inbox rows the next commit removes.
+	inbox     bool
+	cancelled bool
+	// lapse is the earliest time at which leases of an earlier owner have
+	// surely ended; zero for leases of this one.
+	lapse time.Time
+	// moved is set when the job went to another failure domain.
+	moved bool
+	// failedOn names workers that refused a member.
+	failedOn []string
+}
+
+// commit writes the job's next state. It fails with fault.Fenced when the
+// grant was lost and with fault.Uncertain after which the row was read again.
+func (o *operation) commit(ctx context.Context, next structs.Job) error {
+	return o.commitTxn(ctx, next, new(store.Txn))
+}
+
+func (o *operation) commitTxn(ctx context.Context, next structs.Job, txn *store.Txn) error {
+	d := o.domain
+	key := next.Spec.Key
+	txn.Update(store.JobKey(key), o.revision, next)
+	d.grant.Require(txn)
+	if o.inbox {
+		txn.Delete(store.SubmissionKey(d.grant.Domain, key))
+	}
+	if next.State.Final() {
+		txn.Delete(store.QueueKey(d.grant.Domain, key))
+		txn.Delete(store.CancellationKey(d.grant.Domain, key))
+	}
+	revision, err := d.deps.Store.Commit(ctx, txn)
+	switch fault.CodeOf(err) {
+	case "":
+		o.job = next
+		o.revision = revision
+		o.inbox = false
+		return nil
+	case fault.Conflict, fault.Uncertain:
+		return o.reload(ctx, err)
+	default:
+		return err
+	}
+}
+
+// reload reads the row and the grant again after a commit whose effect isn't
+// known.
+func (o *operation) reload(ctx context.Context, cause error) error {
+	d := o.domain
+	key := store.JobKey(o.job.Spec.Key)
+	for {
+		rows, err := d.deps.Store.Get(ctx, key, store.OwnerKey(d.grant.Domain))
+		if err == nil {
+			return o.adopt(rows[key].Revision, rows[store.OwnerKey(d.grant.Domain)].Revision, func(j *structs.Job) error {
+				return store.Decode(rows[key], j)
+			}, cause)
+		}
+		select {
+		case <-time.After(releaseRetry):
+		case <-ctx.Done():
+			return cause
+		}
+	}
+}
+
+func (o *operation) adopt(revision, ownerRevision int64, decode func(*structs.Job) error, cause error) error {
+	if ownerRevision != o.domain.grant.Revision {
+		return fault.Wrap(fault.Fenced, "domain "+o.domain.grant.Domain+" has another owner", cause)
+	}
+	var j structs.Job
+	if err := decode(&j); err != nil {
+		return err
+	}
+	o.job = j
+	o.revision = revision
+	return fault.Wrap(fault.Uncertain, "job row was read again", cause)
+}
+
+// start reserves every member and then starts them all, or gives back what
+// was reserved.
+func (o *operation) start(ctx context.Context, st scheduler.Start) error {
+	next, err := gang.Reserve(o.job, st)
+	if err != nil {
+		return err
+	}
+	if err := o.commit(ctx, next); err != nil {
+		return err
+	}
+	o.domain.leases.add(o.job.Members)
+	if err := o.reserveAll(ctx); err != nil {
+		return o.stop(ctx, structs.JobQueued, "a reservation was refused: "+err.Error(), false)
+	}
+	running, err := gang.Run(o.job, time.Now())
+	if err != nil {
+		return err
+	}
+	if err := o.commit(ctx, running); err != nil {
+		return err
+	}
+	return o.startAll(ctx)
+}
+
+func (o *operation) reserveAll(ctx context.Context) error {
+	accelerators := o.job.Spec.Accelerators
+	ttl := o.domain.settings.LeaseTTL
+	return o.eachMember(ctx, func(ctx context.Context, _ int, m structs.Member, w structs.Worker) error {
+		return o.domain.deps.Workers.Reserve(ctx, w, m.Lease, accelerators, ttl)
+	})
+}
+
+// startAll sends every member's start, which is idempotent, and stops the gang
+// when one can't be started.
+func (o *operation) startAll(ctx context.Context) error {
+	err := o.eachMember(ctx, o.startMember)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	return o.stop(ctx, structs.JobQueued, "a member could not be started: "+err.Error(), false)
+}
+
+func (o *operation) startMember(ctx context.Context, i int, m structs.Member, w structs.Worker) error {
+	checkpoint := ""
+	if o.job.Checkpoint != "" {
+		checkpoint = memberObject(o.job.Checkpoint, i)
+	}
+	var err error
+	for range startTries {
+		err = o.domain.deps.Workers.Start(ctx, w, m.Lease, o.job.Spec.Payload, checkpoint)
+		code := fault.CodeOf(err)
+		if code != fault.Uncertain && code != fault.Unavailable {
+			return err
+		}
+	}
+	return err
+}
+
+func memberObject(name string, member int) string {
+	return name + "/" + strconv.Itoa(member)
+}
+
+// eachMember calls f for every member at once and returns the first failure.
+// A member whose worker isn't in the inventory fails with fault.Unavailable.
+func (o *operation) eachMember(ctx context.Context, f func(context.Context, int, structs.Member, structs.Worker) error) error {
+	var mu sync.Mutex
+	g, gctx := errgroup.WithContext(ctx)
+	g.SetLimit(maxMemberCalls)
+	for i, m := range o.job.Members {
+		g.Go(func() error {
+			err := o.callMember(gctx, i, m, f)
+			if err != nil && gctx.Err() == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				o.failedOn = append(o.failedOn, m.Worker)
+			}
+			return err
+		})
+	}
+	return g.Wait()
+}
+
+func (o *operation) callMember(ctx context.Context, i int, m structs.Member, f func(context.Context, int, structs.Member, structs.Worker) error) error {
+	w, ok := o.domain.deps.Fleet.Worker(m.Worker)
+	if !ok {
+		return fault.New(fault.Unavailable, "worker "+m.Worker+" is not in the inventory")
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.domain.settings.CallTimeout)
+	defer cancel()
+	return f(ctx, i, m, w)
+}
+
+// stop ends the attempt and follows it to its next state.
+func (o *operation) stop(ctx context.Context, next structs.JobState, reason string, checkpoint bool) error {
+	j := o.job
+	if checkpoint {
+		j = o.checkpoint(ctx, j)
+	}
+	stopping, err := gang.Stop(j, next, reason)
+	if err != nil {
+		return err
+	}
+	if !next.Final() {
+		// The rest of a broken gang must not run on through an outage of the
+		// table. Without the row, the leases count as lost all the same.
+		o.releaseOnce(ctx)
+	}
+	if err := o.commit(ctx, stopping); err != nil {
+		return err
+	}
+	return o.finishStop(ctx)
+}
+
+// checkpoint saves every member's progress within the bound; the job goes back
+// to its previous checkpoint where one of them can't be saved.
+func (o *operation) checkpoint(ctx context.Context, j structs.Job) structs.Job {
+	ctx, cancel := context.WithTimeout(ctx, o.domain.settings.CheckpointTimeout)
+	defer cancel()
+	object := checkpointObject(j)
+	err := o.eachMember(ctx, func(ctx context.Context, i int, m structs.Member, w structs.Worker) error {
+		return o.domain.deps.Workers.Checkpoint(ctx, w, m.Lease, memberObject(object, i))
+	})
+	o.failedOn = nil
+	if err != nil {
+		return j
+	}
+	return gang.Checkpointed(j, object)
+}
+
+// finishStop releases the leases of a stopping job and settles it.
+func (o *operation) finishStop(ctx context.Context) error {
+	o.domain.leases.remove(o.job.Members)
+	if err := o.releaseAll(ctx); err != nil {
+		return err
+	}
+	settled, err := gang.Settle(o.job, time.Now())
+	if err != nil {
+		return err
+	}
+	return o.commit(ctx, settled)
+}
+
+// releaseOnce tries to release every lease of the attempt.
+func (o *operation) releaseOnce(ctx context.Context) {
+	o.domain.leases.remove(o.job.Members)
+	var g errgroup.Group
+	g.SetLimit(maxMemberCalls)
+	for worker, leases := range o.leasesByWorker() {
+		g.Go(func() error {
+			o.tryRelease(ctx, worker, leases)
+			return nil
+		})
+	}
+	// finishStop releases again what could not be reached.
+	_ = g.Wait()
+}
+
+func (o *operation) leasesByWorker() map[string][]structs.LeaseID {
+	out := make(map[string][]structs.LeaseID)
+	for _, m := range o.job.Members {
+		out[m.Worker] = append(out[m.Worker], m.Lease)
+	}
+	return out
+}
+
+// releaseAll returns once each lease was released or has surely lapsed.
+func (o *operation) releaseAll(ctx context.Context) error {
+	lapse := time.Now().Add(o.domain.settings.Lapse())
+	if o.lapse.After(lapse) {
+		lapse = o.lapse
+	}
+	g, gctx := errgroup.WithContext(ctx)
+	g.SetLimit(maxMemberCalls)
+	for worker, leases := range o.leasesByWorker() {
+		g.Go(func() error { return o.release(gctx, worker, leases, lapse) })
+	}
+	return g.Wait()
+}
+
+func (o *operation) release(ctx context.Context, worker string, leases []structs.LeaseID, lapse time.Time) error {
+	for time.Now().Before(lapse) {
+		if o.tryRelease(ctx, worker, leases) {
+			return nil
+		}
+		select {
+		case <-time.After(releaseRetry):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (o *operation) tryRelease(ctx context.Context, worker string, leases []structs.LeaseID) bool {
+	w, ok := o.domain.deps.Fleet.Worker(worker)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.domain.settings.CallTimeout)
+	defer cancel()
+	err := o.domain.deps.Workers.Release(ctx, w, leases)
+	return err == nil || fault.Is(err, fault.Fenced)
+}
+
+// end brings a queued job to a final state.
+func (o *operation) end(ctx context.Context, state structs.JobState, reason string) error {
+	next, err := gang.End(o.job, state, reason, time.Now())
+	if err != nil {
+		return err
+	}
+	return o.commit(ctx, next)
+}
+
+// move hands a queued job to another failure domain.
+func (o *operation) move(ctx context.Context, to string) error {
+	d := o.domain
+	key := o.job.Spec.Key
+	next := o.job
+	next.Tried = append(append([]string(nil), next.Tried...), d.grant.Domain)
+	next.Domain = to
+	txn := new(store.Txn)
+	txn.Delete(store.QueueKey(d.grant.Domain, key))
+	txn.Delete(store.CancellationKey(d.grant.Domain, key))
+	txn.Put(store.QueueKey(to, key), QueueRecord{Key: key})
+	txn.Put(store.SubmissionKey(to, key), InboxRecord{Key: key})
+	if o.cancelled {
+		txn.Put(store.CancellationKey(to, key), InboxRecord{Key: key, Cancel: true})
+	}
+	if err := o.commitTxn(ctx, next, txn); err != nil {
+		return err
+	}
+	o.moved = true
+	return nil
+}
--- /dev/null
+++ b/internal/duty/gangs/schedule.go
@@ -0,0 +1,192 @@
+package gangs
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/scheduler"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+// schedule decides on the queued jobs and begins what was decided.
+func (d *Domain) schedule(ctx context.Context) {
+	if !d.hasQueued() {
+		return
+	}
+	s := d.snapshot()
+	plan := scheduler.Decide(s)
+	for _, r := range plan.Reclaims {
+		d.reclaim(ctx, r)
+	}
+	for _, st := range plan.Starts {
+		d.begin(ctx, &s, st)
+	}
+	for _, v := range plan.Unplaceable {
+		d.unplaceable(ctx, v)
+	}
+	for _, v := range plan.Waiting {
+		if e, ok := d.entries[v.Key]; ok {
+			e.reason = v.Reason
+		}
+	}
+}
+
+func (d *Domain) hasQueued() bool {
+	for _, e := range d.entries {
+		if e.job.State == structs.JobQueued && !e.busy {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Domain) snapshot() scheduler.Snapshot {
+	now := time.Now()
+	s := scheduler.Snapshot{Domain: d.grant.Domain}
+	for _, w := range d.deps.Fleet.Domain(d.grant.Domain) {
+		s.Workers = append(s.Workers, scheduler.Worker{
+			ID:           w.ID,
+			Rack:         w.Rack,
+			Accelerators: w.Accelerators,
+			Usable:       d.health.usable(w, now),
+		})
+	}
+	for _, e := range d.entries {
+		switch {
+		case e.job.State != structs.JobQueued:
+			s.Gangs = append(s.Gangs, gangOf(e, now))
+		case !e.busy && !e.cancelled:
+			s.Queued = append(s.Queued, pendingOf(e, now))
+		}
+	}
+	for _, w := range d.deps.Config().Workspaces {
+		s.Workspaces = append(s.Workspaces, w)
+	}
+	// Map order is random; the decision must not depend on it.
+	slices.SortFunc(s.Gangs, func(a, b scheduler.Gang) int { return compareKeys(a.Key, b.Key) })
+	slices.SortFunc(s.Queued, func(a, b scheduler.Pending) int { return compareKeys(a.Spec.Key, b.Spec.Key) })
+	slices.SortFunc(s.Workspaces, func(a, b structs.Workspace) int { return compareStrings(a.Name, b.Name) })
+	return s
+}
+
+func gangOf(e *entry, now time.Time) scheduler.Gang {
+	j := e.job
+	g := scheduler.Gang{
+		Key:          j.Spec.Key,
+		Class:        j.Spec.Class,
+		Preemptible:  j.Spec.Preemptible,
+		Lent:         j.Lent,
+		Stopping:     j.State == structs.JobStopping || e.stopping,
+		Accelerators: j.Spec.Accelerators,
+		Adjacency:    j.Spec.Adjacency,
+	}
+	if !j.Started.IsZero() {
+		g.Ran = now.Sub(j.Started)
+	}
+	for _, m := range j.Members {
+		g.Members = append(g.Members, scheduler.Place{Worker: m.Worker, Rack: m.Rack})
+	}
+	return g
+}
+
+func pendingOf(e *entry, now time.Time) scheduler.Pending {
+	return scheduler.Pending{
+		Spec:     e.job.Spec,
+		Waited:   now.Sub(e.queued),
+		Expected: e.job.Spec.DeclaredRun,
+		Avoid:    e.avoid,
+	}
+}
+
+func compareKeys(a, b structs.JobKey) int {
+	if c := compareStrings(a.Workspace, b.Workspace); c != 0 {
+		return c
+	}
+	return compareStrings(a.ID, b.ID)
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// begin verifies a start against what was begun before it and starts it. The
+// entry holds the places from now on, so that the next decision sees them.
+func (d *Domain) begin(ctx context.Context, s *scheduler.Snapshot, st scheduler.Start) {
+	e, ok := d.entries[st.Key]
+	if !ok || e.busy || e.job.State != structs.JobQueued {
+		return
+	}
+	if err := scheduler.Verify(*s, st); err != nil {
+		d.log.Warn("start_not_verified", zap.Stringer("job", st.Key), zap.Error(err))
+		return
+	}
+	d.operate(ctx, e, func(ctx context.Context, o *operation) error {
+		if err := d.starts.Acquire(ctx, 1); err != nil {
+			return err
+		}
+		defer d.starts.Release(1)
+		return o.start(ctx, st)
+	})
+	e.reason = ""
+	e.job = planned(e.job, st)
+	s.Gangs = append(s.Gangs, gangOf(e, time.Now()))
+}
+
+// planned is the job as it counts in decisions while its start is in progress.
+func planned(j structs.Job, st scheduler.Start) structs.Job {
+	j.State = structs.JobReserving
+	j.Lent = st.Lent
+	j.Members = nil
+	for _, p := range st.Places {
+		j.Members = append(j.Members, structs.Member{Worker: p.Worker, Rack: p.Rack})
+	}
+	return j
+}
+
+func (d *Domain) reclaim(ctx context.Context, r scheduler.Reclaim) {
+	e, ok := d.entries[r.Key]
+	if !ok || e.busy || e.job.State != structs.JobRunning {
+		return
+	}
+	d.log.Info("gang_reclaimed", zap.Stringer("job", r.Key), zap.Stringer("for", r.For))
+	d.stop(ctx, e, structs.JobQueued, "reclaimed for "+r.For.String(), true)
+}
+
+// unplaceable hands a job that can never run here to the next failure domain,
+// or ends it when none is left.
+func (d *Domain) unplaceable(ctx context.Context, v scheduler.Verdict) {
+	e, ok := d.entries[v.Key]
+	if !ok || e.busy || e.job.State != structs.JobQueued {
+		return
+	}
+	to, ok := d.nextDomain(e.job)
+	if !ok {
+		d.end(ctx, e, structs.JobUnplaceable, v.Reason)
+		return
+	}
+	d.operate(ctx, e, func(ctx context.Context, o *operation) error {
+		return o.move(ctx, to)
+	})
+}
+
+func (d *Domain) nextDomain(j structs.Job) (string, bool) {
+	if j.Spec.Domain != "" {
+		return "", false
+	}
+	for _, name := range d.settings.Domains {
+		if name != d.grant.Domain && !slices.Contains(j.Tried, name) {
+			return name, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/duty/gangs/state.go
@@ -0,0 +1,127 @@
+package gangs
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+// State describes a failure domain's runner in a dump.
+type State struct {
+	Domain      string         `json:"domain"`
+	Revision    int64          `json:"owner_revision"`
+	Jobs        []JobSummary   `json:"jobs"`
+	ByState     map[string]int `json:"jobs_by_state"`
+	Leases      int            `json:"leases"`
+	Quarantined []string       `json:"quarantined_workers"`
+	Events      int            `json:"queued_events"`
+}
+
+// JobSummary describes a job in a dump.
+type JobSummary struct {
+	Job       string           `json:"job"`
+	State     structs.JobState `json:"state"`
+	Attempt   int64            `json:"attempt"`
+	Members   int              `json:"members"`
+	Lent      bool             `json:"lent"`
+	Busy      bool             `json:"operation_in_progress"`
+	Cancelled bool             `json:"cancelled"`
+	Reason    string           `json:"reason,omitempty"`
+}
+
+// maxDumpedJobs bounds the jobs that a dump lists.
+const maxDumpedJobs = 1000
+
+// publish renews what Summary and State return.
+func (d *Domain) publish() {
+	state := d.describe()
+	workers := d.deps.Fleet.Domain(d.grant.Domain)
+	free, largest := d.free(workers)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state = state
+	d.summary.FreeAccelerators = free
+	d.summary.LargestBlock = largest
+	d.summary.QueuedJobs = state.ByState[string(structs.JobQueued)]
+}
+
+func (d *Domain) describe() State {
+	s := State{
+		Domain:      d.grant.Domain,
+		Revision:    d.grant.Revision,
+		ByState:     make(map[string]int),
+		Leases:      len(d.byLease),
+		Quarantined: d.health.quarantined(d.deps.Fleet.Domain(d.grant.Domain)),
+		Events:      d.events.Len(),
+	}
+	for k, e := range d.entries {
+		s.ByState[string(e.job.State)]++
+		if len(s.Jobs) < maxDumpedJobs {
+			s.Jobs = append(s.Jobs, summarize(k, e))
+		}
+	}
+	slices.SortFunc(s.Jobs, func(a, b JobSummary) int { return cmp.Compare(a.Job, b.Job) })
+	return s
+}
+
+func summarize(k structs.JobKey, e *entry) JobSummary {
+	reason := e.job.Reason
+	if e.reason != "" {
+		reason = e.reason
+	}
+	return JobSummary{
+		Job:       k.String(),
+		State:     e.job.State,
+		Attempt:   e.job.Attempt,
+		Members:   len(e.job.Members),
+		Lent:      e.job.Lent,
+		Busy:      e.busy,
+		Cancelled: e.cancelled,
+		Reason:    reason,
+	}
+}
+
+// free returns the free accelerators and the most of them in one rack.
+func (d *Domain) free(workers []structs.Worker) (total, largest int) {
+	used := make(map[string]int)
+	for _, e := range d.entries {
+		for _, m := range e.job.Members {
+			used[m.Worker] += e.job.Spec.Accelerators
+		}
+	}
+	racks := make(map[string]int)
+	for _, w := range workers {
+		n := max(w.Accelerators-used[w.ID], 0)
+		total += n
+		racks[w.Rack] += n
+		largest = max(largest, racks[w.Rack])
+	}
+	return total, largest
+}
+
+// State returns the runner's state for a dump.
+func (d *Domain) State() State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state
+}
+
+// dropInbox removes inbox rows of jobs that are at their end or were noticed
+// already. A failure leaves them to the next poll.
+func (d *Domain) dropInbox(ctx context.Context, keys ...string) {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.CallTimeout)
+	defer cancel()
+	rows, err := d.deps.Store.Get(ctx, keys...)
+	if err != nil {
+		return
+	}
+	for key, row := range rows {
+		txn := new(store.Txn).Require(key, row.Revision).Delete(key)
+		d.grant.Require(txn)
+		// A refused or lost deletion is made good by the next poll.
+		_, _ = d.deps.Store.Commit(ctx, txn)
+	}
+}
--- /dev/null
+++ b/internal/duty/jobs/jobs.go
@@ -0,0 +1,296 @@
+// Package jobs serves callers' operations on jobs at any instance: it writes
+// submissions and cancellations to the table, where the owner of the failure
+// domain finds them, and reads job rows.
+package jobs
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/duty/gangs"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/gang"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+const (
+	// cancelTries bounds the reads of a job that changes under a cancellation.
+	cancelTries = 20
+	// watchPoll is the time between two reads of a watched job.
+	watchPoll = 300 * time.Millisecond
+)
+
+// Jobs is safe for concurrent use.
+type Jobs struct {
+	store   *store.Store
+	peers   port.Peers
+	domains []string
+	config  func() *structs.Config
+	// local returns the summaries of the failure domains that this instance
+	// owns, and wake hints at one of them.
+	local func() []port.DomainSummary
+	wake  func(domain string)
+}
+
+// New returns the duty for a region's failure domains.
+func New(st *store.Store, peers port.Peers, domains []string, config func() *structs.Config, local func() []port.DomainSummary, wake func(string)) *Jobs {
+	return &Jobs{store: st, peers: peers, domains: domains, config: config, local: local, wake: wake}
+}
+
+// Submit records a job; sending the same again returns the job as it is now.
+// It fails with fault.Invalid, fault.NotFound for an unknown workspace,
+// fault.Exists when the ID is in use for a different job, and with
+// fault.Unavailable or fault.Uncertain by the table.
+func (s *Jobs) Submit(ctx context.Context, spec structs.JobSpec) (structs.Job, int64, error) {
+	if err := s.check(spec); err != nil {
+		return structs.Job{}, 0, err
+	}
+	j := gang.Queue(spec, s.choose(spec), time.Now())
+	revision, err := s.store.Commit(ctx, submission(j))
+	switch fault.CodeOf(err) {
+	case "":
+		s.hint(j.Domain)
+		return j, revision, nil
+	case fault.Conflict:
+		return s.existing(ctx, spec)
+	case fault.Uncertain:
+		if j, revision, readErr := s.existing(ctx, spec); readErr == nil {
+			return j, revision, nil
+		}
+		return structs.Job{}, 0, err
+	default:
+		return structs.Job{}, 0, err
+	}
+}
+
+func submission(j structs.Job) *store.Txn {
+	k := j.Spec.Key
+	txn := new(store.Txn).Create(store.JobKey(k), j)
+	txn.Put(store.QueueKey(j.Domain, k), gangs.QueueRecord{Key: k})
+	return txn.Put(store.SubmissionKey(j.Domain, k), gangs.InboxRecord{Key: k})
+}
+
+func (s *Jobs) existing(ctx context.Context, spec structs.JobSpec) (structs.Job, int64, error) {
+	j, revision, err := s.Get(ctx, spec.Key)
+	if err != nil {
+		return structs.Job{}, 0, err
+	}
+	if !sameSpec(j.Spec, spec) {
+		return structs.Job{}, 0, fault.New(fault.Exists, "job "+spec.Key.String()+" exists with another specification")
+	}
+	return j, revision, nil
+}
+
+func sameSpec(a, b structs.JobSpec) bool {
+	samePayload := bytes.Equal(a.Payload, b.Payload)
+	a.Payload, b.Payload = nil, nil
+	return samePayload && a.Members == b.Members && a.Accelerators == b.Accelerators &&
+		a.Adjacency == b.Adjacency && a.Class == b.Class && a.Preemptible == b.Preemptible &&
+		a.DeclaredRun == b.DeclaredRun && a.Domain == b.Domain && a.Service == b.Service
+}
+
+// hint tells the owner of a failure domain to read its inbox.
+func (s *Jobs) hint(domain string) {
+	s.wake(domain)
+	s.peers.Broadcast(port.PeerMessage{Notice: &port.PeerNotice{Domain: domain}})
+}
+
+// choose picks the failure domain that a new job is queued in: the one that a
+// guarantee of the workspace fits, with room for the gang, with the shortest
+// queue and the most free accelerators.
+func (s *Jobs) choose(spec structs.JobSpec) string {
+	if spec.Domain != "" {
+		return spec.Domain
+	}
+	known := s.summaries()
+	best := ""
+	var bestScore score
+	for _, name := range s.domains {
+		sc := s.score(spec, name, known)
+		if best == "" || sc.better(bestScore) {
+			best, bestScore = name, sc
+		}
+	}
+	return best
+}
+
+func (s *Jobs) summaries() map[string]port.DomainSummary {
+	out := make(map[string]port.DomainSummary)
+	for _, p := range s.peers.Live() {
+		for _, d := range p.Load.Domains {
+			out[d.Domain] = d
+		}
+	}
+	for _, d := range s.local() {
+		out[d.Domain] = d
+	}
+	return out
+}
+
+// score ranks a failure domain for a job.
+type score struct {
+	guaranteed bool
+	fits       bool
+	queued     int
+	free       int
+}
+
+func (s *Jobs) score(spec structs.JobSpec, name string, known map[string]port.DomainSummary) score {
+	d := known[name]
+	sc := score{
+		fits:   d.FreeAccelerators >= spec.Size(),
+		queued: d.QueuedJobs,
+		free:   d.FreeAccelerators,
+	}
+	if spec.Adjacency != structs.AdjacencyDomain {
+		sc.fits = d.LargestBlock >= spec.Size()
+	}
+	for _, g := range s.config().Workspaces[spec.Key.Workspace].Guarantees {
+		if g.Domain == name && g.Members >= spec.Members && g.Accelerators >= spec.Accelerators {
+			sc.guaranteed = true
+		}
+	}
+	return sc
+}
+
+func (s score) better(t score) bool {
+	if s.fits != t.fits {
+		return s.fits
+	}
+	if s.guaranteed != t.guaranteed {
+		return s.guaranteed
+	}
+	if s.queued != t.queued {
+		return s.queued < t.queued
+	}
+	return s.free > t.free
+}
+
+// Get reads a job. It fails with fault.NotFound and fault.Unavailable.
+func (s *Jobs) Get(ctx context.Context, k structs.JobKey) (structs.Job, int64, error) {
+	rows, err := s.store.Get(ctx, store.JobKey(k))
+	if err != nil {
+		return structs.Job{}, 0, err
+	}
+	row, ok := rows[store.JobKey(k)]
+	if !ok {
+		return structs.Job{}, 0, fault.New(fault.NotFound, "job "+k.String()+" doesn't exist")
+	}
+	var j structs.Job
+	if err := store.Decode(row, &j); err != nil {
+		return structs.Job{}, 0, err
+	}
+	return j, row.Revision, nil
+}
+
+// List returns up to limit jobs of a workspace after a job ID, and whether
+// more follow. It fails with fault.Unavailable.
+func (s *Jobs) List(ctx context.Context, workspace, after string, limit int) ([]structs.Job, bool, error) {
+	prefix := store.JobPrefix + workspace + "/"
+	from := ""
+	if after != "" {
+		from = prefix + after
+	}
+	rows, more, err := s.store.Scan(ctx, prefix, from, limit)
+	if err != nil {
+		return nil, false, err
+	}
+	out := make([]structs.Job, 0, len(rows))
+	for _, row := range rows {
+		var j structs.Job
+		if err := store.Decode(row, &j); err != nil {
+			return nil, false, err
+		}
+		out = append(out, j)
+	}
+	return out, more, nil
+}
+
+// Cancel asks for a job's end and returns the job as it was then. It is
+// idempotent and fails with fault.NotFound, fault.Unavailable or
+// fault.Uncertain.
+func (s *Jobs) Cancel(ctx context.Context, k structs.JobKey) (structs.Job, int64, error) {
+	var last error
+	for range cancelTries {
+		j, revision, err := s.Get(ctx, k)
+		if err != nil || j.State.Final() {
+			return j, revision, err
+		}
+		asked, err := s.ask(ctx, j, revision)
+		if err != nil {
+			return j, revision, err
+		}
+		if asked {
+			s.hint(j.Domain)
+			return j, revision, nil
+		}
+		last = fault.New(fault.Conflict, "job "+k.String()+" kept changing")
+	}
+	return structs.Job{}, 0, last
+}
+
+// ask writes the cancellation on condition that the job is still where it was
+// read, and reports whether it stands.
+func (s *Jobs) ask(ctx context.Context, j structs.Job, revision int64) (bool, error) {
+	k := j.Spec.Key
+	key := store.CancellationKey(j.Domain, k)
+	txn := new(store.Txn).Create(key, gangs.InboxRecord{Key: k, Cancel: true})
+	txn.Require(store.JobKey(k), revision)
+	_, err := s.store.Commit(ctx, txn)
+	if !fault.Is(err, fault.Conflict) {
+		return err == nil, err
+	}
+	rows, err := s.store.Get(ctx, key)
+	if err != nil {
+		return false, err
+	}
+	_, stands := rows[key]
+	return stands, nil
+}
+
+// Watch calls f with the job now and after each change, until its final state
+// or until f or a read fails. Reads are retried through an outage until ctx
+// ends.
+func (s *Jobs) Watch(ctx context.Context, k structs.JobKey, f func(structs.Job, int64) error) error {
+	ticker := time.NewTicker(watchPoll)
+	defer ticker.Stop()
+	var seen int64
+	for {
+		j, revision, err := s.Get(ctx, k)
+		if err != nil && !fault.Is(err, fault.Unavailable) {
+			return err
+		}
+		if err == nil && revision != seen {
+			seen = revision
+			if err := f(j, revision); err != nil {
+				return err
+			}
+			if j.State.Final() {
+				return nil
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Domains returns the region's failure domains.
+func (s *Jobs) Domains() []string {
+	return slices.Clone(s.domains)
+}
+
+func knownDomain(domains []string, name string) bool {
+	return name == "" || slices.Contains(domains, name)
+}
+
+func validID(id string) bool {
+	return id != "" && len(id) <= maxIDBytes && !strings.ContainsAny(id, "/ \t\r\n")
+}
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,71 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+func key(n int) structs.JobKey {
+	return structs.JobKey{Workspace: "w", ID: fmt.Sprint(n)}
+}
+
+func TestWorkerThatFailsDifferentJobsIsQuarantined(t *testing.T) {
+	tr := New()
+	now := time.Unix(0, 0)
+	for n := range workerAtFault {
+		must.False(t, tr.Quarantined(now, "bad"))
+		tr.Failed(now, "bad", key(n))
+	}
+	must.True(t, tr.Quarantined(now, "bad"))
+	must.False(t, tr.Quarantined(now.Add(firstTerm), "bad"))
+}
+
+// Counting failures without regard to the job's other workers would blame the
+// last worker here.
+func TestJobsThatFailEverywhereBlameNoWorker(t *testing.T) {
+	tr := New()
+	now := time.Unix(0, 0)
+	for n := range 10 {
+		for w := range 10 {
+			tr.Failed(now, fmt.Sprintf("worker-%d-%d", n, w), key(n))
+		}
+		tr.Failed(now, "last", key(n))
+	}
+	must.False(t, tr.Quarantined(now, "last"))
+}
+
+func TestOneJobFailingOftenBlamesNoWorker(t *testing.T) {
+	tr := New()
+	now := time.Unix(0, 0)
+	for range 20 {
+		tr.Failed(now, "w1", key(1))
+	}
+	must.False(t, tr.Quarantined(now, "w1"))
+}
+
+func TestSuccessClearsFailures(t *testing.T) {
+	tr := New()
+	now := time.Unix(0, 0)
+	tr.Failed(now, "w1", key(1))
+	tr.Failed(now, "w1", key(2))
+	tr.Succeeded("w1")
+	tr.Failed(now, "w1", key(3))
+	must.False(t, tr.Quarantined(now, "w1"))
+}
+
+func TestTermDoubles(t *testing.T) {
+	tr := New()
+	now := time.Unix(0, 0)
+	for round := range 2 {
+		for n := range workerAtFault {
+			tr.Failed(now, "bad", key(round*100+n))
+		}
+	}
+	must.True(t, tr.Quarantined(now.Add(firstTerm), "bad"))
+	must.False(t, tr.Quarantined(now.Add(2*firstTerm), "bad"))
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -8,7 +8,7 @@
 )
 
 // Ring is a bounded first-in first-out queue for any number of producers and
-// consumers. A full ring refuses; it never blocks a producer.
+// consumers. Push and Offer refuse when it is full and never block.
 type Ring[T any] struct {
 	name string
 	ch   chan T
@@ -40,6 +40,17 @@
 	}
 }
 
+// PushWait adds an item, waiting for room until ctx ends. It then fails with
+// ctx's error. It suits producers that may be slowed down.
+func (r *Ring[T]) PushWait(ctx context.Context, item T) error {
+	select {
+	case r.ch <- item:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Pop removes the oldest item, waiting for one until ctx ends. It then fails
 // with ctx's error.
 func (r *Ring[T]) Pop(ctx context.Context) (T, error) {
--- a/internal/store/keys.go
+++ b/internal/store/keys.go
@@ -13,7 +13,7 @@
 	TicketPrefix  = "ticket/"
 	JobPrefix     = "job/"
 	QueuePrefix   = "queue/"
-	CancelPrefix  = "cancel/"
+	InboxPrefix   = "inbox/"
 	ClaimPrefix   = "claim/"
 	// ConfigVersionKey is the row that names the ticket in force.
 	ConfigVersionKey = "config/version"
@@ -63,14 +63,20 @@
 	return QueuePrefix + domain + "/"
 }
 
-// CancelKey is the row that asks for a job's end.
-func CancelKey(domain string, k structs.JobKey) string {
-	return CancelDomainPrefix(domain) + k.String()
+// InboxDomainPrefix is the prefix of what a failure domain's owner has yet to
+// notice: submissions and cancellations.
+func InboxDomainPrefix(domain string) string {
+	return InboxPrefix + domain + "/"
 }
 
-// CancelDomainPrefix is the prefix of a failure domain's cancellations.
-func CancelDomainPrefix(domain string) string {
-	return CancelPrefix + domain + "/"
+// SubmissionKey is the inbox row of a new job.
+func SubmissionKey(domain string, k structs.JobKey) string {
+	return InboxDomainPrefix(domain) + "submit/" + k.String()
+}
+
+// CancellationKey is the inbox row that asks for a job's end.
+func CancellationKey(domain string, k structs.JobKey) string {
+	return InboxDomainPrefix(domain) + "cancel/" + k.String()
 }
 
 // ClaimKey is the row of a request that may not be repeated.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -193,14 +193,14 @@
 	}
 }
 
-// attempt commits once and, where an earlier try may have taken effect, tells
-// our own write from somebody else's.
+// attempt commits once. Without an answer it looks for its own write before
+// anything is sent again, because a table may lose the next answer too.
 func (c *commit) attempt(ctx context.Context) (int64, error) {
 	revision, err := c.store.table.Commit(ctx, c.txn)
 	switch fault.CodeOf(err) {
 	case fault.Uncertain:
 		c.sent = true
-		return 0, err
+		return c.readBack(ctx, err)
 	case fault.Conflict:
 		if !c.sent {
 			return 0, err
@@ -211,6 +211,19 @@
 	}
 }
 
+// readBack reports the transaction's effect where the row shows it, and
+// otherwise uncertain, the failure of the try: it may yet take effect.
+func (c *commit) readBack(ctx context.Context, uncertain error) (int64, error) {
+	rows, err := c.store.table.Get(ctx, c.key)
+	if err != nil || len(rows) == 0 {
+		return 0, uncertain
+	}
+	if c.isPut && tokenOf(rows[0]) == c.token {
+		return rows[0].Revision, nil
+	}
+	return 0, uncertain
+}
+
 // settle decides whether a conflict was caused by our own earlier try.
 func (c *commit) settle(ctx context.Context, conflict error) (int64, error) {
 	rows, err := c.store.table.Get(ctx, c.key)
--- a/internal/structs/job.go
+++ b/internal/structs/job.go
@@ -79,6 +79,8 @@
 	State JobState
 	// Domain is the failure domain whose owner decides on the job.
 	Domain string
+	// Tried names the failure domains in which the job can never run.
+	Tried []string
 	// Attempt counts reservations from 1; 0 means none yet.
 	Attempt int64
 	// Members are the places of the current attempt.
