Test how the platform client tells unsent calls from unanswered ones

Each way in which a call can end (cut before, in and after the request, half a header, body or failure, garbage, oversized, a gateway's page or JSON, a redirect, silence, refusals) is served by a scripted TCP server and held against its code for a mutation and for a read.

Found on the way: connect guesses a code from the HTTP status of a JSON failure that names none, so a gateway's 503 read as the service's own word that nothing was done. Such failures are now relabelled and stay uncertain.

Seen to fail on: all uncertain, all unavailable, codes guessed by connect trusted, redirects followed, no guard against a second connection, no seal check, no bound on the body.

--- a/internal/adapter/httpclient/body.go
+++ b/internal/adapter/httpclient/body.go
@@ -24,7 +24,8 @@
 	return fault.Uncertain
 }
 
-// boundedTransport bounds the bodies of answers, those of errors included.
+// boundedTransport bounds the bodies of answers, those of failures included,
+// and passes on only failures that the server itself reports.
 type boundedTransport struct {
 	next     http.RoundTripper
 	maxBytes int64
@@ -33,10 +34,15 @@
 // RoundTrip implements http.RoundTripper.
 func (t *boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := t.next.RoundTrip(r)
-	if err != nil || t.maxBytes <= 0 {
-		return resp, err
+	if err != nil {
+		return nil, err
+	}
+	if t.maxBytes > 0 {
+		resp.Body = &boundedBody{ReadCloser: resp.Body, left: t.maxBytes, max: t.maxBytes}
+	}
+	if err := rejectForeign(resp); err != nil {
+		return nil, err
 	}
-	resp.Body = &boundedBody{ReadCloser: resp.Body, left: t.maxBytes, max: t.maxBytes}
 	return resp, nil
 }
 
