--- /dev/null
+++ b/cmd/lentilwinch/main.go
@@ -0,0 +1,18 @@
+// Command lentilwinch drives the scheduler from the command line.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/lentilwinch/lentilwinch/internal/cli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cli.Run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/examples/demo.sh
@@ -0,0 +1,105 @@
+#!/usr/bin/env bash
+# Runs the main job of a deployment on the stand-ins: a platform, backend
+# servers and four instances as processes of their own on 127.0.0.1, driven by
+# the command-line tool. Prints what happens and ends by itself.
+#
+#   examples/demo.sh [willow|crossing]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+deployment=${1:-willow}
+case "$deployment" in
+  willow)
+    platform=127.0.0.1:7400 base=745 client=127.0.0.1:7420,127.0.0.1:7421
+    domains=north-yard,river-yard,saw-hall,east-kiln
+    fast=(-workspace saw-bench -service moisture-check)
+    once=(-workspace seasoning -service stack-tally)
+    gang=(-workspace bat-yards-grading -members 1 -accelerators 8 -adjacency worker -domain north-yard)
+    ;;
+  crossing)
+    platform=127.0.0.1:7410 base=746 client=127.0.0.1:7430,127.0.0.1:7431
+    domains=bc-south-1,bc-south-2,bc-south-3,bc-south-4
+    fast=(-workspace field-triage -service fault-triage)
+    once=(-workspace rail-reports -service gate-arm-report)
+    gang=(-workspace trends -members 2 -accelerators 8 -adjacency rack -domain bc-south-1)
+    ;;
+  *)
+    echo "usage: examples/demo.sh [willow|crossing]" >&2
+    exit 2
+    ;;
+esac
+
+work=$(mktemp -d)
+pids=()
+stop_all() {
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  rm -rf "$work"
+}
+trap stop_all EXIT
+
+say() { printf '\n# %s\n' "$*"; }
+cli() {
+  printf '$ lentilwinch %s\n' "$*"
+  "$work/lentilwinch" "$1" -server "$client" "${@:2}"
+  echo
+}
+
+say "Building the daemon, the command-line tool and the stand-ins"
+CGO_ENABLED=0 go build -o "$work/" ./cmd/lentilwinch ./cmd/lentilwinchd ./cmd/standin-platform ./cmd/standin-backend
+
+say "Starting six backend servers with 8 slots each, and the platform"
+backends=""
+list='['
+separator=''
+for i in 0 1 2 3 4 5; do
+  address="127.0.0.1:$base$i"
+  backends="$backends${backends:+,}$address"
+  list="$list$separator{\"id\":\"server-$i\",\"kind\":\"backend\",\"domain\":\"${domains%%,*}\",\"address\":\"$address\",\"slots\":8}"
+  separator=','
+done
+printf '%s]\n' "$list" >"$work/instances.json"
+"$work/standin-backend" -listen "127.0.0.1:0" -addresses "$backends" >"$work/backend.log" 2>&1 &
+pids+=($!)
+"$work/standin-platform" -listen "$platform" -domains "$domains" -instances "$work/instances.json" >"$work/platform.log" 2>&1 &
+pids+=($!)
+
+say "Starting one instance for each failure domain"
+for settings in examples/"$deployment"/*-1.json; do
+  "$work/lentilwinch" check settings "$settings"
+  "$work/lentilwinchd" -settings "$settings" >"$work/$(basename "$settings" .json).log" 2>&1 &
+  pids+=($!)
+done
+
+say "Waiting until every failure domain has an owner"
+owned() {
+  for settings in examples/"$deployment"/*-1.json; do
+    address=$(sed -n 's/.*"listen_address": "\(.*\)".*/\1/p' "$settings")
+    "$work/lentilwinch" status -server "$address" 2>/dev/null | awk 'NR > 1 && NF == 10 { print $6 }'
+  done | tr ',' '\n' | sort -u | wc -l
+}
+for _ in $(seq 100); do
+  if [ "$(owned)" -ge 4 ]; then break; fi
+  sleep 0.2
+done
+
+say "Change ticket 1: workspaces, guaranteed shapes, services"
+cli apply "examples/$deployment/1.json"
+sleep 1.5
+cli status
+
+say "A short request, at any instance"
+cli request "${fast[@]}" -id check-1 -body '{"run_ms":120,"answer":"moisture 11.8 %"}'
+
+say "A request that may not be repeated, sent twice under one ID: it runs once"
+cli request "${once[@]}" -id report-1 -body '{"run_ms":200,"answer":"recorded"}'
+cli request "${once[@]}" -id report-1 -body '{"run_ms":200,"answer":"recorded"}'
+cli outcome "${once[@]:0:2}" report-1
+
+say "A gang on adjacent accelerators, to its end"
+cli submit "${gang[@]}" -id long-1 -payload '{"run_ms":2500}' -wait
+
+say "What one instance holds"
+"$work/lentilwinch" dump -server "${client%%,*}" | head -40
+
+say "Done: every step succeeded"
--- /dev/null
+++ b/internal/cli/invoke.go
@@ -0,0 +1,38 @@
+package cli
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+)
+
+// method is a call of the generated client.
+type method[Req, Res any] = func(api, context.Context, *connect.Request[Req]) (*connect.Response[Res], error)
+
+// invoke makes an idempotent call and returns its answer.
+func invoke[Req, Res any](ctx context.Context, a *app, req *Req, m method[Req, Res]) (*Res, error) {
+	var out *Res
+	c := newClient(a.common.servers.orDefault())
+	p := policy{rounds: callRounds, idempotent: true, timeout: a.common.timeout}
+	err := c.call(ctx, p, func(ctx context.Context, s api) error {
+		res, err := m(s, ctx, connect.NewRequest(req))
+		if err != nil {
+			return err
+		}
+		out = res.Msg
+		return nil
+	})
+	return out, err
+}
+
+// read is invoke for a call that changes nothing: a lost answer means only
+// that nothing was learned.
+func read[Req, Res any](ctx context.Context, a *app, req *Req, m method[Req, Res]) (*Res, error) {
+	out, err := invoke(ctx, a, req, m)
+	if fault.Is(err, fault.Uncertain) && ctx.Err() == nil {
+		err = fault.Wrap(fault.Unavailable, "no instance answered", err)
+	}
+	return out, err
+}
--- /dev/null
+++ b/internal/cli/operate.go
@@ -0,0 +1,149 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"connectrpc.com/connect"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	lentilwinchv1 "github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+)
+
+// note prints a line on stderr.
+func (a *app) note(line string) {
+	_, _ = fmt.Fprintln(a.stderr, line)
+}
+
+func (a *app) statusCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("status", flag.ContinueOnError)
+	a.common.register(fs)
+	return newCommand(&a.help, spec{
+		name:  "status",
+		usage: "status [flags]",
+		short: "Summarize instances.",
+		long:  "Asks every server of the list. Exit code 7 means that one didn't answer.",
+		examples: []string{
+			"lentilwinch status -server 10.0.0.7:7420,10.0.0.8:7420",
+			"lentilwinch status -json",
+		},
+		flags: fs,
+		run:   a.status,
+	})
+}
+
+func (a *app) status(ctx context.Context, _ []string) error {
+	views := []statusView{}
+	var failed error
+	for _, t := range newClient(a.common.servers.orDefault()).targets {
+		view, err := a.statusOf(ctx, t)
+		if ctx.Err() != nil {
+			return &interruptedError{}
+		}
+		if err != nil {
+			failed = err
+		}
+		views = append(views, view)
+	}
+	if a.common.json {
+		a.printJSON(a.stdout, views)
+	} else {
+		a.printStatuses(views)
+	}
+	return partial(failed)
+}
+
+// partial ends a command whose output shows which servers failed.
+func partial(failed error) error {
+	if failed == nil {
+		return nil
+	}
+	return &quietError{exit: ExitUnavailable, code: fault.Unavailable}
+}
+
+func (a *app) statusOf(ctx context.Context, t target) (statusView, error) {
+	var res *lentilwinchv1.StatusResponse
+	err := t.try(ctx, a.common.timeout, func(ctx context.Context, s api) error {
+		answer, err := s.Status(ctx, connect.NewRequest(&lentilwinchv1.StatusRequest{}))
+		if err != nil {
+			return err
+		}
+		res = answer.Msg
+		return nil
+	})
+	if err != nil {
+		return statusView{Server: t.address, OwnedDomains: []string{}, Failure: failureOf(err)}, err
+	}
+	return statusView{
+		Server:         t.address,
+		Instance:       res.GetInstance(),
+		Incarnation:    res.GetIncarnation(),
+		Domain:         res.GetDomain(),
+		Ready:          res.GetReady(),
+		NotReadyReason: res.GetNotReadyReason(),
+		ConfigNumber:   res.GetConfigNumber(),
+		OwnedDomains:   append([]string{}, res.GetOwnedDomains()...),
+		QueuedRequests: res.GetQueuedRequests(),
+		LivePeers:      res.GetLivePeers(),
+		BackendServers: res.GetBackendServers(),
+		Workers:        res.GetWorkers(),
+	}, nil
+}
+
+func failureOf(err error) *failureView {
+	view := newFailureView(err, ExitUnavailable, "")
+	return &view
+}
+
+func (a *app) dumpCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("dump", flag.ContinueOnError)
+	a.common.register(fs)
+	return newCommand(&a.help, spec{
+		name:  "dump",
+		usage: "dump [flags]",
+		short: "Print the state of instances as JSON.",
+		long: `Asks every server of the list and prints an array with the state of each. Exit
+code 7 means that one didn't answer.`,
+		examples: []string{
+			"lentilwinch dump",
+			"lentilwinch dump -server 10.0.0.7:7420 -server 10.0.0.8:7420",
+		},
+		flags: fs,
+		run:   a.dump,
+	})
+}
+
+func (a *app) dump(ctx context.Context, _ []string) error {
+	views := []dumpView{}
+	var failed error
+	for _, t := range newClient(a.common.servers.orDefault()).targets {
+		view, err := a.dumpOf(ctx, t)
+		if ctx.Err() != nil {
+			return &interruptedError{}
+		}
+		if err != nil {
+			failed = err
+		}
+		views = append(views, view)
+	}
+	a.printJSON(a.stdout, views)
+	return partial(failed)
+}
+
+func (a *app) dumpOf(ctx context.Context, t target) (dumpView, error) {
+	view := dumpView{Server: t.address}
+	err := t.try(ctx, a.common.timeout, func(ctx context.Context, s api) error {
+		answer, err := s.Dump(ctx, connect.NewRequest(&lentilwinchv1.DumpRequest{}))
+		if err != nil {
+			return err
+		}
+		view.State, err = rawJSON(answer.Msg.GetJson())
+		return err
+	})
+	if err != nil {
+		view.Failure = failureOf(err)
+	}
+	return view, err
+}
--- a/internal/settings/document/document.go
+++ b/internal/settings/document/document.go
@@ -19,6 +19,17 @@
 // integers and booleans; other types panic, as they are a defect of the
 // caller.
 func Decode(doc []byte, maxBytes int, into any, f *Findings) {
+	decodeDocument(doc, maxBytes, into, decoder{findings: f})
+}
+
+// DecodeWhole is Decode for a document that must name every field whose json
+// tag doesn't say omitempty.
+func DecodeWhole(doc []byte, maxBytes int, into any, f *Findings) {
+	decodeDocument(doc, maxBytes, into, decoder{findings: f, whole: true})
+}
+
+func decodeDocument(doc []byte, maxBytes int, into any, d decoder) {
+	f := d.findings
 	if len(doc) > maxBytes {
 		f.Add(Root, strconv.Itoa(len(doc))+" bytes", "at most "+strconv.Itoa(maxBytes)+" bytes")
 		return
@@ -32,12 +43,13 @@
 		f.Add(Root, err.Error(), "a JSON object")
 		return
 	}
-	d := decoder{findings: f}
 	d.decode("", root, reflect.ValueOf(into).Elem())
 }
 
 type decoder struct {
 	findings *Findings
+	// whole asks for every field that isn't optional.
+	whole bool
 }
 
 func (d *decoder) decode(path string, n node, into reflect.Value) {
@@ -87,6 +99,17 @@
 		}
 		seen[m.name] = true
 	}
+	if d.whole {
+		d.requireFields(path, fields, seen)
+	}
+}
+
+func (d *decoder) requireFields(path string, fields fieldSet, seen map[string]bool) {
+	for i, name := range fields.names {
+		if !fields.optional[i] && !seen[name] {
+			d.findings.Add(Join(path, name), "missing", "the field, also where its value is empty, 0 or false")
+		}
+	}
 }
 
 func (d *decoder) decodeSlice(path string, n node, into reflect.Value) {
@@ -142,14 +165,16 @@
 
 // fieldSet is the json names of a struct's fields, in order.
 type fieldSet struct {
-	names []string
+	names    []string
+	optional []bool
 }
 
 func fieldsOf(t reflect.Type) fieldSet {
 	var out fieldSet
 	for i := range t.NumField() {
-		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		name, options, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
 		out.names = append(out.names, name)
+		out.optional = append(out.optional, strings.Contains(options, "omitempty"))
 	}
 	return out
 }
--- a/internal/ticket/parse.go
+++ b/internal/ticket/parse.go
@@ -12,12 +12,13 @@
 
 const invalidMessage = "ticket is invalid"
 
-// Parse reads a ticket as JSON. It fails with fault.Invalid and every problem
+// Parse reads a ticket as JSON. A ticket states the whole of what it touches,
+// so that a field left out is a problem, not a zero. It fails with fault.Invalid and every problem
 // that shows without knowing the configuration in force.
 func Parse(doc []byte) (structs.Ticket, error) {
 	var t structs.Ticket
 	var findings document.Findings
-	document.Decode(doc, MaxDocumentBytes, &t, &findings)
+	document.DecodeWhole(doc, MaxDocumentBytes, &t, &findings)
 	c := parseCheck{findings: &findings}
 	c.check(t)
 	if err := findings.Err(invalidMessage); err != nil {
