Test the command line against fake servers over loopback

A message over the server's read limit comes as ResourceExhausted without detail and is now shown as invalid: trying again later can't help.

--- /dev/null
+++ b/internal/cli/fake_test.go
@@ -0,0 +1,166 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	lentilwinchv1 "github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1"
+	"github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1/lentilwinchv1connect"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// fakeServer answers each call by a function, or as unimplemented.
+type fakeServer struct {
+	lentilwinchv1connect.UnimplementedSchedulerServiceHandler
+	calls   atomic.Int64
+	request func(context.Context, *lentilwinchv1.RequestRequest) (*lentilwinchv1.RequestResponse, error)
+	apply   func([]byte) (int64, error)
+	submit  func(*lentilwinchv1.JobSpec) (*lentilwinchv1.JobStatus, error)
+	list    func(*lentilwinchv1.ListJobsRequest) (*lentilwinchv1.ListJobsResponse, error)
+	watch   func(context.Context, func(state string)) error
+	status  func() (*lentilwinchv1.StatusResponse, error)
+}
+
+func (f *fakeServer) Request(ctx context.Context, r *connect.Request[lentilwinchv1.RequestRequest]) (*connect.Response[lentilwinchv1.RequestResponse], error) {
+	f.calls.Add(1)
+	res, err := f.request(ctx, r.Msg)
+	return connect.NewResponse(res), err
+}
+
+func (f *fakeServer) Apply(_ context.Context, r *connect.Request[lentilwinchv1.ApplyRequest]) (*connect.Response[lentilwinchv1.ApplyResponse], error) {
+	f.calls.Add(1)
+	number, err := f.apply(r.Msg.GetDocument())
+	return connect.NewResponse(&lentilwinchv1.ApplyResponse{Number: number}), err
+}
+
+func (f *fakeServer) Submit(_ context.Context, r *connect.Request[lentilwinchv1.SubmitRequest]) (*connect.Response[lentilwinchv1.SubmitResponse], error) {
+	f.calls.Add(1)
+	job, err := f.submit(r.Msg.GetSpec())
+	return connect.NewResponse(&lentilwinchv1.SubmitResponse{Job: job}), err
+}
+
+func (f *fakeServer) ListJobs(_ context.Context, r *connect.Request[lentilwinchv1.ListJobsRequest]) (*connect.Response[lentilwinchv1.ListJobsResponse], error) {
+	f.calls.Add(1)
+	res, err := f.list(r.Msg)
+	return connect.NewResponse(res), err
+}
+
+func (f *fakeServer) Watch(ctx context.Context, r *connect.Request[lentilwinchv1.WatchRequest], stream *connect.ServerStream[lentilwinchv1.WatchResponse]) error {
+	f.calls.Add(1)
+	return f.watch(ctx, func(state string) {
+		_ = stream.Send(&lentilwinchv1.WatchResponse{Job: jobIn(r.Msg.GetJobId(), state)})
+	})
+}
+
+func (f *fakeServer) Status(context.Context, *connect.Request[lentilwinchv1.StatusRequest]) (*connect.Response[lentilwinchv1.StatusResponse], error) {
+	f.calls.Add(1)
+	res, err := f.status()
+	return connect.NewResponse(res), err
+}
+
+func (f *fakeServer) Dump(context.Context, *connect.Request[lentilwinchv1.DumpRequest]) (*connect.Response[lentilwinchv1.DumpResponse], error) {
+	return connect.NewResponse(&lentilwinchv1.DumpResponse{Json: []byte(`{"ready": true}`)}), nil
+}
+
+func jobIn(id, state string) *lentilwinchv1.JobStatus {
+	return &lentilwinchv1.JobStatus{
+		Spec:  &lentilwinchv1.JobSpec{Workspace: "w", JobId: id, Members: 2, Accelerators: 8, Adjacency: "rack"},
+		State: state,
+	}
+}
+
+// start serves the fake and returns its IP:port.
+func (f *fakeServer) start(t *testing.T) string {
+	_, handler := lentilwinchv1connect.NewSchedulerServiceHandler(f)
+	return serve(t, handler)
+}
+
+func serve(t *testing.T, handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// refusing returns an address where nothing listens.
+func refusing(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// breaking returns the address of a server that reads a call and drops the
+// connection.
+func breaking(t *testing.T) string {
+	return serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}))
+}
+
+// failure returns an error as the server sends it.
+func failure(code fault.Code, problems ...*lentilwinchv1.Problem) error {
+	err := connect.NewError(connect.CodeUnknown, errors.New("failed"))
+	detail, detailErr := connect.NewErrorDetail(&lentilwinchv1.ErrorDetail{
+		Code: string(code), Message: "the reason", Problems: problems, Number: 7,
+	})
+	if detailErr != nil {
+		return detailErr
+	}
+	err.AddDetail(detail)
+	return err
+}
+
+// output is a buffer that may be read while it is written.
+type output struct {
+	mu    sync.Mutex
+	buf   bytes.Buffer
+	wrote chan struct{}
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	select {
+	case o.wrote <- struct{}{}:
+	default:
+	}
+	return o.buf.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.String()
+}
+
+// result is how a command line ended.
+type result struct {
+	exit   ExitCode
+	stdout string
+	stderr string
+}
+
+func run(ctx context.Context, args ...string) result {
+	var stdout, stderr output
+	code := Run(ctx, args, strings.NewReader(""), &stdout, &stderr)
+	return result{exit: ExitCode(code), stdout: stdout.String(), stderr: stderr.String()}
+}
--- a/internal/cli/fault.go
+++ b/internal/cli/fault.go
@@ -57,7 +57,9 @@
 // codeOfConnect maps a code that the server sent without detail.
 func codeOfConnect(code connect.Code) fault.Code {
 	switch code {
-	case connect.CodeInvalidArgument, connect.CodeUnimplemented, connect.CodeOutOfRange:
+	case connect.CodeInvalidArgument, connect.CodeUnimplemented, connect.CodeOutOfRange,
+		// The server's own limit on a message; a full queue comes with detail.
+		connect.CodeResourceExhausted:
 		return fault.Invalid
 	case connect.CodeNotFound:
 		return fault.NotFound
@@ -65,8 +67,6 @@
 		return fault.Exists
 	case connect.CodePermissionDenied, connect.CodeUnauthenticated:
 		return fault.Refused
-	case connect.CodeResourceExhausted:
-		return fault.Overloaded
 	default:
 		return fault.Uncertain
 	}
