--- /dev/null
+++ b/test/e2e/harness_test.go
@@ -0,0 +1,318 @@
+// Package e2e runs real processes over loopback TCP: the daemon, the
+// command-line tool and the stand-ins.
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/shoenig/test/must"
+
+	lentilwinchv1 "github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1"
+	"github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1/lentilwinchv1connect"
+	"github.com/lentilwinch/lentilwinch/internal/settings"
+	"github.com/lentilwinch/lentilwinch/internal/standin/backend"
+	"github.com/lentilwinch/lentilwinch/internal/standin/control"
+	"github.com/lentilwinch/lentilwinch/internal/standin/platform"
+)
+
+const (
+	// patience bounds every wait for a condition. It only ends a hung test.
+	patience = 60 * time.Second
+	poll     = 50 * time.Millisecond
+)
+
+var domains = []string{"north-yard", "river-yard", "saw-hall", "east-kiln"}
+
+// bin is the folder with the built programs.
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(build(m))
+}
+
+func build(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "lentilwinch-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	bin = dir
+	cmd := exec.Command("go", "build", "-o", dir+"/",
+		"github.com/lentilwinch/lentilwinch/cmd/lentilwinch",
+		"github.com/lentilwinch/lentilwinch/cmd/lentilwinchd",
+		"github.com/lentilwinch/lentilwinch/cmd/standin-platform",
+		"github.com/lentilwinch/lentilwinch/cmd/standin-backend")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// cluster is a platform, backend servers and entry instances.
+type cluster struct {
+	t         *testing.T
+	dir       string
+	platform  string
+	backend   string
+	servers   []string
+	instances []*instance
+	client    *http.Client
+}
+
+// instance is one entry instance, restarted under the same ID and address.
+type instance struct {
+	id      string
+	domain  string
+	address string
+	path    string
+	cmd     *exec.Cmd
+	starts  int
+}
+
+// options sizes a cluster.
+type options struct {
+	instances int
+	servers   int
+	adjust    func(*settings.Daemon)
+}
+
+func start(t *testing.T, o options) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 10 * time.Second}}
+	ready := c.standin("standin-backend", "-count", fmt.Sprint(o.servers))
+	c.backend, c.servers = ready.Address, ready.Servers
+	var list []platform.InstanceDocument
+	for i, address := range c.servers {
+		list = append(list, platform.InstanceDocument{
+			ID: fmt.Sprintf("server-%d", i), Kind: "backend", Domain: domains[i%len(domains)], Address: address, Slots: 8,
+		})
+	}
+	for i := range o.instances {
+		c.instances = append(c.instances, &instance{
+			id: fmt.Sprintf("entry-%d", i), domain: domains[i%len(domains)], address: freeAddress(t),
+		})
+	}
+	raw, err := json.Marshal(list)
+	must.NoError(t, err)
+	file := filepath.Join(c.dir, "instances.json")
+	must.NoError(t, os.WriteFile(file, raw, 0o600))
+	c.platform = c.standin("standin-platform", "-instances", file, "-instance-lag", "2s").Address
+	for _, in := range c.instances {
+		c.writeSettings(in, o.adjust)
+		c.launch(in)
+	}
+	c.awaitOwners()
+	return c
+}
+
+// standin starts a stand-in and returns what it prints when it serves.
+func (c *cluster) standin(name string, args ...string) control.Ready {
+	c.t.Helper()
+	cmd := exec.Command(filepath.Join(bin, name), args...)
+	out, err := cmd.StdoutPipe()
+	must.NoError(c.t, err)
+	cmd.Stderr = c.logFile(name)
+	must.NoError(c.t, cmd.Start())
+	c.t.Cleanup(func() { kill(cmd) })
+	line, err := bufio.NewReader(out).ReadBytes('\n')
+	must.NoError(c.t, err)
+	var ready control.Ready
+	must.NoError(c.t, json.Unmarshal(line, &ready))
+	return ready
+}
+
+func (c *cluster) logFile(name string) *os.File {
+	f, err := os.OpenFile(filepath.Join(c.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	must.NoError(c.t, err)
+	c.t.Cleanup(func() { f.Close() })
+	return f
+}
+
+func (c *cluster) writeSettings(in *instance, adjust func(*settings.Daemon)) {
+	s := settings.Default()
+	s.InstanceID, s.FailureDomain, s.Region = in.id, in.domain, "adama"
+	s.ListenAddress, s.AdvertiseAddress = in.address, in.address
+	s.Platform.TableAddress = c.platform
+	s.Platform.ObjectsAddress = c.platform
+	s.Platform.InstancesAddress = c.platform
+	s.Platform.WorkersAddress = c.platform
+	s.Ownership.Domains = domains
+	if adjust != nil {
+		adjust(&s)
+	}
+	raw, err := json.Marshal(s)
+	must.NoError(c.t, err)
+	in.path = filepath.Join(c.dir, in.id+".json")
+	must.NoError(c.t, os.WriteFile(in.path, raw, 0o600))
+}
+
+func (c *cluster) launch(in *instance) {
+	c.t.Helper()
+	in.cmd = exec.Command(filepath.Join(bin, "lentilwinchd"), "-settings", in.path)
+	in.cmd.Stdout = c.logFile(in.id)
+	in.cmd.Stderr = in.cmd.Stdout
+	must.NoError(c.t, in.cmd.Start())
+	in.starts++
+	cmd := in.cmd
+	c.t.Cleanup(func() { kill(cmd) })
+}
+
+func kill(cmd *exec.Cmd) {
+	_ = cmd.Process.Kill()
+	_ = cmd.Wait()
+}
+
+// crash kills an instance without warning.
+func (c *cluster) crash(in *instance) {
+	kill(in.cmd)
+}
+
+// terminate asks for a planned stop and waits for the exit code.
+func (c *cluster) terminate(in *instance) int {
+	must.NoError(c.t, in.cmd.Process.Signal(syscall.SIGTERM))
+	_ = in.cmd.Wait()
+	return in.cmd.ProcessState.ExitCode()
+}
+
+func (c *cluster) signal(in *instance, s syscall.Signal) {
+	must.NoError(c.t, in.cmd.Process.Signal(s))
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// eventually waits for a condition.
+func (c *cluster) eventually(what string, f func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !f() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("never saw: %s (logs in %s)", what, c.dir)
+		}
+		time.Sleep(poll)
+	}
+}
+
+func (c *cluster) awaitOwners() {
+	c.t.Helper()
+	c.eventually("an owner for each failure domain", func() bool {
+		owned := make(map[string]bool)
+		for _, in := range c.instances {
+			if st := c.status(in); st != nil {
+				for _, d := range st.GetOwnedDomains() {
+					owned[d] = true
+				}
+			}
+		}
+		return len(owned) == len(domains)
+	})
+}
+
+func (c *cluster) api(in *instance) lentilwinchv1connect.SchedulerServiceClient {
+	return lentilwinchv1connect.NewSchedulerServiceClient(c.client, "http://"+in.address)
+}
+
+// status returns an instance's status, or nil when it doesn't answer.
+func (c *cluster) status(in *instance) *lentilwinchv1.StatusResponse {
+	ctx, cancel := timeout(time.Second)
+	defer cancel()
+	resp, err := c.api(in).Status(ctx, connect.NewRequest(&lentilwinchv1.StatusRequest{}))
+	if err != nil {
+		return nil
+	}
+	return resp.Msg
+}
+
+func (c *cluster) post(address, path string, document any) {
+	c.t.Helper()
+	raw, err := json.Marshal(document)
+	must.NoError(c.t, err)
+	resp, err := c.client.Post("http://"+address+path, "application/json", bytes.NewReader(raw))
+	must.NoError(c.t, err)
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	must.Eq(c.t, http.StatusOK, resp.StatusCode, must.Sprintf("%s", body))
+}
+
+func (c *cluster) get(address, path string, into any) {
+	c.t.Helper()
+	resp, err := c.client.Get("http://" + address + path)
+	must.NoError(c.t, err)
+	defer resp.Body.Close()
+	must.NoError(c.t, json.NewDecoder(resp.Body).Decode(into))
+}
+
+func (c *cluster) tableFaults(f platform.FaultsDocument) {
+	c.t.Helper()
+	f.Scope = platform.ScopeTable
+	c.post(c.platform, "/faults", f)
+}
+
+func (c *cluster) backendFaults(f backend.FaultsDocument) {
+	c.t.Helper()
+	c.post(c.backend, "/faults", f)
+}
+
+func (c *cluster) platformRecord() platform.Record {
+	c.t.Helper()
+	var r platform.Record
+	c.get(c.platform, "/record", &r)
+	return r
+}
+
+func (c *cluster) backendRecord() backend.Record {
+	c.t.Helper()
+	var r backend.Record
+	c.get(c.backend, "/record", &r)
+	return r
+}
+
+// cli runs the command-line tool and returns its output and exit code.
+func (c *cluster) cli(args ...string) (string, int) {
+	c.t.Helper()
+	cmd := exec.Command(filepath.Join(bin, "lentilwinch"), args...)
+	out, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		c.t.Fatal(err)
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// applyFirst puts the first Willow ticket into force everywhere.
+func (c *cluster) applyFirst() {
+	c.t.Helper()
+	out, code := c.cli("apply", "-server", c.instances[0].address, "../../examples/willow/1.json")
+	must.Eq(c.t, 0, code, must.Sprint(out))
+	c.awaitTicket(1)
+}
+
+func (c *cluster) awaitTicket(number int64) {
+	c.t.Helper()
+	c.eventually(fmt.Sprintf("ticket %d in force everywhere", number), func() bool {
+		for _, in := range c.instances {
+			if st := c.status(in); st == nil || st.GetConfigNumber() < number {
+				return false
+			}
+		}
+		return true
+	})
+}
