Bound the memory of a document and show its problems in one place

A document of 1 MiB made of single digits became half a million values in memory. A document may now hold 100,000 values; the largest meaningful ticket of 1 MiB stays below that.

document.Explain puts each problem on a line of its own, for the daemon too: an error alone says only that the settings are invalid.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/settings/document"
 )
 
 // progressEvery is the time between progress lines of a long wait.
@@ -143,8 +144,8 @@
 }
 
 func (a *app) printProblems(problems []fault.Problem) {
-	for _, p := range problems {
-		_, _ = fmt.Fprintf(a.stderr, "  %s: found %s; allowed: %s\n", p.Path, p.Value, p.Allowed)
+	for _, line := range document.Lines(problems) {
+		_, _ = fmt.Fprintln(a.stderr, line)
 	}
 }
 
--- a/internal/settings/document/document.go
+++ b/internal/settings/document/document.go
@@ -19,16 +19,16 @@
 // integers and booleans; other types panic, as they are a defect of the
 // caller.
 func Decode(doc []byte, maxBytes int, into any, f *Findings) {
-	decodeDocument(doc, maxBytes, into, decoder{findings: f})
+	decodeDocument(doc, maxBytes, into, newDecoder(f, false))
 }
 
 // DecodeWhole is Decode for a document that must name every field whose json
 // tag doesn't say omitempty.
 func DecodeWhole(doc []byte, maxBytes int, into any, f *Findings) {
-	decodeDocument(doc, maxBytes, into, decoder{findings: f, whole: true})
+	decodeDocument(doc, maxBytes, into, newDecoder(f, true))
 }
 
-func decodeDocument(doc []byte, maxBytes int, into any, d decoder) {
+func decodeDocument(doc []byte, maxBytes int, into any, d *decoder) {
 	f := d.findings
 	if len(doc) > maxBytes {
 		f.Add(Root, strconv.Itoa(len(doc))+" bytes", "at most "+strconv.Itoa(maxBytes)+" bytes")
@@ -50,6 +50,11 @@
 	findings *Findings
 	// whole asks for every field that isn't optional.
 	whole bool
+	types map[reflect.Type]fieldSet
+}
+
+func newDecoder(f *Findings, whole bool) *decoder {
+	return &decoder{findings: f, whole: whole, types: make(map[reflect.Type]fieldSet)}
 }
 
 func (d *decoder) decode(path string, n node, into reflect.Value) {
@@ -84,7 +89,7 @@
 	if d.wrongType(path, n, kindObject) {
 		return
 	}
-	fields := fieldsOf(into.Type())
+	fields := d.fieldsOf(into.Type())
 	seen := make(map[string]bool, len(n.members))
 	for _, m := range n.members {
 		at := Join(path, shownName(m.name))
@@ -169,13 +174,17 @@
 	optional []bool
 }
 
-func fieldsOf(t reflect.Type) fieldSet {
+func (d *decoder) fieldsOf(t reflect.Type) fieldSet {
+	if known, ok := d.types[t]; ok {
+		return known
+	}
 	var out fieldSet
 	for i := range t.NumField() {
 		name, options, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
 		out.names = append(out.names, name)
 		out.optional = append(out.optional, strings.Contains(options, "omitempty"))
 	}
+	d.types[t] = out
 	return out
 }
 
--- a/internal/settings/document/findings.go
+++ b/internal/settings/document/findings.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 
@@ -70,6 +71,24 @@
 	return fault.Document(message, problems)
 }
 
+// Explain returns a failure in words with one line for each problem.
+func Explain(err error) string {
+	var f *fault.Error
+	if !errors.As(err, &f) {
+		return err.Error()
+	}
+	return strings.Join(append([]string{err.Error()}, Lines(f.Problems)...), "\n")
+}
+
+// Lines returns one line for each problem.
+func Lines(problems []fault.Problem) []string {
+	var out []string
+	for _, p := range problems {
+		out = append(out, "  "+p.Path+": found "+p.Value+"; allowed: "+p.Allowed)
+	}
+	return out
+}
+
 func shorten(value string) string {
 	if len(value) <= maxShownBytes {
 		return value
--- a/internal/settings/document/node.go
+++ b/internal/settings/document/node.go
@@ -10,8 +10,12 @@
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 )
 
-// maxDepth bounds the nesting of objects and arrays.
-const maxDepth = 16
+const (
+	// maxDepth bounds the nesting of objects and arrays.
+	maxDepth = 16
+	// maxValues bounds the values of a document, and so the memory it takes.
+	maxValues = 100_000
+)
 
 type kind string
 
@@ -68,7 +72,8 @@
 }
 
 type parser struct {
-	dec *json.Decoder
+	dec    *json.Decoder
+	values int
 }
 
 func (p *parser) syntax(err error) error {
@@ -87,6 +92,10 @@
 }
 
 func (p *parser) value(depth int) (node, error) {
+	p.values++
+	if p.values > maxValues {
+		return node{}, &syntaxError{offset: p.dec.InputOffset(), reason: "more than " + strconv.Itoa(maxValues) + " values"}
+	}
 	token, err := p.dec.Token()
 	if err != nil {
 		return node{}, err
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/settings/document"
 )
 
 const minimal = `{
@@ -138,6 +139,16 @@
 	})
 }
 
+func TestExplainShowsEachProblem(t *testing.T) {
+	doc := strings.NewReplacer(`"north-1"`, `7`, `"adama"`, `""`).Replace(minimal)
+	_, err := Load(strings.NewReader(doc))
+	must.Eq(t, []string{
+		"invalid: settings are invalid",
+		"  instance_id: found 7; allowed: a string",
+		`  region: found ""; allowed: 1 to 63 characters: a-z, 0-9 and -, beginning and ending with a letter or digit`,
+	}, strings.Split(document.Explain(err), "\n"))
+}
+
 func TestLoadBoundsDocument(t *testing.T) {
 	t.Run("size", func(t *testing.T) {
 		_, err := Load(strings.NewReader(strings.Repeat(" ", maxDocumentBytes+1)))
@@ -147,6 +158,10 @@
 		_, err := Load(strings.NewReader(strings.Repeat("[", 1000)))
 		must.StrContains(t, problemsOf(t, err)[0].Value, "nested too deeply")
 	})
+	t.Run("values", func(t *testing.T) {
+		_, err := Load(strings.NewReader("[" + strings.Repeat("1,", maxDocumentBytes/2-2) + "1]"))
+		must.StrContains(t, problemsOf(t, err)[0].Value, "more than 100000 values")
+	})
 	t.Run("findings", func(t *testing.T) {
 		doc := `{"ownership": {"domains": [` + strings.TrimSuffix(strings.Repeat("1,", 20_000), ",") + `]}}`
 		_, err := Load(strings.NewReader(doc))
