--- /dev/null
+++ b/internal/fake/workers_test.go
@@ -0,0 +1,176 @@
+package fake
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+var (
+	_ port.Table     = (*Table)(nil)
+	_ port.Objects   = (*Objects)(nil)
+	_ port.Instances = (*Instances)(nil)
+	_ port.Workers   = (*Workers)(nil)
+	_ port.Backends  = (*Backends)(nil)
+)
+
+const ttl = 10 * time.Second
+
+var machine = structs.Worker{ID: "w", Accelerators: 8, State: structs.StateLive}
+
+// bubble runs a test in virtual time against one healthy worker.
+func bubble(t *testing.T, f func(t *testing.T, w *Workers)) {
+	synctest.Test(t, func(t *testing.T) {
+		f(t, NewWorkers(NewObjects(), 2*time.Second, machine))
+	})
+}
+
+func (w *Workers) mustRun(t *testing.T, id structs.LeaseID, payload, checkpoint string) {
+	must.NoError(t, w.Reserve(t.Context(), machine, id, 4, ttl))
+	must.NoError(t, w.Start(t.Context(), machine, id, []byte(payload), checkpoint))
+}
+
+func (w *Workers) state(t *testing.T, id structs.LeaseID) structs.LeaseStatus {
+	status, err := w.Renew(t.Context(), machine, []structs.LeaseID{id}, ttl)
+	must.NoError(t, err)
+	return status[0]
+}
+
+func (w *Workers) kinds() []EventKind {
+	events, _ := w.Events()
+	var out []EventKind
+	for _, e := range events {
+		out = append(out, e.Kind)
+	}
+	return out
+}
+
+func TestLapsedLeaseStopsItsTaskForEver(t *testing.T) {
+	bubble(t, func(t *testing.T, w *Workers) {
+		w.mustRun(t, "a", `{"run_ms":60000}`, "")
+		time.Sleep(ttl)
+		must.Eq(t, structs.TaskGone, w.state(t, "a").State)
+		must.Eq(t, []EventKind{EventLeaseGranted, EventTaskStarted, EventTaskStopped, EventLeaseLapsed}, w.kinds())
+		err := w.Reserve(t.Context(), machine, "a", 4, ttl)
+		must.Eq(t, fault.Refused, fault.CodeOf(err))
+		err = w.Start(t.Context(), machine, "a", nil, "")
+		must.Eq(t, fault.Fenced, fault.CodeOf(err))
+	})
+}
+
+func TestReleaseBarsALeaseThatIsStillOnItsWay(t *testing.T) {
+	bubble(t, func(t *testing.T, w *Workers) {
+		for range 2 {
+			must.NoError(t, w.Release(t.Context(), machine, []structs.LeaseID{"a"}))
+		}
+		err := w.Reserve(t.Context(), machine, "a", 4, ttl)
+		must.Eq(t, fault.Refused, fault.CodeOf(err))
+	})
+}
+
+func TestReserveAndStartAreIdempotent(t *testing.T) {
+	bubble(t, func(t *testing.T, w *Workers) {
+		for range 3 {
+			w.mustRun(t, "a", `{"run_ms":5000}`, "")
+		}
+		time.Sleep(5 * time.Second)
+		must.Eq(t, structs.TaskSucceeded, w.state(t, "a").State)
+		w.mustRun(t, "a", `{"run_ms":5000}`, "")
+		must.Eq(t, []EventKind{EventLeaseGranted, EventTaskStarted, EventTaskSucceeded}, w.kinds())
+	})
+}
+
+func TestThrottledTaskTakesLongerAndUsesLess(t *testing.T) {
+	bubble(t, func(t *testing.T, w *Workers) {
+		w.mustRun(t, "a", `{"run_ms":8000}`, "")
+		must.NoError(t, w.Throttle(t.Context(), machine, "a", 50))
+		time.Sleep(9 * time.Second)
+		must.Eq(t, structs.LeaseStatus{Lease: "a", State: structs.TaskRunning, Usage: 18 * time.Second}, w.state(t, "a"))
+		time.Sleep(time.Second)
+		must.Eq(t, 18*time.Second, w.state(t, "a").Usage, must.Sprint("usage lags"))
+		time.Sleep(6 * time.Second)
+		must.Eq(t, structs.LeaseStatus{Lease: "a", State: structs.TaskSucceeded, Usage: 32 * time.Second}, w.state(t, "a"))
+	})
+}
+
+func TestTaskResumesFromItsCheckpoint(t *testing.T) {
+	bubble(t, func(t *testing.T, w *Workers) {
+		w.mustRun(t, "a", `{"run_ms":9000,"state_ms":1000}`, "")
+		time.Sleep(6 * time.Second)
+		must.NoError(t, w.Checkpoint(t.Context(), machine, "a", "a.ckpt"))
+		must.NoError(t, w.Checkpoint(t.Context(), machine, "a", "a.ckpt"))
+		must.NoError(t, w.Release(t.Context(), machine, []structs.LeaseID{"a"}))
+		w.mustRun(t, "b", `{"run_ms":9000}`, "a.ckpt")
+		time.Sleep(2999 * time.Millisecond)
+		must.Eq(t, structs.TaskRunning, w.state(t, "b").State)
+		time.Sleep(time.Millisecond)
+		must.Eq(t, structs.TaskSucceeded, w.state(t, "b").State)
+		err := w.Start(t.Context(), machine, "c", nil, "nowhere")
+		must.Eq(t, fault.Refused, fault.CodeOf(err))
+	})
+}
+
+// TestFrozenWorkerLetsLeasesLapse holds that a worker which was paused beyond
+// a lease's TTL doesn't go on with its task. Seen to fail when thaw renews.
+func TestFrozenWorkerLetsLeasesLapse(t *testing.T) {
+	bubble(t, func(t *testing.T, w *Workers) {
+		w.mustRun(t, "a", `{"run_ms":60000}`, "")
+		must.NoError(t, w.Reserve(t.Context(), machine, "b", 4, 3*ttl))
+		must.NoError(t, w.Start(t.Context(), machine, "b", []byte(`{"run_ms":10000}`), ""))
+		w.SetFaults(WorkerFaults{Frozen: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := w.Renew(ctx, machine, []structs.LeaseID{"a"}, ttl)
+		must.Eq(t, fault.Uncertain, fault.CodeOf(err))
+		time.AfterFunc(2*ttl, func() { w.SetFaults(WorkerFaults{}) })
+		must.Eq(t, structs.TaskGone, w.state(t, "a").State)
+		must.Eq(t, structs.TaskRunning, w.state(t, "b").State, must.Sprint("a frozen task makes no progress"))
+	})
+}
+
+func TestFaultsOfWorkers(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults WorkerFaults
+		code   fault.Code
+		state  structs.TaskState
+	}{
+		{"refuses", WorkerFaults{Faults: Faults{Down: true}}, fault.Unavailable, structs.TaskGone},
+		{"loses answers", WorkerFaults{Faults: Faults{LoseAnswers: true}}, fault.Uncertain, structs.TaskReserved},
+		{"hangs", WorkerFaults{Faults: Faults{Hang: true}}, fault.Uncertain, structs.TaskGone},
+		{"leaves", WorkerFaults{Leaving: true}, fault.Refused, structs.TaskGone},
+		{"crashed", WorkerFaults{Crashed: true}, fault.Unavailable, structs.TaskGone},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, w *Workers) {
+				w.SetFaults(c.faults, machine.ID)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				err := w.Reserve(ctx, machine, "a", 4, ttl)
+				must.Eq(t, c.code, fault.CodeOf(err))
+				w.SetFaults(WorkerFaults{})
+				must.Eq(t, c.state, w.state(t, "a").State)
+			})
+		})
+	}
+}
+
+func TestWorkerThatFailsStartsAndLies(t *testing.T) {
+	bubble(t, func(t *testing.T, w *Workers) {
+		w.SetFaults(WorkerFaults{FailStarts: true})
+		w.mustRun(t, "a", `{"run_ms":5000}`, "")
+		must.Eq(t, structs.TaskFailed, w.state(t, "a").State)
+		w.SetFaults(WorkerFaults{UsageFactor: 10})
+		w.mustRun(t, "b", `{"run_ms":5000}`, "")
+		time.Sleep(2 * time.Second)
+		must.Eq(t, 80*time.Second, w.state(t, "b").Usage)
+	})
+}
