Mend a hot loop in gangs and a false not-run in claims, both found by tests

Gangs: a member reported as reserved was started again at once after each start, as the report was older than the start: an owner spun between two renewals. States are now forgotten after each operation, and a failed operation waits 250 ms. Found by TestOwnerKilledBetweenAnyTwoSteps, which never ended.

Claims: a request that reached one incarnation twice could be told that it was not run while it ran. The first arrival's claim was unconfirmed, the second one's stood, and giving the first up found the holder's name in the row and wrote not-run over it. Claims now carry a serial. Ruled out: the dispatch of an unconfirmed claim (no run began before its claim).

--- a/internal/duty/claims/claims.go
+++ b/internal/duty/claims/claims.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,6 +60,7 @@
 	pending *ring.Ring[*op]
 	commits *semaphore.Weighted
 	settle  *ring.Ring[unsettled]
+	serial  atomic.Uint64
 	wg      sync.WaitGroup
 
 	mu        sync.Mutex
@@ -109,7 +111,7 @@
 	incarnation := c.incarnation()
 	claim := &Claim{
 		key: req.Key,
-		rec: record{Holder: incarnation, Digest: digestOf(req), Outcome: structs.OutcomePending},
+		rec: c.newRecord(incarnation, req, structs.OutcomePending),
 	}
 	o := newOp(store.ClaimKey(req.Key), claim.rec, 0, incarnation)
 	revision, err := c.write(ctx, o)
@@ -127,6 +129,10 @@
 	}
 }
 
+func (c *Claims) newRecord(incarnation string, req structs.Request, o structs.Outcome) record {
+	return record{Holder: incarnation, Serial: c.serial.Add(1), Digest: digestOf(req), Outcome: o}
+}
+
 // giveUp records in the background that a claim which may exist was not used.
 func (c *Claims) giveUp(claim *Claim, reason string) {
 	rec := claim.rec
@@ -183,12 +189,8 @@
 // returns what may be told: not run if that is recorded, the recorded outcome
 // if there is one, else unknown.
 func (c *Claims) Refuse(ctx context.Context, req structs.Request, reason string) structs.Result {
-	rec := record{
-		Holder:  c.incarnation(),
-		Digest:  digestOf(req),
-		Outcome: structs.OutcomeNotRun,
-		Reason:  reason,
-	}
+	rec := c.newRecord(c.incarnation(), req, structs.OutcomeNotRun)
+	rec.Reason = reason
 	_, err := c.write(ctx, newOp(store.ClaimKey(req.Key), rec, 0, ""))
 	switch fault.CodeOf(err) {
 	case "":
--- a/internal/duty/claims/record.go
+++ b/internal/duty/claims/record.go
@@ -11,7 +11,10 @@
 // structs.OutcomePending while the holder works on it.
 type record struct {
 	// Holder is the incarnation that may dispatch the request, once.
-	Holder  string          `cbor:"1,keyasint"`
+	Holder string `cbor:"1,keyasint"`
+	// Serial tells the claims of one incarnation apart: the same request may
+	// reach it twice.
+	Serial  uint64          `cbor:"7,keyasint"`
 	Digest  []byte          `cbor:"2,keyasint"`
 	Outcome structs.Outcome `cbor:"3,keyasint"`
 	Reason  string          `cbor:"4,keyasint,omitempty"`
@@ -28,7 +31,12 @@
 // outranks reports whether r may replace a final record: an unknown outcome
 // gives way to what its holder knows.
 func (r record) outranks(old record) bool {
-	return old.Outcome == structs.OutcomeUnknown && r.Outcome != structs.OutcomeUnknown && r.Holder == old.Holder
+	return old.Outcome == structs.OutcomeUnknown && r.Outcome != structs.OutcomeUnknown && r.sameClaim(old)
+}
+
+// sameClaim reports whether two records are states of one claim.
+func (r record) sameClaim(o record) bool {
+	return r.Holder == o.Holder && r.Serial == o.Serial
 }
 
 func (r record) sameRequest(digest []byte) bool {
--- a/internal/duty/claims/settle.go
+++ b/internal/duty/claims/settle.go
@@ -64,7 +64,7 @@
 		txn.Create(store.ClaimKey(u.key), u.rec)
 	case found.rec.final() && !u.rec.outranks(found.rec):
 		return true
-	case found.rec.Holder != u.rec.Holder:
+	case !u.rec.sameClaim(found.rec):
 		return true
 	default:
 		txn.Update(store.ClaimKey(u.key), found.revision, u.rec)
--- a/internal/duty/gangs/domain.go
+++ b/internal/duty/gangs/domain.go
@@ -121,6 +121,9 @@
 	lapse time.Time
 	// reason is why the job waits.
 	reason string
+	// retryAt is the earliest time for the next operation after a failed one;
+	// zero after one that succeeded.
+	retryAt time.Time
 	// stopping is set while a stop is in progress, before its row says so.
 	stopping bool
 }
@@ -197,6 +200,7 @@
 	}
 	d.decided = now
 	if d.deps.Usable() {
+		d.retry(ctx, now)
 		d.schedule(ctx)
 	}
 	if now.Sub(d.published) >= publishInterval {
@@ -205,6 +209,16 @@
 	}
 }
 
+// retry goes on with jobs whose last operation failed.
+func (d *Domain) retry(ctx context.Context, now time.Time) {
+	for _, e := range d.entries {
+		if !e.retryAt.IsZero() && !now.Before(e.retryAt) {
+			e.retryAt = time.Time{}
+			d.advance(ctx, e)
+		}
+	}
+}
+
 func (d *Domain) spawn(f func()) {
 	d.wg.Add(1)
 	go func() {
--- a/internal/duty/gangs/events.go
+++ b/internal/duty/gangs/events.go
@@ -12,6 +12,9 @@
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
 
+// operationRetry is the time between a failed operation on a job and the next.
+const operationRetry = 250 * time.Millisecond
+
 // event is what the runner's goroutine reacts to; exactly one field is set.
 type event struct {
 	done   *operationDone
@@ -58,8 +61,11 @@
 	e.stopping = false
 	e.inbox = o.inbox
 	d.setJob(e, o.job, o.revision)
+	// Only a report that comes after the operation can ask for another.
+	clear(e.states)
 	if done.err != nil {
 		d.log.Warn("operation_failed", zap.Stringer("job", o.job.Spec.Key), zap.Error(done.err))
+		e.retryAt = time.Now().Add(operationRetry)
 	}
 	if o.moved || o.job.State.Final() {
 		d.health.forget(o.job.Spec.Key)
@@ -125,7 +131,7 @@
 
 // advance takes the next step that doesn't need a placement.
 func (d *Domain) advance(ctx context.Context, e *entry) {
-	if e.busy {
+	if e.busy || time.Now().Before(e.retryAt) {
 		return
 	}
 	switch e.job.State {
--- a/internal/duty/gangs/schedule.go
+++ b/internal/duty/gangs/schedule.go
@@ -36,13 +36,18 @@
 
 func (d *Domain) hasQueued() bool {
 	for _, e := range d.entries {
-		if e.job.State == structs.JobQueued && !e.busy {
+		if e.ready() {
 			return true
 		}
 	}
 	return false
 }
 
+// ready reports whether a job waits for a placement.
+func (e *entry) ready() bool {
+	return e.job.State == structs.JobQueued && !e.busy && !e.cancelled && e.retryAt.IsZero()
+}
+
 func (d *Domain) snapshot() scheduler.Snapshot {
 	now := time.Now()
 	s := scheduler.Snapshot{Domain: d.grant.Domain}
@@ -58,7 +63,7 @@
 		switch {
 		case e.job.State != structs.JobQueued:
 			s.Gangs = append(s.Gangs, gangOf(e, now))
-		case !e.busy && !e.cancelled:
+		case e.ready():
 			s.Queued = append(s.Queued, pendingOf(e, now))
 		}
 	}
@@ -123,7 +128,7 @@
 // entry holds the places from now on, so that the next decision sees them.
 func (d *Domain) begin(ctx context.Context, s *scheduler.Snapshot, st scheduler.Start) {
 	e, ok := d.entries[st.Key]
-	if !ok || e.busy || e.job.State != structs.JobQueued {
+	if !ok || !e.ready() {
 		return
 	}
 	if err := scheduler.Verify(*s, st); err != nil {
