Owner tests seen to fail: fencing, recovery, leases of unreachable members

Run on a scratch copy with one mutation each: no owner condition in commits fails 3+ frozen cases; no recovery fails the killed cases; settling without waiting for releases fails TestNextAttemptWaitsForUnreachableMember. The killed and frozen cases alone did not see the last, hence that test.

--- a/internal/duty/gangs/owner_test.go
+++ b/internal/duty/gangs/owner_test.go
@@ -137,6 +137,8 @@
 	at     int
 	stop   func()
 	resume chan struct{}
+	// late counts the commits that the table accepted after the takeover.
+	late int
 }
 
 func (s *steps) step() error {
@@ -162,7 +164,13 @@
 	if err := s.step(); err != nil {
 		return 0, err
 	}
-	return s.Table.Commit(ctx, txn)
+	revision, err := s.Table.Commit(ctx, txn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil && s.n >= s.at {
+		s.late++
+	}
+	return revision, err
 }
 
 func (s *steps) Reserve(ctx context.Context, w structs.Worker, id structs.LeaseID, n int, ttl time.Duration) error {
@@ -196,8 +204,8 @@
 // maxSteps is more than an undisturbed run of one job takes.
 const maxSteps = 40
 
-// TestOwnerKilledBetweenAnyTwoSteps seen failing: with Settle called before
-// releaseAll attempts overlap; with recover doing nothing the job never ends.
+// TestOwnerKilledBetweenAnyTwoSteps seen failing: with recover doing nothing
+// the job never ends.
 func TestOwnerKilledBetweenAnyTwoSteps(t *testing.T) {
 	for at := 1; at <= maxSteps; at++ {
 		t.Run(fmt.Sprintf("step %d", at), func(t *testing.T) {
@@ -208,7 +216,7 @@
 
 // TestOwnerFrozenBetweenAnyTwoSteps lets the first owner go on with its call
 // after the second one took over. Seen failing: without the owner's revision
-// among the conditions of a commit, the first owner's writes are accepted.
+// among the conditions of a commit, the table accepts the first owner's.
 func TestOwnerFrozenBetweenAnyTwoSteps(t *testing.T) {
 	for at := 1; at <= maxSteps; at++ {
 		t.Run(fmt.Sprintf("step %d", at), func(t *testing.T) {
@@ -246,9 +254,64 @@
 	j := w.awaitEnd(s.Key)
 	must.Eq(t, structs.JobSucceeded, j.State)
 	time.Sleep(time.Minute)
+	must.Zero(t, first.late)
 	w.checkAttempts()
 }
 
+// TestNextAttemptWaitsForUnreachableMember seen failing: with finishStop not
+// waiting for releaseAll, the next attempt starts while the member that can't
+// be reached still runs.
+func TestNextAttemptWaitsForUnreachableMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := newWorld(t, ctx)
+		defer w.wg.Wait()
+		defer cancel()
+		s := spec("scan")
+		_, _, err := w.callers().Submit(ctx, s)
+		must.NoError(t, err)
+		w.run(w.table, w.workers)
+		time.Sleep(5 * time.Second)
+		j, _, err := w.callers().Get(ctx, s.Key)
+		must.NoError(t, err)
+		must.Eq(t, structs.JobRunning, j.State)
+
+		// One worker restarts and has lost its lease, so that the gang must
+		// stop; another one takes calls no more while its task goes on.
+		w.workers.SetFaults(fake.WorkerFaults{Crashed: true}, j.Members[0].Worker)
+		w.workers.SetFaults(fake.WorkerFaults{}, j.Members[0].Worker)
+		w.workers.SetFaults(fake.WorkerFaults{Faults: fake.Faults{Hang: true}}, j.Members[1].Worker)
+		must.Eq(t, structs.JobSucceeded, w.awaitEnd(s.Key).State)
+		time.Sleep(time.Minute)
+		w.checkOverlap()
+	})
+}
+
+// checkOverlap asserts that no task starts while a lease of another attempt is
+// held.
+func (w *world) checkOverlap() {
+	w.t.Helper()
+	events, _ := w.workers.Events()
+	held := make(map[structs.LeaseID]bool)
+	for _, e := range events {
+		switch e.Kind {
+		case fake.EventLeaseGranted:
+			held[e.Lease] = true
+		case fake.EventLeaseReleased, fake.EventLeaseLapsed:
+			delete(held, e.Lease)
+		case fake.EventTaskStarted:
+			for other := range held {
+				must.Eq(w.t, attemptOf(e.Lease), attemptOf(other), must.Sprint("a lease of another attempt is held"))
+			}
+		}
+	}
+	must.MapEmpty(w.t, held)
+}
+
+func attemptOf(id structs.LeaseID) string {
+	return string(id)[:len(id)-2]
+}
+
 // tableSteps gives steps the port.Table methods, which its Workers also names.
 type tableSteps struct {
 	s *steps
@@ -277,20 +340,14 @@
 // longer than a takeover and two renewals take.
 func (w *world) checkAttempts() {
 	w.t.Helper()
+	w.checkOverlap()
 	events, _ := w.workers.Events()
 	attempts := make(map[string]map[string]*span)
-	held := make(map[structs.LeaseID]bool)
 	var order []string
 	for _, e := range events {
-		id := string(e.Lease)
-		attempt, member := id[:len(id)-2], id[len(id)-1:]
+		attempt, member := attemptOf(e.Lease), string(e.Lease)[len(e.Lease)-1:]
 		switch e.Kind {
-		case fake.EventLeaseGranted:
-			held[e.Lease] = true
 		case fake.EventTaskStarted:
-			for other := range held {
-				must.Eq(w.t, attempt, string(other)[:len(other)-2], must.Sprint("a lease of another attempt is held"))
-			}
 			if attempts[attempt] == nil {
 				attempts[attempt] = make(map[string]*span)
 				order = append(order, attempt)
@@ -299,11 +356,8 @@
 		case fake.EventTaskSucceeded, fake.EventTaskStopped, fake.EventTaskFailed:
 			attempts[attempt][member].to = e.At
 			attempts[attempt][member].done = e.Kind == fake.EventTaskSucceeded
-		case fake.EventLeaseReleased, fake.EventLeaseLapsed:
-			delete(held, e.Lease)
 		}
 	}
-	must.MapEmpty(w.t, held)
 	whole := 0
 	for _, a := range order {
 		whole += w.checkWhole(a, attempts[a])
