Wire the call timeout, drop two settings that no duty read

session.poll_ms and jobs.reclaim_bound_ms were checked but read by nobody: an operator could set a bound that did not hold.

--- a/cmd/lentilwinchd/main.go
+++ b/cmd/lentilwinchd/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/lentilwinch/lentilwinch/internal/daemon"
 	"github.com/lentilwinch/lentilwinch/internal/settings"
+	"github.com/lentilwinch/lentilwinch/internal/settings/document"
 )
 
 const (
@@ -40,7 +41,7 @@
 	}
 	s, err := settings.LoadFile(*path)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(os.Stderr, document.Explain(err))
 		return exitUsage
 	}
 	log, err := newLogger(s.Log.Level)
--- a/internal/adapter/api/api.go
+++ b/internal/adapter/api/api.go
@@ -17,10 +17,13 @@
 )
 
 const (
-	// maxMessageBytes bounds a message read from a caller.
-	maxMessageBytes = 4 << 20
-	defaultPage     = 100
-	maxPage         = 500
+	// minMessageBytes is the least bound on a message read from a caller: a
+	// ticket's document and its envelope.
+	minMessageBytes = 4 << 20
+	// envelopeBytes bounds what a message adds to a request's body.
+	envelopeBytes = 64 << 10
+	defaultPage   = 100
+	maxPage       = 500
 )
 
 // Requests takes callers' requests to their outcomes.
@@ -50,17 +53,17 @@
 
 // Status is a summary of the instance.
 type Status struct {
-	Instance       string
-	Incarnation    string
-	Domain         string
-	Ready          bool
-	NotReadyReason string
-	ConfigNumber   int64
-	OwnedDomains   []string
-	QueuedRequests int
-	LivePeers      int
-	BackendServers int
-	Workers        int
+	Instance       string   `json:"instance"`
+	Incarnation    string   `json:"incarnation"`
+	Domain         string   `json:"domain"`
+	Ready          bool     `json:"ready"`
+	NotReadyReason string   `json:"not_ready_reason"`
+	ConfigNumber   int64    `json:"config_number"`
+	OwnedDomains   []string `json:"owned_domains"`
+	QueuedRequests int      `json:"requests_held"`
+	LivePeers      int      `json:"live_peers"`
+	BackendServers int      `json:"backend_servers"`
+	Workers        int      `json:"workers"`
 }
 
 // Node describes the instance that serves the interface.
@@ -82,19 +85,31 @@
 	jobs     Jobs
 	tickets  Tickets
 	node     Node
-	timeout  time.Duration
+	limits   Limits
+}
+
+// Limits bounds the operations.
+type Limits struct {
+	// Timeout bounds operations on the table.
+	Timeout time.Duration
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
 }
 
 var _ lentilwinchv1connect.SchedulerServiceHandler = (*Server)(nil)
 
-// New returns a server whose operations on the table are bounded by timeout.
-func New(requests Requests, outcomes Outcomes, jobs Jobs, tickets Tickets, node Node, timeout time.Duration) *Server {
-	return &Server{requests: requests, outcomes: outcomes, jobs: jobs, tickets: tickets, node: node, timeout: timeout}
+// New returns a server.
+func New(requests Requests, outcomes Outcomes, jobs Jobs, tickets Tickets, node Node, limits Limits) *Server {
+	return &Server{requests: requests, outcomes: outcomes, jobs: jobs, tickets: tickets, node: node, limits: limits}
 }
 
 // Handler returns the path and the handler for a mux.
 func (s *Server) Handler() (string, http.Handler) {
-	return lentilwinchv1connect.NewSchedulerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes))
+	return lentilwinchv1connect.NewSchedulerServiceHandler(s, connect.WithReadMaxBytes(s.maxMessageBytes()))
+}
+
+func (s *Server) maxMessageBytes() int {
+	return int(max(minMessageBytes, s.limits.MaxBodyBytes+envelopeBytes))
 }
 
 // Request implements the service.
@@ -129,7 +144,7 @@
 
 // Outcome implements the service.
 func (s *Server) Outcome(ctx context.Context, r *connect.Request[lentilwinchv1.OutcomeRequest]) (*connect.Response[lentilwinchv1.OutcomeResponse], error) {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.limits.Timeout)
 	defer cancel()
 	res, err := s.outcomes.Lookup(ctx, structs.RequestKey{Workspace: r.Msg.GetWorkspace(), ID: r.Msg.GetRequestId()})
 	if err != nil {
@@ -147,7 +162,7 @@
 	if err := s.node.Admit(); err != nil {
 		return nil, asConnect(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.limits.Timeout)
 	defer cancel()
 	j, revision, err := s.jobs.Submit(ctx, specFrom(r.Msg.GetSpec()))
 	if err != nil {
@@ -158,7 +173,7 @@
 
 // GetJob implements the service.
 func (s *Server) GetJob(ctx context.Context, r *connect.Request[lentilwinchv1.GetJobRequest]) (*connect.Response[lentilwinchv1.GetJobResponse], error) {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.limits.Timeout)
 	defer cancel()
 	j, revision, err := s.jobs.Get(ctx, structs.JobKey{Workspace: r.Msg.GetWorkspace(), ID: r.Msg.GetJobId()})
 	if err != nil {
@@ -169,7 +184,7 @@
 
 // ListJobs implements the service.
 func (s *Server) ListJobs(ctx context.Context, r *connect.Request[lentilwinchv1.ListJobsRequest]) (*connect.Response[lentilwinchv1.ListJobsResponse], error) {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.limits.Timeout)
 	defer cancel()
 	limit, err := page(r.Msg.GetLimit())
 	if err != nil {
@@ -200,7 +215,7 @@
 
 // Cancel implements the service.
 func (s *Server) Cancel(ctx context.Context, r *connect.Request[lentilwinchv1.CancelRequest]) (*connect.Response[lentilwinchv1.CancelResponse], error) {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.limits.Timeout)
 	defer cancel()
 	j, revision, err := s.jobs.Cancel(ctx, structs.JobKey{Workspace: r.Msg.GetWorkspace(), ID: r.Msg.GetJobId()})
 	if err != nil {
@@ -234,7 +249,7 @@
 
 // Apply implements the service.
 func (s *Server) Apply(ctx context.Context, r *connect.Request[lentilwinchv1.ApplyRequest]) (*connect.Response[lentilwinchv1.ApplyResponse], error) {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.limits.Timeout)
 	defer cancel()
 	number, err := s.tickets.Accept(ctx, r.Msg.GetDocument())
 	if err != nil {
@@ -245,7 +260,7 @@
 
 // GetTicket implements the service.
 func (s *Server) GetTicket(ctx context.Context, r *connect.Request[lentilwinchv1.GetTicketRequest]) (*connect.Response[lentilwinchv1.GetTicketResponse], error) {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.limits.Timeout)
 	defer cancel()
 	number, document, err := s.tickets.Ticket(ctx, r.Msg.GetNumber())
 	if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -92,7 +92,13 @@
 }
 
 func (d *Daemon) platform(address string) platform.Settings {
-	return platform.DefaultSettings(address)
+	s := platform.DefaultSettings(address)
+	timeout := d.settings.Platform.CallTimeoutMillis.Duration()
+	s.ReadTimeout = timeout
+	s.CommitTimeout = timeout
+	s.WorkerTimeout = timeout
+	s.CheckpointTimeout = d.settings.Jobs.CheckpointTimeoutMillis.Duration()
+	return s
 }
 
 func (d *Daemon) peerConfig() peer.Config {
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -20,6 +20,9 @@
 )
 
 const (
+	// tableCalls is the number of calls to the table that one operation of a
+	// caller may wait for.
+	tableCalls        = 3
 	readHeaderTimeout = 5 * time.Second
 	// readTimeout bounds the reading of one request, slow senders included.
 	readTimeout    = 30 * time.Second
@@ -30,7 +33,10 @@
 // httpServer serves callers, operators, peers and the balancer.
 func (d *Daemon) httpServer() *http.Server {
 	mux := http.NewServeMux()
-	server := api.New(d.requests, d.claims, d.jobs, d.config, d, 2*d.settings.Platform.CallTimeoutMillis.Duration())
+	server := api.New(d.requests, d.claims, d.jobs, d.config, d, api.Limits{
+		Timeout:      tableCalls * d.settings.Platform.CallTimeoutMillis.Duration(),
+		MaxBodyBytes: d.settings.Requests.MaxBodyBytes,
+	})
 	mux.Handle(server.Handler())
 	mux.Handle(peer.Path, d.mesh.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/internal/duty/config/refresh.go
+++ b/internal/duty/config/refresh.go
@@ -75,7 +75,9 @@
 	for _, key := range keys {
 		t, err := decodeTicket(rows, key)
 		if err != nil {
-			return err
+			// An older release accepted what this one can't read; the objects
+			// in force don't depend on that.
+			return k.loadObjects(ctx, v)
 		}
 		cfg = ticket.Apply(cfg, t)
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -55,7 +55,6 @@
 func (c checker) checkSession(s Session) {
 	c.millis("session.heartbeat_ms", s.HeartbeatMillis, 50, 10_000)
 	c.millis("session.ttl_ms", s.TTLMillis, 200, 60_000)
-	c.millis("session.poll_ms", s.PollMillis, 50, 10_000)
 }
 
 func (c checker) checkOwnership(d Daemon) {
@@ -103,18 +102,15 @@
 func (c checker) checkJobs(j Jobs) {
 	c.millis("jobs.checkpoint_timeout_ms", j.CheckpointTimeoutMillis, 10, 600_000)
 	c.findings.Between("jobs.max_attempts", int64(j.MaxAttempts), 1, 100)
-	c.millis("jobs.reclaim_bound_ms", j.ReclaimBoundMillis, 100, 600_000)
 }
 
 // checkContradictions finds values that are allowed alone but not together.
 func (c checker) checkContradictions(d Daemon) {
 	c.atLeast("session.ttl_ms", d.Session.TTLMillis, 3, "session.heartbeat_ms", d.Session.HeartbeatMillis)
-	c.atLeast("session.ttl_ms", d.Session.TTLMillis, 1, "session.poll_ms", d.Session.PollMillis)
 	c.atLeast("session.ttl_ms", d.Session.TTLMillis, 1, "platform.call_timeout_ms", d.Platform.CallTimeoutMillis)
 	c.atLeast("worker_lease.ttl_ms", d.WorkerLease.TTLMillis, 3, "worker_lease.renew_ms", d.WorkerLease.RenewMillis)
 	c.atLeast("config.stale_after_ms", d.Config.StaleAfterMillis, 2, "config.poll_ms", d.Config.PollMillis)
 	c.atLeast("peers.read_deadline_ms", d.Peers.ReadDeadlineMillis, 3, "peers.heartbeat_ms", d.Peers.HeartbeatMillis)
-	c.atLeast("jobs.reclaim_bound_ms", d.Jobs.ReclaimBoundMillis, 1, "jobs.checkpoint_timeout_ms", d.Jobs.CheckpointTimeoutMillis)
 	c.checkDomainListed(d)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,8 +50,6 @@
 	HeartbeatMillis Milliseconds `json:"heartbeat_ms"`
 	// TTLMillis is the time after which an unrenewed session has lapsed.
 	TTLMillis Milliseconds `json:"ttl_ms"`
-	// PollMillis is the time between readings of the other sessions.
-	PollMillis Milliseconds `json:"poll_ms"`
 }
 
 // Ownership sets how failure domains find their owners.
@@ -105,8 +103,6 @@
 	CheckpointTimeoutMillis Milliseconds `json:"checkpoint_timeout_ms"`
 	// MaxAttempts bounds the attempts that a job's own failures may end.
 	MaxAttempts int `json:"max_attempts"`
-	// ReclaimBoundMillis bounds the time in which lent accelerators come back.
-	ReclaimBoundMillis Milliseconds `json:"reclaim_bound_ms"`
 }
 
 // Log sets the log.
@@ -126,7 +122,7 @@
 func Default() Daemon {
 	return Daemon{
 		Platform:    Platform{CallTimeoutMillis: 1000},
-		Session:     Session{HeartbeatMillis: 500, TTLMillis: 2000, PollMillis: 500},
+		Session:     Session{HeartbeatMillis: 500, TTLMillis: 2000},
 		Ownership:   Ownership{PollMillis: 500},
 		WorkerLease: WorkerLease{TTLMillis: 15000, RenewMillis: 3000},
 		Config:      Config{PollMillis: 1000, StaleAfterMillis: 4000},
@@ -138,7 +134,7 @@
 			ClaimFlushMillis:            4,
 			ClaimBatch:                  64,
 		},
-		Jobs:  Jobs{CheckpointTimeoutMillis: 2000, MaxAttempts: 3, ReclaimBoundMillis: 3000},
+		Jobs:  Jobs{CheckpointTimeoutMillis: 2000, MaxAttempts: 3},
 		Log:   Log{Level: "info"},
 		Drain: Drain{HandoverTimeoutMillis: 5000},
 	}
