Drop a service's unused connections when one goes silent

When something between the two ends forgets their connections, all of a pool go silent together, and each would cost a call its timeout in turn: with four idle connections four commits in a row were uncertain. An unanswered call now drops the unused ones to the same place, as the backend client did. Workers get a client per address, so that a frozen one doesn't cost the others theirs.

The new tests cut pools off through the relay; both were seen to fail without the drop.

--- a/internal/adapter/platform/errors.go
+++ b/internal/adapter/platform/errors.go
@@ -18,6 +18,8 @@
 	mutates bool
 	// notFound is the code for an answer of "not found".
 	notFound fault.Code
+	// silent drops the unused connections to where the call went.
+	silent func()
 }
 
 // failure maps a failed call to a typed failure.
@@ -25,8 +27,9 @@
 	if connect.IsWireError(err) {
 		return op.answered(err)
 	}
-	sent := f.Seal()
-	if sent {
+	if f.Seal() {
+		// What made one connection go silent often took others too.
+		op.silent()
 		return fault.Wrap(op.unanswered(), op.name+" was not answered", err)
 	}
 	return fault.Wrap(fault.Unavailable, op.name+" was not sent", err)
--- a/internal/adapter/platform/instances.go
+++ b/internal/adapter/platform/instances.go
@@ -5,26 +5,30 @@
 
 	platformv1 "github.com/lentilwinch/lentilwinch/gen/platform/v1"
 	"github.com/lentilwinch/lentilwinch/gen/platform/v1/platformv1connect"
+	"github.com/lentilwinch/lentilwinch/internal/adapter/httpclient"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
 
 // Instances implements port.Instances. It is safe for concurrent use.
 type Instances struct {
 	settings Settings
+	http     *httpclient.Client
 	client   platformv1connect.InstanceServiceClient
 }
 
 // NewInstances returns a client of the instance list.
 func NewInstances(s Settings) *Instances {
+	client := s.client(s.MaxServiceConns)
 	return &Instances{
 		settings: s,
-		client:   platformv1connect.NewInstanceServiceClient(s.client(s.MaxServiceConns), baseURL(s.Address), options(s)...),
+		http:     client,
+		client:   platformv1connect.NewInstanceServiceClient(client, baseURL(s.Address), options(s)...),
 	}
 }
 
 // List implements port.Instances. Instances of an unknown kind are left out.
 func (i *Instances) List(ctx context.Context) ([]structs.Instance, error) {
-	op := operation{name: "instance list"}
+	op := operation{name: "instance list", silent: i.http.CloseIdle}
 	req := &platformv1.ListInstancesRequest{}
 	resp, err := call(ctx, op, i.settings.ReadTimeout, i.client.List, req)
 	if err != nil {
--- a/internal/adapter/platform/objects.go
+++ b/internal/adapter/platform/objects.go
@@ -5,20 +5,24 @@
 
 	platformv1 "github.com/lentilwinch/lentilwinch/gen/platform/v1"
 	"github.com/lentilwinch/lentilwinch/gen/platform/v1/platformv1connect"
+	"github.com/lentilwinch/lentilwinch/internal/adapter/httpclient"
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 )
 
 // Objects implements port.Objects. It is safe for concurrent use.
 type Objects struct {
 	settings Settings
+	http     *httpclient.Client
 	client   platformv1connect.ObjectServiceClient
 }
 
 // NewObjects returns a client of the object store.
 func NewObjects(s Settings) *Objects {
+	client := s.client(s.MaxServiceConns)
 	return &Objects{
 		settings: s,
-		client:   platformv1connect.NewObjectServiceClient(s.client(s.MaxServiceConns), baseURL(s.Address), options(s)...),
+		http:     client,
+		client:   platformv1connect.NewObjectServiceClient(client, baseURL(s.Address), options(s)...),
 	}
 }
 
@@ -26,7 +30,7 @@
 // not answered may be repeated; it fails with fault.Unavailable like one that
 // had no effect.
 func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
-	op := operation{name: "object put"}
+	op := operation{name: "object put", silent: o.http.CloseIdle}
 	req := &platformv1.PutObjectRequest{Name: name, Data: data}
 	_, err := call(ctx, op, o.settings.ObjectTimeout, o.client.Put, req)
 	return err
@@ -34,7 +38,7 @@
 
 // Get implements port.Objects.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
-	op := operation{name: "object get", notFound: fault.NotFound}
+	op := operation{name: "object get", notFound: fault.NotFound, silent: o.http.CloseIdle}
 	req := &platformv1.GetObjectRequest{Name: name}
 	resp, err := call(ctx, op, o.settings.ObjectTimeout, o.client.Get, req)
 	if err != nil {
--- a/internal/adapter/platform/table.go
+++ b/internal/adapter/platform/table.go
@@ -7,26 +7,30 @@
 
 	platformv1 "github.com/lentilwinch/lentilwinch/gen/platform/v1"
 	"github.com/lentilwinch/lentilwinch/gen/platform/v1/platformv1connect"
+	"github.com/lentilwinch/lentilwinch/internal/adapter/httpclient"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 )
 
 // Table implements port.Table. It is safe for concurrent use.
 type Table struct {
 	settings Settings
+	http     *httpclient.Client
 	client   platformv1connect.TableServiceClient
 }
 
 // NewTable returns a client of the table service.
 func NewTable(s Settings) *Table {
+	client := s.client(s.MaxServiceConns)
 	return &Table{
 		settings: s,
-		client:   platformv1connect.NewTableServiceClient(s.client(s.MaxServiceConns), baseURL(s.Address), options(s)...),
+		http:     client,
+		client:   platformv1connect.NewTableServiceClient(client, baseURL(s.Address), options(s)...),
 	}
 }
 
 // Get implements port.Table.
 func (t *Table) Get(ctx context.Context, keys ...string) ([]port.Row, error) {
-	op := operation{name: "table get"}
+	op := operation{name: "table get", silent: t.http.CloseIdle}
 	req := &platformv1.GetRequest{Keys: keys}
 	resp, err := call(ctx, op, t.settings.ReadTimeout, t.client.Get, req)
 	if err != nil {
@@ -37,7 +41,7 @@
 
 // Scan implements port.Table.
 func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]port.Row, bool, error) {
-	op := operation{name: "table scan"}
+	op := operation{name: "table scan", silent: t.http.CloseIdle}
 	req := &platformv1.ScanRequest{Prefix: prefix, AfterKey: after, Limit: int32(limit)}
 	resp, err := call(ctx, op, t.settings.ReadTimeout, t.client.Scan, req)
 	if err != nil {
@@ -48,7 +52,7 @@
 
 // Commit implements port.Table.
 func (t *Table) Commit(ctx context.Context, txn port.Txn) (int64, error) {
-	op := operation{name: "table commit", mutates: true}
+	op := operation{name: "table commit", mutates: true, silent: t.http.CloseIdle}
 	resp, err := call(ctx, op, t.settings.CommitTimeout, t.client.Commit, commitRequest(txn))
 	if err != nil {
 		return 0, err
--- a/internal/adapter/platform/workers.go
+++ b/internal/adapter/platform/workers.go
@@ -18,41 +18,59 @@
 // Workers implements port.Workers. It is safe for concurrent use.
 type Workers struct {
 	settings  Settings
-	http      *httpclient.Client
-	inventory platformv1connect.WorkerServiceClient
+	inventory *agent
 
 	mu     sync.Mutex
-	agents map[string]platformv1connect.WorkerServiceClient
+	agents map[string]*agent
+}
+
+// agent is the client of one address. Each has connections of its own, which
+// are dropped together when one of them goes silent.
+type agent struct {
+	platformv1connect.WorkerServiceClient
+	http *httpclient.Client
 }
 
 // NewWorkers returns a client of the inventory and of the workers' agents.
 func NewWorkers(s Settings) *Workers {
-	client := s.client(s.MaxWorkerConns)
 	return &Workers{
 		settings:  s,
-		http:      client,
-		inventory: platformv1connect.NewWorkerServiceClient(client, baseURL(s.Address), options(s)...),
-		agents:    make(map[string]platformv1connect.WorkerServiceClient),
+		inventory: newAgent(s, s.Address),
+		agents:    make(map[string]*agent),
 	}
 }
 
-func (w *Workers) agent(worker structs.Worker) platformv1connect.WorkerServiceClient {
+func newAgent(s Settings, address string) *agent {
+	client := s.client(s.MaxWorkerConns)
+	return &agent{
+		WorkerServiceClient: platformv1connect.NewWorkerServiceClient(client, baseURL(address), options(s)...),
+		http:                client,
+	}
+}
+
+func (w *Workers) agent(worker structs.Worker) *agent {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if a, ok := w.agents[worker.Address]; ok {
 		return a
 	}
 	if len(w.agents) >= maxAgents {
+		// Their unused connections close by themselves.
 		clear(w.agents)
 	}
-	a := platformv1connect.NewWorkerServiceClient(w.http, baseURL(worker.Address), options(w.settings)...)
+	a := newAgent(w.settings, worker.Address)
 	w.agents[worker.Address] = a
 	return a
 }
 
+// operation describes a call that names leases.
+func (a *agent) operation(verb string) operation {
+	return operation{name: "worker " + verb, mutates: true, notFound: fault.Fenced, silent: a.http.CloseIdle}
+}
+
 // List implements port.Workers.
 func (w *Workers) List(ctx context.Context) ([]structs.Worker, error) {
-	op := operation{name: "worker list"}
+	op := operation{name: "worker list", silent: w.inventory.http.CloseIdle}
 	resp, err := call(ctx, op, w.settings.ReadTimeout, w.inventory.List, &platformv1.ListWorkersRequest{})
 	if err != nil {
 		return nil, err
@@ -74,7 +92,8 @@
 		Accelerators: int32(accelerators),
 		TtlMs:        ttl.Milliseconds(),
 	}
-	_, err := call(ctx, leaseOperation("reserve"), w.settings.WorkerTimeout, w.agent(worker).Reserve, req)
+	a := w.agent(worker)
+	_, err := call(ctx, a.operation("reserve"), w.settings.WorkerTimeout, a.Reserve, req)
 	return err
 }
 
@@ -83,8 +102,8 @@
 	ctx context.Context, worker structs.Worker, leases []structs.LeaseID, ttl time.Duration,
 ) ([]structs.LeaseStatus, error) {
 	req := &platformv1.RenewRequest{WorkerId: worker.ID, LeaseIds: leaseIDs(leases), TtlMs: ttl.Milliseconds()}
-	op := leaseOperation("renew")
-	resp, err := call(ctx, op, w.settings.WorkerTimeout, w.agent(worker).Renew, req)
+	a := w.agent(worker)
+	resp, err := call(ctx, a.operation("renew"), w.settings.WorkerTimeout, a.Renew, req)
 	if err != nil {
 		return nil, err
 	}
@@ -101,7 +120,8 @@
 		Payload:    payload,
 		Checkpoint: checkpoint,
 	}
-	_, err := call(ctx, leaseOperation("start"), w.settings.WorkerTimeout, w.agent(worker).Start, req)
+	a := w.agent(worker)
+	_, err := call(ctx, a.operation("start"), w.settings.WorkerTimeout, a.Start, req)
 	return err
 }
 
@@ -110,8 +130,8 @@
 	ctx context.Context, worker structs.Worker, lease structs.LeaseID, object string,
 ) error {
 	req := &platformv1.CheckpointRequest{WorkerId: worker.ID, LeaseId: string(lease), ObjectName: object}
-	op := leaseOperation("checkpoint")
-	_, err := call(ctx, op, w.settings.CheckpointTimeout, w.agent(worker).Checkpoint, req)
+	a := w.agent(worker)
+	_, err := call(ctx, a.operation("checkpoint"), w.settings.CheckpointTimeout, a.Checkpoint, req)
 	return err
 }
 
@@ -120,21 +140,19 @@
 	ctx context.Context, worker structs.Worker, lease structs.LeaseID, percent int,
 ) error {
 	req := &platformv1.ThrottleRequest{WorkerId: worker.ID, LeaseId: string(lease), Percent: int32(percent)}
-	_, err := call(ctx, leaseOperation("throttle"), w.settings.WorkerTimeout, w.agent(worker).Throttle, req)
+	a := w.agent(worker)
+	_, err := call(ctx, a.operation("throttle"), w.settings.WorkerTimeout, a.Throttle, req)
 	return err
 }
 
 // Release implements port.Workers.
 func (w *Workers) Release(ctx context.Context, worker structs.Worker, leases []structs.LeaseID) error {
 	req := &platformv1.ReleaseRequest{WorkerId: worker.ID, LeaseIds: leaseIDs(leases)}
-	_, err := call(ctx, leaseOperation("release"), w.settings.WorkerTimeout, w.agent(worker).Release, req)
+	a := w.agent(worker)
+	_, err := call(ctx, a.operation("release"), w.settings.WorkerTimeout, a.Release, req)
 	return err
 }
 
-func leaseOperation(verb string) operation {
-	return operation{name: "worker " + verb, mutates: true, notFound: fault.Fenced}
-}
-
 func leaseIDs(leases []structs.LeaseID) []string {
 	out := make([]string, 0, len(leases))
 	for _, l := range leases {
--- a/internal/standin/backend/server_test.go
+++ b/internal/standin/backend/server_test.go
@@ -16,6 +16,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/standin/backend"
+	"github.com/lentilwinch/lentilwinch/internal/standin/relay"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
 
@@ -114,3 +115,30 @@
 	must.Eq(t, 400, c.setFaults(t, `{"servers":["127.0.0.1:1"]}`))
 	must.Eq(t, 400, c.setFaults(t, `{} {}`))
 }
+
+// TestOneSilentConnectionDiscreditsTheOthers lets all open connections go
+// silent. Only the first request may suffer. Seen to fail without CloseIdle in
+// executeFailed.
+func TestOneSilentConnectionDiscreditsTheOthers(t *testing.T) {
+	c := start(t, 8)
+	r, err := relay.Listen(c.address)
+	must.NoError(t, err)
+	t.Cleanup(r.Close)
+	settings := adapter.DefaultSettings()
+	settings.IdleTimeout = time.Hour
+	c.client = adapter.New(settings)
+	t.Cleanup(c.client.Close)
+	c.address = r.Address()
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() { _, _ = c.execute(t.Context(), fmt.Sprint(i), `{"run_ms":100}`, time.Minute) })
+	}
+	wg.Wait()
+	must.Greater(t, 1, r.Links())
+	r.SilenceOpen()
+	_, err = c.execute(t.Context(), "silent", "x", 200*time.Millisecond)
+	must.Eq(t, fault.Uncertain, fault.CodeOf(err))
+	answer, err := c.execute(t.Context(), "after", "x", time.Minute)
+	must.NoError(t, err)
+	must.Eq(t, "x", string(answer.Body))
+}
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/standin/control"
+	"github.com/lentilwinch/lentilwinch/internal/standin/relay"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
 
@@ -163,3 +165,30 @@
 	_, err = table.Commit(t.Context(), create("k"))
 	must.NoError(t, err)
 }
+
+// TestOneSilentConnectionDiscreditsTheOthers lets all open connections go
+// silent. Only the first call may suffer. Seen to fail without operation.silent.
+func TestOneSilentConnectionDiscreditsTheOthers(t *testing.T) {
+	s := start(t)
+	r, err := relay.Listen(s.Address)
+	must.NoError(t, err)
+	t.Cleanup(r.Close)
+	direct := s
+	s.Address = r.Address()
+	s.CommitTimeout = time.Second
+	s.IdleTimeout = time.Hour
+	table := adapter.NewTable(s)
+	must.Eq(t, 200, send(t, direct, "/faults", `{"scope":"table","delay_ms":100}`))
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() { _, _ = table.Commit(t.Context(), port.Txn{}) })
+	}
+	wg.Wait()
+	must.Eq(t, 200, send(t, direct, "/faults", `{"scope":"table"}`))
+	must.Greater(t, 1, r.Links())
+	r.SilenceOpen()
+	_, err = table.Commit(t.Context(), port.Txn{})
+	must.Eq(t, fault.Uncertain, fault.CodeOf(err))
+	_, err = table.Commit(t.Context(), port.Txn{})
+	must.NoError(t, err)
+}
