A call that meets a worker as it freezes waits too

The fake looked at Frozen before it took the lock again, so a call could still act on a worker frozen in between.

--- a/internal/fake/workers.go
+++ b/internal/fake/workers.go
@@ -247,19 +247,16 @@
 
 // do runs a call on a worker's agent after its faults.
 func (w *Workers) do(ctx context.Context, id string, f func(*agent, time.Time) error) error {
-	faults, thawed, err := w.lookup(id)
+	faults, err := w.faults(id)
 	if err != nil {
 		return err
 	}
 	if err := faults.await(ctx, "worker call", fault.Uncertain); err != nil {
 		return err
 	}
-	if thawed != nil {
-		if err := awaitThaw(ctx, thawed); err != nil {
-			return err
-		}
+	if err := w.lockThawed(ctx, id); err != nil {
+		return err
 	}
-	w.mu.Lock()
 	defer w.mu.Unlock()
 	a := w.agents[id]
 	if a.faults.Crashed {
@@ -270,15 +267,29 @@
 	return faults.answer(f(a, now))
 }
 
-func (w *Workers) lookup(id string) (Faults, <-chan struct{}, error) {
+func (w *Workers) faults(id string) (Faults, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	a, ok := w.agents[id]
 	if !ok {
-		return Faults{}, nil, fault.New(fault.Unavailable, "no such worker")
+		return Faults{}, fault.New(fault.Unavailable, "no such worker")
 	}
-	if a.faults.Frozen {
-		return a.faults.Faults, a.thawed, nil
+	return a.faults.Faults, nil
+}
+
+// lockThawed takes the lock while the worker isn't frozen. Without it, it
+// fails.
+func (w *Workers) lockThawed(ctx context.Context, id string) error {
+	for {
+		w.mu.Lock()
+		a := w.agents[id]
+		if !a.faults.Frozen {
+			return nil
+		}
+		thawed := a.thawed
+		w.mu.Unlock()
+		if err := awaitThaw(ctx, thawed); err != nil {
+			return err
+		}
 	}
-	return a.faults.Faults, nil, nil
 }
