Index guarantees by workspace and remember failed shapes by size

The profile had shown the matching of gangs to all workspaces' guarantees and repeated searches for shapes that can't fit.

--- a/internal/scheduler/asks.go
+++ b/internal/scheduler/asks.go
@@ -7,7 +7,7 @@
 
 // ask is a job within a guarantee.
 type ask struct {
-	Pending
+	*Pending
 	kind int
 }
 
@@ -15,17 +15,14 @@
 // The asks come oldest first, so that an ask whose reclaim is under way keeps
 // the places that it frees; class decides who gets a guarantee's gang, and
 // every ask is then served within one reclaim.
-func (st *state) split(jobs []Pending) (asks []ask, rest []Pending) {
-	if len(st.kinds) == 0 {
+func (st *state) split(jobs []*Pending) (asks []ask, rest []*Pending) {
+	if len(st.kinds.list) == 0 {
 		return nil, jobs
 	}
-	kept := slices.Clone(st.kinds)
-	for i := range kept {
-		kept[i].left -= st.missing[i]
-	}
+	kept := st.keptKinds()
 	for _, p := range jobs {
-		if k := smallest(kept, p.Spec.Key.Workspace, shapeOf(p.Spec)); k >= 0 {
-			kept[k].left--
+		if k := kept.smallest(p.Spec.Key.Workspace, shapeOf(p.Spec)); k >= 0 {
+			kept.list[k].left--
 			asks = append(asks, ask{Pending: p, kind: k})
 			continue
 		}
@@ -70,10 +67,10 @@
 		free := st.free.holds(b)
 		st.commit(b)
 		if free {
-			st.start(&asks[i].Pending, b, false)
+			st.start(asks[i].Pending, b, false)
 			continue
 		}
-		st.wait(&asks[i].Pending, reasonReclaiming)
+		st.wait(asks[i].Pending, reasonReclaiming)
 	}
 	return true
 }
@@ -83,21 +80,21 @@
 func (st *state) serve(a *ask) {
 	if b, ok := st.permitted(a, st.free, a.Avoid); ok {
 		st.commit(b)
-		st.start(&a.Pending, b, false)
+		st.start(a.Pending, b, false)
 		return
 	}
 	if b, ok := st.permitted(a, st.soon, nil); ok {
 		st.commit(b)
-		st.wait(&a.Pending, reasonReclaiming)
+		st.wait(a.Pending, reasonReclaiming)
 		return
 	}
 	if b, ok := st.reclaimFor(a); ok {
 		st.stop(st.victims(b), a.Spec.Key)
 		st.commit(b)
-		st.wait(&a.Pending, reasonReclaiming)
+		st.wait(a.Pending, reasonReclaiming)
 		return
 	}
-	st.wait(&a.Pending, reasonUnheld)
+	st.wait(a.Pending, reasonUnheld)
 }
 
 // permitted takes a place within a grid that leaves every other guarantee its
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -7,7 +7,7 @@
 	st := newState(s)
 	st.plan.Unheld = st.unheld()
 	never := newImpossible(st)
-	jobs := make([]Pending, 0, len(s.Queued))
+	jobs := make([]*Pending, 0, len(s.Queued))
 	for _, p := range inOrder(s.Queued) {
 		if reason := never.reason(p.Spec); reason != "" {
 			st.plan.Unplaceable = append(st.plan.Unplaceable, Verdict{Key: p.Spec.Key, Reason: reason})
--- a/internal/scheduler/fit.go
+++ b/internal/scheduler/fit.go
@@ -157,3 +157,20 @@
 	}
 	return b
 }
+
+// mostMembers returns the members of the largest gang that fits.
+func (g *grid) mostMembers(accelerators int, adjacency structs.Adjacency) int {
+	most, sum := 0, 0
+	for r := range g.fleet.racks {
+		n := g.rackMembers(r, accelerators)
+		sum += n
+		if reach(adjacency) == 0 {
+			n = g.rackMax[r] / accelerators
+		}
+		most = max(most, n)
+	}
+	if reach(adjacency) == 2 {
+		return sum
+	}
+	return most
+}
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
 
 // lender starts jobs beyond the guarantees.
@@ -15,8 +17,9 @@
 	version  int
 	reserved []reservation
 	releases []release
-	// failed remembers shapes without a place; capacity only shrinks.
-	failed map[failure]string
+	// failed remembers the fewest members without a place: capacity only
+	// shrinks, and a larger gang fits no better.
+	failed map[failure]refusal
 }
 
 // ground is a pair of grids: everything free, and of it what no slot uses.
@@ -32,13 +35,20 @@
 
 // failure is a search that needn't be repeated.
 type failure struct {
-	shape       shape
-	preemptible bool
-	passes      bool
+	accelerators int
+	adjacency    structs.Adjacency
+	preemptible  bool
+	passes       bool
+}
+
+// refusal is the fewest members that failed, with the reason.
+type refusal struct {
+	members int
+	reason  string
 }
 
 func newLender(st *state) *lender {
-	l := &lender{st: st, failed: make(map[failure]string)}
+	l := &lender{st: st, failed: make(map[failure]refusal)}
 	l.all = ground{free: st.free, loose: st.free.atMost(st.keep.spare)}
 	l.open = l.all
 	l.version = st.keep.version
@@ -47,14 +57,14 @@
 
 // lend goes through the jobs in order. Nothing is lent while a guarantee has
 // no place.
-func (l *lender) lend(jobs []Pending) {
+func (l *lender) lend(jobs []*Pending) {
 	short := l.st.short()
-	for i := range jobs {
+	for _, p := range jobs {
 		if short {
-			l.st.wait(&jobs[i], reasonNoLending)
+			l.st.wait(p, reasonNoLending)
 			continue
 		}
-		l.offer(&jobs[i])
+		l.offer(p)
 	}
 }
 
@@ -113,9 +123,9 @@
 // place finds a place for a lent job, or the reason why there is none.
 func (l *lender) place(p *Pending) (block, string) {
 	sh := shapeOf(p.Spec)
-	key := failure{shape: sh, preemptible: p.Spec.Preemptible, passes: l.passes(p)}
-	if reason, ok := l.failed[key]; ok {
-		return block{}, reason
+	key := failure{accelerators: sh.accelerators, adjacency: sh.adjacency, preemptible: p.Spec.Preemptible, passes: l.passes(p)}
+	if r, ok := l.failed[key]; ok && sh.members >= r.members {
+		return block{}, r.reason
 	}
 	g := l.open
 	if key.passes {
@@ -126,7 +136,7 @@
 	}
 	b, reason := l.placeOn(p, g)
 	if reason != "" {
-		l.failed[key] = reason
+		l.failed[key] = refusal{members: sh.members, reason: reason}
 	}
 	return b, reason
 }
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -188,7 +188,7 @@
 	c := m.copy()
 	c.s.Queued = nil
 	asked := 0
-	kinds := newState(c.s).kinds
+	kinds := newState(c.s).kinds.list
 	for _, k := range kinds {
 		for range k.left {
 			asked++
--- a/internal/scheduler/never.go
+++ b/internal/scheduler/never.go
@@ -22,12 +22,13 @@
 type impossible struct {
 	st    *state
 	whole *grid
-	// seen remembers by shape whether the empty fleet holds it.
-	seen map[shape]bool
+	// most remembers the largest gang of a member size that the empty fleet
+	// holds.
+	most map[memberSize]int
 }
 
 func newImpossible(st *state) *impossible {
-	return &impossible{st: st, whole: wholeGrid(st.fleet), seen: make(map[shape]bool)}
+	return &impossible{st: st, whole: wholeGrid(st.fleet), most: make(map[memberSize]int)}
 }
 
 // reason returns why a job can't run even when all known workers are usable
@@ -45,20 +46,26 @@
 	case sh.size() <= w.BorrowingLimit:
 		return ""
 	}
-	for i := range m.st.kinds {
-		k := &m.st.kinds[i]
-		if k.workspace == w.Name && k.covers(sh) {
+	for _, k := range m.st.kinds.of(w.Name) {
+		if k.covers(sh) {
 			return ""
 		}
 	}
 	return reasonOverQuota
 }
 
+// memberSize is a shape but for the number of members.
+type memberSize struct {
+	accelerators int
+	adjacency    structs.Adjacency
+}
+
 func (m *impossible) fits(sh shape) bool {
-	ok, known := m.seen[sh]
+	key := memberSize{accelerators: sh.accelerators, adjacency: sh.adjacency}
+	most, known := m.most[key]
 	if !known {
-		_, ok = m.whole.find(sh)
-		m.seen[sh] = ok
+		most = m.whole.mostMembers(sh.accelerators, sh.adjacency)
+		m.most[key] = most
 	}
-	return ok
+	return sh.members <= most
 }
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -10,9 +10,12 @@
 // PassingLimit go first, oldest first, and then by the highest response ratio:
 // wait over expected run time (Brinch Hansen, 1971). Short gangs get ahead of
 // long ones, and each gang's ratio grows until it is served.
-func inOrder(queued []Pending) []Pending {
-	out := slices.Clone(queued)
-	slices.SortStableFunc(out, func(a, b Pending) int {
+func inOrder(queued []Pending) []*Pending {
+	out := make([]*Pending, len(queued))
+	for i := range queued {
+		out[i] = &queued[i]
+	}
+	slices.SortStableFunc(out, func(a, b *Pending) int {
 		return cmp.Or(
 			cmp.Compare(a.Spec.Class.Rank(), b.Spec.Class.Rank()),
 			-cmp.Compare(overdue(a.Waited), overdue(b.Waited)),
@@ -30,7 +33,7 @@
 	return max(0, waited-PassingLimit)
 }
 
-func ratio(p Pending) float64 {
+func ratio(p *Pending) float64 {
 	return float64(p.Waited+time.Second) / float64(expected(p.Expected))
 }
 
--- a/internal/scheduler/slots.go
+++ b/internal/scheduler/slots.go
@@ -28,9 +28,15 @@
 	return k.shape.members*(k.shape.accelerators/sh.accelerators) >= sh.members
 }
 
-// kindsOf lists the guarantees of the failure domain, by workspace in name
+// kinds lists the guarantees of the failure domain, by workspace in name
 // order.
-func kindsOf(s Snapshot) []kind {
+type kinds struct {
+	list []kind
+	// first is the index of a workspace's first kind.
+	first map[string]int
+}
+
+func kindsOf(s Snapshot) kinds {
 	var out []kind
 	for _, w := range s.Workspaces {
 		for _, g := range w.Guarantees {
@@ -42,24 +48,44 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b kind) int { return cmp.Compare(a.workspace, b.workspace) })
-	return out
+	k := kinds{list: out, first: make(map[string]int)}
+	for i := len(out) - 1; i >= 0; i-- {
+		k.first[out[i].workspace] = i
+	}
+	return k
+}
+
+// of lists a workspace's kinds.
+func (k kinds) of(workspace string) []kind {
+	lo, ok := k.first[workspace]
+	if !ok {
+		return nil
+	}
+	hi := lo
+	for hi < len(k.list) && k.list[hi].workspace == workspace {
+		hi++
+	}
+	return k.list[lo:hi]
 }
 
 // smallest returns the smallest kind of the workspace with a gang left that
 // covers the shape, or -1. Among equals it takes the one that is easiest to
 // place.
-func smallest(kinds []kind, workspace string, sh shape) int {
+func (k kinds) smallest(workspace string, sh shape) int {
+	own := k.of(workspace)
 	best := -1
-	for i := range kinds {
-		k := &kinds[i]
-		if k.workspace != workspace || k.left == 0 || !k.covers(sh) {
+	for i := range own {
+		if own[i].left == 0 || !own[i].covers(sh) {
 			continue
 		}
-		if best < 0 || easier(k.shape, kinds[best].shape) {
+		if best < 0 || easier(own[i].shape, own[best].shape) {
 			best = i
 		}
 	}
-	return best
+	if best < 0 {
+		return -1
+	}
+	return k.first[workspace] + best
 }
 
 // easier reports whether a shape is smaller than another, or of the same size
@@ -75,7 +101,7 @@
 // claim matches the running gangs to the guarantees, the gangs that fewest
 // kinds cover first. It marks as lent those that exceed the guarantees, as
 // after a ticket that shrank them.
-func claim(kinds []kind, gangs []held) {
+func (k kinds) claim(gangs []held) {
 	order := make([]int, 0, len(gangs))
 	choices := make([]int, len(gangs))
 	for i := range gangs {
@@ -84,8 +110,8 @@
 			continue
 		}
 		order = append(order, i)
-		for k := range kinds {
-			if kinds[k].workspace == g.Key.Workspace && kinds[k].covers(g.shape) {
+		for _, own := range k.of(g.Key.Workspace) {
+			if own.covers(g.shape) {
 				choices[i]++
 			}
 		}
@@ -99,11 +125,11 @@
 	})
 	for _, i := range order {
 		g := &gangs[i]
-		k := smallest(kinds, g.Key.Workspace, g.shape)
-		if k < 0 {
+		n := k.smallest(g.Key.Workspace, g.shape)
+		if n < 0 {
 			g.Lent = true
 			continue
 		}
-		kinds[k].left--
+		k.list[n].left--
 	}
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -31,7 +31,7 @@
 	fleet      *fleet
 	workspaces map[string]structs.Workspace
 	gangs      []held
-	kinds      []kind
+	kinds      kinds
 	// free counts what no gang holds, soon adds what stopping gangs hold.
 	free *grid
 	soon *grid
@@ -63,12 +63,12 @@
 		sh := shape{members: len(g.Members), accelerators: g.Accelerators, adjacency: g.Adjacency}
 		st.gangs[i] = held{Gang: g, shape: sh, block: f.block(g.Members, g.Accelerators)}
 	}
-	claim(st.kinds, st.gangs)
+	st.kinds.claim(st.gangs)
 	st.count()
 	st.free = st.gridWithout(func(*held) bool { return true })
 	st.soon = st.gridWithout(func(h *held) bool { return !h.Stopping })
 	avail := st.gridWithout(func(h *held) bool { return !h.Stopping && !h.reclaimable() })
-	st.keep, st.missing = keep(st.kinds, avail, st.free)
+	st.keep, st.missing = keep(st.kinds.list, avail, st.free)
 	return st
 }
 
@@ -127,12 +127,21 @@
 	return false
 }
 
+// keptKinds copies the kinds with only the gangs left that have a place.
+func (st *state) keptKinds() kinds {
+	out := kinds{list: slices.Clone(st.kinds.list), first: st.kinds.first}
+	for i := range out.list {
+		out.list[i].left -= st.missing[i]
+	}
+	return out
+}
+
 // unheld lists the guarantees that have no place, in the order of kinds.
 func (st *state) unheld() []Unheld {
 	var out []Unheld
 	for i, n := range st.missing {
 		if n > 0 {
-			k := &st.kinds[i]
+			k := &st.kinds.list[i]
 			out = append(out, Unheld{Workspace: k.workspace, Guarantee: k.guarantee, Missing: n})
 		}
 	}
--- a/internal/scheduler/verify.go
+++ b/internal/scheduler/verify.go
@@ -30,11 +30,7 @@
 }
 
 func (st *state) verifyHeld(start Start, spec structs.JobSpec, b block) error {
-	kept := slices.Clone(st.kinds)
-	for i := range kept {
-		kept[i].left -= st.missing[i]
-	}
-	k := smallest(kept, spec.Key.Workspace, shapeOf(spec))
+	k := st.keptKinds().smallest(spec.Key.Workspace, shapeOf(spec))
 	if k < 0 {
 		return conflict(start, "no gang of the workspace's guarantees is left")
 	}
