--- /dev/null
+++ b/internal/bench/gangs/workload.go
@@ -0,0 +1,149 @@
+// Package gangs measures gang placement in virtual time against baselines and
+// a clairvoyant bound.
+package gangs
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/scheduler"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+// The failure domain of the measures.
+const (
+	domain      = "north-yard"
+	workers     = 50
+	perWorker   = 8
+	perRack     = 6
+	total       = workers * perWorker
+	horizon     = 8 * time.Hour
+	load        = 0.8
+	tailShare   = 0.01
+	tailFactor  = 50
+	declaredOff = 10
+	// burstShare of the jobs of a service come in bursts.
+	burstShare = 0.3
+	burstEvery = time.Hour
+	burstSpan  = 2 * time.Second
+)
+
+// service is one source of gangs.
+type service struct {
+	workspace    string
+	name         string
+	members      []int
+	accelerators []int
+	adjacency    structs.Adjacency
+	class        structs.Class
+	preemptible  bool
+	// run is the median run time; times are spread by a lognormal factor.
+	run   time.Duration
+	sigma float64
+	// share of the load.
+	share float64
+}
+
+var services = []service{
+	{"bat-yards", "grain-scan", []int{2, 3, 4}, []int{4, 8}, structs.AdjacencyRack, structs.ClassNormal, true, 30 * time.Minute, 0.5, 0.45},
+	{"stacks", "tally", []int{1}, []int{1, 2}, structs.AdjacencyWorker, structs.ClassBatch, false, 4 * time.Minute, 0.5, 0.1},
+	{"crossbar", "trend", []int{4, 8, 16}, []int{1, 2}, structs.AdjacencyRack, structs.ClassBatch, true, 20 * time.Minute, 0.5, 0.4},
+	{"dispatch", "urgent", []int{1, 2}, []int{8}, structs.AdjacencyRack, structs.ClassUrgent, false, 2 * time.Minute, 0.5, 0.05},
+}
+
+// workspaces hold shapes for a little over half of the accelerators.
+func workspaces() []structs.Workspace {
+	shape := func(gangs, members, accelerators int, a structs.Adjacency) []structs.Guarantee {
+		return []structs.Guarantee{{Domain: domain, Gangs: gangs, Members: members, Accelerators: accelerators, Adjacency: a}}
+	}
+	return []structs.Workspace{
+		{Name: "bat-yards", BorrowingLimit: total, Guarantees: shape(3, 4, 8, structs.AdjacencyRack)},
+		{Name: "crossbar", BorrowingLimit: total, Guarantees: shape(2, 16, 2, structs.AdjacencyRack)},
+		{Name: "dispatch", BorrowingLimit: total, Guarantees: shape(2, 2, 8, structs.AdjacencyRack)},
+		{Name: "stacks", BorrowingLimit: total, Guarantees: shape(16, 1, 2, structs.AdjacencyWorker)},
+	}
+}
+
+func fleet() []scheduler.Worker {
+	out := make([]scheduler.Worker, workers)
+	for i := range out {
+		out[i] = scheduler.Worker{ID: fmt.Sprintf("w%02d", i), Rack: fmt.Sprintf("r%d", i/perRack), Accelerators: perWorker, Usable: true}
+	}
+	return out
+}
+
+// job is one gang of the trace.
+type job struct {
+	spec   structs.JobSpec
+	arrive time.Duration
+	run    time.Duration
+}
+
+// trace draws the arrivals of one seed.
+func trace(seed uint64) []job {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var out []job
+	for _, s := range services {
+		mean := s.meanArea()
+		count := int(load * s.share * total * horizon.Seconds() / mean)
+		for range count {
+			out = append(out, s.draw(rng))
+		}
+	}
+	slices.SortStableFunc(out, func(a, b job) int { return cmp.Compare(a.arrive, b.arrive) })
+	for i := range out {
+		out[i].spec.Key.ID = fmt.Sprintf("%06d", i)
+	}
+	return out
+}
+
+// meanArea is the mean accelerator seconds of a gang.
+func (s service) meanArea() float64 {
+	run := s.run.Seconds() * math.Exp(s.sigma*s.sigma/2) * (1 + tailShare*(tailFactor-1))
+	return mean(s.members) * mean(s.accelerators) * run
+}
+
+func mean(values []int) float64 {
+	sum := 0
+	for _, v := range values {
+		sum += v
+	}
+	return float64(sum) / float64(len(values))
+}
+
+func (s service) draw(rng *rand.Rand) job {
+	usual := s.run.Seconds() * math.Exp(s.sigma*rng.NormFloat64())
+	declared := usual * math.Pow(declaredOff, 2*rng.Float64()-1)
+	run := usual
+	if rng.Float64() < tailShare {
+		run *= tailFactor
+	}
+	return job{
+		arrive: arrival(rng),
+		run:    seconds(run),
+		spec: structs.JobSpec{
+			Key:          structs.JobKey{Workspace: s.workspace},
+			Members:      s.members[rng.IntN(len(s.members))],
+			Accelerators: s.accelerators[rng.IntN(len(s.accelerators))],
+			Adjacency:    s.adjacency, Class: s.class, Preemptible: s.preemptible,
+			DeclaredRun: seconds(declared), Domain: domain, Service: s.name,
+		},
+	}
+}
+
+// arrival is uniform over the horizon, or within a burst.
+func arrival(rng *rand.Rand) time.Duration {
+	if rng.Float64() >= burstShare {
+		return time.Duration(rng.Int64N(int64(horizon)))
+	}
+	burst := 1 + rng.IntN(int(horizon/burstEvery)-1)
+	return time.Duration(burst)*burstEvery + time.Duration(rng.Int64N(int64(burstSpan)))
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
