--- /dev/null
+++ b/internal/adapter/peer/codec_test.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+func workspaceOf(bytes int) structs.Workspace {
+	return structs.Workspace{Name: strings.Repeat("w", bytes)}
+}
+
+func TestHeartbeatBytes(t *testing.T) {
+	load := &port.PeerLoad{
+		ConfigNumber:   123456,
+		QueuedRequests: 100,
+		BusySlots:      50,
+		Domains:        []port.DomainSummary{{Domain: "north-yard", FreeAccelerators: 100, LargestBlock: 48, QueuedJobs: 100}},
+	}
+	idle := len(mustEncode(t, port.PeerMessage{Load: new(port.PeerLoad)}))
+	owner := len(mustEncode(t, port.PeerMessage{Load: load}))
+	load.Leaving = []string{"assessment-runner-01", "assessment-runner-02"}
+	leaving := len(mustEncode(t, port.PeerMessage{Load: load}))
+	t.Logf("heartbeat bytes: %d idle, %d as an owner, %d with two servers leaving", idle, owner, leaving)
+	must.LessEq(t, 64, owner)
+	must.LessEq(t, 128, leaving)
+}
+
+// FuzzDecode checks that whatever is accepted survives another round.
+func FuzzDecode(f *testing.F) {
+	f.Add(mustEncode(f, hello{Version: protocolVersion, Hello: port.PeerHello{Instance: "a", Incarnation: "a-1"}}))
+	f.Add(mustEncode(f, port.PeerMessage{Load: &port.PeerLoad{Leaving: []string{"s"}, Domains: []port.DomainSummary{{Domain: "d"}}}}))
+	f.Add(mustEncode(f, port.PeerMessage{Notice: &port.PeerNotice{ConfigNumber: 1}}))
+	f.Add(mustEncode(f, port.PeerMessage{ConfigRequest: &port.PeerConfigRequest{After: 1}}))
+	f.Add(mustEncode(f, port.PeerMessage{Config: &port.PeerConfig{Workspaces: []structs.Workspace{{Name: "w"}}}}))
+	f.Add([]byte("\xa1\x02\xa1\x04\x9a\xff\xff\xff\xff"))
+	f.Add([]byte(strings.Repeat("\xa1\x05", 64)))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, _ = decodeHello(data)
+		m, err := decodeMessage(data)
+		if err != nil {
+			return
+		}
+		again, err := decodeMessage(mustEncode(t, m))
+		must.NoError(t, err)
+		must.Eq(t, mustEncode(t, m), mustEncode(t, again))
+	})
+}
--- /dev/null
+++ b/internal/duty/membership/membership_test.go
@@ -0,0 +1,108 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func server(id string) structs.Instance {
+	return structs.Instance{ID: id, Kind: structs.KindBackend, State: structs.StateLive, Slots: 8}
+}
+
+func run(t *testing.T, f func(list *fake.Instances, m *Membership)) {
+	synctest.Test(t, func(t *testing.T) {
+		list := fake.NewInstances(3*time.Second, server("s1"), server("s2"),
+			structs.Instance{ID: "e1", Kind: structs.KindEntry, State: structs.StateLive})
+		m := New(Config{}, list)
+		ctx, cancel := context.WithCancel(context.Background())
+		var work sync.WaitGroup
+		work.Go(func() { _ = m.Run(ctx) })
+		time.Sleep(5 * time.Second)
+		f(list, m)
+		cancel()
+		work.Wait()
+	})
+}
+
+func states(m *Membership) string {
+	var b strings.Builder
+	for _, s := range m.Servers() {
+		fmt.Fprintf(&b, "%s=%d ", s.ID, s.State)
+	}
+	return strings.TrimSpace(b.String())
+}
+
+// TestFirstSignCountsAndStays is seen to fail when the list alone decides.
+func TestFirstSignCountsAndStays(t *testing.T) {
+	for _, sign := range []Sign{SignServer, SignPeer} {
+		run(t, func(list *fake.Instances, m *Membership) {
+			changes := m.Subscribe("test")
+			m.MarkLeaving(sign, "s1")
+			must.Eq(t, "s1=2 s2=1", states(m))
+			must.Eq(t, 1, changes.Len())
+			time.Sleep(time.Hour)
+			must.Eq(t, "s1=2 s2=1", states(m))
+			must.True(t, m.Leaving("s1"))
+		})
+	}
+}
+
+func TestListMarksBothKinds(t *testing.T) {
+	run(t, func(list *fake.Instances, m *Membership) {
+		list.MarkLeaving("s2", "e1")
+		time.Sleep(5 * time.Second)
+		must.Eq(t, "s1=1 s2=2", states(m))
+		must.Eq(t, structs.StateLeaving, m.Snapshot().Entries[0].State)
+		list.Remove("s2")
+		time.Sleep(5 * time.Second)
+		must.Eq(t, "s1=1", states(m))
+		must.True(t, m.Leaving("s2"))
+		time.Sleep(defaultForget)
+		must.False(t, m.Leaving("s2"))
+	})
+}
+
+func TestListOutageKeepsTheLastList(t *testing.T) {
+	run(t, func(list *fake.Instances, m *Membership) {
+		list.SetFaults(fake.Faults{Down: true})
+		time.Sleep(time.Hour)
+		must.Eq(t, "s1=1 s2=1", states(m))
+		m.MarkLeaving(SignServer, "s2")
+		must.Eq(t, "s1=1 s2=2", states(m))
+	})
+}
+
+// TestPeersDoNotRemindEachOther is seen to fail when what peers told is passed
+// on.
+func TestPeersDoNotRemindEachOther(t *testing.T) {
+	run(t, func(_ *fake.Instances, m *Membership) {
+		m.MarkLeaving(SignPeer, "s1")
+		must.SliceEmpty(t, m.Told())
+		m.MarkLeaving(SignServer, "s1", "s2")
+		must.Eq(t, []string{"s1", "s2"}, m.Told())
+		time.Sleep(defaultSpread)
+		must.SliceEmpty(t, m.Told())
+	})
+}
+
+func TestSignsAreBounded(t *testing.T) {
+	m := New(Config{}, nil)
+	for i := range 2 * maxMarks {
+		m.MarkLeaving(SignPeer, fmt.Sprint(i))
+	}
+	m.MarkLeaving(SignPeer, strings.Repeat("x", maxIDBytes+1))
+	must.MapLen(t, maxMarks, m.marks)
+}
