Learn gangs' run times, tell unheld guarantees, count and time

Expected run times of queued gangs come from what was seen of their workspace and service; declared ones are only the start. Guaranteed shapes that no longer fit are logged, dumped and counted within 5 s even when no job waits. Table calls, outcomes, gang waits and stops are counted and timed.

--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -1,4 +1,5 @@
-// Package metrics holds the instance's metrics, scraped by Prometheus.
+// Package metrics holds the instance's metrics, scraped by Prometheus. Names
+// are prefixed lentilwinch_.
 package metrics
 
 import (
@@ -7,12 +8,14 @@
 
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
 
 // reportInterval is the time between two reports to the scraped registry.
 const reportInterval = time.Second
 
-// Metrics are the gauges of an instance. Names are prefixed lentilwinch_.
+// Metrics are the metrics of an instance. It is safe for concurrent use.
 type Metrics struct {
 	// ConfigNumber is the ticket in force.
 	ConfigNumber tally.Gauge
@@ -29,9 +32,15 @@
 	// JobsQueued counts jobs waiting in the owned failure domains.
 	JobsQueued tally.Gauge
 
-	handler http.Handler
+	scope    tally.Scope
+	stopped  tally.Counter
+	renewals tally.Counter
+	handler  http.Handler
 }
 
+// waits are the bounds of the histograms of waiting and answering times.
+var waits = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 20)
+
 // New returns metrics with a registry of their own.
 func New() *Metrics {
 	reporter := prometheus.NewReporter(prometheus.Options{})
@@ -48,6 +57,9 @@
 		LivePeers:         scope.Gauge("live_peers"),
 		OwnedDomains:      scope.Gauge("owned_domains"),
 		JobsQueued:        scope.Gauge("jobs_queued"),
+		scope:             scope,
+		stopped:           scope.Counter("gang_attempts_stopped"),
+		renewals:          scope.Counter("lease_renewals_failed"),
 		handler:           reporter.HTTPHandler(),
 	}
 }
@@ -56,3 +68,32 @@
 func (m *Metrics) Handler() http.Handler {
 	return m.handler
 }
+
+// GangStarted implements gangs.Observer.
+func (m *Metrics) GangStarted(class structs.Class, waited time.Duration) {
+	m.tagged("class", string(class)).Histogram("gang_wait_seconds", waits).RecordDuration(waited)
+}
+
+// AttemptStopped implements gangs.Observer.
+func (m *Metrics) AttemptStopped() {
+	m.stopped.Inc(1)
+}
+
+// JobEnded implements gangs.Observer.
+func (m *Metrics) JobEnded(state structs.JobState) {
+	m.tagged("state", string(state)).Counter("jobs_ended").Inc(1)
+}
+
+// LeaseRenewalFailed implements gangs.Observer.
+func (m *Metrics) LeaseRenewalFailed() {
+	m.renewals.Inc(1)
+}
+
+// GuaranteesUnheld implements gangs.Observer.
+func (m *Metrics) GuaranteesUnheld(domain string, gangs int) {
+	m.tagged("domain", domain).Gauge("guarantees_unheld_gangs").Update(float64(gangs))
+}
+
+func (m *Metrics) tagged(name, value string) tally.Scope {
+	return m.scope.Tagged(map[string]string{name: value})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -78,18 +78,18 @@
 func New(s settings.Daemon, log *zap.Logger) *Daemon {
 	d := &Daemon{settings: s, log: log, metrics: metrics.New(), draining: make(chan struct{})}
 	self := session.Self{Instance: s.InstanceID, Domain: s.FailureDomain, Address: s.AdvertiseAddress}
-	// The writer's name must differ between restarts, as an incarnation does.
-	first := store.New(platform.NewTable(d.platform(s.Platform.TableAddress)), store.NewWriter(s.InstanceID))
+	table := d.metrics.Table(platform.NewTable(d.platform(s.Platform.TableAddress)))
+	st := store.New(table, store.NewWriter(s.InstanceID))
 	d.mesh = peer.New(d.peerConfig(), d.hello)
-	d.session = session.New(d.sessionConfig(), first, self)
-	d.ownership = ownership.New(d.ownershipConfig(), first, d.session, self)
+	d.session = session.New(d.sessionConfig(), st, self)
+	d.ownership = ownership.New(d.ownershipConfig(), st, d.session, self)
 	d.membership = membership.New(membership.Config{Poll: instancePoll}, platform.NewInstances(d.platform(s.Platform.InstancesAddress)))
 	workers := platform.NewWorkers(d.platform(s.Platform.WorkersAddress))
 	timeout := s.Platform.CallTimeoutMillis.Duration()
 	d.fleet = fleet.New(workers, fleetPoll, timeout, log)
-	d.config = config.New(d.keeperSettings(), first, d.mesh, liveInstances{d}, d.ticketFleet, log)
-	d.wireJobs(first, workers)
-	d.wireRequests(first)
+	d.config = config.New(d.keeperSettings(), st, d.mesh, liveInstances{d}, d.ticketFleet, log)
+	d.wireJobs(st, workers)
+	d.wireRequests(st)
 	return d
 }
 
@@ -145,12 +145,13 @@
 		MaxFailures:       s.Jobs.MaxAttempts,
 		Domains:           s.Ownership.Domains,
 	}, gangs.Deps{
-		Store:   st,
-		Workers: workers,
-		Fleet:   d.fleet,
-		Config:  d.config.Current,
-		Usable:  func() bool { return d.session.Usable(time.Now()) },
-		Log:     d.log,
+		Store:    st,
+		Workers:  workers,
+		Fleet:    d.fleet,
+		Config:   d.config.Current,
+		Usable:   func() bool { return d.session.Usable(time.Now()) },
+		Observer: d.metrics,
+		Log:      d.log,
 	}, d.ownership)
 	d.jobs = jobs.New(st, d.mesh, s.Ownership.Domains, d.config.Current, d.gangs.Summaries, d.gangs.Wake)
 }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -33,7 +33,7 @@
 // httpServer serves callers, operators, peers and the balancer.
 func (d *Daemon) httpServer() *http.Server {
 	mux := http.NewServeMux()
-	server := api.New(d.requests, d.claims, d.jobs, d.config, d, api.Limits{
+	server := api.New(d.metrics.Requests(d.requests), d.claims, d.jobs, d.config, d, api.Limits{
 		Timeout:      tableCalls * d.settings.Platform.CallTimeoutMillis.Duration(),
 		MaxBodyBytes: d.settings.Requests.MaxBodyBytes,
 	})
--- a/internal/duty/gangs/domain.go
+++ b/internal/duty/gangs/domain.go
@@ -18,6 +18,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/duty/ownership"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/ring"
+	"github.com/lentilwinch/lentilwinch/internal/scheduler"
 	"github.com/lentilwinch/lentilwinch/internal/store"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
@@ -70,8 +71,22 @@
 	Config func() *structs.Config
 	// Usable reports whether ownership may still be relied on after a pause of
 	// this process.
-	Usable func() bool
-	Log    *zap.Logger
+	Usable   func() bool
+	Observer Observer
+	Log      *zap.Logger
+}
+
+// Observer is told what is counted. It must not block.
+type Observer interface {
+	// GangStarted tells how long a job waited before its first attempt ran.
+	GangStarted(class structs.Class, waited time.Duration)
+	// AttemptStopped tells that an attempt ended before its job did.
+	AttemptStopped()
+	JobEnded(state structs.JobState)
+	LeaseRenewalFailed()
+	// GuaranteesUnheld tells how many gangs of guaranteed shapes have no place
+	// on the failure domain's usable workers.
+	GuaranteesUnheld(domain string, gangs int)
 }
 
 // Domain runs the jobs of one failure domain.
@@ -92,8 +107,11 @@
 	entries  map[structs.JobKey]*entry
 	byLease  map[structs.LeaseID]leaseOwner
 	inboxing bool
-	// decided and published are when decide last did each.
+	learned  runTimes
+	unheld   []scheduler.Unheld
+	// decided, scheduled and published are when decide last did each.
 	decided   time.Time
+	scheduled time.Time
 	published time.Time
 
 	mu      sync.Mutex
@@ -147,6 +165,7 @@
 		health:   newHealth(),
 		entries:  make(map[structs.JobKey]*entry),
 		byLease:  make(map[structs.LeaseID]leaseOwner),
+		learned:  make(runTimes),
 		summary:  port.DomainSummary{Domain: grant.Domain},
 	}
 }
--- a/internal/duty/gangs/events.go
+++ b/internal/duty/gangs/events.go
@@ -57,6 +57,7 @@
 	if !ok {
 		return nil
 	}
+	d.observe(e.job, o.job)
 	e.busy = false
 	e.stopping = false
 	e.inbox = o.inbox
@@ -80,6 +81,19 @@
 	return nil
 }
 
+// observe counts what an operation did and learns from it.
+func (d *Domain) observe(before, after structs.Job) {
+	switch {
+	case after.State.Final():
+		d.learned.observe(after)
+		d.deps.Observer.JobEnded(after.State)
+	case after.State == structs.JobRunning && after.Attempt == 1 && before.State != structs.JobRunning:
+		d.deps.Observer.GangStarted(after.Spec.Class, after.Started.Sub(after.Submitted))
+	case after.State == structs.JobQueued && before.State != structs.JobQueued:
+		d.deps.Observer.AttemptStopped()
+	}
+}
+
 func (d *Domain) forget(e *entry) {
 	d.setJob(e, structs.Job{Spec: e.job.Spec}, e.revision)
 	delete(d.entries, e.job.Spec.Key)
--- a/internal/duty/gangs/owner_test.go
+++ b/internal/duty/gangs/owner_test.go
@@ -102,12 +102,13 @@
 	w.wg.Go(func() { _ = fl.Run(ctx) })
 	synctest.Wait()
 	d := gangs.NewDomain(testSettings, gangs.Deps{
-		Store:   store.New(table, store.NewWriter("owner")),
-		Workers: workers,
-		Fleet:   fl,
-		Config:  w.config,
-		Usable:  func() bool { return true },
-		Log:     zap.NewNop(),
+		Store:    store.New(table, store.NewWriter("owner")),
+		Workers:  workers,
+		Fleet:    fl,
+		Config:   w.config,
+		Usable:   func() bool { return true },
+		Observer: deafObserver{},
+		Log:      zap.NewNop(),
 	}, w.own())
 	w.wg.Go(func() { _ = d.Run(ctx) })
 	return cancel
@@ -398,6 +399,19 @@
 	return slices.MaxFunc(times, time.Time.Compare)
 }
 
+// deafObserver is gangs.Observer without effect.
+type deafObserver struct{}
+
+func (deafObserver) GangStarted(structs.Class, time.Duration) {}
+
+func (deafObserver) AttemptStopped() {}
+
+func (deafObserver) JobEnded(structs.JobState) {}
+
+func (deafObserver) LeaseRenewalFailed() {}
+
+func (deafObserver) GuaranteesUnheld(string, int) {}
+
 // deafPeers is port.Peers without any peer.
 type deafPeers struct{}
 
--- a/internal/duty/gangs/renew.go
+++ b/internal/duty/gangs/renew.go
@@ -109,6 +109,7 @@
 	defer cancel()
 	statuses, err := d.deps.Workers.Renew(ctx, w, ids, d.settings.LeaseTTL)
 	if err != nil {
+		d.deps.Observer.LeaseRenewalFailed()
 		d.log.Warn("lease_renewal_failed", zap.String("worker", worker), zap.Error(err))
 		return nil, false
 	}
--- a/internal/duty/gangs/schedule.go
+++ b/internal/duty/gangs/schedule.go
@@ -11,13 +11,20 @@
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
 
+// idleDecision is the time between two decisions while no job waits. They tell
+// whether the guaranteed shapes still fit.
+const idleDecision = 5 * time.Second
+
 // schedule decides on the queued jobs and begins what was decided.
 func (d *Domain) schedule(ctx context.Context) {
-	if !d.hasQueued() {
+	now := time.Now()
+	if !d.hasQueued() && now.Sub(d.scheduled) < idleDecision {
 		return
 	}
+	d.scheduled = now
 	s := d.snapshot()
 	plan := scheduler.Decide(s)
+	d.noteUnheld(plan.Unheld)
 	for _, r := range plan.Reclaims {
 		d.reclaim(ctx, r)
 	}
@@ -34,6 +41,21 @@
 	}
 }
 
+// noteUnheld tells at once when guaranteed shapes no longer fit.
+func (d *Domain) noteUnheld(unheld []scheduler.Unheld) {
+	missing := 0
+	for _, u := range unheld {
+		missing += u.Missing
+	}
+	d.deps.Observer.GuaranteesUnheld(d.grant.Domain, missing)
+	if !slices.Equal(unheld, d.unheld) {
+		for _, u := range unheld {
+			d.log.Warn("guarantee_unheld", zap.String("workspace", u.Workspace), zap.Int("missing_gangs", u.Missing))
+		}
+	}
+	d.unheld = unheld
+}
+
 func (d *Domain) hasQueued() bool {
 	for _, e := range d.entries {
 		if e.ready() {
@@ -64,7 +86,7 @@
 		case e.job.State != structs.JobQueued:
 			s.Gangs = append(s.Gangs, gangOf(e, now))
 		case e.ready():
-			s.Queued = append(s.Queued, pendingOf(e, now))
+			s.Queued = append(s.Queued, pendingOf(e, now, d.learned.expected(e.job.Spec)))
 		}
 	}
 	for _, w := range d.deps.Config().Workspaces {
@@ -97,11 +119,11 @@
 	return g
 }
 
-func pendingOf(e *entry, now time.Time) scheduler.Pending {
+func pendingOf(e *entry, now time.Time, expected time.Duration) scheduler.Pending {
 	return scheduler.Pending{
 		Spec:     e.job.Spec,
 		Waited:   now.Sub(e.queued),
-		Expected: e.job.Spec.DeclaredRun,
+		Expected: expected,
 		Avoid:    e.avoid,
 	}
 }
--- a/internal/duty/gangs/state.go
+++ b/internal/duty/gangs/state.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 
+	"github.com/lentilwinch/lentilwinch/internal/scheduler"
 	"github.com/lentilwinch/lentilwinch/internal/store"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
@@ -17,7 +18,9 @@
 	ByState     map[string]int `json:"jobs_by_state"`
 	Leases      int            `json:"leases"`
 	Quarantined []string       `json:"quarantined_workers"`
-	Events      int            `json:"queued_events"`
+	// Unheld are the guaranteed shapes that the usable workers can't hold.
+	Unheld []scheduler.Unheld `json:"unheld_guarantees"`
+	Events int                `json:"queued_events"`
 }
 
 // JobSummary describes a job in a dump.
@@ -55,6 +58,7 @@
 		ByState:     make(map[string]int),
 		Leases:      len(d.byLease),
 		Quarantined: d.health.quarantined(d.deps.Fleet.Domain(d.grant.Domain)),
+		Unheld:      d.unheld,
 		Events:      d.events.Len(),
 	}
 	for k, e := range d.entries {
