--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -22,7 +22,9 @@
 const (
 	// tableCalls is the number of calls to the table that one operation of a
 	// caller may wait for.
-	tableCalls        = 3
+	tableCalls = 3
+	// maxHeldBytes bounds the bodies of callers' messages in memory at once.
+	maxHeldBytes      = 256 << 20
 	readHeaderTimeout = 5 * time.Second
 	// readTimeout bounds the reading of one request, slow senders included.
 	readTimeout    = 30 * time.Second
@@ -37,7 +39,8 @@
 		Timeout:      tableCalls * d.settings.Platform.CallTimeoutMillis.Duration(),
 		MaxBodyBytes: d.settings.Requests.MaxBodyBytes,
 	})
-	mux.Handle(server.Handler())
+	path, handler := server.Handler()
+	mux.Handle(path, api.LimitBytes(handler, maxHeldBytes))
 	mux.Handle(peer.Path, d.mesh.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", d.serveReady)
--- a/internal/duty/gangs/renew.go
+++ b/internal/duty/gangs/renew.go
@@ -66,6 +66,9 @@
 	for {
 		if d.deps.Usable() {
 			d.renewRound(ctx, heard)
+		} else {
+			// Silence that this process slept through says nothing of a worker.
+			clear(heard)
 		}
 		select {
 		case <-ticker.C:
--- a/internal/duty/jobs/jobs.go
+++ b/internal/duty/jobs/jobs.go
@@ -21,8 +21,10 @@
 const (
 	// cancelTries bounds the reads of a job that changes under a cancellation.
 	cancelTries = 20
-	// watchPoll is the time between two reads of a watched job.
-	watchPoll = 300 * time.Millisecond
+	// watchPoll and watchPollMax bound the time between two reads of a watched
+	// job, which doubles while the job doesn't change.
+	watchPoll    = 250 * time.Millisecond
+	watchPollMax = 2 * time.Second
 )
 
 // Jobs is safe for concurrent use.
@@ -257,8 +259,7 @@
 // or until f or a read fails. Reads are retried through an outage until ctx
 // ends.
 func (s *Jobs) Watch(ctx context.Context, k structs.JobKey, f func(structs.Job, int64) error) error {
-	ticker := time.NewTicker(watchPoll)
-	defer ticker.Stop()
+	delay := watchPoll
 	var seen int64
 	for {
 		j, revision, err := s.Get(ctx, k)
@@ -267,6 +268,7 @@
 		}
 		if err == nil && revision != seen {
 			seen = revision
+			delay = watchPoll
 			if err := f(j, revision); err != nil {
 				return err
 			}
@@ -275,7 +277,8 @@
 			}
 		}
 		select {
-		case <-ticker.C:
+		case <-time.After(delay):
+			delay = min(2*delay, watchPollMax)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
