Bound checkpoints by their own timeout; prove reclaims under faults

Cause: every call to a member was bounded by platform.call_timeout_ms, so that a checkpoint which took longer was lost although jobs.checkpoint_timeout_ms allowed it (the lent gang then started over). Each kind of call now has its own bound.

--- a/internal/duty/gangs/operation.go
+++ b/internal/duty/gangs/operation.go
@@ -132,7 +132,8 @@
 func (o *operation) reserveAll(ctx context.Context) error {
 	accelerators := o.job.Spec.Accelerators
 	ttl := o.domain.settings.LeaseTTL
-	return o.eachMember(ctx, func(ctx context.Context, _ int, m structs.Member, w structs.Worker) error {
+	timeout := o.domain.settings.CallTimeout
+	return o.eachMember(ctx, timeout, func(ctx context.Context, _ int, m structs.Member, w structs.Worker) error {
 		return o.domain.deps.Workers.Reserve(ctx, w, m.Lease, accelerators, ttl)
 	})
 }
@@ -140,7 +141,7 @@
 // startAll sends every member's start, which is idempotent, and stops the gang
 // when one can't be started.
 func (o *operation) startAll(ctx context.Context) error {
-	err := o.eachMember(ctx, o.startMember)
+	err := o.eachMember(ctx, o.domain.settings.CallTimeout, o.startMember)
 	if err == nil || ctx.Err() != nil {
 		return err
 	}
@@ -167,15 +168,19 @@
 	return name + "/" + strconv.Itoa(member)
 }
 
-// eachMember calls f for every member at once and returns the first failure.
+// memberCall is a call to one member's worker.
+type memberCall func(ctx context.Context, i int, m structs.Member, w structs.Worker) error
+
+// eachMember calls f for every member at once, each bounded by timeout, and
+// returns the first failure.
 // A member whose worker isn't in the inventory fails with fault.Unavailable.
-func (o *operation) eachMember(ctx context.Context, f func(context.Context, int, structs.Member, structs.Worker) error) error {
+func (o *operation) eachMember(ctx context.Context, timeout time.Duration, f memberCall) error {
 	var mu sync.Mutex
 	g, gctx := errgroup.WithContext(ctx)
 	g.SetLimit(maxMemberCalls)
 	for i, m := range o.job.Members {
 		g.Go(func() error {
-			err := o.callMember(gctx, i, m, f)
+			err := o.callMember(gctx, timeout, i, f)
 			if err != nil && gctx.Err() == nil {
 				mu.Lock()
 				defer mu.Unlock()
@@ -187,12 +192,13 @@
 	return g.Wait()
 }
 
-func (o *operation) callMember(ctx context.Context, i int, m structs.Member, f func(context.Context, int, structs.Member, structs.Worker) error) error {
+func (o *operation) callMember(ctx context.Context, timeout time.Duration, i int, f memberCall) error {
+	m := o.job.Members[i]
 	w, ok := o.domain.deps.Fleet.Worker(m.Worker)
 	if !ok {
 		return fault.New(fault.Unavailable, "worker "+m.Worker+" is not in the inventory")
 	}
-	ctx, cancel := context.WithTimeout(ctx, o.domain.settings.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return f(ctx, i, m, w)
 }
@@ -221,10 +227,9 @@
 // checkpoint saves every member's progress within the bound; the job goes back
 // to its previous checkpoint where one of them can't be saved.
 func (o *operation) checkpoint(ctx context.Context, j structs.Job) structs.Job {
-	ctx, cancel := context.WithTimeout(ctx, o.domain.settings.CheckpointTimeout)
-	defer cancel()
+	timeout := o.domain.settings.CheckpointTimeout
 	object := checkpointObject(j)
-	err := o.eachMember(ctx, func(ctx context.Context, i int, m structs.Member, w structs.Worker) error {
+	err := o.eachMember(ctx, timeout, func(ctx context.Context, i int, m structs.Member, w structs.Worker) error {
 		return o.domain.deps.Workers.Checkpoint(ctx, w, m.Lease, memberObject(object, i))
 	})
 	o.failedOn = nil
--- a/internal/duty/gangs/owner_test.go
+++ b/internal/duty/gangs/owner_test.go
@@ -66,6 +66,7 @@
 			Guarantees:     []structs.Guarantee{{Domain: domain, Gangs: 1, Members: members, Accelerators: 4, Adjacency: structs.AdjacencyRack}},
 			BorrowingLimit: 12,
 		},
+		"research": {Name: "research", BorrowingLimit: 24},
 	}}
 }
 
@@ -146,7 +147,7 @@
 	s.mu.Lock()
 	s.n++
 	hit := s.n == s.at
-	halted := s.n >= s.at
+	halted := s.at > 0 && s.n >= s.at
 	s.mu.Unlock()
 	if hit {
 		s.stop()
@@ -168,7 +169,7 @@
 	revision, err := s.Table.Commit(ctx, txn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil && s.n >= s.at {
+	if err == nil && s.at > 0 && s.n >= s.at {
 		s.late++
 	}
 	return revision, err
@@ -195,6 +196,13 @@
 	return s.Workers.Renew(ctx, w, ids, ttl)
 }
 
+func (s *steps) Checkpoint(ctx context.Context, w structs.Worker, id structs.LeaseID, object string) error {
+	if err := s.step(); err != nil {
+		return err
+	}
+	return s.Workers.Checkpoint(ctx, w, id, object)
+}
+
 func (s *steps) Release(ctx context.Context, w structs.Worker, ids []structs.LeaseID) error {
 	if err := s.step(); err != nil {
 		return err
