--- a/internal/duty/claims/claims.go
+++ b/internal/duty/claims/claims.go
@@ -180,6 +180,7 @@
 	if err := c.objects.Put(ctx, name, answer); err != nil {
 		c.log.Warn("answer_not_stored", zap.String("request", k.ID), zap.Error(err))
 		rec.Reason = "the answer was delivered but could not be kept"
+		rec.AnswerLost = true
 		return
 	}
 	rec.Object = name
@@ -187,22 +188,27 @@
 
 // Refuse records that a request was not run, unless it has a row already, and
 // returns what may be told: not run if that is recorded, the recorded outcome
-// if there is one, else unknown.
-func (c *Claims) Refuse(ctx context.Context, req structs.Request, reason string) structs.Result {
+// if there is one, else unknown. It fails with fault.Exists when the ID was
+// used for a different request.
+func (c *Claims) Refuse(ctx context.Context, req structs.Request, reason string) (structs.Result, error) {
 	rec := c.newRecord(c.incarnation(), req, structs.OutcomeNotRun)
 	rec.Reason = reason
 	_, err := c.write(ctx, newOp(store.ClaimKey(req.Key), rec, 0, ""))
 	switch fault.CodeOf(err) {
 	case "":
-		return structs.Result{Outcome: structs.OutcomeNotRun, Reason: reason}
+		return structs.Result{Outcome: structs.OutcomeNotRun, Reason: reason}, nil
 	case fault.Conflict:
-		return c.wait(ctx, req)
+		return c.Wait(ctx, req)
 	default:
 		c.settleLater(unsettled{key: req.Key, rec: rec})
-		return structs.Result{Outcome: structs.OutcomeUnknown, Reason: reason + "; not run by this instance, but that could not be recorded"}
+		return unknown(reason + "; not run by this instance, but that could not be recorded"), nil
 	}
 }
 
+func unknown(reason string) structs.Result {
+	return structs.Result{Outcome: structs.OutcomeUnknown, Reason: reason}
+}
+
 // Unsettled returns the number of outcomes that are not recorded yet.
 func (c *Claims) Unsettled() int {
 	c.mu.Lock()
--- a/internal/duty/claims/lookup.go
+++ b/internal/duty/claims/lookup.go
@@ -10,45 +10,66 @@
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
 
-// Wait returns the outcome of a request that has a row, waiting for its holder
-// until ctx ends. It fails with fault.Exists when the ID was used for a
-// different request.
+// Wait returns what the caller of a request that has a row may be told: its
+// outcome, for which it waits until ctx ends, or that it is unknown. It fails
+// with fault.Exists when the ID was used for a different request.
 func (c *Claims) Wait(ctx context.Context, req structs.Request) (structs.Result, error) {
-	rec, ok, err := c.read(ctx, req.Key)
-	if err == nil && ok && !rec.rec.sameRequest(digestOf(req)) {
-		return structs.Result{}, fault.New(fault.Exists, "request ID "+req.Key.ID+" was used for a different request")
-	}
-	return c.wait(ctx, req), nil
-}
-
-// wait polls the row until it is final, its holder is gone or ctx ends.
-func (c *Claims) wait(ctx context.Context, req structs.Request) structs.Result {
+	digest := digestOf(req)
 	delay := firstPoll
 	for {
-		res, err := c.Lookup(ctx, req.Key)
+		res, err := c.poll(ctx, req.Key, digest)
+		if fault.Is(err, fault.Exists) {
+			return structs.Result{}, err
+		}
 		if err == nil && res.Outcome != structs.OutcomePending {
-			return res
+			return res, nil
 		}
 		select {
 		case <-time.After(delay):
 			delay = min(2*delay, maxPoll)
 		case <-ctx.Done():
-			return structs.Result{Outcome: structs.OutcomeUnknown, Reason: "another instance holds the request"}
+			return unknown("another instance holds the request"), nil
 		}
 	}
 }
 
+// poll reads the row once. It compares the digest each time, because the row
+// may not have been there, or not readable, before.
+func (c *Claims) poll(ctx context.Context, k structs.RequestKey, digest []byte) (structs.Result, error) {
+	found, err := c.find(ctx, k)
+	if err != nil {
+		return structs.Result{}, err
+	}
+	if !found.rec.sameRequest(digest) {
+		return structs.Result{}, fault.New(fault.Exists, "request ID "+k.ID+" was used for a different request")
+	}
+	if found.rec.AnswerLost {
+		return unknown("the request was run but its answer could not be kept"), nil
+	}
+	return c.outcome(ctx, k, found)
+}
+
 // Lookup returns the recorded outcome of a request, OutcomePending while its
 // holder lives. Where the holder is gone it records that the outcome is
-// unknown. It fails with fault.NotFound and fault.Unavailable.
+// unknown. An answer that could not be kept is missing, as the reason says. It
+// fails with fault.NotFound and fault.Unavailable.
 func (c *Claims) Lookup(ctx context.Context, k structs.RequestKey) (structs.Result, error) {
-	found, ok, err := c.read(ctx, k)
+	found, err := c.find(ctx, k)
 	if err != nil {
 		return structs.Result{}, err
 	}
-	if !ok {
-		return structs.Result{}, fault.New(fault.NotFound, "request "+k.ID+" has no record")
+	return c.outcome(ctx, k, found)
+}
+
+func (c *Claims) find(ctx context.Context, k structs.RequestKey) (claimRow, error) {
+	found, ok, err := c.read(ctx, k)
+	if err == nil && !ok {
+		err = fault.New(fault.NotFound, "request "+k.ID+" has no record")
 	}
+	return found, err
+}
+
+func (c *Claims) outcome(ctx context.Context, k structs.RequestKey, found claimRow) (structs.Result, error) {
 	if found.rec.final() {
 		return c.result(ctx, found.rec)
 	}
--- a/internal/duty/claims/record.go
+++ b/internal/duty/claims/record.go
@@ -22,6 +22,8 @@
 	// Object names the answer in the object store where it is too large for
 	// the row.
 	Object string `cbor:"6,keyasint,omitempty"`
+	// AnswerLost is set where the answer is neither here nor there.
+	AnswerLost bool `cbor:"8,keyasint,omitempty"`
 }
 
 func (r record) final() bool {
--- a/internal/duty/requests/attempt.go
+++ b/internal/duty/requests/attempt.go
@@ -38,6 +38,13 @@
 		}
 		done.claim = claim
 	}
+	if !time.Now().Before(c.req.Deadline) {
+		// The claim took too long, or this process was paused.
+		done.result.Kind = dispatch.NotStarted
+		done.result.Abandoned = true
+		done.reason = string(fault.Timeout) + ": the deadline passed before the request was sent"
+		return done
+	}
 	sent := time.Now()
 	answer, err := r.execute(ctx, c, server, a)
 	done.result.Elapsed = time.Since(sent)
@@ -83,7 +90,7 @@
 	var refused *port.RefusedError
 	switch {
 	case errors.As(err, &refused):
-		done.result.Load = &refused.Load
+		done.result.Load = loadOf(refused)
 		done.left = refused.Reason == port.RefusedLeaving || refused.Load.Leaving
 		done.result.Kind = refusalKind(refused.Reason)
 	case fault.Is(err, fault.Unavailable):
@@ -94,6 +101,16 @@
 	}
 }
 
+// loadOf returns what a refusal says of the server's load. One for want of
+// slots means that all are taken, also where the count says otherwise: else
+// the request would be sent there again at once, and again.
+func loadOf(refused *port.RefusedError) *port.BackendLoad {
+	if refused.Reason == port.RefusedSlotsFull && refused.Load.Busy < refused.Load.Slots {
+		return nil
+	}
+	return &refused.Load
+}
+
 func refusalKind(reason port.RefusalReason) dispatch.ResultKind {
 	switch reason {
 	case port.RefusedSlotsFull:
--- a/internal/duty/requests/loop.go
+++ b/internal/duty/requests/loop.go
@@ -115,6 +115,10 @@
 		return
 	}
 	r.calls[c.id] = c
+	// The departure may have come before the arrival.
+	if c.left.Load() {
+		r.leave(c.id)
+	}
 }
 
 // leave drops a queued request whose caller is gone.
--- a/internal/duty/requests/requests.go
+++ b/internal/duty/requests/requests.go
@@ -87,7 +87,9 @@
 	claim   *claims.Claim
 	// mayHaveRun is set once an attempt may have been started.
 	mayHaveRun bool
-	reply      chan structs.Result
+	// left is set once the caller is gone.
+	left  atomic.Bool
+	reply chan structs.Result
 }
 
 // New returns the duty; Run must be called for it to dispatch anything.
@@ -143,14 +145,25 @@
 		case res := <-c.reply:
 			return res
 		case <-left:
+			c.left.Store(true)
 			r.leavers.Offer(c.id)
 			left = nil
 		case <-r.stopped:
-			return structs.Result{Outcome: structs.OutcomeUnknown, Reason: "the instance stopped"}
+			return replyOf(c)
 		}
 	}
 }
 
+// replyOf returns the end of a call after the loop has stopped.
+func replyOf(c *call) structs.Result {
+	select {
+	case res := <-c.reply:
+		return res
+	default:
+		return structs.Result{Outcome: structs.OutcomeUnknown, Reason: "the instance stopped"}
+	}
+}
+
 func (r *Requests) accept(req structs.Request) (*call, error) {
 	if req.Key.ID == "" || len(req.Key.ID) > maxIDBytes {
 		p := fault.Problem{Path: "request_id", Value: req.Key.ID, Allowed: fmt.Sprintf("1 to %d bytes", maxIDBytes)}
@@ -188,7 +201,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.settings.RecordTimeout)
 	defer cancel()
-	return r.claims.Refuse(ctx, c.req, reason), nil
+	return r.claims.Refuse(ctx, c.req, reason)
 }
 
 // conclude turns the end of a call into what its caller may be told.
@@ -204,7 +217,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.settings.RecordTimeout)
 	defer cancel()
 	if c.claim == nil {
-		return r.claims.Refuse(ctx, c.req, res.Reason), nil
+		return r.claims.Refuse(ctx, c.req, res.Reason)
 	}
 	r.claims.Finish(ctx, c.claim, res)
 	return res, nil
