--- a/test/e2e/chaos_test.go
+++ b/test/e2e/chaos_test.go
@@ -254,7 +254,7 @@
 	}
 }
 
-const faultKinds = 7
+const faultKinds = 9
 
 func (r *chaos) fault(wg *sync.WaitGroup, kind int, rng *rand.Rand) {
 	span := time.Duration(500+rng.IntN(3000)) * time.Millisecond
@@ -281,7 +281,11 @@
 		case 5:
 			r.backendFault(backend.FaultsDocument{Servers: victims, DropAfterStart: true}, span)
 		case 6:
-			r.backendFault(backend.FaultsDocument{Servers: victims, WrongID: true, Truncate: rng.IntN(2) == 0}, span)
+			r.backendFault(backend.FaultsDocument{Servers: victims, WrongID: true, Truncate: len(victims)%2 == 0}, span)
+		case 7:
+			r.workerFault(platform.FaultsDocument{Workers: workersNear(len(victims)), Crash: true}, span)
+		case 8:
+			r.workerFault(platform.FaultsDocument{Workers: workersNear(len(victims)), Freeze: true}, 2*span)
 		}
 	})
 }
@@ -292,6 +296,22 @@
 	r.tableFaults(platform.FaultsDocument{})
 }
 
+func (r *chaos) workerFault(f platform.FaultsDocument, span time.Duration) {
+	f.Scope = platform.ScopeWorkers
+	r.post(r.platform, "/faults", f)
+	time.Sleep(span)
+	r.post(r.platform, "/faults", platform.FaultsDocument{Scope: platform.ScopeWorkers, Workers: f.Workers})
+}
+
+// workersNear names a few workers of each failure domain.
+func workersNear(n int) []string {
+	var out []string
+	for _, d := range domains {
+		out = append(out, fmt.Sprintf("%s-r01-w%02d", d, 1+n%6), fmt.Sprintf("%s-r02-w%02d", d, 1+(n+1)%6))
+	}
+	return out
+}
+
 func (r *chaos) backendFault(f backend.FaultsDocument, span time.Duration) {
 	r.backendFaults(f)
 	time.Sleep(span)
