--- a/internal/bench/gangs/sim.go
+++ b/internal/bench/gangs/sim.go
@@ -63,6 +63,9 @@
 	attempt  int
 	running  bool
 	stopping bool
+	told     time.Duration
+	// promised is when a verdict first put the gang within a guarantee.
+	promised time.Duration
 	done     bool
 	end      time.Duration
 	lent     bool
@@ -198,8 +201,13 @@
 	snap := scheduler.Snapshot{Domain: domain, Workers: s.fleet, Workspaces: s.spaces}
 	for _, i := range s.running {
 		g := &s.gangs[i]
+		stopped := time.Duration(0)
+		if g.stopping {
+			stopped = s.now - g.told
+		}
 		snap.Gangs = append(snap.Gangs, scheduler.Gang{
-			Key: g.spec.Key, Class: g.spec.Class, Preemptible: g.spec.Preemptible, Lent: g.lent, Stopping: g.stopping,
+			Stopped: stopped,
+			Key:     g.spec.Key, Class: g.spec.Class, Preemptible: g.spec.Preemptible, Lent: g.lent, Stopping: g.stopping,
 			Members: g.places, Accelerators: g.spec.Accelerators, Adjacency: g.spec.Adjacency,
 			Ran: s.now - g.started, Expected: g.expected,
 		})
@@ -207,8 +215,13 @@
 	for _, i := range s.waiting {
 		g := &s.gangs[i]
 		key := structs.ServiceKey{Workspace: g.spec.Key.Workspace, Name: g.spec.Service}
+		promised := time.Duration(0)
+		if g.promised > 0 {
+			promised = s.now - g.promised
+		}
 		snap.Queued = append(snap.Queued, scheduler.Pending{
-			Spec: g.spec, Waited: s.now - g.queued, Expected: s.estimates.Expected(key, g.spec.DeclaredRun),
+			Promised: promised,
+			Spec:     g.spec, Waited: s.now - g.queued, Expected: s.estimates.Expected(key, g.spec.DeclaredRun),
 		})
 	}
 	return snap
@@ -220,10 +233,16 @@
 		i := s.byKey[r.Key]
 		g := &s.gangs[i]
 		g.stopping = true
+		g.told = s.now
 		s.reclaims++
 		wait := checkpointLeast + time.Duration(s.rng.Int64N(int64(checkpointMost-checkpointLeast)))
 		heap.Push(&s.events, event{at: s.now + wait, kind: stops, gang: i, attempt: g.attempt})
 	}
+	for _, v := range p.Waiting {
+		if g := &s.gangs[s.byKey[v.Key]]; v.Within && g.promised == 0 {
+			g.promised = s.now
+		}
+	}
 	for _, st := range p.Starts {
 		s.start(s.byKey[st.Key], st)
 	}
@@ -233,6 +252,7 @@
 	g := &s.gangs[i]
 	g.attempt++
 	g.started = s.now + startDelay
+	g.promised = 0
 	g.waited += g.started - g.queued
 	g.running = true
 	g.lent = st.Lent
--- a/internal/bench/gangs/workload.go
+++ b/internal/bench/gangs/workload.go
@@ -21,7 +21,7 @@
 	perWorker   = 8
 	perRack     = 6
 	total       = workers * perWorker
-	horizon     = 8 * time.Hour
+	horizon     = 24 * time.Hour
 	load        = 0.8
 	tailShare   = 0.01
 	tailFactor  = 50
--- a/internal/scheduler/asks.go
+++ b/internal/scheduler/asks.go
@@ -12,9 +12,8 @@
 }
 
 // split assigns the guarantees' gangs that nobody runs to jobs in their order.
-// The asks come oldest first, so that an ask whose reclaim is under way keeps
-// the places that it frees; class decides who gets a guarantee's gang, and
-// every ask is then served within one reclaim.
+// The asks come by the earliest promise, so that one whose reclaim is under
+// way keeps the places that it frees, then by class and wait.
 func (st *state) split(jobs []*Pending) (asks []ask, rest []*Pending) {
 	if len(st.kinds.list) == 0 {
 		return nil, jobs
@@ -28,7 +27,13 @@
 		}
 		rest = append(rest, p)
 	}
-	slices.SortStableFunc(asks, func(a, b ask) int { return -cmp.Compare(a.Waited, b.Waited) })
+	slices.SortStableFunc(asks, func(a, b ask) int {
+		return cmp.Or(
+			-cmp.Compare(a.Promised, b.Promised),
+			cmp.Compare(a.Spec.Class.Rank(), b.Spec.Class.Rank()),
+			-cmp.Compare(a.Waited, b.Waited),
+		)
+	})
 	return asks, rest
 }
 
@@ -70,7 +75,7 @@
 			st.start(asks[i].Pending, b, false)
 			continue
 		}
-		st.wait(asks[i].Pending, reasonReclaiming)
+		st.promise(asks[i].Pending)
 	}
 	return true
 }
@@ -83,20 +88,32 @@
 		st.start(a.Pending, b, false)
 		return
 	}
-	if b, ok := st.permitted(a, st.soon, nil); ok {
+	if b, ok := st.permittedSoon(a); ok {
 		st.commit(b)
-		st.wait(a.Pending, reasonReclaiming)
+		st.promise(a.Pending)
 		return
 	}
 	if b, ok := st.reclaimFor(a); ok {
 		st.stop(st.victims(b), a.Spec.Key)
 		st.commit(b)
-		st.wait(a.Pending, reasonReclaiming)
+		st.promise(a.Pending)
 		return
 	}
 	st.wait(a.Pending, reasonUnheld)
 }
 
+// permittedSoon takes a place that is free once the gangs stopped that were
+// told first: an ask that waits for them isn't drawn to later stops, which
+// would leave the part of its place that is free already to others.
+func (st *state) permittedSoon(a *ask) (block, bool) {
+	for _, age := range st.stopAges() {
+		if b, ok := st.permitted(a, st.soonAfter(age), nil); ok {
+			return b, true
+		}
+	}
+	return st.permitted(a, st.soon, nil)
+}
+
 // permitted takes a place within a grid that leaves every other guarantee its
 // place: by best fit, else the place kept for the ask, else by search.
 func (st *state) permitted(a *ask, g *grid, avoid []string) (block, bool) {
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -93,6 +93,11 @@
 	held := len(p.Unheld) == 0
 	must.True(t, held || !before.all, must.Sprintf("told of unheld guarantees %+v in %+v", p.Unheld, m.s))
 	must.True(t, !held || before.any, must.Sprint("not told of unheld guarantees"))
+	for i := range m.s.Gangs {
+		if m.s.Gangs[i].Stopping {
+			m.s.Gangs[i].Stopped += time.Second
+		}
+	}
 	for _, r := range p.Reclaims {
 		i := m.gang(r.Key)
 		must.True(t, m.s.Gangs[i].Preemptible && !m.s.Gangs[i].Stopping, must.Sprint("reclaimed"))
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -13,12 +13,13 @@
 // that a waiting job fits. Known and start tell when it would else start.
 func (l *lender) move(p *Pending, known bool, start time.Duration) (block, bool) {
 	options := l.st.weigh(shapeOf(p.Spec))
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.size, b.size) })
 	for _, o := range options[:min(len(options), moveOptions)] {
 		victims := l.st.victims(o.block)
 		if !l.mayMove(p, o, victims) {
 			continue
 		}
-		if known && !gains(p, o, start) {
+		if known && !l.gains(p, victims, start) {
 			continue
 		}
 		l.st.stop(victims, p.Spec.Key)
@@ -27,10 +28,14 @@
 	return block{}, false
 }
 
-// gains reports whether the job's accelerators wait longer than what the
-// moved gangs lose.
-func gains(p *Pending, o option, start time.Duration) bool {
-	return o.lost < start*time.Duration(p.Spec.Size())
+// gains reports whether the job's accelerators wait longer than what moving
+// the gangs costs theirs.
+func (l *lender) gains(p *Pending, victims []int, start time.Duration) bool {
+	size := 0
+	for _, i := range victims {
+		size += l.st.gangs[i].shape.size()
+	}
+	return moveCost*time.Duration(size) < start*time.Duration(p.Spec.Size())
 }
 
 // mayMove checks a move's limits: gangs that outlived their expectation yield
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -9,10 +9,13 @@
 	PassingLimit = 30 * time.Minute
 	// MoveAfter is the wait after which preemptible gangs are moved for a job
 	// that would fit if the free accelerators lay together.
-	MoveAfter = 2 * time.Minute
+	MoveAfter = 10 * time.Second
+	// moveCost is the time that a moved gang's accelerators lose to its
+	// checkpoint and resumption.
+	moveCost = 30 * time.Second
 	// moveShare bounds moved accelerators: a job gets at most its own size
 	// divided by this moved for it.
-	moveShare = 2
+	moveShare = 1
 	// maxReservations is the number of waiting jobs with a reserved place.
 	maxReservations = 3
 	// packSteps bounds one exact search, decideSteps all of a decision.
@@ -23,6 +26,8 @@
 	// reclaimTries bounds the places weighed by their effect on guarantees
 	// for one reclaim.
 	reclaimTries = 8
+	// maxStopAges bounds the groups of stopping gangs weighed one by one.
+	maxStopAges = 8
 	// unknownRun stands for an expected run time that nobody gave.
 	unknownRun = time.Hour
 )
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -29,6 +29,8 @@
 	block block
 	lost  time.Duration
 	gangs int
+	// size counts the accelerators of the gangs.
+	size int
 }
 
 // weigh lists places on what guarantees may use, the cheapest first.
@@ -67,6 +69,7 @@
 	for _, i := range st.victims(b) {
 		o.lost += st.gangs[i].lost()
 		o.gangs++
+		o.size += st.gangs[i].shape.size()
 	}
 	return o
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -180,6 +180,11 @@
 	st.plan.Starts = append(st.plan.Starts, Start{Key: p.Spec.Key, Places: st.fleet.places(b), Lent: lent})
 }
 
+// promise lets an ask wait for stopping gangs.
+func (st *state) promise(p *Pending) {
+	st.plan.Waiting = append(st.plan.Waiting, Verdict{Key: p.Spec.Key, Reason: reasonReclaiming, Within: true})
+}
+
 func (st *state) wait(p *Pending, reason string) {
 	st.plan.Waiting = append(st.plan.Waiting, Verdict{Key: p.Spec.Key, Reason: reason})
 }
@@ -189,6 +194,37 @@
 	return slices.ContainsFunc(st.gangs, func(h held) bool { return h.Stopping })
 }
 
+// stopAges lists when the gangs that are stopping were told, longest ago
+// first, but for the last.
+func (st *state) stopAges() []time.Duration {
+	var ages []time.Duration
+	for i := range st.gangs {
+		if g := &st.gangs[i]; g.Stopping {
+			ages = append(ages, g.Stopped)
+		}
+	}
+	slices.Sort(ages)
+	ages = slices.Compact(ages)
+	if len(ages) < 2 {
+		return nil
+	}
+	ages = ages[1:]
+	slices.Reverse(ages)
+	return ages[:min(len(ages), maxStopAges)]
+}
+
+// soonAfter counts what is free once the gangs stopped that were told an age
+// ago or before.
+func (st *state) soonAfter(age time.Duration) *grid {
+	g := st.soon.clone()
+	for i := range st.gangs {
+		if h := &st.gangs[i]; h.Stopping && h.Stopped < age {
+			g.take(h.block)
+		}
+	}
+	return g
+}
+
 // clone copies what a decision changes.
 func (st *state) clone() state {
 	out := *st
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -40,7 +40,10 @@
 	// Lent marks a gang that runs beyond its workspace's guarantees.
 	Lent bool
 	// Stopping gangs are about to free what they hold.
-	Stopping     bool
+	Stopping bool
+	// Stopped is the time since the stop was ordered, 0 when unknown. Asks
+	// wait for the oldest stops first.
+	Stopped      time.Duration
 	Members      []Place
 	Accelerators int
 	Adjacency    structs.Adjacency
@@ -62,6 +65,9 @@
 	// Waited is the time since the job last entered the queue: a gang that was
 	// reclaimed starts from 0 again, behind the job it made room for.
 	Waited time.Duration
+	// Promised is the time since a verdict first said that the job is within a
+	// guarantee (Verdict.Within), or 0. The earliest promise is served first.
+	Promised time.Duration
 	// Expected is the learned run time, or the declared one.
 	Expected time.Duration
 	// Avoid names workers on which the job failed.
@@ -98,6 +104,9 @@
 type Verdict struct {
 	Key    structs.JobKey
 	Reason string
+	// Within says that the job is within a guarantee and waits for gangs that
+	// are stopping.
+	Within bool
 }
 
 // Unheld is a guaranteed shape of which Missing gangs have no place.
