Release names distinct successors; a takeover restarts the rebalancing wait

Cause: draining four instances one after another, a failure domain was taken twice within a second: the releasing owner named one successor for all of its failure domains, and that one handed a part on at once. Each choice now counts the ones before it, and whoever took over waits out the settling time.

Tests added for mutations that no test had caught: a takeover without the taker's own session, a fresh observer without grace, a TTL that doesn't grow with the table's latency, a release that names no successor.

--- a/internal/duty/ownership/ownership.go
+++ b/internal/duty/ownership/ownership.go
@@ -38,9 +38,9 @@
 	Poll time.Duration
 	// Backup is the wait per place of candidates after the first.
 	Backup time.Duration
-	// Settle is how long the live sessions must stay the same before an owner
-	// hands a failure domain over to even out the load, and the least time
-	// between two such handovers.
+	// Settle is how long the live sessions must stay the same, and an owner
+	// must neither take nor hand over, before it hands a failure domain over to
+	// even out the load.
 	Settle time.Duration
 	// Timeout bounds one table operation while the table isn't slow.
 	Timeout time.Duration
@@ -103,8 +103,8 @@
 	releasing map[string]string
 	draining  bool
 	live      []session.Info
-	// settledSince is when the live sessions or this process's own handovers
-	// last changed.
+	// settledSince is when the live sessions changed or this process last took
+	// or handed over.
 	settledSince time.Time
 }
 
--- a/internal/duty/ownership/ownership_test.go
+++ b/internal/duty/ownership/ownership_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/lentilwinch/lentilwinch/internal/fake"
 	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/store"
 )
 
 const (
@@ -86,13 +88,16 @@
 }
 
 // TestOutageMovesNothing is seen to fail with sessions that expire across
-// failures of the observer's own operations.
+// failures of the observer's own operations, with a TTL that doesn't grow with
+// the table's latency, and with owners that stop being usable when their
+// renewals fail.
 func TestOutageMovesNothing(t *testing.T) {
 	for _, faults := range []fake.TableFaults{
 		{Down: true},
 		{Hang: true},
 		{LoseAnswers: true},
 		{Delay: time.Second},
+		{Delay: 1300 * time.Millisecond},
 	} {
 		for _, lasting := range []time.Duration{300 * time.Millisecond, 3 * time.Second, 10 * time.Minute} {
 			t.Run(fmt.Sprintf("%+v for %v", faults, lasting), func(t *testing.T) {
@@ -136,19 +141,42 @@
 	})
 }
 
+// TestReleaseHandsOverWithinOnePoll drains instances one after another, as a
+// rolling replacement does. Seen to fail when the releasing owner names no
+// successor.
 func TestReleaseHandsOverWithinOnePoll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(4, 1)
+		c := newCluster(4, 8)
+		defer c.close()
+		time.Sleep(rebalanced)
+		for _, p := range c.procs[:3] {
+			owned := p.own.Owned()
+			began := time.Now()
+			must.NoError(t, p.own.Release(context.Background()))
+			time.Sleep(2 * time.Second)
+			must.SliceEmpty(t, c.settled())
+			must.SliceEmpty(t, p.own.Owned())
+			for _, grant := range owned {
+				must.LessEq(t, defaultPoll, c.oracle.takenAt(grant.Domain).Sub(began))
+			}
+		}
+	})
+}
+
+// TestTakeoverNeedsOwnSession is seen to fail without the condition on the
+// taker's own session.
+func TestTakeoverNeedsOwnSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 1)
 		defer c.close()
 		time.Sleep(warmUp)
-		owner, _ := c.ownerOf(c.domains[0])
-		c.suspect(c.procs[owner])
-		began := time.Now()
-		must.NoError(t, c.procs[owner].own.Release(context.Background()))
-		time.Sleep(2 * time.Second)
-		must.SliceEmpty(t, c.settled())
-		must.SliceEmpty(t, c.procs[owner].own.Owned())
-		must.LessEq(t, defaultPoll, c.oracle.takenAt(c.domains[0]).Sub(began))
+		p := c.procs[0]
+		c.suspect(p)
+		key := store.SessionKey(p.session.Incarnation())
+		_, err := c.table.Commit(context.Background(), port.Txn{Writes: []port.Write{{Key: key, Delete: true}}})
+		must.NoError(t, err)
+		_, err = p.own.take(context.Background(), "vacant", record{})
+		must.Eq(t, fault.Conflict, fault.CodeOf(err))
 	})
 }
 
--- a/internal/duty/ownership/takeover.go
+++ b/internal/duty/ownership/takeover.go
@@ -62,6 +62,7 @@
 		}
 		if owner, err := o.take(ctx, domain, v.owners[domain]); err == nil {
 			v.owners[domain] = owner
+			o.settledSince = now
 			o.reconcile(maps.Clone(v.owners))
 		}
 	}
@@ -106,6 +107,8 @@
 	if o.draining {
 		for _, grant := range o.Owned() {
 			next, _ := v.successor(grant.Domain, o.incarnation)
+			// The next choice counts this one.
+			v.owners[grant.Domain] = record{Owner: Owner{Incarnation: next.Incarnation}}
 			o.markReleasing(grant, next.Instance)
 		}
 		return
--- a/internal/duty/session/session_test.go
+++ b/internal/duty/session/session_test.go
@@ -112,3 +112,26 @@
 		must.Len(t, 1, live)
 	})
 }
+
+// TestObserverGrace is seen to fail when a fresh observer gives no grace.
+func TestObserverGrace(t *testing.T) {
+	o := newObserver(2*time.Second, 6*time.Second)
+	start := time.Unix(1000, 0)
+	moving, standing := int64(1), port.Row{Key: "standing", Revision: 1}
+	ended := make(map[string]int)
+	for half := range 20 {
+		now := start.Add(time.Duration(half) * 500 * time.Millisecond)
+		if half < 4 {
+			moving++
+		}
+		o.scan(now, []port.Row{standing, {Key: "moving", Revision: moving}}, 0)
+		for _, e := range o.expired(now, "own", 0) {
+			if _, ok := ended[e.key]; !ok {
+				ended[e.key] = half
+			}
+		}
+	}
+	// The one that moved at half second 3 has the plain TTL, the one that never
+	// did the TTL and the grace.
+	must.Eq(t, map[string]int{"moving": 3 + 4, "standing": 4 + 12}, ended)
+}
