Hand waiting jobs to failure domains with room

A job stayed in the failure domain that was chosen when it was submitted, from summaries up to half a second old, however long others stood empty. After 5 s an unpinned job now goes to a failure domain whose owner tells of room and of no queue; one job to each in a round, as summaries lag. Weighed: choosing again at every tick (jobs would wander between owners that both see room) and one queue for the region (one owner would decide for all failure domains). Not measured under load yet.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -145,13 +145,14 @@
 		MaxFailures:       s.Jobs.MaxAttempts,
 		Domains:           s.Ownership.Domains,
 	}, gangs.Deps{
-		Store:    st,
-		Workers:  workers,
-		Fleet:    d.fleet,
-		Config:   d.config.Current,
-		Usable:   func() bool { return d.session.Usable(time.Now()) },
-		Observer: d.metrics,
-		Log:      d.log,
+		Store:     st,
+		Workers:   workers,
+		Fleet:     d.fleet,
+		Config:    d.config.Current,
+		Elsewhere: d.elsewhere,
+		Usable:    func() bool { return d.session.Usable(time.Now()) },
+		Observer:  d.metrics,
+		Log:       d.log,
 	}, d.ownership)
 	d.jobs = jobs.New(st, d.mesh, s.Ownership.Domains, d.config.Current, d.gangs.Summaries, d.gangs.Wake)
 }
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -125,6 +125,16 @@
 	}
 }
 
+// elsewhere returns the summaries that peers and this instance's own runners
+// give of failure domains.
+func (d *Daemon) elsewhere() []port.DomainSummary {
+	out := d.gangs.Summaries()
+	for _, p := range d.mesh.Live() {
+		out = append(out, p.Load.Domains...)
+	}
+	return out
+}
+
 // liveInstances names the instances whose sessions are live, this one left
 // out, or the listed ones where the table was never reached.
 type liveInstances struct {
--- a/internal/duty/gangs/domain.go
+++ b/internal/duty/gangs/domain.go
@@ -71,9 +71,12 @@
 	Config func() *structs.Config
 	// Usable reports whether ownership may still be relied on after a pause of
 	// this process.
-	Usable   func() bool
-	Observer Observer
-	Log      *zap.Logger
+	Usable func() bool
+	// Elsewhere returns what is known of the failure domains of other owners
+	// and of this one.
+	Elsewhere func() []port.DomainSummary
+	Observer  Observer
+	Log       *zap.Logger
 }
 
 // Observer is told what is counted. It must not block.
@@ -132,6 +135,8 @@
 	// avoid names workers on which the job failed.
 	avoid  []string
 	queued time.Time
+	// arrived is when this owner took the job in.
+	arrived time.Time
 	// inbox is set while the submission's inbox row exists.
 	inbox bool
 	// lapse is when leases of the attempt have surely ended that no longer
--- a/internal/duty/gangs/load.go
+++ b/internal/duty/gangs/load.go
@@ -131,7 +131,7 @@
 	if r.job.State.Final() || r.job.Domain != d.grant.Domain {
 		return nil
 	}
-	e := &entry{queued: r.job.Submitted}
+	e := &entry{queued: r.job.Submitted, arrived: time.Now()}
 	d.entries[k] = e
 	d.setJob(e, r.job, r.revision)
 	return e
--- a/internal/duty/gangs/operation.go
+++ b/internal/duty/gangs/operation.go
@@ -328,7 +328,6 @@
 	d := o.domain
 	key := o.job.Spec.Key
 	next := o.job
-	next.Tried = append(append([]string(nil), next.Tried...), d.grant.Domain)
 	next.Domain = to
 	txn := new(store.Txn)
 	txn.Delete(store.QueueKey(d.grant.Domain, key))
--- a/internal/duty/gangs/owner_test.go
+++ b/internal/duty/gangs/owner_test.go
@@ -46,7 +46,9 @@
 	table   *fake.Table
 	workers *fake.Workers
 	epoch   int64
-	wg      sync.WaitGroup
+	// elsewhere is what the owner knows of other failure domains.
+	elsewhere []port.DomainSummary
+	wg        sync.WaitGroup
 }
 
 func newWorld(t *testing.T, ctx context.Context) *world {
@@ -103,13 +105,14 @@
 	w.wg.Go(func() { _ = fl.Run(ctx) })
 	synctest.Wait()
 	d := gangs.NewDomain(testSettings, gangs.Deps{
-		Store:    store.New(table, store.NewWriter("owner")),
-		Workers:  workers,
-		Fleet:    fl,
-		Config:   w.config,
-		Usable:   func() bool { return true },
-		Observer: deafObserver{},
-		Log:      zap.NewNop(),
+		Store:     store.New(table, store.NewWriter("owner")),
+		Workers:   workers,
+		Fleet:     fl,
+		Config:    w.config,
+		Usable:    func() bool { return true },
+		Observer:  deafObserver{},
+		Elsewhere: func() []port.DomainSummary { return w.elsewhere },
+		Log:       zap.NewNop(),
 	}, w.own())
 	w.wg.Go(func() { _ = d.Run(ctx) })
 	return cancel
--- a/internal/duty/gangs/schedule.go
+++ b/internal/duty/gangs/schedule.go
@@ -39,6 +39,7 @@
 			e.reason = v.Reason
 		}
 	}
+	d.spill(ctx, plan.Waiting)
 }
 
 // noteUnheld tells at once when guaranteed shapes no longer fit.
@@ -202,6 +203,7 @@
 		return
 	}
 	d.operate(ctx, e, func(ctx context.Context, o *operation) error {
+		o.job.Tried = append(slices.Clone(o.job.Tried), d.grant.Domain)
 		return o.move(ctx, to)
 	})
 }
@@ -211,7 +213,7 @@
 		return "", false
 	}
 	for _, name := range d.settings.Domains {
-		if name != d.grant.Domain && !slices.Contains(j.Tried, name) {
+		if name != d.grant.Domain && !tried(j, name) {
 			return name, true
 		}
 	}
--- /dev/null
+++ b/internal/duty/gangs/spill_test.go
@@ -0,0 +1,72 @@
+package gangs_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+func TestWaitingJobGoesToADomainWithRoom(t *testing.T) {
+	const other = "river-yard"
+	cases := []struct {
+		name      string
+		pin       string
+		elsewhere port.DomainSummary
+		want      string
+	}{
+		{"room", "", port.DomainSummary{Domain: other, FreeAccelerators: 24, LargestBlock: 12}, other},
+		{"too little in one rack", "", port.DomainSummary{Domain: other, FreeAccelerators: 24, LargestBlock: 8}, domain},
+		{"others wait there", "", port.DomainSummary{Domain: other, FreeAccelerators: 24, LargestBlock: 12, QueuedJobs: 1}, domain},
+		{"pinned", domain, port.DomainSummary{Domain: other, FreeAccelerators: 24, LargestBlock: 12}, domain},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				w := newWorld(t, ctx)
+				defer w.wg.Wait()
+				defer cancel()
+				w.elsewhere = []port.DomainSummary{c.elsewhere}
+				w.run(w.table, w.workers)
+				for _, id := range []string{"one", "two", "three"} {
+					s := spec(id)
+					s.Domain = c.pin
+					s.Payload = []byte(longTask)
+					_, _, err := w.callers().Submit(ctx, s)
+					must.NoError(t, err)
+				}
+				time.Sleep(30 * time.Second)
+				must.Eq(t, c.want, w.domainOfWaiting())
+			})
+		})
+	}
+}
+
+// domainOfWaiting returns the failure domain of the one job that doesn't run,
+// which must have an inbox row there if it was moved.
+func (w *world) domainOfWaiting() string {
+	w.t.Helper()
+	st := store.New(w.table, "reader")
+	for _, id := range []string{"one", "two", "three"} {
+		k := structs.JobKey{Workspace: "grading", ID: id}
+		j, _, err := w.callers().Get(w.ctx, k)
+		must.NoError(w.t, err)
+		if j.State != structs.JobQueued {
+			continue
+		}
+		rows, err := st.Get(w.ctx, store.SubmissionKey(j.Domain, k), store.QueueKey(j.Domain, k))
+		must.NoError(w.t, err)
+		if j.Domain != domain {
+			must.MapLen(w.t, 2, rows)
+		}
+		return j.Domain
+	}
+	return ""
+}
