Measure request dispatch; part slots by demand, cap stragglers, learn waits

Purpose: the ways of sharing slots among instances and the admission rules were to be chosen by measurement.

Taken: parts by told demand, beyond them only where the server told of two free slots.

--- /dev/null
+++ b/internal/bench/requests/clairvoyant.go
@@ -0,0 +1,113 @@
+package requests
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+// order ranks the requests that the clairvoyant has queued.
+type order func(t *trace, a, b int32) bool
+
+// byDeadline serves urgent work first, then by deadline.
+func byDeadline(t *trace, a, b int32) bool {
+	x, y := &t.requests[a], &t.requests[b]
+	if c := t.rank(a) - t.rank(b); c != 0 {
+		return c < 0
+	}
+	if x.deadline != y.deadline {
+		return x.deadline < y.deadline
+	}
+	return a < b
+}
+
+// byRun serves urgent work first, then by true run time.
+func byRun(t *trace, a, b int32) bool {
+	x, y := &t.requests[a], &t.requests[b]
+	if c := t.rank(a) - t.rank(b); c != 0 {
+		return c < 0
+	}
+	if x.run != y.run {
+		return x.run < y.run
+	}
+	return a < b
+}
+
+func (t *trace) rank(req int32) int {
+	return t.kinds[t.requests[req].kind].class.Rank()
+}
+
+func (t *trace) urgent(req int32) bool {
+	return t.kinds[t.requests[req].kind].class == structs.ClassUrgent
+}
+
+type waiting struct {
+	t    *trace
+	less order
+	reqs []int32
+}
+
+func (q *waiting) Len() int           { return len(q.reqs) }
+func (q *waiting) Less(i, j int) bool { return q.less(q.t, q.reqs[i], q.reqs[j]) }
+func (q *waiting) Swap(i, j int)      { q.reqs[i], q.reqs[j] = q.reqs[j], q.reqs[i] }
+func (q *waiting) Push(x any)         { q.reqs = append(q.reqs, x.(int32)) }
+func (q *waiting) Pop() any {
+	last := len(q.reqs) - 1
+	x := q.reqs[last]
+	q.reqs = q.reqs[:last]
+	return x
+}
+
+// clairvoyant plays a trace with one central queue. It sees every slot without
+// delay, has each request at hand when a slot frees, and never starts one that
+// can't meet its deadline.
+func clairvoyant(t *trace, less order) []outcome {
+	outcomes := make([]outcome, len(t.requests))
+	queue := &waiting{t: t, less: less}
+	var ends agenda
+	slots, busy := totalSlots, 0
+	start := func(now time.Duration) {
+		for busy < slots && queue.Len() > 0 {
+			req := heap.Pop(queue).(int32)
+			r := &t.requests[req]
+			o := &outcomes[req]
+			if now+r.run+t.hop > r.deadline {
+				o.refused, o.ended = true, now
+				continue
+			}
+			busy++
+			o.starts, o.attempts = 1, 1
+			o.started = now
+			ends.add(event{at: now + r.run, kind: evFinish, req: req})
+		}
+	}
+	if f := t.faults; f.serversFail > 0 {
+		ends.add(event{at: f.serversFail, kind: evServersFail})
+	}
+	next := 0
+	for {
+		arrival := t.end
+		if next < len(t.requests) {
+			arrival = t.requests[next].at + t.hop
+		}
+		if len(ends.heap) > 0 && ends.heap[0].at <= arrival {
+			e, _ := ends.next()
+			if e.kind == evServersFail {
+				slots -= 3 * slotsPerServer
+				continue
+			}
+			busy--
+			outcomes[e.req].done = true
+			outcomes[e.req].ended = e.at + t.hop
+			start(e.at)
+			continue
+		}
+		if next == len(t.requests) {
+			return outcomes
+		}
+		heap.Push(queue, int32(next))
+		next++
+		start(arrival)
+	}
+}
--- /dev/null
+++ b/internal/bench/requests/events.go
@@ -0,0 +1,108 @@
+package requests
+
+import "time"
+
+// eventKind says what happens.
+type eventKind uint8
+
+const (
+	evArrive eventKind = iota + 1
+	evReach
+	evFinish
+	evAnswer
+	evWake
+	evDie
+	evBack
+	evShare
+	evServersFail
+	evServersListed
+	evAdvertise
+)
+
+// event is something that happens at a time. The fields beyond at and kind are
+// set as the kind needs.
+type event struct {
+	at      time.Duration
+	seq     uint64
+	started time.Duration
+	limit   time.Duration
+	req     int32
+	node    int32
+	server  int32
+	attempt int32
+	life    int32
+	kind    eventKind
+	result  attemptResult
+	busy    int32
+}
+
+// attemptResult is how an attempt ended at a server.
+type attemptResult uint8
+
+const (
+	resDone attemptResult = iota + 1
+	resCut
+	resFull
+	resLeaving
+	resUnreachable
+	resFailed
+)
+
+// agenda is a binary heap of events by time, then by order of scheduling.
+type agenda struct {
+	heap []event
+	seq  uint64
+}
+
+func (a *agenda) before(i, j int) bool {
+	x, y := &a.heap[i], &a.heap[j]
+	if x.at != y.at {
+		return x.at < y.at
+	}
+	return x.seq < y.seq
+}
+
+func (a *agenda) add(e event) {
+	a.seq++
+	e.seq = a.seq
+	a.heap = append(a.heap, e)
+	i := len(a.heap) - 1
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !a.before(i, parent) {
+			return
+		}
+		a.heap[i], a.heap[parent] = a.heap[parent], a.heap[i]
+		i = parent
+	}
+}
+
+func (a *agenda) next() (event, bool) {
+	if len(a.heap) == 0 {
+		return event{}, false
+	}
+	top := a.heap[0]
+	last := len(a.heap) - 1
+	a.heap[0] = a.heap[last]
+	a.heap = a.heap[:last]
+	a.sink()
+	return top, true
+}
+
+func (a *agenda) sink() {
+	i := 0
+	for {
+		child := 2*i + 1
+		if child >= len(a.heap) {
+			return
+		}
+		if child+1 < len(a.heap) && a.before(child+1, child) {
+			child++
+		}
+		if !a.before(child, i) {
+			return
+		}
+		a.heap[i], a.heap[child] = a.heap[child], a.heap[i]
+		i = child
+	}
+}
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -2,44 +2,80 @@
 
 import "time"
 
-const (
-	// scanInterval is the time between looks for items that came too late.
-	scanInterval = 20 * time.Millisecond
-	// earlyShare is the part of an item's time, as a divisor, within which it
-	// may be refused on a forecast.
-	earlyShare = 10
-)
+// scanInterval is the time between looks for items that came too late.
+const scanInterval = 20 * time.Millisecond
 
-// admits reports whether an item that arrives now can meet its deadline.
-func (d *Dispatcher) admits(q *service, level uint8, deadline time.Duration) bool {
+// admits reports whether an item that arrives now and would wait as forecast
+// can meet its deadline.
+func (d *Dispatcher) admits(q *service, level uint8, deadline, wait time.Duration) bool {
 	e := q.run.Estimate()
-	wait := d.forecast(q.workspace, level, q.workspace.work[level])
-	run := e.Low
-	if wait > 0 && e.Learned {
-		run = e.High
+	if wait == 0 || !e.Learned {
+		return d.now+wait+e.Low < deadline
 	}
-	return d.now+wait+run < deadline
+	wait += q.workspace.surplus[level].bound()
+	return d.now+wait+e.High < deadline
 }
 
-// forecast returns the expected time until work queued ahead in a workspace
-// has been started.
-func (d *Dispatcher) forecast(w *workspace, level uint8, ahead time.Duration) time.Duration {
-	if ahead == 0 {
+// forecast returns the expected wait of an item that arrives now: the time in
+// which what goes before it in its workspace is started, by the rate at which
+// the queue drains, or by the slots held while that isn't known.
+func (d *Dispatcher) forecast(q *service, level uint8, deadline time.Duration) time.Duration {
+	w := q.workspace
+	if w.queued[level] == 0 {
 		return 0
 	}
+	ahead := 0
+	for _, other := range w.services {
+		ahead += d.before(other, level, deadline)
+	}
+	if wait, ok := w.drain[level].timeFor(d.now, ahead); ok {
+		return wait
+	}
+	work := w.work[level] * time.Duration(ahead) / time.Duration(w.queued[level])
 	total, weights := time.Duration(0), 0
 	for _, a := range d.level[level].active {
 		total += a.work[level]
 		weights += a.weight
 	}
 	held := max(d.heldBy(level), 1)
-	own := ahead * time.Duration(weights) / time.Duration(w.weight)
+	own := work * time.Duration(weights) / time.Duration(max(w.weight, 1))
 	return min(own, total) / time.Duration(held)
 }
 
+// whole reports whether items that arrive later are expected to go after one
+// with this deadline, so that its forecast covers all that goes before it.
+func (d *Dispatcher) whole(q *service, level uint8, deadline time.Duration) bool {
+	for _, other := range q.workspace.services {
+		l := &other.fifo[level]
+		if other != q && l.len > 0 && d.pool.items[l.tail].deadline < deadline {
+			return false
+		}
+	}
+	return true
+}
+
+// before estimates how many of a service's queued items have an earlier
+// deadline, as if the deadlines were spread evenly between the first's and the
+// last's.
+func (d *Dispatcher) before(q *service, level uint8, deadline time.Duration) int {
+	l := &q.fifo[level]
+	if l.len == 0 {
+		return 0
+	}
+	first := d.pool.items[l.head].deadline
+	last := d.pool.items[l.tail].deadline
+	if deadline <= first {
+		return 0
+	}
+	if deadline >= last {
+		return l.len
+	}
+	return int(time.Duration(l.len) * (deadline - first) / (last - first))
+}
+
 // heldBy is the number of slots whose work a level's queue follows on.
 func (d *Dispatcher) heldBy(level uint8) int {
-	if kindOf(level) == short {
+	if !isLong(level) {
 		return d.level[0].inFlight
 	}
 	return d.longInFlight
@@ -66,13 +102,11 @@
 
 func (d *Dispatcher) expireIn(w *workspace, level uint8) {
 	for _, q := range w.services {
-		ahead := time.Duration(0)
 		next := none
 		for i := q.fifo[level].head; i != none; i = next {
 			it := &d.pool.items[i]
 			next = it.next
-			if !d.tooLate(it, ahead) {
-				ahead += it.cost
+			if d.now+q.run.Estimate().Low < it.deadline {
 				continue
 			}
 			d.expired = append(d.expired, it.id)
@@ -83,21 +117,6 @@
 	}
 }
 
-// tooLate reports whether an item's deadline can't be met: for certain, or by
-// the forecast while its caller still has time to go elsewhere.
-func (d *Dispatcher) tooLate(it *item, ahead time.Duration) bool {
-	low := it.service.run.Estimate().Low
-	if d.now+low >= it.deadline {
-		return true
-	}
-	early := d.now-it.queuedAt <= (it.deadline-it.queuedAt)/earlyShare
-	if !early {
-		return false
-	}
-	wait := d.forecast(it.service.workspace, it.level, ahead)
-	return d.now+wait+low >= it.deadline
-}
-
 // Wake returns when Expire and Next should be called next without an event,
 // and false when there is nothing to wait for.
 func (d *Dispatcher) Wake(now time.Time) (time.Time, bool) {
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -2,13 +2,33 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lentilwinch/lentilwinch/internal/breaker"
 	"github.com/lentilwinch/lentilwinch/internal/learn"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
 
+const (
+	// demandGain is the weight of a new figure in an instance's demand.
+	demandGain = 0.02
+	// demandFloor is the share of the slots that is parted evenly.
+	demandFloor = 0.3
+)
+
+// peer is an instance that shares the servers' slots.
+type peer struct {
+	id     string
+	demand float64
+}
+
+// smallServer is the number of slots below which none of a single server's
+// slots is reserved.
+const smallServer = 4
+
 // SetServers replaces the list of backend servers. Known servers keep their
 // state. Those of the first call use all their slots at once; later ones start
 // slowly. Work in flight at a server that is no longer listed goes on.
@@ -28,9 +48,6 @@
 	}
 	d.warm = true
 	d.share()
-	for _, v := range d.servers {
-		d.refresh(v)
-	}
 }
 
 func (d *Dispatcher) setServer(s Server) {
@@ -47,7 +64,7 @@
 		d.servers = append(d.servers, v)
 	}
 	v.slots = max(s.Slots, 0)
-	v.reserve = reserveOf(v.slots, d.settings.ReservePercent)
+	v.reserve = reserveOf(v.slots)
 	v.services = slices.Clone(s.Services)
 	// A server that said it was leaving stays so: the list lags.
 	v.leaving = v.leaving || s.Leaving
@@ -65,40 +82,91 @@
 	return true
 }
 
-// reserveOf rounds up and leaves at least one slot to long work.
-func reserveOf(slots, percent int) int {
-	reserve := (slots*percent + 99) / 100
-	return max(min(reserve, slots-1), 0)
+// reserveOf keeps one slot of a server free for short work.
+func reserveOf(slots int) int {
+	if slots < smallServer {
+		return 0
+	}
+	return 1
 }
 
-// SetShare names the entry instances that share the servers' slots. Long work
-// takes an even part of the unreserved slots, and nominal slots are split
-// evenly.
+// SetShare names the entry instances that share the servers' slots. Until
+// SetDemand is called, each has an even part.
 func (d *Dispatcher) SetShare(self string, peers []string) {
-	n := 1
-	for _, p := range peers {
-		if p != self {
-			n++
+	known := make(map[string]float64, len(d.peers))
+	for _, p := range d.peers {
+		known[p.id] = p.demand
+	}
+	d.self = self
+	d.peers = d.peers[:0]
+	for _, id := range append([]string{self}, peers...) {
+		listed := slices.ContainsFunc(d.peers, func(p peer) bool { return p.id == id })
+		if !listed {
+			d.peers = append(d.peers, peer{id: id, demand: known[id]})
 		}
 	}
-	d.instances = n
+	slices.SortFunc(d.peers, func(a, b peer) int { return strings.Compare(a.id, b.id) })
 	d.share()
 }
 
+// SetDemand tells each instance's Demand, by the instances' heartbeats. Slots
+// are parted by it.
+func (d *Dispatcher) SetDemand(demand map[string]int) {
+	for i := range d.peers {
+		p := &d.peers[i]
+		if n, ok := demand[p.id]; ok {
+			p.demand += (float64(n) - p.demand) * demandGain
+		}
+	}
+	d.share()
+}
+
+// share parts the slots among the instances: the whole slots between the
+// bounds of this instance's interval, shifted for each server by a hash of its
+// ID, so that the parts of all instances add up to the server's slots.
 func (d *Dispatcher) share() {
-	unreserved := 0
+	from, to := d.interval()
+	mine := 0
 	for _, v := range d.servers {
+		shift := float64(xxhash.Sum64String(v.id)%1024) / 1024
+		slots := float64(v.slots)
+		v.part = int(slots*to+shift) - int(slots*from+shift)
 		if !v.gone && !v.leaving {
-			unreserved += v.slots - v.reserve
+			mine += v.part
 		}
 	}
-	d.longLimit = ceilDiv(unreserved, d.instances)
-	if unreserved >= d.instances {
-		d.longLimit = unreserved / d.instances
+	d.longLimit = mine * (100 - d.settings.ReservePercent) / 100
+	if d.longLimit == 0 && mine > 0 {
+		d.longLimit = 1
 	}
 	for _, w := range d.workspaces {
-		w.nominal = ceilDiv(w.slots, d.instances)
+		w.nominal = ceilDiv(w.slots, len(d.peers))
+	}
+	for _, v := range d.servers {
+		d.refresh(v)
+	}
+}
+
+// interval is this instance's part of [0, 1]. A floor leaves those without
+// demand enough to begin with.
+func (d *Dispatcher) interval() (from, to float64) {
+	sum := 0.0
+	for _, p := range d.peers {
+		sum += p.demand
+	}
+	n := float64(len(d.peers))
+	at := 0.0
+	for _, p := range d.peers {
+		part := 1 / n
+		if sum > 0 {
+			part = demandFloor/n + (1-demandFloor)*p.demand/sum
+		}
+		if p.id == d.self {
+			return at, at + part
+		}
+		at += part
 	}
+	return 0, 1
 }
 
 func ceilDiv(a, b int) int {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,14 +29,16 @@
 	level      [levels]levelState
 	queued     int
 	// shorts are the short items in flight, oldest first.
-	shorts    list
-	servers   []*server
-	byID      map[string]*server
-	open      [kinds][]*server
-	timers    timers
-	uniform   bool
-	warm      bool
-	instances int
+	shorts  list
+	servers []*server
+	byID    map[string]*server
+	open    [kinds][]*server
+	timers  timers
+	uniform bool
+	warm    bool
+	// peers are the instances that share the slots, this one included.
+	peers []peer
+	self  string
 	// longLimit bounds longInFlight.
 	longLimit    int
 	longInFlight int
@@ -50,14 +52,14 @@
 func New(s Settings) *Dispatcher {
 	s = s.withDefaults()
 	return &Dispatcher{
-		settings:  s,
-		pool:      newPool(s.QueueLimit),
-		services:  make(map[structs.ServiceKey]*service),
-		shorts:    newList(),
-		byID:      make(map[string]*server),
-		uniform:   true,
-		instances: 1,
-		budget:    breaker.NewRetryBudget(float64(s.RetryPercent)/100, float64(s.RetryBurst)),
+		settings: s,
+		pool:     newPool(s.QueueLimit),
+		services: make(map[structs.ServiceKey]*service),
+		shorts:   newList(),
+		byID:     make(map[string]*server),
+		uniform:  true,
+		peers:    []peer{{}},
+		budget:   breaker.NewRetryBudget(float64(s.RetryPercent)/100, float64(s.RetryBurst)),
 	}
 }
 
@@ -92,14 +94,20 @@
 	}
 	level := q.levelFor(class)
 	deadline := it.Deadline.Sub(d.epoch)
-	if !d.admits(q, level, deadline) {
+	wait := d.forecast(q, level, deadline)
+	if !d.admits(q, level, deadline, wait) {
 		return d.refuse(errTooLate)
 	}
+	expected := wait
+	if !d.whole(q, level, deadline) {
+		expected = 0
+	}
 	i := d.pool.add(item{
 		id:         it.ID,
 		service:    q,
 		deadline:   deadline,
 		queuedAt:   d.now,
+		forecast:   expected,
 		attempt:    it.Attempt,
 		level:      level,
 		repeatable: it.Repeatable,
@@ -128,6 +136,7 @@
 	l := &d.level[it.level]
 	if w.queued[it.level] == 0 {
 		l.activate(w)
+		w.drain[it.level].reset(d.now)
 	}
 	w.queued[it.level]++
 	w.work[it.level] += it.cost
@@ -180,28 +189,28 @@
 	if d.level[level].queued == 0 {
 		return nil, false
 	}
-	k := kindOf(level)
-	if len(d.open[k]) == 0 {
-		return nil, false
-	}
-	if k == long && d.longInFlight >= d.longLimit {
+	if isLong(level) && d.longInFlight >= d.longLimit {
 		return nil, false
 	}
 	return by(level)
 }
 
 func (d *Dispatcher) assign(q *service, level uint8, charged bool) Assignment {
-	k := kindOf(level)
 	i := q.fifo[level].head
-	v, _ := d.choose(k, q.key.Name)
+	v, _ := d.choose(level, q.key.Name)
 	d.unqueue(i)
+	q.workspace.drain[level].add(d.now)
 	it := &d.pool.items[i]
+	if it.forecast > 0 {
+		q.workspace.surplus[level].observe(d.now - it.queuedAt - it.forecast)
+	}
 	it.state = stateInFlight
 	it.server = v
 	it.startedAt = d.now
 	it.attempt++
+	it.limit = d.limitFor(it)
 	it.charged = charged
-	it.long = k == long
+	it.long = isLong(level)
 	if charged {
 		q.workspace.charge(level, it.cost)
 	}
@@ -216,7 +225,17 @@
 	}
 	d.refresh(v)
 	d.counters.Dispatched++
-	return Assignment{Item: it.id, Server: v.id, Attempt: it.attempt}
+	return Assignment{Item: it.id, Server: v.id, Attempt: it.attempt, Limit: it.limit}
+}
+
+// limitFor caps the first attempt of a repeatable short item while others wait
+// behind it, so that a straggler gives its slot back and drops a class.
+func (d *Dispatcher) limitFor(it *item) time.Duration {
+	e := it.service.run.Estimate()
+	if !it.repeatable || it.level != 0 || !e.Learned || d.level[0].queued == 0 {
+		return 0
+	}
+	return time.Duration(stragglerFactor * float64(e.High))
 }
 
 // demote moves short items that outlived their class down: their slots count
@@ -240,6 +259,16 @@
 	}
 }
 
+// Demand returns the requests queued or in flight. Instances tell it to their
+// peers, for SetDemand.
+func (d *Dispatcher) Demand() int {
+	n := d.queued
+	for l := range d.level {
+		n += d.level[l].inFlight
+	}
+	return n
+}
+
 // Cancel ends a queued item and reports whether it did. An item in flight goes
 // on, but isn't queued again.
 func (d *Dispatcher) Cancel(id uint64) bool {
--- a/internal/dispatch/fair.go
+++ b/internal/dispatch/fair.go
@@ -12,6 +12,9 @@
 	quantum = 50 * time.Millisecond
 	// debtRounds bounds a workspace's debt, in rounds.
 	debtRounds = 40
+	// stragglerFactor is how many times its service's 95th percentile a short
+	// run may take before it counts as a straggler.
+	stragglerFactor = 1.5
 	// minCost is the slot time charged at least for an item.
 	minCost = time.Millisecond
 )
@@ -66,6 +69,8 @@
 	queued  [levels]int
 	work    [levels]time.Duration
 	deficit [levels]time.Duration
+	drain   [levels]meter
+	surplus [levels]surplus
 }
 
 func (w *workspace) queuedItems() int {
@@ -115,38 +120,26 @@
 	}
 }
 
-// head returns the service whose oldest item the workspace runs next among
-// those that a server with room offers.
+// head returns the service whose oldest item the workspace runs next: of those
+// that a server with room offers the one with the earliest deadline.
 func (d *Dispatcher) head(w *workspace, level uint8) (*service, bool) {
 	var best *service
 	for _, q := range w.services {
 		if q.fifo[level].len == 0 {
 			continue
 		}
-		if best != nil && d.headTime(best, level) <= d.headTime(q, level) {
+		if best != nil && d.headDeadline(best, level) <= d.headDeadline(q, level) {
 			continue
 		}
-		if d.offered(kindOf(level), q.key.Name) {
+		if d.hasRoom(level, q.key.Name) {
 			best = q
 		}
 	}
 	return best, best != nil
 }
 
-func (d *Dispatcher) headTime(q *service, level uint8) time.Duration {
-	return d.pool.items[q.fifo[level].head].queuedAt
-}
-
-func (d *Dispatcher) offered(k kind, name string) bool {
-	if d.uniform {
-		return len(d.open[k]) > 0
-	}
-	for _, v := range d.open[k] {
-		if v.offers(name) {
-			return true
-		}
-	}
-	return false
+func (d *Dispatcher) headDeadline(q *service, level uint8) time.Duration {
+	return d.pool.items[q.fifo[level].head].deadline
 }
 
 // pickNominal returns the service to run next for the workspace that uses the
--- a/internal/dispatch/items.go
+++ b/internal/dispatch/items.go
@@ -22,13 +22,17 @@
 // item is a request known to the dispatcher. Items live in a pool and are
 // linked by index, so that steady work allocates nothing.
 type item struct {
-	id         uint64
-	service    *service
-	server     *server
-	deadline   time.Duration
-	queuedAt   time.Duration
-	startedAt  time.Duration
-	cost       time.Duration
+	id        uint64
+	service   *service
+	server    *server
+	deadline  time.Duration
+	queuedAt  time.Duration
+	startedAt time.Duration
+	cost      time.Duration
+	// forecast is the wait expected on arrival.
+	forecast time.Duration
+	// limit is the present attempt's, or 0.
+	limit      time.Duration
 	prev, next int32
 	attempt    int
 	level      uint8
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -124,7 +124,10 @@
 }
 
 func (d *Dispatcher) mayRetry(it *item, r Result) bool {
-	if r.Kind == Failed && (!it.repeatable || r.Abandoned) {
+	if r.Kind == Failed && !it.repeatable {
+		return false
+	}
+	if r.Kind == Failed && r.Abandoned && !d.drop(it, r.Elapsed) {
 		return false
 	}
 	if d.now+it.service.run.Estimate().Low >= it.deadline {
@@ -134,3 +137,13 @@
 	refused := r.Kind == RefusedFull || r.Kind == RefusedLeaving
 	return paid || refused
 }
+
+// drop moves an item that outlived its limit to the next lower class, and
+// reports whether it can still be done: it needs longer than it already ran.
+func (d *Dispatcher) drop(it *item, ran time.Duration) bool {
+	if it.limit == 0 || d.now+ran >= it.deadline {
+		return false
+	}
+	it.level = max(it.level, 1)
+	return true
+}
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -7,20 +7,29 @@
 	"github.com/lentilwinch/lentilwinch/internal/breaker"
 )
 
-// kind tells work by the slots that it may take.
+// kind tells slots by the work that may take them.
 type kind int
 
 const (
-	short kind = iota
-	long
+	// shortHome and longHome are slots of this instance's own part.
+	shortHome kind = iota
+	longHome
+	// shortAway are slots of other instances' parts. Long work doesn't take
+	// them, for it would hold them long after they are missed.
+	shortAway
 	kinds
 )
 
-func kindOf(level uint8) kind {
-	if level == 0 {
-		return short
-	}
-	return long
+// quietProbes is how many times longer a report counts while no short work
+// waits.
+const quietProbes = 15
+
+// awayMargin is the number of slots left free at a server when work is sent
+// beyond this instance's part.
+const awayMargin = 1
+
+func isLong(level uint8) bool {
+	return level > 0
 }
 
 // server is what is known of a backend server.
@@ -34,11 +43,15 @@
 	// inFlight is the work of this instance there, long the long part of it.
 	inFlight int
 	long     int
+	// part is the number of slots that are this instance's by an even split.
+	part int
 	// others is the work of the other instances as last reported.
 	others     int
 	reportedAt time.Duration
-	circuit    breaker.Circuit
-	ramp       breaker.SlowStart
+	// lookedAt is when the report's age was looked at last.
+	lookedAt time.Duration
+	circuit  breaker.Circuit
+	ramp     breaker.SlowStart
 	// openAt is the server's place in the open list of each kind, or -1.
 	openAt [kinds]int
 	// wakeAt is when to look at the server again; timerAt is its place in the
@@ -70,9 +83,12 @@
 func (v *server) room(now time.Duration) [kinds]bool {
 	var r [kinds]bool
 	busy := v.inFlight + v.others
-	r[short] = v.inFlight < v.limit(now) && busy < v.slots
+	home := v.inFlight < v.part
+	free := v.inFlight < v.limit(now) && busy < v.slots
+	r[shortHome] = free && home
+	r[shortAway] = free && busy < v.slots-awayMargin
 	unreserved := v.slots - v.reserve
-	r[long] = r[short] && v.long < unreserved && busy < unreserved
+	r[longHome] = r[shortHome] && v.long < unreserved && busy < unreserved
 	return r
 }
 
@@ -116,7 +132,7 @@
 
 // nextChange returns when the server may get room without an event.
 func (d *Dispatcher) nextChange(v *server, room [kinds]bool) (time.Duration, bool) {
-	if v.leaving || v.gone || room[long] {
+	if v.leaving || v.gone || room[longHome] && room[shortAway] {
 		return 0, false
 	}
 	if v.circuit.State(d.now) == breaker.Open {
@@ -126,7 +142,7 @@
 		return at, true
 	}
 	if v.others > 0 {
-		return v.reportedAt + d.settings.ProbeInterval, true
+		return max(v.reportedAt, v.lookedAt) + d.settings.ProbeInterval, true
 	}
 	return 0, false
 }
@@ -143,21 +159,58 @@
 	}
 }
 
-// age assumes that some of the others' work has ended since it was reported.
-// The jitter keeps instances from probing at the same time.
+// age assumes that some of the others' work has ended since it was reported:
+// soon while short work waits, late otherwise, when a wrong guess would only
+// delay somebody. The jitter keeps instances from probing at the same time.
 func (d *Dispatcher) age(v *server) {
-	if v.others == 0 || d.now < v.reportedAt+d.settings.ProbeInterval {
+	wait := d.settings.ProbeInterval
+	v.lookedAt = d.now
+	if d.level[0].queued == 0 {
+		wait *= quietProbes
+	}
+	if v.others == 0 || d.now < v.reportedAt+wait {
 		return
 	}
 	v.others--
-	jitter := time.Duration(d.settings.Rand.Int64N(int64(d.settings.ProbeInterval)/2 + 1))
+	jitter := time.Duration(d.settings.Rand.Int64N(int64(wait)/2 + 1))
 	v.reportedAt = d.now - jitter
 }
 
-// choose returns the least loaded of a few random servers with room that offer
-// the service. It needs one such server to exist.
-func (d *Dispatcher) choose(k kind, name string) (*server, bool) {
-	open := d.open[k]
+// choose returns a server with room that offers the service: one where a slot
+// of this instance's own part is free, else, for short work, any.
+func (d *Dispatcher) choose(level uint8, name string) (*server, bool) {
+	if isLong(level) {
+		return d.leastLoaded(d.open[longHome], name)
+	}
+	if v, ok := d.leastLoaded(d.open[shortHome], name); ok {
+		return v, true
+	}
+	return d.leastLoaded(d.open[shortAway], name)
+}
+
+// hasRoom reports whether a server with room offers the service.
+func (d *Dispatcher) hasRoom(level uint8, name string) bool {
+	if isLong(level) {
+		return d.anyOffers(d.open[longHome], name)
+	}
+	return d.anyOffers(d.open[shortHome], name) || d.anyOffers(d.open[shortAway], name)
+}
+
+func (d *Dispatcher) anyOffers(open []*server, name string) bool {
+	if d.uniform {
+		return len(open) > 0
+	}
+	for _, v := range open {
+		if v.offers(name) {
+			return true
+		}
+	}
+	return false
+}
+
+// leastLoaded returns the least loaded of a few random servers that offer the
+// service.
+func (d *Dispatcher) leastLoaded(open []*server, name string) (*server, bool) {
 	if len(open) == 0 {
 		return nil, false
 	}
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -13,8 +13,8 @@
 	// QueueLimit bounds the queued items. Each workspace has a part of it by
 	// its weight.
 	QueueLimit int
-	// ReservePercent is the share of each server's slots that long work can't
-	// take.
+	// ReservePercent is the share of this instance's slots that long work
+	// can't take.
 	ReservePercent int
 	// ShortRunLimit is the run time beyond which work is long, whichever class
 	// it declares. NormalRunLimit is that beyond which it ranks as batch work.
@@ -37,15 +37,15 @@
 	Rand *rand.Rand
 }
 
-// DefaultSettings returns the settings for servers of about eight slots.
+// DefaultSettings returns the settings used where none are given.
 func DefaultSettings() Settings {
 	return Settings{
 		QueueLimit:     8192,
 		ReservePercent: 25,
 		ShortRunLimit:  time.Second,
 		NormalRunLimit: time.Minute,
-		Choices:        2,
-		ProbeInterval:  50 * time.Millisecond,
+		Choices:        4,
+		ProbeInterval:  300 * time.Millisecond,
 		SlowStart:      10 * time.Second,
 		Circuit: breaker.CircuitSettings{
 			Failures: 5,
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -45,6 +45,10 @@
 	Server string
 	// Attempt counts the item's dispatches from 1.
 	Attempt int
+	// Limit is the time after which the attempt is to be cut off, its result
+	// being Failed and Abandoned; 0 leaves it until the item's deadline. Only
+	// repeatable work that others wait behind has one.
+	Limit time.Duration
 }
 
 // ResultKind says how an attempt ended.
