--- a/internal/duty/gangs/schedule.go
+++ b/internal/duty/gangs/schedule.go
@@ -1,8 +1,10 @@
 package gangs
 
 import (
+	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -96,7 +98,7 @@
 	// Map order is random; the decision must not depend on it.
 	slices.SortFunc(s.Gangs, func(a, b scheduler.Gang) int { return compareKeys(a.Key, b.Key) })
 	slices.SortFunc(s.Queued, func(a, b scheduler.Pending) int { return compareKeys(a.Spec.Key, b.Spec.Key) })
-	slices.SortFunc(s.Workspaces, func(a, b structs.Workspace) int { return compareStrings(a.Name, b.Name) })
+	slices.SortFunc(s.Workspaces, func(a, b structs.Workspace) int { return strings.Compare(a.Name, b.Name) })
 	return s
 }
 
@@ -130,21 +132,7 @@
 }
 
 func compareKeys(a, b structs.JobKey) int {
-	if c := compareStrings(a.Workspace, b.Workspace); c != 0 {
-		return c
-	}
-	return compareStrings(a.ID, b.ID)
-}
-
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
+	return cmp.Or(strings.Compare(a.Workspace, b.Workspace), strings.Compare(a.ID, b.ID))
 }
 
 // begin verifies a start against what was begun before it and starts it. The
