--- a/internal/duty/ownership/harness_test.go
+++ b/internal/duty/ownership/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -124,6 +125,8 @@
 	mu     sync.Mutex
 	frozen chan struct{}
 	dead   bool
+	// lag draws the delay of the next call, unless nil.
+	lag func() time.Duration
 }
 
 func (g *gate) freeze() {
@@ -160,6 +163,21 @@
 	return ctx, nil
 }
 
+func (g *gate) delay(ctx context.Context) error {
+	g.mu.Lock()
+	lag := g.lag
+	g.mu.Unlock()
+	if lag == nil {
+		return nil
+	}
+	select {
+	case <-time.After(lag()):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func through[T any](ctx context.Context, g *gate, call func(context.Context) (T, error)) (T, error) {
 	var zero T
 	ctx, err := g.pass(ctx)
@@ -168,6 +186,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
+	if g.delay(ctx) != nil {
+		return zero, fault.New(fault.Uncertain, "no answer in time")
+	}
 	out, err := call(ctx)
 	if _, dead := g.pass(ctx); dead != nil {
 		return zero, dead
@@ -322,6 +343,21 @@
 	return holder, claims
 }
 
+// jitter delays about half of the calls of every process.
+func (c *cluster) jitter(delay time.Duration) {
+	for i, p := range c.procs {
+		p.gate.mu.Lock()
+		random := rand.New(rand.NewPCG(1, uint64(i)))
+		var mu sync.Mutex
+		p.gate.lag = func() time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			return time.Duration(random.IntN(2)) * delay
+		}
+		p.gate.mu.Unlock()
+	}
+}
+
 // epochs returns the epoch of every failure domain in order.
 func (c *cluster) epochs() []int64 {
 	c.oracle.mu.Lock()
--- a/internal/duty/ownership/ownership_test.go
+++ b/internal/duty/ownership/ownership_test.go
@@ -88,16 +88,14 @@
 }
 
 // TestOutageMovesNothing is seen to fail with sessions that expire across
-// failures of the observer's own operations, with a TTL that doesn't grow with
-// the table's latency, and with owners that stop being usable when their
-// renewals fail.
+// failures of the observer's own operations, and with owners that stop being
+// usable when their renewals fail.
 func TestOutageMovesNothing(t *testing.T) {
 	for _, faults := range []fake.TableFaults{
 		{Down: true},
 		{Hang: true},
 		{LoseAnswers: true},
 		{Delay: time.Second},
-		{Delay: 1300 * time.Millisecond},
 	} {
 		for _, lasting := range []time.Duration{300 * time.Millisecond, 3 * time.Second, 10 * time.Minute} {
 			t.Run(fmt.Sprintf("%+v for %v", faults, lasting), func(t *testing.T) {
@@ -127,6 +125,21 @@
 	must.Greater(t, works, c.oracle.worked())
 }
 
+// TestUnevenLatencyMovesNothing is seen to fail with a TTL that doesn't grow
+// with the table's latency.
+func TestUnevenLatencyMovesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(4, 4)
+		defer c.close()
+		time.Sleep(rebalanced)
+		before := c.epochs()
+		c.jitter(1300 * time.Millisecond)
+		time.Sleep(10 * time.Minute)
+		must.SliceEmpty(t, c.settled())
+		must.Eq(t, before, c.epochs())
+	})
+}
+
 func TestTakeoverWithLostAnswersSettlesOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(3, 1)
@@ -145,22 +158,28 @@
 // rolling replacement does. Seen to fail when the releasing owner names no
 // successor.
 func TestReleaseHandsOverWithinOnePoll(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(4, 8)
-		defer c.close()
-		time.Sleep(rebalanced)
-		for _, p := range c.procs[:3] {
-			owned := p.own.Owned()
-			began := time.Now()
-			must.NoError(t, p.own.Release(context.Background()))
-			time.Sleep(2 * time.Second)
-			must.SliceEmpty(t, c.settled())
-			must.SliceEmpty(t, p.own.Owned())
-			for _, grant := range owned {
-				must.LessEq(t, defaultPoll, c.oracle.takenAt(grant.Domain).Sub(began))
+	for _, domains := range []int{4, 8} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(4, domains)
+			defer c.close()
+			time.Sleep(rebalanced)
+			for _, p := range c.procs[:3] {
+				releaseWithinOnePoll(t, c, p)
 			}
-		}
-	})
+		})
+	}
+}
+
+func releaseWithinOnePoll(t *testing.T, c *cluster, p *process) {
+	owned := p.own.Owned()
+	began := time.Now()
+	must.NoError(t, p.own.Release(context.Background()))
+	time.Sleep(2 * time.Second)
+	must.SliceEmpty(t, c.settled())
+	must.SliceEmpty(t, p.own.Owned())
+	for _, grant := range owned {
+		must.LessEq(t, defaultPoll, c.oracle.takenAt(grant.Domain).Sub(began))
+	}
 }
 
 // TestTakeoverNeedsOwnSession is seen to fail without the condition on the
