--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -9,7 +9,7 @@
 	PassingLimit = 30 * time.Minute
 	// MoveAfter is the wait after which preemptible gangs are moved for a job
 	// that would fit if the free accelerators lay together.
-	MoveAfter = 10 * time.Second
+	MoveAfter = time.Second
 	// moveCost is the time that a moved gang's accelerators lose to its
 	// checkpoint and resumption.
 	moveCost = 30 * time.Second
