Dispatch: tests against an oracle, forecasts that count idle slots

Purpose: the promises of dispatch (slots, leaving servers, at most one dispatch of what may have started, one end for each item, the reserve for short work, shares by weight) need tests that a wrong dispatcher fails.

Cause of two faults they found: the forecast counted nothing ahead of an item whose deadline is earlier than those queued in its own service, though a service's queue is first in, first out; and it took a burst that arrives before the first dispatch to have one slot.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -24,9 +24,11 @@
 	if w.queued[level] == 0 {
 		return 0
 	}
-	ahead := 0
+	ahead := q.fifo[level].len
 	for _, other := range w.services {
-		ahead += d.before(other, level, deadline)
+		if other != q {
+			ahead += d.before(other, level, deadline)
+		}
 	}
 	if wait, ok := w.drain[level].timeFor(d.now, ahead); ok {
 		return wait
@@ -73,12 +75,13 @@
 	return int(time.Duration(l.len) * (deadline - first) / (last - first))
 }
 
-// heldBy is the number of slots whose work a level's queue follows on.
+// heldBy is the number of slots whose work a level's queue follows on: those
+// it holds, or those of this instance's part that it could.
 func (d *Dispatcher) heldBy(level uint8) int {
-	if !isLong(level) {
-		return d.level[0].inFlight
+	if isLong(level) {
+		return max(d.longInFlight, d.longLimit)
 	}
-	return d.longInFlight
+	return max(d.level[0].inFlight, d.partSlots-d.longInFlight)
 }
 
 // Expire removes the queued items that are to be refused now: their deadline
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -135,6 +135,7 @@
 			mine += v.part
 		}
 	}
+	d.partSlots = mine
 	d.longLimit = mine * (100 - d.settings.ReservePercent) / 100
 	if d.longLimit == 0 && mine > 0 {
 		d.longLimit = 1
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,6 +39,8 @@
 	// peers are the instances that share the slots, this one included.
 	peers []peer
 	self  string
+	// partSlots is the number of slots of this instance's part.
+	partSlots int
 	// longLimit bounds longInFlight.
 	longLimit    int
 	longInFlight int
--- /dev/null
+++ b/internal/dispatch/machine_test.go
@@ -0,0 +1,254 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lentilwinch/lentilwinch/internal/port"
+)
+
+// oracleItem is what a caller knows of its item.
+type oracleItem struct {
+	long       bool
+	repeatable bool
+	mayHaveRun bool
+}
+
+// machine drives a dispatcher at random and keeps the plainest account of what
+// it must hold to.
+type machine struct {
+	d   *Dispatcher
+	now time.Time
+	// queued, flying and ended partition the accepted items.
+	queued  map[uint64]oracleItem
+	flying  map[uint64]oracleItem
+	at      map[uint64]Assignment
+	ended   map[uint64]bool
+	slots   map[string]int
+	leaving map[string]bool
+	next    uint64
+}
+
+func newMachine() *machine {
+	m := &machine{
+		d:       fleet(Settings{QueueLimit: 64}, 0, 0),
+		now:     start,
+		queued:  map[uint64]oracleItem{},
+		flying:  map[uint64]oracleItem{},
+		at:      map[uint64]Assignment{},
+		ended:   map[uint64]bool{},
+		slots:   map[string]int{},
+		leaving: map[string]bool{},
+	}
+	for i := range 4 {
+		m.slots[fmt.Sprintf("server-%d", i)] = 2 + 2*i
+	}
+	m.setServers()
+	return m
+}
+
+func (m *machine) setServers() {
+	var list []Server
+	for i := range 4 {
+		id := fmt.Sprintf("server-%d", i)
+		list = append(list, Server{ID: id, Slots: m.slots[id], Leaving: m.leaving[id]})
+	}
+	m.d.SetServers(list)
+}
+
+func (m *machine) enqueue(t *rapid.T) {
+	m.next++
+	it := oracleItem{long: rapid.Bool().Draw(t, "long"), repeatable: rapid.Bool().Draw(t, "repeatable")}
+	service := "check"
+	if it.long {
+		service = "scan"
+	}
+	err := m.d.Enqueue(m.now, Item{
+		ID:         m.next,
+		Workspace:  rapid.SampledFrom([]string{"yard", "mill"}).Draw(t, "workspace"),
+		Service:    service,
+		Repeatable: it.repeatable,
+		Deadline:   m.now.Add(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "deadline")) * time.Millisecond),
+	})
+	if err == nil {
+		m.queued[m.next] = it
+	}
+}
+
+func (m *machine) dispatch(t *rapid.T) {
+	for {
+		a, ok := m.d.Next(m.now)
+		if !ok {
+			return
+		}
+		it, queued := m.queued[a.Item]
+		if !queued {
+			t.Fatalf("item %d was dispatched but isn't queued", a.Item)
+		}
+		if it.mayHaveRun && !it.repeatable {
+			t.Fatalf("item %d may have run and was dispatched again", a.Item)
+		}
+		if m.leaving[a.Server] {
+			t.Fatalf("leaving %s got item %d", a.Server, a.Item)
+		}
+		delete(m.queued, a.Item)
+		m.flying[a.Item], m.at[a.Item] = it, a
+		m.checkSlots(t, a, it)
+	}
+}
+
+func (m *machine) checkSlots(t *rapid.T, a Assignment, it oracleItem) {
+	here, longHere, long := 0, 0, 0
+	for id, other := range m.flying {
+		if other.long {
+			long++
+		}
+		if m.at[id].Server != a.Server {
+			continue
+		}
+		here++
+		if other.long {
+			longHere++
+		}
+	}
+	slots := m.slots[a.Server]
+	if here > slots {
+		t.Fatalf("%s runs %d items in %d slots", a.Server, here, slots)
+	}
+	if it.long && slots >= smallServer && longHere == slots {
+		t.Fatalf("%s runs long work in every slot", a.Server)
+	}
+	if it.long && long > m.longSlots() {
+		t.Fatalf("%d long items run in %d slots", long, m.longSlots())
+	}
+}
+
+// longSlots is three quarters of the slots that aren't leaving.
+func (m *machine) longSlots() int {
+	n := 0
+	for id, slots := range m.slots {
+		if !m.leaving[id] {
+			n += slots
+		}
+	}
+	return max(n*3/4, 1)
+}
+
+func (m *machine) finish(t *rapid.T) {
+	if len(m.flying) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(sortedKeys(m.flying)).Draw(t, "item")
+	kinds := []ResultKind{Succeeded, Succeeded, Succeeded, RefusedFull, RefusedLeaving, NotStarted, Failed}
+	r := Result{
+		Kind:    rapid.SampledFrom(kinds).Draw(t, "kind"),
+		Elapsed: time.Duration(rapid.IntRange(1, 3000).Draw(t, "elapsed")) * time.Millisecond,
+	}
+	a, it := m.at[id], m.flying[id]
+	if r.Kind == Succeeded {
+		r.Load = &port.BackendLoad{Busy: rapid.IntRange(0, m.slots[a.Server]).Draw(t, "busy")}
+	}
+	m.d.Done(m.now, a, r)
+	delete(m.flying, id)
+	if r.Kind == RefusedLeaving {
+		m.leaving[a.Server] = true
+	}
+	it.mayHaveRun = it.mayHaveRun || r.Kind == Failed
+	if r.Kind != Succeeded && m.d.Retry(m.now, a, r) {
+		m.queued[id] = it
+		return
+	}
+	m.end(t, id)
+	m.d.Done(m.now, a, r)
+	if m.d.Retry(m.now, a, r) {
+		t.Fatalf("item %d came back after its end", id)
+	}
+}
+
+func (m *machine) end(t *rapid.T, id uint64) {
+	if m.ended[id] {
+		t.Fatalf("item %d ended twice", id)
+	}
+	m.ended[id] = true
+}
+
+func (m *machine) expire(t *rapid.T) {
+	for _, id := range m.d.Expire(m.now) {
+		if _, ok := m.queued[id]; !ok {
+			t.Fatalf("item %d expired but isn't queued", id)
+		}
+		delete(m.queued, id)
+		m.end(t, id)
+	}
+}
+
+func (m *machine) cancel(t *rapid.T) {
+	if len(m.queued) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(sortedKeys(m.queued)).Draw(t, "item")
+	if !m.d.Cancel(id) {
+		t.Fatalf("queued item %d wasn't cancelled", id)
+	}
+	delete(m.queued, id)
+	m.end(t, id)
+}
+
+func (m *machine) leave(t *rapid.T) {
+	if !rapid.Bool().Draw(t, "really") {
+		return
+	}
+	m.leaving[fmt.Sprintf("server-%d", rapid.IntRange(0, 3).Draw(t, "server"))] = true
+	m.setServers()
+}
+
+func (m *machine) pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+}
+
+// check compares the dispatcher's own account with the oracle's.
+func (m *machine) check(t *rapid.T) {
+	s := m.d.Stats()
+	if s.Queued != len(m.queued) || s.InFlight != len(m.flying) {
+		t.Fatalf("%d queued and %d in flight; want %d and %d", s.Queued, s.InFlight, len(m.queued), len(m.flying))
+	}
+}
+
+// TestDispatcherHoldsToItsPromises fails under each of these mutations: room
+// ignores the limit; room ignores leaving; mayRetry ignores repeatable; the
+// long limit or the reserve is ignored; Done doesn't forget a succeeded item;
+// Retry queues without checking the state.
+func TestDispatcherHoldsToItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		t.Repeat(map[string]func(*rapid.T){
+			"enqueue":  m.enqueue,
+			"enqueue2": m.enqueue,
+			"dispatch": m.dispatch,
+			"finish":   m.finish,
+			"expire":   m.expire,
+			"cancel":   m.cancel,
+			"leave":    m.leave,
+			"pass":     m.pass,
+			"":         m.check,
+		})
+		m.now = m.now.Add(time.Hour)
+		m.expire(t)
+		for id := range m.queued {
+			t.Fatalf("item %d is queued long after its deadline", id)
+		}
+	})
+}
+
+func sortedKeys(m map[uint64]oracleItem) []uint64 {
+	var keys []uint64
+	for id := uint64(1); len(keys) < len(m); id++ {
+		if _, ok := m[id]; ok {
+			keys = append(keys, id)
+		}
+	}
+	return keys
+}
--- a/internal/dispatch/meter.go
+++ b/internal/dispatch/meter.go
@@ -57,7 +57,7 @@
 	surplusGain   = 1.0 / 128
 	deviationGain = 1.0 / 128
 	// deviations is how many mean deviations the bound is above the mean.
-	deviations = 1
+	deviations = 2
 )
 
 // surplus learns by how much waits exceed their forecasts, as TCP learns its
