--- a/internal/adapter/api/api.go
+++ b/internal/adapter/api/api.go
@@ -128,7 +128,7 @@
 		Body:    m.GetBody(),
 	}
 	if m.GetTimeoutMs() > 0 {
-		req.Deadline = time.Now().Add(time.Duration(m.GetTimeoutMs()) * time.Millisecond)
+		req.Deadline = time.Now().Add(millis(m.GetTimeoutMs()))
 	}
 	res, err := s.requests.Do(ctx, req)
 	if err != nil {
--- a/internal/adapter/api/convert.go
+++ b/internal/adapter/api/convert.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"math"
 	"time"
 
 	lentilwinchv1 "github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1"
@@ -15,7 +16,7 @@
 		Adjacency:    structs.Adjacency(m.GetAdjacency()),
 		Class:        structs.Class(m.GetClass()),
 		Preemptible:  m.GetPreemptible(),
-		DeclaredRun:  time.Duration(m.GetDeclaredRunMs()) * time.Millisecond,
+		DeclaredRun:  millis(m.GetDeclaredRunMs()),
 		Payload:      m.GetPayload(),
 		Domain:       m.GetDomain(),
 		Service:      m.GetService(),
@@ -56,6 +57,20 @@
 	return out
 }
 
+// millis converts what a caller states. Numbers beyond a Duration's range give
+// its ends instead of overflowing.
+func millis(ms int64) time.Duration {
+	const most = math.MaxInt64 / int64(time.Millisecond)
+	switch {
+	case ms > most:
+		return math.MaxInt64
+	case ms < -most:
+		return math.MinInt64
+	default:
+		return time.Duration(ms) * time.Millisecond
+	}
+}
+
 func unixMillis(t time.Time) int64 {
 	if t.IsZero() {
 		return 0
--- a/internal/duty/requests/requests_test.go
+++ b/internal/duty/requests/requests_test.go
@@ -310,3 +310,19 @@
 		must.Zero(t, w.runs("queued "+once)+w.runs("queued "+again))
 	})
 }
+
+// TestClaimGrantedAfterTheDeadline seen failing: without a look at the clock
+// after the claim, the adapter is asked all the same.
+func TestClaimGrantedAfterTheDeadline(t *testing.T) {
+	scene(t, 1, 4, func(t *testing.T, w *world) {
+		n := w.instances[0]
+		w.table.SetFaults(fake.TableFaults{Delay: 800 * time.Millisecond})
+		req := request(once, "r", 100*time.Millisecond)
+		req.Deadline = time.Now().Add(500 * time.Millisecond)
+		must.Eq(t, structs.OutcomeNotRun, (<-n.send(req)).res.Outcome)
+		must.Zero(t, n.process.lateCalls())
+		w.table.SetFaults(fake.TableFaults{})
+		time.Sleep(deadline)
+		must.SliceEmpty(t, w.judgeFinal(n))
+	})
+}
