--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/duty/membership"
 	"github.com/lentilwinch/lentilwinch/internal/duty/ownership"
 	"github.com/lentilwinch/lentilwinch/internal/duty/requests"
+	"github.com/lentilwinch/lentilwinch/internal/duty/retention"
 	"github.com/lentilwinch/lentilwinch/internal/duty/session"
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
@@ -49,6 +50,12 @@
 	settleRetry   = 250 * time.Millisecond
 	recordTimeout = 500 * time.Millisecond
 	claimTimeout  = time.Second
+	// sweepInterval and sweepPage make at most 60 rows a second.
+	sweepInterval = 5 * time.Second
+	sweepPage     = 300
+	sweepTimeout  = 4 * time.Second
+	claimAge      = 24 * time.Hour
+	jobAge        = 7 * 24 * time.Hour
 )
 
 // Daemon is one instance.
@@ -67,6 +74,7 @@
 	jobs       *jobs.Jobs
 	claims     *claims.Claims
 	requests   *requests.Requests
+	retention  *retention.Sweeper
 	backends   *backend.Backends
 
 	draining     chan struct{}
@@ -90,6 +98,13 @@
 	d.config = config.New(d.keeperSettings(), st, d.mesh, liveInstances{d}, d.ticketFleet, log)
 	d.wireJobs(st, workers)
 	d.wireRequests(st)
+	d.retention = retention.New(retention.Settings{
+		Interval: sweepInterval,
+		Page:     sweepPage,
+		Timeout:  sweepTimeout,
+		ClaimAge: claimAge,
+		JobAge:   jobAge,
+	}, st, d.sweeps, log)
 	return d
 }
 
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -31,6 +31,7 @@
 		{"gangs", d.gangs.Run},
 		{"claims", d.claims.Run},
 		{"requests", d.requests.Run},
+		{"retention", d.retention.Run},
 		{"peer_events", d.runPeerEvents},
 		{"peer_targets", d.runPeerTargets},
 		{"load", d.runLoad},
@@ -135,6 +136,13 @@
 	return out
 }
 
+// sweeps reports whether this instance is the one of its region that deletes
+// old rows: the owner of the first failure domain.
+func (d *Daemon) sweeps() bool {
+	_, ok := d.ownership.Grant(d.settings.Ownership.Domains[0])
+	return ok
+}
+
 // liveInstances names the instances whose sessions are live, this one left
 // out, or the listed ones where the table was never reached.
 type liveInstances struct {
--- a/internal/duty/claims/claims.go
+++ b/internal/duty/claims/claims.go
@@ -130,7 +130,7 @@
 }
 
 func (c *Claims) newRecord(incarnation string, req structs.Request, o structs.Outcome) record {
-	return record{Holder: incarnation, Serial: c.serial.Add(1), Digest: digestOf(req), Outcome: o}
+	return record{Holder: incarnation, Serial: c.serial.Add(1), Digest: digestOf(req), Outcome: o, Since: time.Now().Unix()}
 }
 
 // giveUp records in the background that a claim which may exist was not used.
--- a/internal/duty/claims/record.go
+++ b/internal/duty/claims/record.go
@@ -3,7 +3,10 @@
 import (
 	"crypto/sha256"
 	"slices"
+	"time"
 
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/store"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
 
@@ -24,6 +27,17 @@
 	Object string `cbor:"6,keyasint,omitempty"`
 	// AnswerLost is set where the answer is neither here nor there.
 	AnswerLost bool `cbor:"8,keyasint,omitempty"`
+	// Since is when the record was first made, in Unix seconds.
+	Since int64 `cbor:"9,keyasint"`
+}
+
+// Since returns when a claim row was first made. It fails with fault.Invalid.
+func Since(row port.Row) (time.Time, error) {
+	var rec record
+	if err := store.Decode(row, &rec); err != nil {
+		return time.Time{}, err
+	}
+	return time.Unix(rec.Since, 0), nil
 }
 
 func (r record) final() bool {
