Dispatch, breaker, learn: tests seen to fail under named mutations

Purpose: each promise's test must be one that a wrong implementation fails.

Three survived at first (reserve of a single server, Retry without its state check, Cancel that keeps the item) and led to the burst, the second calls and the deterministic reserve test.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -269,3 +269,16 @@
 
 func BenchmarkDispatch50x8(b *testing.B)  { benchmarkCycle(b, 50) }
 func BenchmarkDispatch500x8(b *testing.B) { benchmarkCycle(b, 500) }
+
+// TestLongWorkLeavesASlotOfEachServer fails when room ignores the reserve.
+func TestLongWorkLeavesASlotOfEachServer(t *testing.T) {
+	d := fleet(Settings{}, 2, 8)
+	must.NoError(t, d.Enqueue(start, checkItem(1, "yard", start)))
+	a, _ := d.Next(start)
+	full := &port.BackendLoad{Slots: 8, Busy: 8}
+	d.Done(start, a, Result{Kind: Succeeded, Load: full, Elapsed: time.Second})
+	for id := uint64(2); id <= 40; id++ {
+		must.NoError(t, d.Enqueue(start, Item{ID: id, Workspace: "yard", Service: "scan", Deadline: start.Add(time.Hour)}))
+	}
+	must.Len(t, 7, drain(d, start))
+}
--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -44,7 +44,7 @@
 		leaving: map[string]bool{},
 	}
 	for i := range 4 {
-		m.slots[fmt.Sprintf("server-%d", i)] = 2 + 2*i
+		m.slots[fmt.Sprintf("server-%d", i)] = 1 + i
 	}
 	m.setServers()
 	return m
@@ -60,21 +60,25 @@
 }
 
 func (m *machine) enqueue(t *rapid.T) {
-	m.next++
 	it := oracleItem{long: rapid.Bool().Draw(t, "long"), repeatable: rapid.Bool().Draw(t, "repeatable")}
 	service := "check"
 	if it.long {
 		service = "scan"
 	}
-	err := m.d.Enqueue(m.now, Item{
-		ID:         m.next,
-		Workspace:  rapid.SampledFrom([]string{"yard", "mill"}).Draw(t, "workspace"),
-		Service:    service,
-		Repeatable: it.repeatable,
-		Deadline:   m.now.Add(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "deadline")) * time.Millisecond),
-	})
-	if err == nil {
-		m.queued[m.next] = it
+	workspace := rapid.SampledFrom([]string{"yard", "mill"}).Draw(t, "workspace")
+	deadline := m.now.Add(time.Duration(rapid.IntRange(1, 60_000).Draw(t, "deadline")) * time.Millisecond)
+	for range rapid.IntRange(1, 12).Draw(t, "burst") {
+		m.next++
+		err := m.d.Enqueue(m.now, Item{
+			ID:         m.next,
+			Workspace:  workspace,
+			Service:    service,
+			Repeatable: it.repeatable,
+			Deadline:   deadline,
+		})
+		if err == nil {
+			m.queued[m.next] = it
+		}
 	}
 }
 
@@ -159,6 +163,9 @@
 	it.mayHaveRun = it.mayHaveRun || r.Kind == Failed
 	if r.Kind != Succeeded && m.d.Retry(m.now, a, r) {
 		m.queued[id] = it
+		if m.d.Retry(m.now, a, r) {
+			t.Fatalf("item %d was queued twice", id)
+		}
 		return
 	}
 	m.end(t, id)
@@ -193,6 +200,9 @@
 	if !m.d.Cancel(id) {
 		t.Fatalf("queued item %d wasn't cancelled", id)
 	}
+	if m.d.Cancel(id) {
+		t.Fatalf("item %d was cancelled twice", id)
+	}
 	delete(m.queued, id)
 	m.end(t, id)
 }
@@ -220,13 +230,13 @@
 // TestDispatcherHoldsToItsPromises fails under each of these mutations: room
 // ignores the limit; room ignores leaving; mayRetry ignores repeatable; the
 // long limit or the reserve is ignored; Done doesn't forget a succeeded item;
-// Retry queues without checking the state.
+// Retry queues without checking the state; Cancel keeps the item; Expire
+// removes nothing.
 func TestDispatcherHoldsToItsPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine()
 		t.Repeat(map[string]func(*rapid.T){
 			"enqueue":  m.enqueue,
-			"enqueue2": m.enqueue,
 			"dispatch": m.dispatch,
 			"finish":   m.finish,
 			"expire":   m.expire,
