Let the first renewal tell a new owner which members to start

A takeover sent a start to every member of every running gang: 3,100 calls for a failure domain with that many tasks, all at once. The first renewal, one call for each worker, reports which members are only reserved; those alone are started. The tests of owners killed and frozen at each step hold as before.

--- a/internal/duty/gangs/load.go
+++ b/internal/duty/gangs/load.go
@@ -163,8 +163,8 @@
 		case structs.JobReserving:
 			d.stop(ctx, e, structs.JobQueued, "owner changed while reserving", false)
 		case structs.JobRunning:
+			// The first renewal tells which members still have to be started.
 			d.leases.add(e.job.Members)
-			d.operate(ctx, e, func(ctx context.Context, o *operation) error { return o.startAll(ctx) })
 		case structs.JobStopping:
 			d.operate(ctx, e, func(ctx context.Context, o *operation) error { return o.finishStop(ctx) })
 		}
