Capacity page worked out from measured slopes

Weighed: whole daemons over loopback (dozens of processes, and rows that can't be told apart by duty) against the duties in one process; processor time is that of both ends, an upper bound.

--- /dev/null
+++ b/internal/bench/capacity/meter.go
@@ -0,0 +1,142 @@
+package capacity
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+)
+
+const (
+	// settlePoll is the time between two looks at what is waited for.
+	settlePoll = 2 * time.Millisecond
+	// settleLimit bounds each wait.
+	settleLimit       = 20 * time.Second
+	readHeaderTimeout = 5 * time.Second
+)
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	// RUSAGE_SELF can't fail.
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// cpuOf returns the processor time of f in nanoseconds.
+func cpuOf(f func()) float64 {
+	runtime.GC()
+	before := cpuTime()
+	f()
+	return float64(cpuTime() - before)
+}
+
+// liveBytes returns the bytes of live heap.
+func liveBytes() float64 {
+	return float64(memory().HeapAlloc)
+}
+
+// heldBytes returns the bytes of live heap and of stacks.
+func heldBytes() float64 {
+	m := memory()
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+func memory() runtime.MemStats {
+	// The second collection frees what finalizers and pools kept.
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m
+}
+
+// await polls until f holds. It fails with fault.Timeout.
+func await(ctx context.Context, what string, f func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	ticker := time.NewTicker(settlePoll)
+	defer ticker.Stop()
+	for !f() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fault.Wrap(fault.Timeout, what, ctx.Err())
+		}
+	}
+	return nil
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// server is an HTTP server on loopback that counts the bytes of its
+// connections, headers included.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+	in, out  atomic.Int64
+}
+
+func serve(h http.Handler) (*server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, "listen", err)
+	}
+	s := &server{http: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}, listener: l}
+	go func() { _ = s.http.Serve(countingListener{Listener: l, server: s}) }()
+	return s, nil
+}
+
+func (s *server) address() string {
+	return s.listener.Addr().String()
+}
+
+func (s *server) close() {
+	_ = s.http.Close()
+}
+
+// traffic returns the bytes received and sent so far.
+func (s *server) traffic() (in, out float64) {
+	return float64(s.in.Load()), float64(s.out.Load())
+}
+
+type countingListener struct {
+	net.Listener
+	server *server
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, server: l.server}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	server *server
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.server.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.server.out.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/bench/capacity/owner.go
@@ -0,0 +1,322 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/duty/fleet"
+	"github.com/lentilwinch/lentilwinch/internal/duty/gangs"
+	"github.com/lentilwinch/lentilwinch/internal/duty/jobs"
+	"github.com/lentilwinch/lentilwinch/internal/duty/ownership"
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+const (
+	domainName = "domain-0"
+	// busyAccelerators is the size of the workers that stand for workers with
+	// about ten tasks each.
+	busyAccelerators = 10
+	gangMembers      = 25
+	// slowCall is long enough for all calls that may run at once to begin.
+	slowCall = 100 * time.Millisecond
+	window   = 500 * time.Millisecond
+	// published is longer than the time in which a domain renews its state.
+	published = 600 * time.Millisecond
+	never     = time.Hour
+	inboxPoll = 25 * time.Millisecond
+	// polls is the number of polls of the inbox counted; each reads the inbox
+	// and then the jobs it names.
+	polls        = 40
+	readsPerPoll = 2
+	// quiet lets the collector's own work pass before a window begins.
+	quiet = 50 * time.Millisecond
+)
+
+// ownedDomain is a failure domain's runner over a fake table and workers.
+type ownedDomain struct {
+	table   *fake.Table
+	store   *store.Store
+	workers *stubWorkers
+	fleet   *fleet.Fleet
+	config  *structs.Config
+	grant   ownership.Grant
+	domain  *gangs.Domain
+	jobs    *jobs.Jobs
+	ended   atomic.Int64
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+func newOwnedDomain(ctx context.Context, workers, accelerators int) (*ownedDomain, error) {
+	o := &ownedDomain{table: fake.NewTable(), workers: newStubWorkers(domainName, workers, accelerators), done: make(chan struct{})}
+	o.store = store.New(o.table, "capacity")
+	o.config = configOf(workspaces(1, domainName, 0))
+	owner := ownership.Owner{Incarnation: "i", Instance: "i", Epoch: 1}
+	revision, err := o.store.Commit(ctx, new(store.Txn).Create(store.OwnerKey(domainName), owner))
+	if err != nil {
+		return nil, err
+	}
+	o.watchEnds()
+	o.grant = ownership.Grant{Domain: domainName, Incarnation: "i", Epoch: 1, Revision: revision}
+	o.fleet, err = loadedFleet(ctx, o.workers)
+	return o, err
+}
+
+// loadedFleet returns an inventory that was read once.
+func loadedFleet(ctx context.Context, w *stubWorkers) (*fleet.Fleet, error) {
+	f := fleet.New(w, never, settleLimit, zap.NewNop())
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx)
+	}()
+	err := await(ctx, "read the inventory", func() bool { return f.Len() == len(w.workers) })
+	cancel()
+	<-done
+	return f, err
+}
+
+// putRunning records a running gang, one member on each accelerator from the
+// first on.
+func (o *ownedDomain) putRunning(ctx context.Context, i, members, from int) error {
+	j := structs.Job{Spec: jobSpec(i, members), State: structs.JobRunning, Domain: domainName, Attempt: 1, Lent: true, Submitted: time.Now(), Started: time.Now()}
+	for m := range members {
+		w := o.workers.workers[(from+m)/o.workers.workers[0].Accelerators]
+		j.Members = append(j.Members, structs.Member{Worker: w.ID, Rack: w.Rack, Lease: structs.MemberLease(j.Spec.Key, 1, m)})
+	}
+	txn := new(store.Txn).Create(store.JobKey(j.Spec.Key), j)
+	txn.Put(store.QueueKey(domainName, j.Spec.Key), gangs.QueueRecord{Key: j.Spec.Key})
+	_, err := o.store.Commit(ctx, txn)
+	return err
+}
+
+func (o *ownedDomain) settings() gangs.Settings {
+	return gangs.Settings{
+		Tick:              100 * time.Millisecond,
+		InboxPoll:         never,
+		LeaseTTL:          15 * time.Second,
+		LeaseRenew:        never,
+		CallTimeout:       time.Second,
+		CheckpointTimeout: time.Second,
+		MaxFailures:       3,
+		Domains:           []string{domainName},
+	}
+}
+
+func (o *ownedDomain) start(ctx context.Context, s gangs.Settings) {
+	ctx, o.cancel = context.WithCancel(ctx)
+	o.domain = gangs.NewDomain(s, gangs.Deps{
+		Store:     o.store,
+		Workers:   o.workers,
+		Fleet:     o.fleet,
+		Config:    func() *structs.Config { return o.config },
+		Usable:    func() bool { return true },
+		Elsewhere: noSummaries,
+		Observer:  noObserver{},
+		Log:       zap.NewNop(),
+	}, o.grant)
+	wake := func(string) { o.domain.Wake() }
+	o.jobs = jobs.New(o.store, noPeers{}, []string{domainName}, func() *structs.Config { return o.config }, noSummaries, wake)
+	go func() {
+		defer close(o.done)
+		_ = o.domain.Run(ctx)
+	}()
+}
+
+func (o *ownedDomain) stop() {
+	o.cancel()
+	<-o.done
+}
+
+func (o *ownedDomain) inState(state structs.JobState) int {
+	return o.domain.State().ByState[string(state)]
+}
+
+func ownerExperiments() []Experiment {
+	return []Experiment{
+		{
+			Per:   "worker with 10 tasks in gangs of 25",
+			Sizes: []int{80, 160, 320},
+			Outputs: []Output{
+				{"domain.heap", "failure domain's runner, live heap", "B"},
+				{"domain.load.cpu", "takeover: load and start again", "ns"},
+				{"domain.load.rows", "takeover: rows read", "rows"},
+				{"domain.load.calls", "takeover: calls to workers", "calls"},
+				{"domain.idle.cpu", "runner, nothing waits", "ns/s"},
+				{"domain.wait.cpu", "runner, one gang waits", "ns/s"},
+			},
+			Run: runDomain,
+		},
+		{
+			Per:     "worker with 10 tasks in gangs of 25",
+			Sizes:   []int{80, 160, 320},
+			Outputs: []Output{{"domain.load.peak", "takeover: calls to workers at once", "calls"}},
+			Run:     runPeak,
+		},
+		{
+			Per:     "task in 40 gangs",
+			Sizes:   []int{160, 640, 2560},
+			Outputs: []Output{{"task.heap", "runner's live heap for a task", "B"}},
+			Run:     func(ctx context.Context, n int) ([]float64, error) { return heapOfGangs(ctx, 40, n/40) },
+		},
+		{
+			Per:     "job of one task",
+			Sizes:   []int{100, 400, 1600},
+			Outputs: []Output{{"job.heap", "runner's live heap for a job with its task", "B"}},
+			Run:     func(ctx context.Context, n int) ([]float64, error) { return heapOfGangs(ctx, n, 1) },
+		},
+		{
+			Per:   "job of one task",
+			Sizes: []int{25, 50, 100},
+			Outputs: []Output{
+				{"job.rows.written", "submit to succeeded: rows written", "rows"},
+				{"job.commits", "submit to succeeded: commits", "calls"},
+				{"job.rows.read", "submit to succeeded: rows read", "rows"},
+				{"job.cpu", "submit to succeeded", "ns"},
+			},
+			Run: func(ctx context.Context, n int) ([]float64, error) { return runLifecycle(ctx, n, 1) },
+		},
+		{
+			Per:   "task of one gang",
+			Sizes: []int{16, 64, 256},
+			Outputs: []Output{
+				{"task.calls", "start and end of a gang: calls to workers", "calls"},
+				{"task.row.bytes", "job row", "B"},
+			},
+			Run: runGang,
+		},
+		{
+			Per:   "job that waits",
+			Sizes: []int{25, 50, 100},
+			Outputs: []Output{
+				{"waiting.rows.read", "one poll of the inbox: rows read", "rows"},
+				{"waiting.cpu", "one poll of the inbox, fake table included", "ns"},
+			},
+			Run: runWaiting,
+		},
+		{
+			Per:   "gang of 25 that goes to another failure domain",
+			Sizes: []int{10, 20, 40},
+			Outputs: []Output{
+				{"moved.rows.written", "until it is in the other's queue: rows written", "rows"},
+			},
+			Run: runMoved,
+		},
+		{
+			Per:   "gang of 25 whose workers are lost",
+			Sizes: []int{10, 20, 40},
+			Outputs: []Output{
+				{"lost.rows.written", "until it waits again: rows written", "rows"},
+				{"lost.commits", "until it waits again: commits", "calls"},
+			},
+			Run: runLost,
+		},
+	}
+}
+
+func noSummaries() []port.DomainSummary { return nil }
+
+// runDomain fills a failure domain and watches its runner take over, idle and
+// hold back a gang that fits nowhere.
+func runDomain(ctx context.Context, workers int) ([]float64, error) {
+	tasks := workers * busyAccelerators
+	o, err := newFullDomain(ctx, workers)
+	if err != nil {
+		return nil, err
+	}
+	heap, read := liveBytes(), o.table.Counts().RowsRead
+	var loadErr error
+	load := cpuOf(func() { loadErr = o.load(ctx, tasks) })
+	defer o.stop()
+	if loadErr != nil {
+		return nil, loadErr
+	}
+	out := []float64{0, load, float64(o.table.Counts().RowsRead - read), float64(o.workers.starts.Load())}
+	pause(ctx, published)
+	out[0] = liveBytes() - heap
+	out = append(out, perSecond(ctx))
+	if _, _, err := o.jobs.Submit(ctx, jobSpec(tasks, 1)); err != nil {
+		return nil, err
+	}
+	if err := await(ctx, "job to wait", func() bool { return o.inState(structs.JobQueued) == 1 }); err != nil {
+		return nil, err
+	}
+	return append(out, perSecond(ctx)), nil
+}
+
+// newFullDomain returns a failure domain whose workers run ten tasks each.
+func newFullDomain(ctx context.Context, workers int) (*ownedDomain, error) {
+	o, err := newOwnedDomain(ctx, workers, busyAccelerators)
+	if err != nil {
+		return nil, err
+	}
+	for i := range workers * busyAccelerators / gangMembers {
+		if err := o.putRunning(ctx, i, gangMembers, i*gangMembers); err != nil {
+			return nil, err
+		}
+	}
+	return o, nil
+}
+
+// runPeak takes over while each call to a worker takes a while.
+func runPeak(ctx context.Context, workers int) ([]float64, error) {
+	o, err := newFullDomain(ctx, workers)
+	if err != nil {
+		return nil, err
+	}
+	o.workers.hold = slowCall
+	err = o.load(ctx, workers*busyAccelerators)
+	defer o.stop()
+	return []float64{float64(o.workers.peak.Load())}, err
+}
+
+// load starts the runner and waits until every gang was taken over.
+func (o *ownedDomain) load(ctx context.Context, tasks int) error {
+	o.start(ctx, o.settings())
+	return await(ctx, "takeover", func() bool { return o.workers.starts.Load() == int64(tasks) })
+}
+
+// perSecond returns the processor time that this process uses in a second.
+func perSecond(ctx context.Context) float64 {
+	runtime.GC()
+	pause(ctx, quiet)
+	before := cpuTime()
+	pause(ctx, window)
+	return float64(cpuTime()-before) / window.Seconds()
+}
+
+func heapOfGangs(ctx context.Context, gangCount, members int) ([]float64, error) {
+	tasks := gangCount * members
+	o, err := newOwnedDomain(ctx, tasks/busyAccelerators+1, busyAccelerators)
+	if err != nil {
+		return nil, err
+	}
+	for i := range gangCount {
+		if err := o.putRunning(ctx, i, members, i*members); err != nil {
+			return nil, err
+		}
+	}
+	heap := liveBytes()
+	err = o.load(ctx, tasks)
+	defer o.stop()
+	pause(ctx, published)
+	return []float64{liveBytes() - heap}, err
+}
+
+func domainNames(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("domain-%d", i)
+	}
+	return slices.Clip(out)
+}
--- /dev/null
+++ b/internal/bench/capacity/result.go
@@ -0,0 +1,70 @@
+package capacity
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+)
+
+const filePerm = 0o644
+
+// Measure is a quantity at several sizes with its fit.
+type Measure struct {
+	ID string `json:"id"`
+	// Quantity and Unit say what was measured; Per names the unit of size.
+	Quantity string  `json:"quantity"`
+	Unit     string  `json:"unit"`
+	Per      string  `json:"per"`
+	Points   []Point `json:"points"`
+	Fit      Fit     `json:"fit"`
+}
+
+// Machine says where the measures were taken.
+type Machine struct {
+	System string `json:"system"`
+	Go     string `json:"go"`
+	Cores  int    `json:"cores"`
+}
+
+// Results is the output file of the measuring command.
+type Results struct {
+	Machine  Machine   `json:"machine"`
+	Repeats  int       `json:"repeats"`
+	Measures []Measure `json:"measures"`
+}
+
+// Measure returns a measure by ID. It fails with fault.NotFound.
+func (r Results) Measure(id string) (Measure, error) {
+	for _, m := range r.Measures {
+		if m.ID == id {
+			return m, nil
+		}
+	}
+	return Measure{}, fault.New(fault.NotFound, "measure "+id)
+}
+
+// Save writes the results as JSON. It fails with fault.Unavailable.
+func (r Results) Save(path string) error {
+	raw, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return fault.Wrap(fault.Internal, "encode results", err)
+	}
+	if err := os.WriteFile(path, append(raw, '\n'), filePerm); err != nil {
+		return fault.Wrap(fault.Unavailable, "write "+path, err)
+	}
+	return nil
+}
+
+// Load reads results. It fails with fault.NotFound and fault.Invalid.
+func Load(path string) (Results, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Results{}, fault.Wrap(fault.NotFound, "read "+path, err)
+	}
+	var r Results
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return Results{}, fault.Wrap(fault.Invalid, "results "+path, err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/bench/capacity/state.go
@@ -0,0 +1,193 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/dispatch"
+	"github.com/lentilwinch/lentilwinch/internal/duty/claims"
+	"github.com/lentilwinch/lentilwinch/internal/duty/membership"
+	"github.com/lentilwinch/lentilwinch/internal/duty/requests"
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+	"github.com/lentilwinch/lentilwinch/internal/ticket"
+)
+
+// requestBytes is the size of the body of a held request.
+const requestBytes = 1 << 10
+
+func stateExperiments() []Experiment {
+	return []Experiment{
+		{
+			Per:     "worker",
+			Sizes:   []int{200, 800, 3200},
+			Outputs: []Output{{"worker.heap", "inventory, live heap", "B"}},
+			Run:     heapOfWorkers,
+		},
+		{
+			Per:     "workspace with two services",
+			Sizes:   []int{58, 115, 230, 460},
+			Outputs: []Output{{"workspace.heap", "configuration and queues, live heap", "B"}},
+			Run:     heapOfWorkspaces,
+		},
+		{
+			Per:     "backend server",
+			Sizes:   []int{50, 100, 200, 400},
+			Outputs: []Output{{"server.heap", "membership and dispatch, live heap", "B"}},
+			Run:     heapOfServers,
+		},
+		{
+			Per:     "request of 1 KiB held",
+			Sizes:   []int{250, 500, 1000},
+			Outputs: []Output{{"request.heap", "live heap and stacks", "B"}},
+			Run:     heapOfRequests,
+		},
+	}
+}
+
+func heapOfWorkers(ctx context.Context, n int) ([]float64, error) {
+	w := newStubWorkers(domainName, n, 2)
+	before := liveBytes()
+	f, err := loadedFleet(ctx, w)
+	after := liveBytes()
+	runtime.KeepAlive(f)
+	return []float64{after - before}, err
+}
+
+func heapOfWorkspaces(_ context.Context, n int) ([]float64, error) {
+	before := liveBytes()
+	cfg := ticket.Apply(ticket.Empty(), ticketOf(1, workspaces(n, domainName, 2)))
+	d := dispatch.New(dispatch.Settings{})
+	takeIn(d, nil, cfg)
+	after := liveBytes()
+	runtime.KeepAlive(cfg)
+	runtime.KeepAlive(d)
+	return []float64{after - before}, nil
+}
+
+// takeIn passes servers and a configuration on as the requests duty does.
+func takeIn(d *dispatch.Dispatcher, servers []structs.Instance, cfg *structs.Config) {
+	out := make([]dispatch.Server, 0, len(servers))
+	for _, s := range servers {
+		out = append(out, dispatch.Server{ID: s.ID, Slots: s.Slots})
+	}
+	d.SetServers(out)
+	d.SetShare("instance-0", []string{"instance-1", "instance-2"})
+	ws := make([]structs.Workspace, 0, len(cfg.Workspaces))
+	for _, w := range cfg.Workspaces {
+		ws = append(ws, w)
+	}
+	slices.SortFunc(ws, func(a, b structs.Workspace) int { return strings.Compare(a.Name, b.Name) })
+	ss := make([]structs.Service, 0, len(cfg.Services))
+	for _, s := range cfg.Services {
+		ss = append(ss, s)
+	}
+	slices.SortFunc(ss, func(a, b structs.Service) int {
+		return strings.Compare(a.Workspace+"/"+a.Name, b.Workspace+"/"+b.Name)
+	})
+	d.SetConfig(ws, ss)
+}
+
+func backendServers(n int) []structs.Instance {
+	out := make([]structs.Instance, n)
+	for i := range out {
+		out[i] = structs.Instance{
+			ID:      fmt.Sprintf("backend-%04d", i),
+			Kind:    structs.KindBackend,
+			State:   structs.StateLive,
+			Domain:  domainName,
+			Address: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250),
+			Slots:   8,
+		}
+	}
+	return out
+}
+
+// freshList is an instance list whose answers share nothing.
+type freshList struct {
+	n int
+}
+
+// List implements port.Instances.
+func (l freshList) List(context.Context) ([]structs.Instance, error) {
+	return backendServers(l.n), nil
+}
+
+func heapOfServers(ctx context.Context, n int) ([]float64, error) {
+	before := liveBytes()
+	m := membership.New(membership.Config{Poll: never}, freshList{n})
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = m.Run(ctx)
+	}()
+	err := await(ctx, "read the list", func() bool { return len(m.Servers()) == n })
+	cancel()
+	<-done
+	d := dispatch.New(dispatch.Settings{})
+	takeIn(d, m.Servers(), ticket.Empty())
+	after := liveBytes()
+	runtime.KeepAlive(m)
+	runtime.KeepAlive(d)
+	return []float64{after - before}, err
+}
+
+// heldServers is one backend server that never answers.
+type heldServers struct{}
+
+// Servers implements requests.Servers.
+func (heldServers) Servers() []structs.Instance { return backendServers(1) }
+
+// Changed implements requests.Servers.
+func (heldServers) Changed() <-chan struct{} { return nil }
+
+// Left implements requests.Servers.
+func (heldServers) Left(string) {}
+
+// Execute implements port.Backends.
+func (heldServers) Execute(ctx context.Context, _ structs.Instance, _ port.Execution) (port.Answer, error) {
+	<-ctx.Done()
+	return port.Answer{}, ctx.Err()
+}
+
+// Probe implements port.Backends.
+func (heldServers) Probe(context.Context, structs.Instance) (port.BackendLoad, error) {
+	return port.BackendLoad{Slots: 8}, nil
+}
+
+func heapOfRequests(ctx context.Context, n int) ([]float64, error) {
+	cfg := configOf(workspaces(1, domainName, 2))
+	st := store.New(fake.NewTable(), "capacity")
+	cl := claims.New(claimSettings(), st, fake.NewObjects(), func() string { return "i" }, zap.NewNop())
+	r := requests.New(requests.Settings{QueueLimit: 4 * n, MaxBodyBytes: 1 << 20, RecordTimeout: time.Second, ClaimTimeout: time.Second},
+		heldServers{}, heldServers{}, cl, func() *structs.Config { return cfg }, func() []string { return []string{"i"} }, zap.NewNop())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() { _ = r.Run(ctx) }()
+	before := heldBytes()
+	for i := range n {
+		go func() { _, _ = r.Do(ctx, heldRequest(i)) }()
+	}
+	if err := await(ctx, "requests to be held", func() bool { return r.Held() == n && r.Stats().Queued >= n-8 }); err != nil {
+		return nil, err
+	}
+	return []float64{heldBytes() - before}, nil
+}
+
+func heldRequest(i int) structs.Request {
+	return structs.Request{
+		Key:      structs.RequestKey{Workspace: workspaceName(0), ID: fmt.Sprintf("request-%08d", i)},
+		Service:  "service-0",
+		Body:     make([]byte, requestBytes),
+		Deadline: time.Now().Add(settleLimit),
+	}
+}
--- /dev/null
+++ b/internal/bench/capacity/storeops.go
@@ -0,0 +1,251 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/duty/claims"
+	"github.com/lentilwinch/lentilwinch/internal/duty/jobs"
+	"github.com/lentilwinch/lentilwinch/internal/duty/ownership"
+	"github.com/lentilwinch/lentilwinch/internal/duty/session"
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
+
+const (
+	fastBeat = 10 * time.Millisecond
+	// beats is the number of renewals or polls counted for each instance.
+	beats = 20
+	// outageTimeout bounds a commit while the table is down.
+	outageTimeout = 50 * time.Millisecond
+	// watchSettle is when the time between a watcher's reads of a job that
+	// doesn't change has grown to its bound, which is watchTime.
+	watchSettle = 1900 * time.Millisecond
+	watchTime   = 2 * time.Second
+)
+
+var errClaimsFailed = fault.New(fault.Internal, "a claim was refused")
+
+func storeExperiments() []Experiment {
+	return []Experiment{
+		{
+			Per:   "instance that shares the table",
+			Sizes: []int{2, 4, 8, 16, 32},
+			Outputs: []Output{
+				{"session.rows.read", "rows read by one instance at each heartbeat", "rows"},
+			},
+			Run: runSessions,
+		},
+		{
+			Per:     "failure domain",
+			Sizes:   []int{2, 4, 8},
+			Outputs: []Output{{"owner.rows.read", "rows read at each poll of the owner rows", "rows"}},
+			Run:     runOwnership,
+		},
+		{
+			Per:   "request that may not be repeated",
+			Sizes: []int{64, 256, 1024},
+			Outputs: []Output{
+				{"claim.rows.written", "claim and outcome: rows written", "rows"},
+				{"claim.commits", "claim and outcome, all at once: commits", "calls"},
+				{"claim.cpu", "claim and outcome", "ns"},
+				{"claim.bytes", "rows kept", "B"},
+			},
+			Run: runClaims,
+		},
+		{
+			Per:   "request that may not be repeated, in an outage of the table",
+			Sizes: []int{50, 100, 200},
+			Outputs: []Output{
+				{"settle.rows.written", "once the table is back: rows written", "rows"},
+				{"settle.rows.read", "once the table is back: rows read", "rows"},
+				{"settle.commits", "once the table is back: commits", "calls"},
+			},
+			Run: runSettle,
+		},
+		{
+			Per:     "caller that watches a job",
+			Sizes:   []int{10, 20, 40},
+			Outputs: []Output{{"watch.rows.read", "rows read", "rows/s"}},
+			Run:     runWatch,
+		},
+	}
+}
+
+// runSessions lets instances renew and scan. An instance commits once and
+// scans once at each heartbeat.
+func runSessions(ctx context.Context, n int) ([]float64, error) {
+	table := fake.NewTable()
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	all := make([]*session.Session, n)
+	for i := range all {
+		name := fmt.Sprintf("instance-%d", i)
+		self := session.Self{Instance: name, Domain: domainName, Address: "10.0.0.1:9000"}
+		all[i] = session.New(session.Config{Heartbeat: fastBeat, TTL: never}, store.New(table, name), self)
+		running.Go(func() { _ = all[i].Run(ctx) })
+	}
+	err := await(ctx, "sessions", func() bool {
+		live, _ := all[0].Live()
+		return len(live) == n
+	})
+	if err != nil {
+		return nil, err
+	}
+	before := table.Counts()
+	err = await(ctx, "heartbeats", func() bool { return table.Counts().Commits-before.Commits >= int64(n*beats) })
+	c := table.Counts()
+	return []float64{float64(c.RowsRead-before.RowsRead) / float64(c.Commits-before.Commits)}, err
+}
+
+func runOwnership(ctx context.Context, n int) ([]float64, error) {
+	table := fake.NewTable()
+	st := store.New(table, "i")
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	self := session.Self{Instance: "i", Domain: domainName, Address: "10.0.0.1:9000"}
+	s := session.New(session.Config{Heartbeat: settleLimit, TTL: never}, st, self)
+	names := domainNames(n)
+	o := ownership.New(ownership.Config{Domains: func() []string { return names }, Poll: fastBeat}, st, s, self)
+	running.Go(func() { _ = s.Run(ctx) })
+	running.Go(func() { _ = o.Run(ctx) })
+	if err := await(ctx, "ownership", func() bool { return len(o.Owned()) == n }); err != nil {
+		return nil, err
+	}
+	before := table.Counts()
+	err := await(ctx, "polls", func() bool { return table.Counts().Reads-before.Reads >= beats })
+	c := table.Counts()
+	return []float64{float64(c.RowsRead-before.RowsRead) / float64(c.Reads-before.Reads)}, err
+}
+
+func claimSettings() claims.Settings {
+	return claims.Settings{
+		Flush:         4 * time.Millisecond,
+		Batch:         64,
+		Commits:       4,
+		CommitTimeout: 2 * time.Second,
+		SettleRetry:   250 * time.Millisecond,
+	}
+}
+
+// runClaims claims and finishes n requests that arrive at once.
+func runClaims(ctx context.Context, n int) ([]float64, error) {
+	table := fake.NewTable()
+	st := store.New(table, "i")
+	if _, err := st.Commit(ctx, new(store.Txn).Create(store.SessionKey("i"), 1)); err != nil {
+		return nil, err
+	}
+	var kept atomic.Int64
+	table.OnCommit(func(txn port.Txn) { kept.Add(bytesOf(txn)) })
+	c := claims.New(claimSettings(), st, fake.NewObjects(), func() string { return "i" }, zap.NewNop())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() { _ = c.Run(ctx) }()
+	before := table.Counts()
+	var failed atomic.Int64
+	cpu := cpuOf(func() {
+		var g sync.WaitGroup
+		for i := range n {
+			g.Go(func() { failed.Add(claimOne(ctx, c, i)) })
+		}
+		g.Wait()
+	})
+	if failed.Load() > 0 {
+		return nil, errClaimsFailed
+	}
+	after := table.Counts()
+	return []float64{
+		float64(after.RowsWritten - before.RowsWritten),
+		float64(after.Commits - before.Commits),
+		cpu,
+		float64(kept.Load()) / 2,
+	}, nil
+}
+
+// bytesOf returns the size of a transaction's rows. Claims are written twice,
+// the second time as long as the first.
+func bytesOf(txn port.Txn) int64 {
+	n := 0
+	for _, w := range txn.Writes {
+		n += len(w.Key) + len(w.Value)
+	}
+	return int64(n)
+}
+
+func claimOne(ctx context.Context, c *claims.Claims, i int) int64 {
+	claim, err := c.Claim(ctx, heldRequest(i))
+	if err != nil {
+		return 1
+	}
+	c.Finish(ctx, claim, structs.Result{Outcome: structs.OutcomeDone, Answer: make([]byte, payloadBytes)})
+	return 0
+}
+
+// runSettle refuses n requests while the table is down, as the requests duty
+// does after a claim that failed, and brings the table back.
+func runSettle(ctx context.Context, n int) ([]float64, error) {
+	table := fake.NewTable()
+	settings := claimSettings()
+	settings.CommitTimeout = outageTimeout
+	settings.SettleRetry = outageTimeout
+	c := claims.New(settings, store.New(table, "i"), fake.NewObjects(), func() string { return "i" }, zap.NewNop())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() { _ = c.Run(ctx) }()
+	table.SetFaults(fake.TableFaults{Down: true})
+	var g sync.WaitGroup
+	for i := range n {
+		g.Go(func() { refuseOne(ctx, c, i) })
+	}
+	g.Wait()
+	table.SetFaults(fake.TableFaults{})
+	err := await(ctx, "outcomes to be recorded", func() bool { return c.Unsettled() == 0 })
+	counts := table.Counts()
+	return []float64{float64(counts.RowsWritten), float64(counts.RowsRead), float64(counts.Commits)}, err
+}
+
+func refuseOne(ctx context.Context, c *claims.Claims, i int) {
+	claiming, cancel := context.WithTimeout(ctx, outageTimeout/2)
+	defer cancel()
+	// The failure of the claim is what the outage is for.
+	_, _ = c.Claim(claiming, heldRequest(i))
+	recording, cancel := context.WithTimeout(ctx, outageTimeout/2)
+	defer cancel()
+	c.Refuse(recording, heldRequest(i), "the request could not be claimed")
+}
+
+func runWatch(ctx context.Context, n int) ([]float64, error) {
+	o, err := newOwnedDomain(ctx, 1, 1)
+	if err != nil {
+		return nil, err
+	}
+	if err := o.putRunning(ctx, 0, 1, 0); err != nil {
+		return nil, err
+	}
+	w := jobs.New(o.store, noPeers{}, nil, func() *structs.Config { return o.config }, noSummaries, nil)
+	ctx, cancel := context.WithCancel(ctx)
+	var g sync.WaitGroup
+	defer g.Wait()
+	defer cancel()
+	for range n {
+		g.Go(func() {
+			_ = w.Watch(ctx, jobSpec(0, 1).Key, func(structs.Job, int64) error { return nil })
+		})
+	}
+	pause(ctx, watchSettle)
+	before := o.table.Counts()
+	pause(ctx, watchTime)
+	return []float64{float64(o.table.Counts().RowsRead-before.RowsRead) / watchTime.Seconds()}, nil
+}
--- /dev/null
+++ b/internal/bench/capacity/tickets.go
@@ -0,0 +1,221 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/duty/config"
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/scheduler"
+	"github.com/lentilwinch/lentilwinch/internal/store"
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+	"github.com/lentilwinch/lentilwinch/internal/ticket"
+)
+
+const (
+	// applies is the number of small tickets applied together.
+	applies = 200
+	// smallTickets is the number of tickets accepted one after the other.
+	smallTickets = 10
+	// manyTickets are more than an instance fetches one by one.
+	manyTickets = 66
+)
+
+func configExperiments() []Experiment {
+	return []Experiment{
+		{
+			Per:   "workspace with two services",
+			Sizes: []int{58, 115, 230, 460},
+			Outputs: []Output{
+				{"ticket.apply.cpu", "one workspace's ticket comes into force", "ns"},
+				{"config.bytes", "whole configuration between peers", "B"},
+			},
+			Run: runApply,
+		},
+		{
+			Per:   "workspace stated in a ticket",
+			Sizes: []int{1, 8, 64},
+			Outputs: []Output{
+				{"ticket.bytes", "ticket document", "B"},
+				{"ticket.parse.cpu", "parse and check against the schema", "ns"},
+				{"ticket.rows.written", "acceptance: rows written", "rows"},
+			},
+			Run: runTicket,
+		},
+		{
+			Per:   "instance of the region",
+			Sizes: []int{2, 4, 8, 16},
+			Outputs: []Output{
+				{"ticket.rows.read", "rows read for one ticket by all", "rows"},
+				{"ticket.reads", "reads for one ticket by all", "calls"},
+			},
+			Run: runFollow,
+		},
+		{
+			Per:     "workspace with two services",
+			Sizes:   []int{16, 64, 256},
+			Outputs: []Output{{"config.load.rows", "an instance starts: rows read", "rows"}},
+			Run:     runLoad,
+		},
+		{
+			Per:     "guarantee in the failure domain, 320 workers",
+			Sizes:   []int{6, 12, 23, 46},
+			Outputs: []Output{{"ticket.holds.cpu", "acceptance: do the shapes fit", "ns"}},
+			Run:     runHolds,
+		},
+	}
+}
+
+func document(t structs.Ticket) ([]byte, error) {
+	raw, err := json.Marshal(t)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, "encode ticket", err)
+	}
+	return raw, nil
+}
+
+func runApply(_ context.Context, n int) ([]float64, error) {
+	cfg := configOf(workspaces(n, domainName, 2))
+	small := ticketOf(2, workspaces(1, domainName, 2))
+	cpu := cpuOf(func() {
+		for range applies {
+			ticket.Apply(cfg, small)
+		}
+	})
+	m := port.PeerConfig{Number: 1}
+	for _, w := range cfg.Workspaces {
+		m.Workspaces = append(m.Workspaces, w)
+	}
+	for _, s := range cfg.Services {
+		m.Services = append(m.Services, s)
+	}
+	raw, err := cbor.Marshal(port.PeerMessage{Config: &m})
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, "encode configuration", err)
+	}
+	return []float64{cpu / applies, float64(len(raw))}, nil
+}
+
+// keeper returns a configuration keeper that reads the table when woken.
+func keeper(table *fake.Table, writer string) *config.Keeper {
+	fleet := func() ticket.Fleet { return ticket.Fleet{Domains: []string{domainName}} }
+	s := config.Settings{Poll: never, ReadTimeout: time.Second, StaleAfter: never}
+	return config.New(s, store.New(table, writer), noPeers{}, noPeers{}, fleet, zap.NewNop())
+}
+
+func runTicket(ctx context.Context, n int) ([]float64, error) {
+	doc, err := document(ticketOf(1, workspaces(n, domainName, 2)))
+	if err != nil {
+		return nil, err
+	}
+	var parseErr error
+	cpu := cpuOf(func() {
+		for range smallTickets {
+			if _, err := ticket.Parse(doc); err != nil {
+				parseErr = err
+			}
+		}
+	})
+	if parseErr != nil {
+		return nil, parseErr
+	}
+	table := fake.NewTable()
+	if _, err := keeper(table, "a").Accept(ctx, doc); err != nil {
+		return nil, err
+	}
+	return []float64{float64(len(doc)), cpu / smallTickets, float64(table.Counts().RowsWritten)}, nil
+}
+
+// runFollow accepts tickets at one instance, which the others follow when told.
+func runFollow(ctx context.Context, instances int) ([]float64, error) {
+	table := fake.NewTable()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	keepers := make([]*config.Keeper, instances)
+	for i := range keepers {
+		keepers[i] = keeper(table, string(rune('a'+i)))
+		go func() { _ = keepers[i].Run(ctx) }()
+	}
+	// Each keeper reads the version row once as it starts.
+	if err := await(ctx, "first reads", func() bool { return table.Counts().Reads >= int64(instances) }); err != nil {
+		return nil, err
+	}
+	before := table.Counts()
+	for number := int64(1); number <= smallTickets; number++ {
+		if err := follow(ctx, keepers, number); err != nil {
+			return nil, err
+		}
+	}
+	c := table.Counts()
+	return []float64{
+		float64(c.RowsRead-before.RowsRead) / smallTickets,
+		float64(c.Reads-before.Reads) / smallTickets,
+	}, nil
+}
+
+func follow(ctx context.Context, keepers []*config.Keeper, number int64) error {
+	doc, err := document(ticketOf(number, workspaces(1, domainName, 2)))
+	if err != nil {
+		return err
+	}
+	if _, err := keepers[0].Accept(ctx, doc); err != nil {
+		return err
+	}
+	for _, k := range keepers[1:] {
+		k.Wake()
+	}
+	return await(ctx, "ticket in force", func() bool {
+		for _, k := range keepers {
+			if k.Current().Number < number {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// runLoad starts an instance after so many tickets that it reads the objects
+// in force.
+func runLoad(ctx context.Context, n int) ([]float64, error) {
+	table := fake.NewTable()
+	first := keeper(table, "a")
+	for number := int64(1); number <= manyTickets; number++ {
+		count := 1
+		if number == 1 {
+			count = n
+		}
+		doc, err := document(ticketOf(number, workspaces(count, domainName, 2)))
+		if err != nil {
+			return nil, err
+		}
+		if _, err := first.Accept(ctx, doc); err != nil {
+			return nil, err
+		}
+	}
+	before := table.Counts()
+	fresh := keeper(table, "b")
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() { _ = fresh.Run(ctx) }()
+	err := await(ctx, "configuration", func() bool { return fresh.Current().Number == manyTickets })
+	return []float64{float64(table.Counts().RowsRead - before.RowsRead)}, err
+}
+
+// runHolds places all guarantees on an empty failure domain, as the check of a
+// ticket does.
+func runHolds(_ context.Context, n int) ([]float64, error) {
+	s := snapshot(domainWorkers, n, 0)
+	s.Gangs = nil
+	cpu := cpuOf(func() {
+		for range decisions {
+			scheduler.Decide(s)
+		}
+	})
+	return []float64{cpu / decisions}, nil
+}
