--- a/internal/adapter/peer/mesh_test.go
+++ b/internal/adapter/peer/mesh_test.go
@@ -94,6 +94,12 @@
 	must.Eq(t, 1, b.Stats().Links)
 }
 
+func TestHigherInstanceDialsWhenItAloneKnows(t *testing.T) {
+	a, b := startNode(t, "a", fast), startNode(t, "b", fast)
+	b.SetPeers([]Target{a.target()})
+	eventually(t, "link", func() bool { return a.sees(b) && b.sees(a) })
+}
+
 func next(t *testing.T, n *node) port.PeerEvent {
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
--- a/internal/duty/session/session_test.go
+++ b/internal/duty/session/session_test.go
@@ -135,3 +135,22 @@
 	// did the TTL and the grace.
 	must.Eq(t, map[string]int{"moving": 3 + 4, "standing": 4 + 12}, ended)
 }
+
+// TestObserverInterruption is seen to fail when an interruption gives no grace
+// and when it doesn't restart the clock.
+func TestObserverInterruption(t *testing.T) {
+	o := newObserver(2*time.Second, 0)
+	start := time.Unix(1000, 0)
+	row := port.Row{Key: "standing", Revision: 1}
+	o.scan(start, []port.Row{row}, 0)
+	o.interrupt(3 * time.Second)
+	ended := -1
+	for half := 1; half < 20 && ended < 0; half++ {
+		now := start.Add(time.Duration(half) * 500 * time.Millisecond)
+		o.scan(now, []port.Row{row}, 0)
+		if len(o.expired(now, "own", 0)) > 0 {
+			ended = half
+		}
+	}
+	must.Eq(t, 1+6+4, ended)
+}
