Drain and takeover tests beat out of step

Cause: with processes in step, a release that names no successor passed or failed the drain test by the order of goroutines.

--- a/internal/duty/ownership/harness_test.go
+++ b/internal/duty/ownership/harness_test.go
@@ -258,6 +258,13 @@
 	return c
 }
 
+func (c *cluster) startOutOfStep() {
+	for i := range c.procs {
+		c.start(i)
+		time.Sleep(137 * time.Millisecond)
+	}
+}
+
 func (c *cluster) start(i int) {
 	c.starts++
 	name := fmt.Sprintf("instance%d", i)
--- a/internal/duty/ownership/ownership_test.go
+++ b/internal/duty/ownership/ownership_test.go
@@ -41,10 +41,7 @@
 	c := emptyCluster(4, 1)
 	defer c.close()
 	c.table.SetFaults(fake.TableFaults{Delay: 5 * time.Millisecond})
-	for i := range c.procs {
-		c.start(i)
-		time.Sleep(137 * time.Millisecond)
-	}
+	c.startOutOfStep()
 	time.Sleep(warmUp + phase)
 	domain := c.domains[0]
 	victim, _ := c.ownerOf(domain)
@@ -164,8 +161,9 @@
 func TestReleaseHandsOverWithinOnePoll(t *testing.T) {
 	for _, domains := range []int{4, 8} {
 		synctest.Test(t, func(t *testing.T) {
-			c := newCluster(4, domains)
+			c := emptyCluster(4, domains)
 			defer c.close()
+			c.startOutOfStep()
 			time.Sleep(rebalanced)
 			for _, p := range c.procs[:3] {
 				releaseWithinOnePoll(t, c, p)
