--- a/internal/bench/requests/measure.go
+++ b/internal/bench/requests/measure.go
@@ -33,7 +33,6 @@
 	added float64
 	// usefulLong counts the other requests that were answered.
 	usefulLong int
-	utilised   float64
 }
 
 func measure(t *trace, outcomes []outcome) figures {
--- a/internal/bench/requests/workload.go
+++ b/internal/bench/requests/workload.go
@@ -20,8 +20,6 @@
 	servers        = 50
 	slotsPerServer = 8
 	totalSlots     = servers * slotsPerServer
-	// domains is the number of failure domains.
-	domains = 4
 	// tailShare of the requests run tailFactor times longer.
 	tailShare  = 0.01
 	tailFactor = 50
--- a/internal/bench/requests/world.go
+++ b/internal/bench/requests/world.go
@@ -70,8 +70,6 @@
 	// make creates an instance's node.
 	make    func(w *world, id int) node
 	adverts []advert
-	// busyTime sums the time in which slots were held, within the trace.
-	busyTime time.Duration
 }
 
 // advert is what an instance tells its peers about itself.
@@ -285,7 +283,6 @@
 		run = e.limit
 		e.result = resCut
 	}
-	w.busyTime += max(min(e.at+run, w.trace.end)-e.at, 0)
 	e.kind = evFinish
 	e.at += run
 	o.slotEnd = e.at
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -14,7 +14,7 @@
 
 const (
 	// demandGain is the weight of a new figure in an instance's demand.
-	demandGain = 0.02
+	demandGain = 0.01
 	// demandFloor is the share of the slots that is parted evenly.
 	demandFloor = 0.3
 )
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -43,7 +43,7 @@
 	// inFlight is the work of this instance there, long the long part of it.
 	inFlight int
 	long     int
-	// part is the number of slots that are this instance's by an even split.
+	// part is the number of slots that are this instance's own.
 	part int
 	// others is the work of the other instances as last reported.
 	others     int
