--- a/internal/scheduler/asks.go
+++ b/internal/scheduler/asks.go
@@ -37,11 +37,11 @@
 	return asks, rest
 }
 
-// serveAll serves the asks one by one. Where gangs are stopping already and
-// that would reclaim more, it looks for places of all asks at once among
-// those, so that a round of reclaims is the only one.
+// serveAll serves the asks one by one. Where that reclaims anything, it looks
+// for places of all asks at once on what is free or about to be, so that a
+// round of reclaims is the only one.
 func (st *state) serveAll(asks []ask) {
-	if len(asks) < 2 || !st.stopping() {
+	if len(asks) < 2 {
 		st.serveEach(asks)
 		return
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -189,11 +189,6 @@
 	st.plan.Waiting = append(st.plan.Waiting, Verdict{Key: p.Spec.Key, Reason: reason})
 }
 
-// stopping reports whether any gang is about to free what it holds.
-func (st *state) stopping() bool {
-	return slices.ContainsFunc(st.gangs, func(h held) bool { return h.Stopping })
-}
-
 // stopAges lists when the gangs that are stopping were told, longest ago
 // first, but for the last.
 func (st *state) stopAges() []time.Duration {
