--- a/internal/adapter/peer/config.go
+++ b/internal/adapter/peer/config.go
@@ -1,6 +1,9 @@
 package peer
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Path is the HTTP path of the links.
 const Path = "/peer"
@@ -50,23 +53,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Heartbeat = orDefault(c.Heartbeat, defaultHeartbeat)
-	c.ReadDeadline = orDefault(c.ReadDeadline, defaultReadDeadline)
-	c.Grace = orDefault(c.Grace, defaultGrace)
-	c.MaxBytes = orDefault(c.MaxBytes, defaultMaxBytes)
-	c.MaxLinks = orDefault(c.MaxLinks, defaultMaxLinks)
-	c.Outgoing = orDefault(c.Outgoing, defaultOutgoing)
-	c.Events = orDefault(c.Events, defaultEvents)
+	c.Heartbeat = cmp.Or(c.Heartbeat, defaultHeartbeat)
+	c.ReadDeadline = cmp.Or(c.ReadDeadline, defaultReadDeadline)
+	c.Grace = cmp.Or(c.Grace, defaultGrace)
+	c.MaxBytes = cmp.Or(c.MaxBytes, defaultMaxBytes)
+	c.MaxLinks = cmp.Or(c.MaxLinks, defaultMaxLinks)
+	c.Outgoing = cmp.Or(c.Outgoing, defaultOutgoing)
+	c.Events = cmp.Or(c.Events, defaultEvents)
 	return c
 }
 
-func orDefault[T int | int64 | time.Duration](value, fallback T) T {
-	if value <= 0 {
-		return fallback
-	}
-	return value
-}
-
 // Target is a peer to be linked with.
 type Target struct {
 	Instance string
--- a/internal/duty/membership/membership.go
+++ b/internal/duty/membership/membership.go
@@ -42,20 +42,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Poll = orDefault(c.Poll, defaultPoll)
-	c.Timeout = orDefault(c.Timeout, defaultTimeout)
-	c.Forget = orDefault(c.Forget, defaultForget)
-	c.Spread = orDefault(c.Spread, defaultSpread)
+	c.Poll = cmp.Or(c.Poll, defaultPoll)
+	c.Timeout = cmp.Or(c.Timeout, defaultTimeout)
+	c.Forget = cmp.Or(c.Forget, defaultForget)
+	c.Spread = cmp.Or(c.Spread, defaultSpread)
 	return c
 }
 
-func orDefault(value, fallback time.Duration) time.Duration {
-	if value <= 0 {
-		return fallback
-	}
-	return value
-}
-
 // Sign says how an instance was seen leaving.
 type Sign int
 
--- a/internal/duty/ownership/ownership.go
+++ b/internal/duty/ownership/ownership.go
@@ -6,6 +6,7 @@
 package ownership
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -47,20 +48,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Poll = orDefault(c.Poll, defaultPoll)
-	c.Backup = orDefault(c.Backup, defaultBackup)
-	c.Settle = orDefault(c.Settle, defaultSettle)
-	c.Timeout = orDefault(c.Timeout, defaultTimeout)
+	c.Poll = cmp.Or(c.Poll, defaultPoll)
+	c.Backup = cmp.Or(c.Backup, defaultBackup)
+	c.Settle = cmp.Or(c.Settle, defaultSettle)
+	c.Timeout = cmp.Or(c.Timeout, defaultTimeout)
 	return c
 }
 
-func orDefault(value, fallback time.Duration) time.Duration {
-	if value <= 0 {
-		return fallback
-	}
-	return value
-}
-
 // EventKind tells events apart.
 type EventKind int
 
--- a/internal/duty/session/config.go
+++ b/internal/duty/session/config.go
@@ -1,6 +1,9 @@
 package session
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // The default intervals. A session ends at most Heartbeat + TTL after its last
 // renewal, which leaves time to start urgent work within its bound.
@@ -35,17 +38,10 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Heartbeat = orDefault(c.Heartbeat, defaultHeartbeat)
-	c.TTL = orDefault(c.TTL, defaultTTL)
-	c.PauseLimit = orDefault(c.PauseLimit, defaultPauseLimit)
-	c.MinTimeout = orDefault(c.MinTimeout, defaultMinTimeout)
-	c.MaxTimeout = orDefault(c.MaxTimeout, defaultMaxTimeout)
+	c.Heartbeat = cmp.Or(c.Heartbeat, defaultHeartbeat)
+	c.TTL = cmp.Or(c.TTL, defaultTTL)
+	c.PauseLimit = cmp.Or(c.PauseLimit, defaultPauseLimit)
+	c.MinTimeout = cmp.Or(c.MinTimeout, defaultMinTimeout)
+	c.MaxTimeout = cmp.Or(c.MaxTimeout, defaultMaxTimeout)
 	return c
 }
-
-func orDefault(value, fallback time.Duration) time.Duration {
-	if value <= 0 {
-		return fallback
-	}
-	return value
-}
