--- a/internal/bench/capacity/line.go
+++ b/internal/bench/capacity/line.go
@@ -11,6 +11,8 @@
 	Wire      Kind = "wire"
 	Written   Kind = "rows written"
 	Read      Kind = "rows read"
+	Commits   Kind = "commits"
+	Reads     Kind = "reads"
 	Calls     Kind = "calls"
 	Size      Kind = "size"
 )
--- a/internal/bench/capacity/store_tables.go
+++ b/internal/bench/capacity/store_tables.go
@@ -38,6 +38,15 @@
 			{What: "jobs from submission to end", Kind: Read, Measure: "job.rows.read", Marginal: true, Size: 1, Of: "job", Times: jobsADay / day / regions, Every: "jobs/s", GrowTimes: true},
 			{What: "jobs that wait, read again at each poll", Kind: Read, Measure: "waiting.rows.read", Marginal: true, Size: regionWaiting, Of: "waiting jobs", Times: inboxPolls, Every: "polls/s", GrowSize: true},
 			{What: "callers that watch a job", Kind: Read, Measure: "watch.rows.read", Marginal: true, Size: regionWatched, Of: "callers", Times: 1, Every: "always", GrowSize: true},
+			{What: "sessions renewed", Kind: Commits, Slope: 1, Size: 1, Of: "commit", Times: beats, Every: "heartbeats/s", GrowTimes: true},
+			{What: "jobs from submission to end", Kind: Commits, Measure: "job.commits", Marginal: true, Size: 1, Of: "job", Times: jobsADay / day / regions, Every: "jobs/s", GrowTimes: true},
+			{What: "tickets", Kind: Commits, Slope: 1, Size: 1, Of: "commit", Times: ticketsADay / day, Every: "tickets/s", GrowTimes: true},
+			{What: "claims and outcomes, none sharing a commit", Kind: Commits, Slope: 1, Size: 2, Of: "commits", Times: regionClaims, Every: "requests/s", GrowTimes: true},
+			{What: "sessions and owner rows", Kind: Reads, Slope: 1, Size: 2, Of: "reads", Times: beats, Every: "heartbeats/s", GrowTimes: true},
+			{What: "configuration's version", Kind: Reads, Slope: 1, Size: 1, Of: "read", Times: regionInstances, Every: "polls/s", GrowTimes: true},
+			{What: "tickets", Kind: Reads, Measure: "ticket.reads", Size: regionInstances, Of: "instances", Times: ticketsADay / day, Every: "tickets/s", GrowSize: true, GrowTimes: true},
+			{What: "inboxes and their jobs", Kind: Reads, Slope: 1, Size: readsPerPoll, Of: "reads", Times: regionDomains * inboxPolls, Every: "polls/s", GrowTimes: true},
+			{What: "callers that watch a job, one row a read", Kind: Reads, Measure: "watch.rows.read", Marginal: true, Size: regionWatched, Of: "callers", Times: 1, Every: "always", GrowSize: true},
 		},
 		Budgets: storeBudgets(),
 	}
@@ -100,7 +109,7 @@
 		From: []string{meanName},
 		Lines: []Line{
 			{What: "claims and outcomes beyond the mean", Kind: Written, Measure: "claim.rows.written", Marginal: true, Size: 1, Of: "request", Times: rate, Every: "requests/s", GrowTimes: true},
-			{What: "commits of these, if all came at once", Kind: Calls, Measure: "claim.commits", Marginal: true, Size: 1, Of: "request", Times: rate, Every: "requests/s", GrowTimes: true, Extra: true},
+			{What: "commits of these, if all came at once", Kind: Commits, Measure: "claim.commits", Marginal: true, Size: 1, Of: "request", Times: rate, Every: "requests/s", GrowTimes: true, Extra: true},
 		},
 		Budgets: storeBudgets(),
 	}
