--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,8 +48,10 @@
 	claimCommits  = 4
 	commitTimeout = 2 * time.Second
 	settleRetry   = 250 * time.Millisecond
-	recordTimeout = 500 * time.Millisecond
-	claimTimeout  = time.Second
+	// settleInterval makes 200 rows a second for 8 instances.
+	settleInterval = 40 * time.Millisecond
+	recordTimeout  = 500 * time.Millisecond
+	claimTimeout   = time.Second
 	// sweepInterval and sweepPage make at most 60 rows a second.
 	sweepInterval = 5 * time.Second
 	sweepPage     = 300
@@ -175,11 +177,12 @@
 func (d *Daemon) wireRequests(st *store.Store) {
 	s := d.settings
 	d.claims = claims.New(claims.Settings{
-		Flush:         s.Requests.ClaimFlushMillis.Duration(),
-		Batch:         s.Requests.ClaimBatch,
-		Commits:       claimCommits,
-		CommitTimeout: commitTimeout,
-		SettleRetry:   settleRetry,
+		Flush:          s.Requests.ClaimFlushMillis.Duration(),
+		Batch:          s.Requests.ClaimBatch,
+		Commits:        claimCommits,
+		CommitTimeout:  commitTimeout,
+		SettleRetry:    settleRetry,
+		SettleInterval: settleInterval,
 	}, st, platform.NewObjects(d.platform(s.Platform.ObjectsAddress)), d.session.Incarnation, d.log)
 	bs := backend.DefaultSettings()
 	bs.MaxConns = s.Requests.BackendConnectionsPerServer
--- a/internal/duty/claims/claims.go
+++ b/internal/duty/claims/claims.go
@@ -47,6 +47,10 @@
 	// SettleRetry is the time between tries to record an outcome after its
 	// first write failed.
 	SettleRetry time.Duration
+	// SettleInterval is the least time between two outcomes that are recorded
+	// after an outage, so that all instances together leave the table room for
+	// heartbeats; 0 sets none.
+	SettleInterval time.Duration
 }
 
 // Claims is safe for concurrent use.
--- a/internal/duty/claims/claims_test.go
+++ b/internal/duty/claims/claims_test.go
@@ -307,3 +307,22 @@
 		})
 	}
 }
+
+// TestFailedCommitIsRemembered seen failing: without a note of each commit's
+// end the second claim waits like the first, and without an end of the window
+// a process whose last commit failed claims nothing again.
+func TestFailedCommitIsRemembered(t *testing.T) {
+	rigged(t, func(t *testing.T, r *rig) {
+		r.table.SetFaults(fake.TableFaults{Down: true})
+		for _, wait := range []time.Duration{testSettings.CommitTimeout, 0} {
+			from := time.Now()
+			_, err := r.a.Claim(r.within(time.Minute), ask("r", ""))
+			must.Eq(t, fault.Unavailable, fault.CodeOf(err))
+			must.LessEq(t, wait+testSettings.Flush, time.Since(from))
+		}
+		must.Zero(t, r.a.Unsettled())
+		r.table.SetFaults(fake.TableFaults{})
+		time.Sleep(r.a.table.window + time.Millisecond)
+		r.claim(t, r.a, ask("r", ""))
+	})
+}
--- a/internal/duty/claims/settle.go
+++ b/internal/duty/claims/settle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/store"
@@ -32,9 +33,10 @@
 
 // settleLoop records outcomes one after the other, each until it stands.
 func (c *Claims) settleLoop(ctx context.Context) {
+	pace := rate.NewLimiter(rate.Every(c.settings.SettleInterval), 1)
 	for {
 		u, err := c.settle.Pop(ctx)
-		if err != nil {
+		if err != nil || pace.Wait(ctx) != nil {
 			return
 		}
 		for !c.trySettle(ctx, u) {
