--- a/internal/duty/requests/requests.go
+++ b/internal/duty/requests/requests.go
@@ -131,6 +131,7 @@
 		return r.refuse(ctx, c, "too many requests are held")
 	}
 	defer r.held.Add(-1)
+	c.left.Store(ctx.Err() != nil)
 	if err := r.arrivals.Push(c); err != nil {
 		return r.refuse(ctx, c, "too many requests arrive")
 	}
