--- a/cmd/lentilwinch-bench/main.go
+++ b/cmd/lentilwinch-bench/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/lentilwinch/lentilwinch/internal/bench/gangs"
 	"github.com/lentilwinch/lentilwinch/internal/bench/requests"
 	"github.com/lentilwinch/lentilwinch/internal/bench/table"
 )
@@ -87,5 +88,5 @@
 	if o.sharing {
 		return requests.SharingRows()
 	}
-	return requests.Rows()
+	return append(requests.Rows(), gangs.Rows()...)
 }
--- a/internal/bench/table/table.go
+++ b/internal/bench/table/table.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"text/tabwriter"
 )
 
@@ -21,7 +22,7 @@
 	// Spread is the largest less the smallest of Ours over the seeds.
 	Spread float64
 	// Ratio is compared with Bound; AtLeast says that Ratio must not be less
-	// than Bound, else it must not be more.
+	// than Bound, else it must not be more. An infinite Bound is none.
 	Ratio   float64
 	Bound   float64
 	AtLeast bool
@@ -42,20 +43,43 @@
 	fmt.Fprintln(tw, "target\tunit\tbaseline\tclairvoyant\tours\tspread\tratio\tbound\tseeds\tverdict")
 	failed := 0
 	for _, r := range rows {
-		verdict := "ok"
+		verdict := r.verdict()
 		if !r.OK() {
-			verdict = "OUT OF BOUND"
 			failed++
 		}
-		fmt.Fprintf(tw, "%s\t%s\t%.4g\t%.4g\t%.4g\t%.3g\t%.4g\t%s%.4g\t%d\t%s\n",
-			r.Target, r.Unit, r.Baseline, r.Clairvoyant, r.Ours, r.Spread, r.Ratio, r.sign(), r.Bound, r.Seeds, verdict)
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\n",
+			r.Target, r.Unit, figure(r.Baseline), figure(r.Clairvoyant), figure(r.Ours),
+			figure(r.Spread), figure(r.Ratio), r.bound(), r.Seeds, verdict)
 	}
 	return failed, tw.Flush()
 }
 
-func (r Row) sign() string {
-	if r.AtLeast {
-		return ">="
+// figure prints a number with four digits, and NaN as a dash.
+func figure(v float64) string {
+	if math.IsNaN(v) {
+		return "-"
+	}
+	return fmt.Sprintf("%.4g", v)
+}
+
+func (r Row) bound() string {
+	switch {
+	case math.IsInf(r.Bound, 0):
+		return "-"
+	case r.AtLeast:
+		return ">=" + figure(r.Bound)
+	default:
+		return "<=" + figure(r.Bound)
+	}
+}
+
+func (r Row) verdict() string {
+	switch {
+	case math.IsInf(r.Bound, 0):
+		return "-"
+	case r.OK():
+		return "ok"
+	default:
+		return "OUT OF BOUND"
 	}
-	return "<="
 }
--- a/internal/dispatch/fair.go
+++ b/internal/dispatch/fair.go
@@ -13,8 +13,11 @@
 	// debtRounds bounds a workspace's debt, in rounds.
 	debtRounds = 40
 	// stragglerFactor is how many times its service's 95th percentile a short
-	// run may take before it counts as a straggler.
+	// run may take, while others wait, before it counts as a straggler.
 	stragglerFactor = 1.5
+	// stragglerRest is how many times longer than its limit a straggler is
+	// expected to run.
+	stragglerRest = 4
 	// minCost is the slot time charged at least for an item.
 	minCost = time.Millisecond
 )
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -139,9 +139,10 @@
 }
 
 // drop moves an item that outlived its limit to the next lower class, and
-// reports whether it can still be done: it needs longer than it already ran.
+// reports whether it may still be done. Run times have heavy tails: a run that
+// outlived its limit is expected to take several times as long.
 func (d *Dispatcher) drop(it *item, ran time.Duration) bool {
-	if it.limit == 0 || d.now+ran >= it.deadline {
+	if it.limit == 0 || d.now+stragglerRest*ran >= it.deadline {
 		return false
 	}
 	it.level = max(it.level, 1)
