--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -123,14 +123,14 @@
 				continue
 			}
 			out = append(out, i)
-			st.free1(freed, i, 1)
+			st.countFreed(freed, i, 1)
 		}
 	}
 	return st.prune(b, out, freed)
 }
 
-// free1 adds or removes a gang's accelerators to counts by worker.
-func (st *state) free1(freed map[int]int, gang, sign int) {
+// countFreed adds or removes a gang's accelerators to counts by worker.
+func (st *state) countFreed(freed map[int]int, gang, sign int) {
 	g := &st.gangs[gang]
 	for _, t := range g.block.seats {
 		freed[t.worker] += sign * t.members * g.block.accelerators
@@ -158,11 +158,11 @@
 	})
 	kept := victims[:0]
 	for _, i := range victims {
-		st.free1(freed, i, -1)
+		st.countFreed(freed, i, -1)
 		if st.enough(b, freed) {
 			continue
 		}
-		st.free1(freed, i, 1)
+		st.countFreed(freed, i, 1)
 		kept = append(kept, i)
 	}
 	return kept
