--- a/cmd/lentilwinch-bench/files.go
+++ b/cmd/lentilwinch-bench/files.go
@@ -31,11 +31,11 @@
 	series := requests.Crest()
 	wait := func(p requests.Point) float64 { return p.Wait }
 	useful := func(p requests.Point) float64 { return p.Useful }
-	err := writePlot(filepath.Join(o.out, "crest-wait.png"), "p99 wait of urgent requests", "s", series, wait)
+	err := writePlot(filepath.Join(o.out, "crest-wait.png"), "p99 wait of urgent requests", "s", true, series, wait)
 	if err != nil {
 		return err
 	}
-	return writePlot(filepath.Join(o.out, "crest-service.png"), "answered within the deadline", "share", series, useful)
+	return writePlot(filepath.Join(o.out, "crest-service.png"), "answered within the deadline", "share", false, series, useful)
 }
 
 func writeTable(path, title string, rows []table.Row) error {
@@ -48,13 +48,14 @@
 	return os.WriteFile(path, []byte(b.String()), fileMode)
 }
 
-func writePlot(path, title, unit string, series []requests.Series, of func(requests.Point) float64) error {
+func writePlot(path, title, unit string, legendTop bool, series []requests.Series, of func(requests.Point) float64) error {
 	p := plot.New()
 	p.Title.Text = title
 	p.X.Label.Text = "s"
 	p.Y.Label.Text = unit
 	p.Y.Min = 0
-	p.Legend.Top = true
+	p.Legend.Left = true
+	p.Legend.Top = legendTop
 	for i, s := range series {
 		line, err := plotter.NewLine(points(s, of))
 		if err != nil {
--- a/internal/bench/requests/neutral.go
+++ b/internal/bench/requests/neutral.go
@@ -10,10 +10,10 @@
 // that the neutral clairvoyant leaves time for.
 const ordinaryQuantile = 2.33
 
-// neutralClairvoyant plays a trace as clairvoyant does, in order of arrival
-// and alike for all callers of a service: it refuses on arrival whom it could
-// not serve in time, and never because a run is longer than another's, unless
-// the deadline could not be met at once. Servers that fail are known.
+// neutralClairvoyant plays a trace as clairvoyant does, in order of arrival.
+// It refuses on arrival whom it could not serve in time, leaving each caller of
+// a service the same time to run, up to the 99th percentile: it never picks
+// the shorter of two ordinary runs. Servers that fail are known.
 func neutralClairvoyant(t *trace) []outcome {
 	outcomes := make([]outcome, len(t.requests))
 	free := newSlots(totalSlots)
