Wire promises, expectations, demand and limits into the duties

What the decision packages learned to use by measurement was not yet given to them: when a stop was ordered and a gang was promised, what run time was expected, what a workspace borrows in other failure domains, when a reclaimed gang was queued again; and for requests the demand of the other instances and the limit on a straggler's attempt.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -193,7 +193,7 @@
 		RecordTimeout: recordTimeout,
 		ClaimTimeout:  claimTimeout,
 		Dispatch:      dispatch.Settings{QueueLimit: s.Requests.QueueLimit},
-	}, d.backends, newServers(d.membership), d.claims, d.config.Current, d.sharers, d.log)
+	}, d.backends, newServers(d.membership), d.claims, d.config.Current, d.sharers, d.peerDemand, d.log)
 	d.config.OnChange(func(*structs.Config) { d.requests.Reload() })
 }
 
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -185,6 +185,16 @@
 	return append([]string{d.settings.InstanceID}, liveInstances{d}.Instances()...)
 }
 
+// peerDemand returns the requests that each live peer said it holds.
+func (d *Daemon) peerDemand() map[string]int {
+	live := d.mesh.Live()
+	out := make(map[string]int, len(live)+1)
+	for _, p := range live {
+		out[p.Hello.Instance] = p.Load.QueuedRequests + p.Load.BusySlots
+	}
+	return out
+}
+
 // servers adapts the membership to the requests duty.
 type servers struct {
 	membership *membership.Membership
--- a/internal/duty/gangs/domain.go
+++ b/internal/duty/gangs/domain.go
@@ -115,7 +115,7 @@
 	// decidedOn is the configuration of the last one.
 	changed   bool
 	decidedOn *structs.Config
-	learned   runTimes
+	learned   *scheduler.Estimates
 	unheld    []scheduler.Unheld
 	// spilled sums the accelerators of jobs handed to other failure domains.
 	spilled *recent.Window
@@ -140,8 +140,14 @@
 	// states are the members' last known ones.
 	states []structs.TaskState
 	// avoid names workers on which the job failed.
-	avoid  []string
+	avoid []string
+	// queued is when the job last entered the queue here.
 	queued time.Time
+	// promised is when a decision first said that the job is within a
+	// guarantee; zero before that and once it was started.
+	promised time.Time
+	// expected is the run time expected when the attempt was begun.
+	expected time.Duration
 	// arrived is when this owner took the job in.
 	arrived time.Time
 	// lapse is when leases of the attempt have surely ended that no longer
@@ -152,8 +158,8 @@
 	// retryAt is the earliest time for the next operation after a failed one;
 	// zero after one that succeeded.
 	retryAt time.Time
-	// stopping is set while a stop is in progress, before its row says so.
-	stopping bool
+	// stopping is when the stop in progress was ordered, or zero.
+	stopping time.Time
 }
 
 type leaseOwner struct {
@@ -175,7 +181,7 @@
 		health:   newHealth(),
 		entries:  make(map[structs.JobKey]*entry),
 		byLease:  make(map[structs.LeaseID]leaseOwner),
-		learned:  make(runTimes),
+		learned:  scheduler.NewEstimates(),
 		spilled:  recent.New(summaryLag),
 		summary:  port.DomainSummary{Domain: grant.Domain},
 	}
--- a/internal/duty/gangs/events.go
+++ b/internal/duty/gangs/events.go
@@ -58,7 +58,7 @@
 	}
 	d.observe(e.job, o.job)
 	e.busy = false
-	e.stopping = false
+	e.stopping = time.Time{}
 	d.changed = true
 	d.setJob(e, o.job, o.revision)
 	// Only a report that comes after the operation can ask for another.
@@ -74,6 +74,7 @@
 	}
 	if o.job.State == structs.JobQueued {
 		e.lapse = time.Time{}
+		e.queued = time.Now()
 		e.avoid = append(e.avoid, o.failedOn...)
 	}
 	d.advance(ctx, e)
@@ -84,7 +85,7 @@
 func (d *Domain) observe(before, after structs.Job) {
 	switch {
 	case after.State.Final():
-		d.learned.observe(after)
+		d.learn(after)
 		d.deps.Observer.JobEnded(after.State)
 	case after.State == structs.JobRunning && after.Attempt == 1 && before.State != structs.JobRunning:
 		d.deps.Observer.GangStarted(after.Spec.Class, after.Started.Sub(after.Submitted))
@@ -93,6 +94,13 @@
 	}
 }
 
+// learn notes the run time of a job that succeeded in one attempt.
+func (d *Domain) learn(j structs.Job) {
+	if j.State == structs.JobSucceeded && j.Spec.Service != "" && j.Checkpoint == "" {
+		d.learned.Observe(serviceKey(j.Spec), j.Ended.Sub(j.Started))
+	}
+}
+
 func (d *Domain) forget(e *entry) {
 	d.setJob(e, structs.Job{Spec: e.job.Spec}, e.revision)
 	delete(d.entries, e.job.Spec.Key)
@@ -207,7 +215,7 @@
 }
 
 func (d *Domain) stop(ctx context.Context, e *entry, next structs.JobState, reason string, checkpoint bool) {
-	e.stopping = true
+	e.stopping = time.Now()
 	d.operate(ctx, e, func(ctx context.Context, o *operation) error {
 		return o.stop(ctx, next, reason, checkpoint)
 	})
--- a/internal/duty/gangs/load.go
+++ b/internal/duty/gangs/load.go
@@ -159,6 +159,7 @@
 	lapse := time.Now().Add(2 * d.settings.Lapse())
 	for _, e := range d.entries {
 		e.lapse = lapse
+		e.expected = d.expected(e.job.Spec)
 		switch e.job.State {
 		case structs.JobReserving:
 			d.stop(ctx, e, structs.JobQueued, "owner changed while reserving", false)
@@ -166,6 +167,7 @@
 			// The first renewal tells which members still have to be started.
 			d.leases.add(e.job.Members)
 		case structs.JobStopping:
+			e.stopping = time.Now()
 			d.operate(ctx, e, func(ctx context.Context, o *operation) error { return o.finishStop(ctx) })
 		}
 	}
--- a/internal/duty/gangs/schedule.go
+++ b/internal/duty/gangs/schedule.go
@@ -46,6 +46,9 @@
 	for _, v := range plan.Waiting {
 		if e, ok := d.entries[v.Key]; ok {
 			e.reason = v.Reason
+			if v.Within && e.promised.IsZero() {
+				e.promised = now
+			}
 		}
 	}
 	d.spill(ctx, plan.Waiting)
@@ -91,7 +94,7 @@
 
 func (d *Domain) snapshot() scheduler.Snapshot {
 	now := time.Now()
-	s := scheduler.Snapshot{Domain: d.grant.Domain}
+	s := scheduler.Snapshot{Domain: d.grant.Domain, BorrowedElsewhere: d.borrowedElsewhere()}
 	for _, w := range d.deps.Fleet.Domain(d.grant.Domain) {
 		s.Workers = append(s.Workers, scheduler.Worker{
 			ID:           w.ID,
@@ -105,7 +108,7 @@
 		case e.job.State != structs.JobQueued:
 			s.Gangs = append(s.Gangs, gangOf(e, now))
 		case e.ready():
-			s.Queued = append(s.Queued, pendingOf(e, now, d.learned.expected(e.job.Spec)))
+			s.Queued = append(s.Queued, pendingOf(e, now, d.expected(e.job.Spec)))
 		}
 	}
 	for _, w := range d.deps.Config().Workspaces {
@@ -118,6 +121,21 @@
 	return s
 }
 
+// borrowedElsewhere sums the accelerators of lent gangs in other failure
+// domains, by workspace.
+func (d *Domain) borrowedElsewhere() map[string]int {
+	out := make(map[string]int)
+	for _, s := range d.deps.Elsewhere() {
+		if s.Domain == d.grant.Domain {
+			continue
+		}
+		for workspace, n := range s.Lent {
+			out[workspace] += n
+		}
+	}
+	return out
+}
+
 func gangOf(e *entry, now time.Time) scheduler.Gang {
 	j := e.job
 	g := scheduler.Gang{
@@ -125,13 +143,17 @@
 		Class:        j.Spec.Class,
 		Preemptible:  j.Spec.Preemptible,
 		Lent:         j.Lent,
-		Stopping:     j.State == structs.JobStopping || e.stopping,
+		Stopping:     j.State == structs.JobStopping || !e.stopping.IsZero(),
+		Expected:     e.expected,
 		Accelerators: j.Spec.Accelerators,
 		Adjacency:    j.Spec.Adjacency,
 	}
 	if !j.Started.IsZero() {
 		g.Ran = now.Sub(j.Started)
 	}
+	if !e.stopping.IsZero() {
+		g.Stopped = now.Sub(e.stopping)
+	}
 	for _, m := range j.Members {
 		g.Members = append(g.Members, scheduler.Place{Worker: m.Worker, Rack: m.Rack})
 	}
@@ -139,12 +161,28 @@
 }
 
 func pendingOf(e *entry, now time.Time, expected time.Duration) scheduler.Pending {
-	return scheduler.Pending{
+	p := scheduler.Pending{
 		Spec:     e.job.Spec,
 		Waited:   now.Sub(e.queued),
 		Expected: expected,
 		Avoid:    e.avoid,
 	}
+	if !e.promised.IsZero() {
+		p.Promised = now.Sub(e.promised)
+	}
+	return p
+}
+
+func serviceKey(s structs.JobSpec) structs.ServiceKey {
+	return structs.ServiceKey{Workspace: s.Key.Workspace, Name: s.Service}
+}
+
+// expected returns the learned run time of a job, or the declared one.
+func (d *Domain) expected(s structs.JobSpec) time.Duration {
+	if s.Service == "" {
+		return s.DeclaredRun
+	}
+	return d.learned.Expected(serviceKey(s), s.DeclaredRun)
 }
 
 func compareKeys(a, b structs.JobKey) int {
@@ -170,6 +208,8 @@
 		return o.start(ctx, st)
 	})
 	e.reason = ""
+	e.promised = time.Time{}
+	e.expected = d.expected(e.job.Spec)
 	e.job = planned(e.job, st)
 	s.Gangs = append(s.Gangs, gangOf(e, time.Now()))
 }
--- a/internal/duty/gangs/state.go
+++ b/internal/duty/gangs/state.go
@@ -41,11 +41,13 @@
 	state := d.describe()
 	workers := d.deps.Fleet.Domain(d.grant.Domain)
 	free, largest := d.free(workers)
+	lent := d.lent()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.state = state
 	d.summary.FreeAccelerators = free
 	d.summary.LargestBlock = largest
+	d.summary.Lent = lent
 	d.summary.QueuedJobs = state.ByState[string(structs.JobQueued)]
 }
 
@@ -105,6 +107,17 @@
 	return total, largest
 }
 
+// lent sums the accelerators of lent gangs by workspace.
+func (d *Domain) lent() map[string]int {
+	out := make(map[string]int)
+	for _, e := range d.entries {
+		if e.job.Lent && len(e.job.Members) > 0 {
+			out[e.job.Spec.Key.Workspace] += e.job.Spec.Size()
+		}
+	}
+	return out
+}
+
 // State returns the runner's state for a dump.
 func (d *Domain) State() State {
 	d.mu.Lock()
--- a/internal/duty/requests/attempt.go
+++ b/internal/duty/requests/attempt.go
@@ -46,10 +46,11 @@
 		return done
 	}
 	sent := time.Now()
-	answer, err := r.execute(ctx, c, server, a)
+	deadline := attemptDeadline(sent, c.req, a)
+	answer, err := r.execute(ctx, c, server, a, deadline)
 	done.result.Elapsed = time.Since(sent)
 	if err != nil {
-		failed(&done, err, c.req.Deadline)
+		failed(&done, err, deadline)
 		return done
 	}
 	done.result.Kind = dispatch.Succeeded
@@ -79,8 +80,19 @@
 	return done
 }
 
-func (r *Requests) execute(ctx context.Context, c *call, server structs.Instance, a dispatch.Assignment) (port.Answer, error) {
-	e := port.Execution{Request: c.req, Attempt: strconv.Itoa(a.Attempt)}
+// attemptDeadline is the request's own deadline, or an earlier one where the
+// dispatcher limits the attempt.
+func attemptDeadline(now time.Time, req structs.Request, a dispatch.Assignment) time.Time {
+	if limit := now.Add(a.Limit); a.Limit > 0 && limit.Before(req.Deadline) {
+		return limit
+	}
+	return req.Deadline
+}
+
+func (r *Requests) execute(ctx context.Context, c *call, server structs.Instance, a dispatch.Assignment, deadline time.Time) (port.Answer, error) {
+	req := c.req
+	req.Deadline = deadline
+	e := port.Execution{Request: req, Attempt: strconv.Itoa(a.Attempt)}
 	return r.backends.Execute(ctx, server, e)
 }
 
--- a/internal/duty/requests/loop.go
+++ b/internal/duty/requests/loop.go
@@ -43,6 +43,7 @@
 			r.takeIn()
 		case <-wake.C:
 		case <-stats.C:
+			r.dispatcher.SetDemand(r.demands())
 			s := r.dispatcher.Stats()
 			r.stats.Store(&s)
 		case <-ctx.Done():
@@ -62,6 +63,18 @@
 	return max(at.Sub(now), 0)
 }
 
+// demands returns the requests that each sharing instance holds, as last told.
+func (r *Requests) demands() map[string]int {
+	out := r.peerDemand()
+	if out == nil {
+		out = make(map[string]int, 1)
+	}
+	if sharers := r.sharers(); len(sharers) > 0 {
+		out[sharers[0]] = r.dispatcher.Demand()
+	}
+	return out
+}
+
 // takeIn passes the servers, the sharing instances and the configuration on.
 func (r *Requests) takeIn() {
 	servers := r.servers.Servers()
--- a/internal/duty/requests/model_test.go
+++ b/internal/duty/requests/model_test.go
@@ -239,13 +239,12 @@
 
 // judge checks what callers were told against what the servers ran.
 func (w *world) judge() []string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	var faults []string
 	complain := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
 	done, notRun := make(map[string]bool), make(map[string]bool)
-	for _, t := range w.told {
-		runs := w.runs(t.id)
+	count := w.allRuns()
+	for _, t := range w.tellings() {
+		runs := count[t.id]
 		if t.err != nil {
 			complain("%s failed: %v", t.id, t.err)
 		}
@@ -278,11 +277,12 @@
 // has a final record that agrees, or none and never ran.
 func (w *world) judgeFinal(n *instance) []string {
 	var faults []string
-	for _, t := range w.told {
+	count := w.allRuns()
+	for _, t := range w.tellings() {
 		if t.service != once {
 			continue
 		}
-		runs := w.runs(t.id)
+		runs := count[t.id]
 		res, err := n.lookup(t.id)
 		switch {
 		case fault.Is(err, fault.NotFound) && runs == 0:
--- a/internal/duty/requests/outage_test.go
+++ b/internal/duty/requests/outage_test.go
@@ -27,7 +27,7 @@
 	}
 	time.Sleep(2 * deadline)
 	count := make(map[string]int)
-	for _, t := range w.told {
+	for _, t := range w.tellings() {
 		count[t.service+" "+t.res.Outcome.String()]++
 	}
 	return count
--- a/internal/duty/requests/requests.go
+++ b/internal/duty/requests/requests.go
@@ -60,7 +60,9 @@
 	// sharers names the instances that share the backend servers, this one
 	// first.
 	sharers func() []string
-	log     *zap.Logger
+	// peerDemand returns the requests that each of the others holds.
+	peerDemand func() map[string]int
+	log        *zap.Logger
 
 	arrivals *ring.Ring[*call]
 	leavers  *ring.Ring[uint64]
@@ -93,7 +95,7 @@
 }
 
 // New returns the duty; Run must be called for it to dispatch anything.
-func New(s Settings, backends port.Backends, servers Servers, cl *claims.Claims, config func() *structs.Config, sharers func() []string, log *zap.Logger) *Requests {
+func New(s Settings, backends port.Backends, servers Servers, cl *claims.Claims, config func() *structs.Config, sharers func() []string, peerDemand func() map[string]int, log *zap.Logger) *Requests {
 	r := &Requests{
 		settings:   s,
 		backends:   backends,
@@ -101,6 +103,7 @@
 		claims:     cl,
 		config:     config,
 		sharers:    sharers,
+		peerDemand: peerDemand,
 		log:        log,
 		arrivals:   ring.New[*call]("request arrivals", s.QueueLimit),
 		leavers:    ring.New[uint64]("request departures", s.QueueLimit),
--- a/internal/duty/requests/requests_test.go
+++ b/internal/duty/requests/requests_test.go
@@ -115,7 +115,7 @@
 				time.Sleep(2 * time.Second)
 				w.table.SetFaults(fake.TableFaults{})
 				time.Sleep(2 * deadline)
-				must.Len(t, 6, w.told)
+				must.Len(t, 6, w.tellings())
 				must.SliceEmpty(t, w.judge())
 				must.SliceEmpty(t, w.judgeFinal(w.instances[0]))
 			})
@@ -156,7 +156,7 @@
 		}
 		time.Sleep(deadline)
 		must.Eq(t, before, w.table.Counts())
-		must.Len(t, 20, w.told)
+		must.Len(t, 20, w.tellings())
 		must.SliceEmpty(t, w.judge())
 	})
 }
@@ -233,14 +233,14 @@
 func TestLeavingServerIsAskedOnce(t *testing.T) {
 	scene(t, 1, 4, func(t *testing.T, w *world) {
 		n := w.instances[0]
-		n.lagging = true
+		n.lag()
 		w.servers[0].SetFaults(fake.BackendFaults{Leaving: true})
 		for i := range 8 {
 			<-n.send(request(again, fmt.Sprint("r", i), 100*time.Millisecond))
 			n.requests.Reload()
 		}
 		must.Eq(t, 1, n.requests.Stats().RefusedLeave)
-		must.True(t, n.left["b0"])
+		must.True(t, n.hasLeft("b0"))
 		list, _ := w.servers[0].Runs()
 		must.SliceEmpty(t, list)
 	})
@@ -280,7 +280,7 @@
 			_, err := w.instances[0].do(ctx, request(again, fmt.Sprint("r", i), 0))
 			must.NoError(t, err)
 		}
-		for _, told := range w.told {
+		for _, told := range w.tellings() {
 			must.Eq(t, structs.OutcomeNotRun, told.res.Outcome)
 		}
 		must.SliceEmpty(t, w.judge())
@@ -300,11 +300,11 @@
 		time.Sleep(200 * time.Millisecond)
 		cancel()
 		time.Sleep(200 * time.Millisecond)
-		must.Len(t, 2, w.told)
+		must.Len(t, 2, w.tellings())
 		w.faults(fake.BackendFaults{})
 		time.Sleep(deadline)
-		must.Len(t, 3, w.told)
-		must.Eq(t, structs.OutcomeDone, w.told[2].res.Outcome)
+		must.Len(t, 3, w.tellings())
+		must.Eq(t, structs.OutcomeDone, w.tellings()[2].res.Outcome)
 		must.SliceEmpty(t, w.judge())
 		must.SliceEmpty(t, w.judgeFinal(n))
 		must.Zero(t, w.runs("queued "+once)+w.runs("queued "+again))
--- a/internal/duty/requests/rig_test.go
+++ b/internal/duty/requests/rig_test.go
@@ -116,18 +116,27 @@
 	return structs.Request{Key: structs.RequestKey{Workspace: workspace, ID: id}, Service: service, Body: body}
 }
 
-// runs counts the runs of a request on all servers.
-func (w *world) runs(id string) int {
-	n := 0
+// allRuns counts the runs of each request on all servers.
+func (w *world) allRuns() map[string]int {
+	count := make(map[string]int)
 	for _, s := range w.servers {
 		list, _ := s.Runs()
 		for _, r := range list {
-			if r.RequestID == id {
-				n++
-			}
+			count[r.RequestID]++
 		}
 	}
-	return n
+	return count
+}
+
+func (w *world) runs(id string) int {
+	return w.allRuns()[id]
+}
+
+// tellings returns what callers were told so far.
+func (w *world) tellings() []telling {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.told)
 }
 
 func (w *world) close() {
@@ -176,7 +185,8 @@
 	st := store.New(n.process, n.incarnation)
 	n.claims = claims.New(claimSettings, st, w.objects, n.current, zap.NewNop())
 	sharers := func() []string { return []string{n.incarnation} }
-	n.requests = requests.New(requestSettings, callers{n.process}, n, n.claims, config, sharers, zap.NewNop())
+	noDemand := func() map[string]int { return nil }
+	n.requests = requests.New(requestSettings, callers{n.process}, n, n.claims, config, sharers, noDemand, zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	w.wg.Go(func() { _ = n.claims.Run(ctx) })
@@ -265,6 +275,19 @@
 	n.left[id] = true
 }
 
+// lag makes the list forget what servers say of themselves.
+func (n *instance) lag() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lagging = true
+}
+
+func (n *instance) hasLeft(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.left[id]
+}
+
 // do sends a request and notes what the caller is told, if the instance lives.
 func (n *instance) do(ctx context.Context, req structs.Request) (structs.Result, error) {
 	sent := time.Now()
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -18,7 +18,7 @@
 // PeerLoad is an instance's heartbeat to its peers.
 type PeerLoad struct {
 	ConfigNumber int64 `cbor:"1,keyasint,omitempty"`
-	// QueuedRequests and BusySlots describe the instance's request dispatch.
+	// QueuedRequests and BusySlots are the requests held, queued and in flight.
 	QueuedRequests int `cbor:"2,keyasint,omitempty"`
 	BusySlots      int `cbor:"3,keyasint,omitempty"`
 	// Leaving lists backend servers seen leaving.
@@ -35,6 +35,9 @@
 	// LargestBlock is the most accelerators one gang could get in a rack.
 	LargestBlock int `cbor:"3,keyasint,omitempty"`
 	QueuedJobs   int `cbor:"4,keyasint,omitempty"`
+	// Lent sums the accelerators of gangs beyond their workspace's guarantees,
+	// by workspace.
+	Lent map[string]int `cbor:"5,keyasint,omitempty"`
 }
 
 // PeerNotice hints at something the receiver would else see at its next poll.
