--- a/internal/duty/requests/rig_test.go
+++ b/internal/duty/requests/rig_test.go
@@ -182,9 +182,9 @@
 func (w *world) start() *instance {
 	n := &instance{w: w, process: &process{table: w.table, backends: w.backends}, left: make(map[string]bool), changed: make(chan struct{}, 1)}
 	n.establish()
-	st := store.New(n.process, n.incarnation)
+	st := store.New(n.process, n.current())
 	n.claims = claims.New(claimSettings, st, w.objects, n.current, zap.NewNop())
-	sharers := func() []string { return []string{n.incarnation} }
+	sharers := func() []string { return []string{n.current()} }
 	noDemand := func() map[string]int { return nil }
 	n.requests = requests.New(requestSettings, callers{n.process}, n, n.claims, config, sharers, noDemand, zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
