--- a/test/e2e/checker_test.go
+++ b/test/e2e/checker_test.go
@@ -119,7 +119,6 @@
 	number    int
 	started   map[string]int64
 	succeeded map[string]bool
-	granted   int64
 	ended     int64
 	open      int
 }
