--- a/internal/duty/gangs/schedule.go
+++ b/internal/duty/gangs/schedule.go
@@ -20,6 +20,10 @@
 	// steadyDecision is the time between two decisions while jobs wait and
 	// nothing changes but how long they waited and which workers are usable.
 	steadyDecision = time.Second
+	// strainedDecision is the least time between two decisions while a
+	// guaranteed shape has no place, as the exact search for one then runs to
+	// its bound each time.
+	strainedDecision = 1500 * time.Millisecond
 )
 
 // schedule decides on the queued jobs and begins what was decided.
@@ -60,6 +64,9 @@
 	if !d.hasQueued() {
 		return since >= idleDecision
 	}
+	if len(d.unheld) > 0 && since < strainedDecision {
+		return false
+	}
 	return d.changed || d.decidedOn != d.deps.Config() || since >= steadyDecision
 }
 
