--- a/internal/adapter/peer/dial.go
+++ b/internal/adapter/peer/dial.go
@@ -10,6 +10,7 @@
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 // dialer keeps a link to one target.
@@ -33,11 +34,11 @@
 // with the higher ID first leaves the other time to dial: one end alone may
 // know of the other.
 func (d *dialer) run(ctx context.Context) {
-	wait := newBackOff()
+	pause := newBackOff()
 	for ctx.Err() == nil {
 		if l := d.mesh.linked(d.target.Instance); l != nil {
 			d.await(ctx, l)
-			wait.Reset()
+			pause.Reset()
 			continue
 		}
 		if d.yields() && d.linkedWithin(ctx, d.mesh.cfg.Grace) {
@@ -48,9 +49,10 @@
 		}
 		opened := time.Now()
 		if err := d.dial(ctx); err == nil && time.Since(opened) > redialMax {
-			wait.Reset()
+			pause.Reset()
 		}
-		sleep(ctx, wait.NextBackOff())
+		// The loop looks at ctx itself.
+		_ = wait.For(ctx, pause.NextBackOff())
 	}
 }
 
@@ -62,7 +64,7 @@
 	select {
 	case <-l.stopped:
 		// The link's own goroutine detaches it shortly after.
-		sleep(ctx, redialInitial)
+		_ = wait.For(ctx, redialInitial)
 	case <-ctx.Done():
 	}
 }
@@ -74,7 +76,8 @@
 		if d.mesh.linked(d.target.Instance) != nil {
 			return true
 		}
-		sleep(ctx, redialInitial)
+		// The loop looks at ctx itself.
+		_ = wait.For(ctx, redialInitial)
 	}
 	return d.mesh.linked(d.target.Instance) != nil
 }
@@ -141,12 +144,3 @@
 	b.MaxInterval = redialMax
 	return b
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1/lentilwinchv1connect"
 	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 const (
@@ -71,11 +72,11 @@
 // calls it idempotent. The failure returned is fault.Uncertain when any try
 // may have taken effect and no server said otherwise since.
 func (c *client) call(ctx context.Context, p policy, try func(context.Context, api) error) error {
-	wait := newRoundBackOff()
+	pause := newRoundBackOff()
 	var last error
 	sent := false
 	for round := range p.rounds {
-		if round > 0 && !sleep(ctx, wait.NextBackOff()) {
+		if round > 0 && wait.For(ctx, pause.NextBackOff()) != nil {
 			return &interruptedError{sent: sent}
 		}
 		for _, t := range c.targets {
@@ -144,15 +145,3 @@
 	b.MaxInterval = roundWaitMax
 	return b
 }
-
-// sleep reports whether the whole time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/cli/watch.go
+++ b/internal/cli/watch.go
@@ -12,6 +12,7 @@
 	lentilwinchv1 "github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1"
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 // watchRenewal is the age at which a stream is replaced by a fresh one, so
@@ -80,7 +81,7 @@
 		if err != nil {
 			return w.lost(err)
 		}
-		if w.last.Final() || !sleep(ctx, roundWait) {
+		if w.last.Final() || wait.For(ctx, roundWait) != nil {
 			return nil
 		}
 	}
--- a/internal/duty/claims/lookup.go
+++ b/internal/duty/claims/lookup.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/store"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 // Wait returns what the caller of a request that has a row may be told: its
@@ -24,12 +24,10 @@
 		if err == nil && res.Outcome != structs.OutcomePending {
 			return res, nil
 		}
-		select {
-		case <-time.After(delay):
-			delay = min(2*delay, maxPoll)
-		case <-ctx.Done():
+		if wait.For(ctx, delay) != nil {
 			return unknown("another instance holds the request"), nil
 		}
+		delay = min(2*delay, maxPoll)
 	}
 }
 
--- a/internal/duty/claims/settle.go
+++ b/internal/duty/claims/settle.go
@@ -10,6 +10,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/store"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 // unsettled is a final record whose write failed.
@@ -40,9 +41,7 @@
 			return
 		}
 		for !c.trySettle(ctx, u) {
-			select {
-			case <-time.After(c.settings.SettleRetry):
-			case <-ctx.Done():
+			if wait.For(ctx, c.settings.SettleRetry) != nil {
 				return
 			}
 		}
--- a/internal/duty/fleet/fleet.go
+++ b/internal/duty/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 // firstPoll bounds the time between two tries to read the first inventory.
@@ -37,16 +38,14 @@
 func (f *Fleet) Run(ctx context.Context) error {
 	for {
 		f.refresh(ctx)
-		select {
-		case <-time.After(f.wait()):
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := wait.For(ctx, f.interval()); err != nil {
+			return err
 		}
 	}
 }
 
-// wait is shorter until the first inventory was read.
-func (f *Fleet) wait() time.Duration {
+// interval is shorter until the first inventory was read.
+func (f *Fleet) interval() time.Duration {
 	if f.Len() == 0 {
 		return min(f.poll, firstPoll)
 	}
--- a/internal/duty/gangs/load.go
+++ b/internal/duty/gangs/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/lentilwinch/lentilwinch/internal/store"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 const (
@@ -42,10 +43,8 @@
 			return nil
 		}
 		d.log.Warn("domain_load_failed", zap.Error(err))
-		select {
-		case <-time.After(loadRetry):
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := wait.For(ctx, loadRetry); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/duty/gangs/operation.go
+++ b/internal/duty/gangs/operation.go
@@ -13,6 +13,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/scheduler"
 	"github.com/lentilwinch/lentilwinch/internal/store"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 const (
@@ -77,9 +78,7 @@
 				return store.Decode(rows[key], j)
 			}, cause)
 		}
-		select {
-		case <-time.After(releaseRetry):
-		case <-ctx.Done():
+		if wait.For(ctx, releaseRetry) != nil {
 			return cause
 		}
 	}
@@ -287,10 +286,8 @@
 		if o.tryRelease(ctx, worker, leases) {
 			return nil
 		}
-		select {
-		case <-time.After(releaseRetry):
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := wait.For(ctx, releaseRetry); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/duty/gangs/schedule.go
+++ b/internal/duty/gangs/schedule.go
@@ -94,11 +94,6 @@
 	return false
 }
 
-// ready reports whether a job waits for a placement.
-func (e *entry) ready() bool {
-	return e.job.State == structs.JobQueued && !e.busy && !e.cancelled && e.retryAt.IsZero()
-}
-
 func (d *Domain) snapshot() scheduler.Snapshot {
 	now := time.Now()
 	s := scheduler.Snapshot{Domain: d.grant.Domain, BorrowedElsewhere: d.borrowedElsewhere()}
--- a/internal/duty/jobs/jobs.go
+++ b/internal/duty/jobs/jobs.go
@@ -19,6 +19,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/recent"
 	"github.com/lentilwinch/lentilwinch/internal/store"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 const (
@@ -222,12 +223,10 @@
 				return nil
 			}
 		}
-		select {
-		case <-time.After(delay):
-			delay = min(2*delay, watchPollMax)
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := wait.For(ctx, delay); err != nil {
+			return err
 		}
+		delay = min(2*delay, watchPollMax)
 	}
 }
 
--- a/internal/fake/backends.go
+++ b/internal/fake/backends.go
@@ -8,6 +8,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 // Backends reaches fake backend servers by address. It is safe for concurrent
@@ -44,7 +45,7 @@
 		return port.Answer{}, err
 	}
 	f := s.Faults()
-	if err := sleep(ctx, f.Delay); err != nil {
+	if err := wait.For(ctx, f.Delay); err != nil {
 		return port.Answer{}, fault.Wrap(fault.Uncertain, "execute", err)
 	}
 	if f.HangBeforeStart {
@@ -62,7 +63,7 @@
 
 // finish waits for the end of a run and answers as the faults say.
 func (b *Backend) finish(ctx context.Context, f BackendFaults, run Run, body []byte) (port.Answer, error) {
-	if err := sleep(ctx, time.Until(run.End)); err != nil {
+	if err := wait.For(ctx, time.Until(run.End)); err != nil {
 		return port.Answer{}, fault.Wrap(fault.Uncertain, "execute", err)
 	}
 	if f.Hang {
@@ -85,7 +86,7 @@
 		<-ctx.Done()
 		return port.BackendLoad{}, fault.Wrap(fault.Unavailable, "probe", ctx.Err())
 	}
-	if err := sleep(ctx, f.Delay); err != nil {
+	if err := wait.For(ctx, f.Delay); err != nil {
 		return port.BackendLoad{}, fault.Wrap(fault.Unavailable, "probe", err)
 	}
 	return s.Load(), nil
--- a/internal/fake/faults.go
+++ b/internal/fake/faults.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 // Faults says how a fake misbehaves. The zero value is healthy.
@@ -36,7 +37,7 @@
 		<-ctx.Done()
 		return fault.Wrap(cut, what, ctx.Err())
 	}
-	if err := sleep(ctx, f.Delay); err != nil {
+	if err := wait.For(ctx, f.Delay); err != nil {
 		return fault.Wrap(cut, what, err)
 	}
 	if f.Down {
@@ -74,18 +75,3 @@
 	f := g.get()
 	return f, f.await(ctx, what, fault.Uncertain)
 }
-
-// sleep waits for d or until the context ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/fake/workers.go
+++ b/internal/fake/workers.go
@@ -9,6 +9,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 // Workers is a set of workers with their agents. Tasks run in the time of
@@ -176,7 +177,7 @@
 		<-ctx.Done()
 		return fault.Wrap(fault.Uncertain, "checkpoint", ctx.Err())
 	}
-	if err := sleep(ctx, save.takes); err != nil {
+	if err := wait.For(ctx, save.takes); err != nil {
 		return fault.Wrap(fault.Uncertain, "checkpoint", err)
 	}
 	if err := w.objects.Put(ctx, object, save.data); err != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -14,6 +14,7 @@
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
 
 const (
@@ -181,13 +182,13 @@
 }
 
 func (c *commit) run(ctx context.Context) (int64, error) {
-	wait := newBackOff()
+	pause := newBackOff()
 	for {
 		revision, err := c.attempt(ctx)
 		if c.settled(err) {
 			return revision, err
 		}
-		if sleepErr := sleep(ctx, wait.NextBackOff()); sleepErr != nil {
+		if sleepErr := wait.For(ctx, pause.NextBackOff()); sleepErr != nil {
 			return 0, c.gaveUp(err)
 		}
 	}
@@ -282,17 +283,6 @@
 	return b
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Get returns the rows that exist among keys, by key. It fails with
 // fault.Unavailable; it doesn't retry.
 func (s *Store) Get(ctx context.Context, keys ...string) (map[string]port.Row, error) {
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,22 @@
+// Package wait sleeps under a context.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For sleeps for d. It fails with ctx's error when ctx ends first.
+func For(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
