--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -10,14 +10,14 @@
 deployment=${1:-willow}
 case "$deployment" in
   willow)
-    platform=127.0.0.1:7400 base=745 client=127.0.0.1:7420,127.0.0.1:7421
+    platform=127.0.0.1:7400 base=745 client=127.0.0.1:7420,127.0.0.1:7421,127.0.0.1:7422,127.0.0.1:7423
     domains=north-yard,river-yard,saw-hall,east-kiln
     fast=(-workspace saw-bench -service moisture-check)
     once=(-workspace seasoning -service stack-tally)
     gang=(-workspace bat-yards-grading -members 1 -accelerators 8 -adjacency worker -domain north-yard)
     ;;
   crossing)
-    platform=127.0.0.1:7410 base=746 client=127.0.0.1:7430,127.0.0.1:7431
+    platform=127.0.0.1:7410 base=746 client=127.0.0.1:7430,127.0.0.1:7431,127.0.0.1:7432,127.0.0.1:7433
     domains=bc-south-1,bc-south-2,bc-south-3,bc-south-4
     fast=(-workspace field-triage -service fault-triage)
     once=(-workspace rail-reports -service gate-arm-report)
@@ -89,7 +89,7 @@
 cli status
 
 say "A short request, at any instance"
-cli request "${fast[@]}" -id check-1 -body '{"run_ms":120,"answer":"moisture 11.8 %"}'
+cli request "${fast[@]}" -id check-1 -body '{"run_ms":120,"answer":"checked"}'
 
 say "A request that may not be repeated, sent twice under one ID: it runs once"
 cli request "${once[@]}" -id report-1 -body '{"run_ms":200,"answer":"recorded"}'
@@ -100,6 +100,7 @@
 cli submit "${gang[@]}" -id long-1 -payload '{"run_ms":2500}' -wait
 
 say "What one instance holds"
-"$work/lentilwinch" dump -server "${client%%,*}" | head -40
+"$work/lentilwinch" dump -server "${client%%,*}" >"$work/dump.json"
+head -40 "$work/dump.json"
 
 say "Done: every step succeeded"
