--- a/internal/duty/gangs/events.go
+++ b/internal/duty/gangs/events.go
@@ -57,6 +57,7 @@
 		return nil
 	}
 	d.observe(e.job, o.job)
+	d.logState(o)
 	e.busy = false
 	e.stopping = time.Time{}
 	d.changed = true
@@ -94,6 +95,18 @@
 	}
 }
 
+// logState tells where an operation left a job.
+func (d *Domain) logState(o *operation) {
+	d.log.Info("job_state",
+		zap.Stringer("job", o.job.Spec.Key),
+		zap.String("state", string(o.job.State)),
+		zap.Int64("attempt", o.job.Attempt),
+		zap.Int("members", len(o.job.Members)),
+		zap.Bool("lent", o.job.Lent),
+		zap.String("reason", o.job.Reason),
+		zap.String("moved_to", o.movedTo()))
+}
+
 // learn notes the run time of a job that succeeded in one attempt.
 func (d *Domain) learn(j structs.Job) {
 	if j.State == structs.JobSucceeded && j.Spec.Service != "" && j.Checkpoint == "" {
--- a/internal/duty/gangs/operation.go
+++ b/internal/duty/gangs/operation.go
@@ -304,6 +304,14 @@
 	return err == nil || fault.Is(err, fault.Fenced)
 }
 
+// movedTo returns the failure domain that the job went to, or "".
+func (o *operation) movedTo() string {
+	if o.moved {
+		return o.job.Domain
+	}
+	return ""
+}
+
 // end brings a queued job to a final state.
 func (o *operation) end(ctx context.Context, state structs.JobState, reason string) error {
 	next, err := gang.End(o.job, state, reason, time.Now())
--- a/internal/duty/requests/requests.go
+++ b/internal/duty/requests/requests.go
@@ -138,7 +138,22 @@
 	if err := r.arrivals.Push(c); err != nil {
 		return r.refuse(ctx, c, "too many requests arrive")
 	}
-	return r.conclude(c, r.await(ctx, c))
+	res, err := r.conclude(c, r.await(ctx, c))
+	r.logUnknown(c, res)
+	return res, err
+}
+
+// logUnknown tells of the requests that somebody may have to look after. The
+// log holds no body and no answer.
+func (r *Requests) logUnknown(c *call, res structs.Result) {
+	if res.Outcome != structs.OutcomeUnknown {
+		return
+	}
+	r.log.Warn("request_outcome_unknown",
+		zap.String("workspace", c.req.Key.Workspace),
+		zap.String("service", c.req.Service),
+		zap.String("request", c.req.Key.ID),
+		zap.String("reason", res.Reason))
 }
 
 // await returns the end of a call in the loop.
