Process tests: ports that outgoing connections can't take

Its logs were gone with the test's folder, so that the cause isn't shown; what fits is an instance that could not bind: ports came from the range that the system gives to outgoing connections (32768 and up), were closed again and bound later, and an instance that doesn't start leaves just this trace, as the other one owns everything. Ports now lie below that range, and a wait that fails shows the end of each instance's log.

--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -32,6 +32,8 @@
 	// patience bounds every wait for a condition. It only ends a hung test.
 	patience = 60 * time.Second
 	poll     = 50 * time.Millisecond
+	// tailBytes is how much of a log is shown where a test fails.
+	tailBytes = 2000
 )
 
 var domains = []string{"north-yard", "river-yard", "saw-hall", "east-kiln"}
@@ -199,11 +201,30 @@
 	must.NoError(c.t, in.cmd.Process.Signal(s))
 }
 
+// firstPort and lastPort bound the instances' ports. They lie below those that
+// outgoing connections take: an instance that was stopped must find its port
+// free when it starts again.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+var nextPort = firstPort + os.Getpid()%(lastPort-firstPort)
+
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range lastPort - firstPort {
+		nextPort++
+		if nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if l, err := net.Listen("tcp", address); err == nil {
+			must.NoError(t, l.Close())
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // eventually waits for a condition.
@@ -212,12 +233,21 @@
 	deadline := time.Now().Add(patience)
 	for !f() {
 		if time.Now().After(deadline) {
-			c.t.Fatalf("never saw: %s (logs in %s)", what, c.dir)
+			c.logTails()
+			c.t.Fatalf("never saw: %s", what)
 		}
 		time.Sleep(poll)
 	}
 }
 
+// logTails shows the end of each instance's log.
+func (c *cluster) logTails() {
+	for _, in := range c.instances {
+		raw, err := os.ReadFile(filepath.Join(c.dir, in.id+".log"))
+		c.t.Logf("%s at %s, %v: %s", in.id, in.address, err, raw[max(0, len(raw)-tailBytes):])
+	}
+}
+
 func (c *cluster) awaitOwners() {
 	c.t.Helper()
 	c.eventually("an owner for each failure domain", func() bool {
