--- a/internal/duty/jobs/jobs.go
+++ b/internal/duty/jobs/jobs.go
@@ -230,11 +230,6 @@
 	}
 }
 
-// Domains returns the region's failure domains.
-func (s *Jobs) Domains() []string {
-	return slices.Clone(s.domains)
-}
-
 func knownDomain(domains []string, name string) bool {
 	return name == "" || slices.Contains(domains, name)
 }
--- a/internal/duty/requests/loop.go
+++ b/internal/duty/requests/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -95,25 +96,14 @@
 	}
 	cfg := r.config()
 	workspaces := slices.SortedFunc(maps.Values(cfg.Workspaces), func(a, b structs.Workspace) int {
-		return compare(a.Name, b.Name)
+		return strings.Compare(a.Name, b.Name)
 	})
 	services := slices.SortedFunc(maps.Values(cfg.Services), func(a, b structs.Service) int {
-		return compare(a.Workspace+"/"+a.Name, b.Workspace+"/"+b.Name)
+		return strings.Compare(a.Workspace+"/"+a.Name, b.Workspace+"/"+b.Name)
 	})
 	r.dispatcher.SetConfig(workspaces, services)
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 func (r *Requests) enqueue(c *call) {
 	err := r.dispatcher.Enqueue(time.Now(), dispatch.Item{
 		ID:         c.id,
