--- /dev/null
+++ b/cmd/lentilwinch-poold/main.go
@@ -0,0 +1,12 @@
+// Command lentilwinch-poold runs a lentilwinch instance on the users' platform.
+package main
+
+import (
+	"os"
+
+	"github.com/lentilwinch/lentilwinch/platform"
+)
+
+func main() {
+	os.Exit(platform.Run())
+}
--- /dev/null
+++ b/internal/duty/intake/check.go
@@ -0,0 +1,57 @@
+package intake
+
+import (
+	"fmt"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+const (
+	// maxSpecBytes is the largest task specification taken.
+	maxSpecBytes = 4000
+	// maxTasks bounds a job's tasks, so that one can't fill the owner's memory.
+	maxTasks = 20000
+)
+
+// check finds what makes a job impossible.
+func (in *Intake) check(job *work.Job) error {
+	var problems []fault.Problem
+	add := func(path, value, allowed string) {
+		problems = append(problems, fault.Problem{Path: path, Value: value, Allowed: allowed})
+	}
+	if len(job.Spec) > maxSpecBytes {
+		add("spec", fmt.Sprintf("%d bytes", len(job.Spec)), fmt.Sprintf("up to %d bytes", maxSpecBytes))
+	}
+	if len(job.Steps) == 0 {
+		add("steps", "none", "at least one")
+	}
+	largest := in.replica.Pool(job.Pool).Load.Largest
+	tasks := 0
+	for i := range job.Steps {
+		s := &job.Steps[i]
+		path := fmt.Sprintf("steps[%d]", i)
+		if s.Count < 1 {
+			add(path+".count", fmt.Sprint(s.Count), "at least 1")
+		}
+		tasks += max(s.Count, 0)
+		if s.Need.CPU < 0 || s.Need.MemMB < 0 || s.Need.Accel < 0 {
+			add(path+".need", fmt.Sprint(s.Need), "no negative amounts")
+		}
+		if largest != (work.Resources{}) && !largest.Fits(s.Need) {
+			add(path+".need", fmt.Sprint(s.Need), fmt.Sprintf("what the largest worker has: %v", largest))
+		}
+		for _, dep := range s.After {
+			if dep < 0 || dep >= i {
+				add(path+".after", fmt.Sprint(dep), "an earlier step")
+			}
+		}
+	}
+	if tasks > maxTasks {
+		add("steps", fmt.Sprintf("%d tasks", tasks), fmt.Sprintf("up to %d", maxTasks))
+	}
+	if problems != nil {
+		return fault.Document("the job can't be taken", problems)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/duty/pool/election.go
@@ -0,0 +1,118 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+const (
+	// takeoverAfter is how long an owner's beat may stand still, seen through a
+	// feed that works, before another instance takes the pool over.
+	takeoverAfter = 1500 * time.Millisecond
+	// watchEvery is how often the beat is looked at.
+	watchEvery = 100 * time.Millisecond
+	// feedGap is the age of the copy from which nothing follows about the owner.
+	feedGap = 1500 * time.Millisecond
+	// spread keeps the instances from all trying at the same moment.
+	spread = 300 * time.Millisecond
+	// handoverTimeout bounds the writes of a planned handover.
+	handoverTimeout = 800 * time.Millisecond
+)
+
+// Election keeps one pool owned: it watches the owner and becomes it when the
+// owner is gone.
+type Election struct {
+	deps  Deps
+	pool  string
+	log   *zap.Logger
+	delay time.Duration
+}
+
+// NewElection returns the election of a pool.
+func NewElection(deps Deps, pool string) *Election {
+	rank := xxhash.Sum64String(deps.Name + "/" + pool)
+	return &Election{deps: deps, pool: pool, log: deps.Log.With(zap.String("pool", pool)),
+		delay: time.Duration(rank % uint64(spread))}
+}
+
+// Run watches and owns the pool by turns until ctx ends. When it ends as the
+// owner, it hands the pool over.
+func (e *Election) Run(ctx context.Context) {
+	var seen replica.PoolView
+	changedAt := e.deps.Now()
+	for ctx.Err() == nil {
+		_ = wait.For(ctx, watchEvery) // ends early only with ctx, which the loop checks
+		now := e.deps.Now()
+		if !e.deps.Replica.Ready() || e.deps.Replica.Age() > feedGap {
+			changedAt = now
+			continue
+		}
+		view := e.deps.Replica.Pool(e.pool)
+		if view.BeatVersion != seen.BeatVersion || view.EpochVersion != seen.EpochVersion {
+			seen, changedAt = view, now
+		}
+		vacant := view.Epoch.Owner == ""
+		stale := now-changedAt > takeoverAfter+e.delay
+		if view.Epoch.Owner == e.deps.Name && view.Epoch.Incarnation != e.deps.Incarnation {
+			stale = true // a former life of this instance
+		}
+		if (vacant && now-changedAt >= e.delay/3) || stale {
+			e.tryOwn(ctx, view)
+			changedAt = e.deps.Now()
+		}
+	}
+}
+
+func (e *Election) epochKey() port.RowKey {
+	return port.RowKey{Table: replica.Table, Part: e.pool, Key: replica.EpochKey}
+}
+
+func (e *Election) tryOwn(ctx context.Context, view replica.PoolView) {
+	epoch := replica.Epoch{Number: view.Epoch.Number + 1, Owner: e.deps.Name, Incarnation: e.deps.Incarnation}
+	version, err := e.claim(ctx, view.EpochVersion, epoch)
+	if err != nil {
+		e.log.Info("pool not taken", zap.Int64("epoch", epoch.Number), zap.Error(err))
+		return
+	}
+	e.log.Info("ownership gained", zap.Int64("epoch", epoch.Number), zap.String("former", view.Epoch.Owner), zap.Int64("version", version))
+	o := newOwner(e.deps, e.pool, epoch.Number, version)
+	if err := o.run(ctx); err != nil {
+		e.log.Warn("takeover failed", zap.Error(err))
+	}
+	if ctx.Err() != nil {
+		e.handOver(epoch, version)
+	}
+}
+
+func (e *Election) claim(ctx context.Context, expect int64, epoch replica.Epoch) (int64, error) {
+	value, err := work.Encode(epoch)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	return e.deps.Store.Commit(ctx, port.RowTxn{
+		Expect: map[port.RowKey]int64{e.epochKey(): expect},
+		Puts:   map[port.RowKey][]byte{e.epochKey(): value},
+	})
+}
+
+// handOver leaves the pool vacant, so that the next owner need not wait.
+func (e *Election) handOver(epoch replica.Epoch, version int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	epoch.Owner, epoch.Incarnation = "", ""
+	if _, err := e.claim(ctx, version, epoch); err != nil {
+		e.log.Warn("pool not handed over; the next owner waits for the beat to stop", zap.Error(err))
+		return
+	}
+	e.log.Info("pool handed over", zap.Int64("epoch", epoch.Number))
+}
--- /dev/null
+++ b/internal/duty/pool/owner.go
@@ -0,0 +1,310 @@
+// Package pool runs the workers of a pool while this instance owns it, and
+// settles who owns it.
+package pool
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
+	"github.com/lentilwinch/lentilwinch/internal/planner"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+const (
+	// leaseLength is how long a worker goes on without hearing from an owner.
+	// It covers a takeover: detection, reading the jobs and a round of holds.
+	leaseLength = 4500 * time.Millisecond
+	// renewWithout is how long an owner goes on renewing and starting without
+	// its own beat confirmed. Fencing at the workers stops it sooner where
+	// another owner has taken over.
+	renewWithout = 20 * time.Second
+	// staleAfter is the gap in this process's own time after which its beliefs
+	// have to be confirmed before it starts anything: it was suspended.
+	staleAfter = time.Second
+	// eventsHeld bounds the events that wait for the owner's loop.
+	eventsHeld = 4096
+	// planEvery is how often waiting work is looked at without an event.
+	planEvery = 100 * time.Millisecond
+)
+
+// Deps are what an owner works with.
+type Deps struct {
+	Store    port.RowStore
+	Workers  port.WorkerCaller
+	Registry port.WorkerRegistry
+	Replica  *replica.Replica
+	Log      *zap.Logger
+	// Now is a steady clock that counts suspended time.
+	Now      func() time.Duration
+	Settings planner.Settings
+	// Config returns the configuration in force, nil where there is none.
+	Config func() *work.Config
+	// Name and Incarnation tell this instance from its peers and former lives.
+	Name        string
+	Incarnation string
+}
+
+type eventKind int
+
+const (
+	evReport eventKind = iota + 1
+	evReborn
+	evUnreachable
+	evStarted
+	evUnanswered
+	evStopped
+	evWorkers
+	evStored
+)
+
+type event struct {
+	kind     eventKind
+	session  *session
+	sentAt   time.Duration
+	reply    port.HoldReply
+	order    planner.Order
+	rejected port.Rejection
+	workers  []port.WorkerChange
+	whole    bool // workers is the whole list
+	stored   storedResult
+}
+
+// Owner runs one pool under one epoch.
+type Owner struct {
+	deps         Deps
+	log          *zap.Logger
+	pool         string
+	epoch        int64
+	epochVersion int64
+	startedAt    time.Duration
+
+	planner  *planner.Planner
+	sessions map[string]*session
+	events   chan event
+	deposed  context.CancelFunc
+	beatAt   atomic.Int64 // when the last confirmed beat was sent, on Now's clock
+	storing  storing
+	lastLoop time.Duration
+	confirm  time.Duration // a beat must be confirmed after this before starts go on
+	config   *work.Config
+	done     chan struct{}
+}
+
+func newOwner(deps Deps, pool string, epoch, version int64) *Owner {
+	o := &Owner{
+		deps: deps, pool: pool, epoch: epoch, epochVersion: version,
+		log:       deps.Log.With(zap.String("pool", pool), zap.Int64("epoch", epoch)),
+		planner:   planner.New(deps.Settings, epoch),
+		sessions:  map[string]*session{},
+		events:    make(chan event, eventsHeld),
+		startedAt: deps.Now(),
+		done:      make(chan struct{}),
+	}
+	o.beatAt.Store(int64(o.startedAt))
+	o.storing.init()
+	return o
+}
+
+func (o *Owner) now() time.Duration { return o.deps.Now() }
+
+// send hands an event to the loop, waiting for room until ctx ends.
+func (o *Owner) send(ctx context.Context, ev event) {
+	select {
+	case o.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// post is send for callers that live exactly as long as the owner.
+func (o *Owner) post(ev event) {
+	select {
+	case o.events <- ev:
+	case <-o.done:
+	}
+}
+
+func (o *Owner) depose(why string) {
+	o.log.Warn("ownership lost", zap.String("reason", why))
+	o.deposed()
+}
+
+// mayRenew reports whether leases may be renewed on this owner's belief.
+func (o *Owner) mayRenew() bool {
+	return o.now()-time.Duration(o.beatAt.Load()) < renewWithout
+}
+
+// run takes the pool over and runs it until ctx ends or the ownership is lost.
+func (o *Owner) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer close(o.done)
+	o.deposed = cancel
+	sub := o.deps.Replica.Subscribe(o.pool)
+	defer sub.Close()
+	go o.beat(ctx)
+	if err := o.recover(ctx); err != nil {
+		return err
+	}
+	go o.followWorkers(ctx)
+	o.loop(ctx, sub)
+	return nil
+}
+
+// recover reads the jobs and the workers, and lets inherited jobs wait until
+// each worker was heard or its leases must have expired.
+func (o *Owner) recover(ctx context.Context) error {
+	jobs, err := replica.ReadPool(ctx, o.deps.Store, o.pool)
+	if err != nil {
+		return err
+	}
+	workers, _, err := o.deps.Registry.Workers(ctx)
+	if err != nil {
+		return err
+	}
+	for i := range workers {
+		if w := workers[i]; w.Pool == o.pool {
+			if o.epoch > 1 {
+				o.planner.Expect(w.ID)
+			}
+			o.putWorker(ctx, w)
+		}
+	}
+	o.applyConfig()
+	for i := range jobs {
+		o.addJob(&jobs[i], o.epoch > 1)
+	}
+	waiting, running := o.planner.Counts()
+	o.log.Info("pool taken over", zap.Int("jobs", len(jobs)), zap.Int("waiting", waiting), zap.Int("running", running),
+		zap.Int("workers", len(o.sessions)))
+	return nil
+}
+
+func (o *Owner) addJob(v *replica.JobView, inherited bool) {
+	if v.Record.State.Ended() || o.storing.versions[v.Record.Job.ID] >= v.Version {
+		return
+	}
+	now := o.now()
+	id := v.Record.Job.ID
+	o.storing.versions[id] = v.Version
+	age := max(o.deps.Store.Now()-v.Record.Job.SubmittedAt, 0)
+	o.planner.AddJob(now, age, v.Record, inherited)
+	o.log.Info("job queued", zap.String("job", id), zap.Duration("age", age), zap.Int64("version", v.Version), zap.Bool("inherited", inherited))
+	if v.Cancelled {
+		o.planner.Cancel(id, now)
+	}
+}
+
+func (o *Owner) applyConfig() {
+	if c := o.deps.Config(); c != nil && c != o.config {
+		o.config = c
+		o.planner.SetGuarantees(c.Workspaces)
+	}
+}
+
+func (o *Owner) loop(ctx context.Context, sub *replica.Subscription) {
+	tick := time.NewTicker(planEvery)
+	defer tick.Stop()
+	o.lastLoop = o.now()
+	for {
+		select {
+		case ev := <-o.events:
+			o.apply(ctx, ev)
+			o.drain(ctx)
+		case <-sub.C():
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, v := range sub.Take() {
+			o.addJob(&v, false)
+			if v.Cancelled {
+				o.planner.Cancel(v.Record.Job.ID, o.now())
+			}
+		}
+		o.step(ctx)
+	}
+}
+
+// drain applies the events that are there, so that one plan answers them all.
+func (o *Owner) drain(ctx context.Context) {
+	for range eventsHeld {
+		select {
+		case ev := <-o.events:
+			o.apply(ctx, ev)
+		default:
+			return
+		}
+	}
+}
+
+// step plans, sends the orders and stores what changed.
+func (o *Owner) step(ctx context.Context) {
+	now := o.now()
+	if now-o.lastLoop > staleAfter {
+		o.log.Warn("suspended, confirming ownership first", zap.Duration("gap", now-o.lastLoop))
+		o.confirm = now
+	}
+	o.lastLoop = now
+	o.applyConfig()
+	o.expire(now)
+	if beat := time.Duration(o.beatAt.Load()); beat >= o.confirm && now-beat < renewWithout {
+		for _, order := range o.planner.Plan(now) {
+			o.dispatch(ctx, order)
+		}
+	}
+	o.logNotes()
+	o.storeChanged(ctx)
+	o.planner.Forget()
+}
+
+func (o *Owner) dispatch(ctx context.Context, order planner.Order) {
+	s := o.sessions[order.Worker]
+	if s == nil {
+		return // the worker is gone; its runs went with it
+	}
+	verb := "start"
+	if order.Kind == planner.OrderStop {
+		verb = "stop"
+		go s.stop(ctx, order)
+	} else {
+		go s.start(ctx, order)
+	}
+	o.log.Info(verb, zap.String("job", order.Task.Job), zap.Int("step", order.Task.Step), zap.Int("index", order.Task.Index),
+		zap.Int64("run", order.Run), zap.String("worker", order.Worker), zap.String("why", order.Why))
+}
+
+func (o *Owner) apply(ctx context.Context, ev event) {
+	now := o.now()
+	id := ""
+	if ev.session != nil {
+		id = ev.session.target.ID
+	}
+	switch ev.kind {
+	case evReport:
+		free, stored := o.planner.Observe(now, ev.sentAt, id, ev.reply)
+		ev.session.acknowledge(free)
+		if stored > free {
+			o.storing.hold(ev.session, stored)
+		}
+		o.logEnds(id, ev.reply.Ended)
+	case evReborn:
+		o.planner.Reborn(now, id)
+	case evUnreachable:
+		o.planner.SetReachable(id, false)
+	case evStarted:
+		o.planner.Started(now, id, ev.order.Task, ev.order.Run, ev.rejected)
+	case evUnanswered:
+		o.planner.Unanswered(now, id, ev.order.Task, ev.order.Run)
+	case evStopped:
+		o.planner.Stopped(now, id, ev.order.Task, ev.order.Run)
+	case evWorkers:
+		o.changeWorkers(ctx, ev)
+	case evStored:
+		o.storedDone(ev.stored)
+	}
+}
--- /dev/null
+++ b/internal/duty/pool/session.go
@@ -0,0 +1,224 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/planner"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/wait"
+)
+
+const (
+	// holdWait is how long a worker may wait for an end before it answers. The
+	// answer also carries progress, which tells stalled tasks.
+	holdWait = time.Second
+	// holdTimeout is how much longer than holdWait an answer may take.
+	holdTimeout = 700 * time.Millisecond
+	// orderTimeout is how long an order waits for its answer before it is sent
+	// again; a worker answers within a few milliseconds.
+	orderTimeout = 450 * time.Millisecond
+	// orderTries bounds the sendings of one start.
+	orderTries = 4
+	// retryPause spaces calls to a worker that doesn't answer.
+	retryPause = 150 * time.Millisecond
+	// pendingPause spaces looks at a worker whose listed ends wait to be stored.
+	pendingPause = 250 * time.Millisecond
+	// unreachableAfter is how long a worker may be silent before nothing is
+	// started there and its lease is no longer renewed.
+	unreachableAfter = 900 * time.Millisecond
+)
+
+// session is the conversation with one worker.
+type session struct {
+	owner  *Owner
+	target port.WorkerTarget
+	cancel context.CancelFunc
+
+	mu           sync.Mutex
+	clock        leaseClock
+	born         int64
+	acknowledged int64 // the highest end that the worker may forget
+	lastHeard    time.Duration
+	reachable    bool
+	progressed   chan struct{} // signalled when acknowledged grows
+}
+
+func newSession(o *Owner, target port.WorkerTarget) *session {
+	return &session{owner: o, target: target, progressed: make(chan struct{}, 1), lastHeard: o.now()}
+}
+
+// run renews the worker's lease and reports what runs there until ctx ends.
+func (s *session) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sentAt := s.owner.now()
+		reply, err := s.hold(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			s.failed(err)
+			_ = wait.For(ctx, retryPause) // ends early only with ctx, which the loop checks
+			continue
+		}
+		s.heard(reply.Clock)
+		s.owner.send(ctx, event{kind: evReport, session: s, sentAt: sentAt, reply: reply})
+		if len(reply.Ended) > 0 {
+			s.awaitAcknowledged(ctx)
+		}
+	}
+}
+
+// awaitAcknowledged waits until the listed ends are stored, so that the next
+// hold doesn't return at once with the same ends.
+func (s *session) awaitAcknowledged(ctx context.Context) {
+	timer := time.NewTimer(pendingPause)
+	defer timer.Stop()
+	select {
+	case <-s.progressed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *session) hold(ctx context.Context) (port.HoldReply, error) {
+	req := port.HoldRequest{Fence: s.owner.epoch}
+	s.mu.Lock()
+	req.Acknowledged = s.acknowledged
+	now := s.owner.now()
+	fresh := s.clock.known && now-s.lastHeard < unreachableAfter+holdWait
+	if fresh && s.owner.mayRenew() {
+		req.LeaseUntil = s.clock.extend(now, leaseLength)
+	}
+	if s.clock.known && s.reachable {
+		req.Wait = holdWait
+	}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, req.Wait+holdTimeout)
+	defer cancel()
+	return s.owner.deps.Workers.Hold(ctx, s.target, req)
+}
+
+// heard takes in an answer's clock and detects a new life of the worker.
+func (s *session) heard(clock port.WorkerClock) {
+	now := s.owner.now()
+	s.mu.Lock()
+	reborn := clock.Born != 0 && s.born != 0 && clock.Born != s.born
+	if reborn {
+		s.clock.reset()
+		s.acknowledged = 0
+	}
+	if clock.Born != 0 {
+		s.born = clock.Born
+	}
+	s.clock.read(now, clock)
+	regained := !s.reachable
+	s.reachable, s.lastHeard = true, now
+	s.mu.Unlock()
+	if reborn {
+		s.owner.post(event{kind: evReborn, session: s})
+	}
+	if regained {
+		s.owner.log.Info("worker answers", zap.String("worker", s.target.ID), zap.Int64("born", clock.Born))
+	}
+}
+
+func (s *session) failed(err error) {
+	if fault.Is(err, fault.Fenced) {
+		s.owner.depose("a worker has seen a higher fencing token")
+		return
+	}
+	s.mu.Lock()
+	silent := s.owner.now() - s.lastHeard
+	lost := s.reachable && silent >= unreachableAfter
+	if lost {
+		s.reachable = false
+	}
+	s.mu.Unlock()
+	if lost {
+		s.owner.log.Warn("worker silent", zap.String("worker", s.target.ID), zap.Duration("silent", silent), zap.Error(err))
+		s.owner.post(event{kind: evUnreachable, session: s})
+	}
+}
+
+// lapsed reports whether every lease that could run at the worker has expired.
+func (s *session) lapsed(now, inherited time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reachable {
+		return false
+	}
+	return now >= max(s.clock.lapsesAt, inherited)
+}
+
+// acknowledge lets the worker forget its ends up to sequence.
+func (s *session) acknowledge(sequence int64) {
+	s.mu.Lock()
+	grown := sequence > s.acknowledged
+	if grown {
+		s.acknowledged = sequence
+	}
+	s.mu.Unlock()
+	if grown {
+		select {
+		case s.progressed <- struct{}{}:
+		default: // a signal is pending already
+		}
+	}
+}
+
+// start sends a start until it is answered; the same run may be sent again.
+func (s *session) start(ctx context.Context, o planner.Order) {
+	for range orderTries {
+		s.mu.Lock()
+		order := port.StartOrder{
+			Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint,
+			Fence: s.owner.epoch, LeaseUntil: s.clock.extend(s.owner.now(), leaseLength),
+		}
+		s.mu.Unlock()
+		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		clock, rejected, err := s.owner.deps.Workers.Start(call, s.target, order)
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			s.heard(clock)
+			if rejected == port.RejectedFence {
+				s.owner.depose("a worker has seen a higher fencing token")
+				return
+			}
+			if rejected == port.RejectedLate {
+				continue
+			}
+			s.owner.send(ctx, event{kind: evStarted, session: s, order: o, rejected: rejected})
+			return
+		}
+		s.owner.log.Info("start not answered", zap.String("job", o.Task.Job), zap.Int("step", o.Task.Step), zap.Int("index", o.Task.Index),
+			zap.Int64("run", o.Run), zap.String("worker", s.target.ID), zap.Error(err))
+	}
+	s.owner.send(ctx, event{kind: evUnanswered, session: s, order: o})
+}
+
+// stop sends a stop until it is confirmed.
+func (s *session) stop(ctx context.Context, o planner.Order) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		clock, err := s.owner.deps.Workers.Stop(call, s.target, o.Task, o.Run, s.owner.epoch)
+		cancel()
+		if err == nil {
+			s.heard(clock)
+			s.owner.send(ctx, event{kind: evStopped, session: s, order: o})
+			return
+		}
+		if fault.Is(err, fault.Fenced) {
+			s.owner.depose("a worker has seen a higher fencing token")
+			return
+		}
+		_ = wait.For(ctx, retryPause) // ends early only with ctx, which the loop checks
+	}
+}
--- /dev/null
+++ b/internal/duty/pool/workers.go
@@ -0,0 +1,152 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/follow"
+	"github.com/lentilwinch/lentilwinch/internal/planner"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+const (
+	// registryWait and registrySpacing bound how late a draining worker is seen
+	// and how often a registry of many workers wakes the owner.
+	registryWait    = time.Second
+	registrySpacing = 250 * time.Millisecond
+	registryTimeout = 4 * time.Second
+)
+
+func (o *Owner) followWorkers(ctx context.Context) {
+	follow.Run(ctx, o.log, follow.Source{
+		Name: "workers", Spacing: registrySpacing,
+		List: func(ctx context.Context) (int64, error) {
+			ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+			defer cancel()
+			list, version, err := o.deps.Registry.Workers(ctx)
+			if err != nil {
+				return 0, err
+			}
+			changes := make([]port.WorkerChange, len(list))
+			for i := range list {
+				changes[i] = port.WorkerChange{ID: list[i].ID, Worker: &list[i]}
+			}
+			o.send(ctx, event{kind: evWorkers, workers: changes, whole: true})
+			return version, nil
+		},
+		Watch: func(ctx context.Context, after int64) (int64, error) {
+			ctx, cancel := context.WithTimeout(ctx, registryWait+registryTimeout/2)
+			defer cancel()
+			changes, next, err := o.deps.Registry.WatchWorkers(ctx, after, registryWait)
+			if err == nil && len(changes) > 0 {
+				o.send(ctx, event{kind: evWorkers, workers: changes})
+			}
+			return next, err
+		},
+	})
+}
+
+func (o *Owner) changeWorkers(ctx context.Context, ev event) {
+	named := map[string]bool{}
+	for _, c := range ev.workers {
+		named[c.ID] = true
+		if c.Worker != nil && c.Worker.Pool == o.pool {
+			o.putWorker(ctx, *c.Worker)
+			continue
+		}
+		o.unlist(c.ID)
+	}
+	if !ev.whole {
+		return
+	}
+	for id := range o.sessions {
+		if !named[id] {
+			o.unlist(id)
+		}
+	}
+}
+
+func (o *Owner) unlist(id string) {
+	if s := o.sessions[id]; s != nil {
+		o.planner.Unlist(id)
+		o.log.Info("worker no longer listed", zap.String("worker", id))
+	}
+}
+
+func (o *Owner) putWorker(ctx context.Context, w work.Worker) {
+	s := o.sessions[w.ID]
+	if s != nil && s.target.Address != w.Address {
+		o.endSession(s, "address changed")
+		s = nil
+	}
+	o.planner.PutWorker(w)
+	if s != nil {
+		return
+	}
+	o.log.Info("worker listed", zap.String("worker", w.ID), zap.String("rack", w.Rack), zap.Bool("draining", w.Draining))
+	s = newSession(o, port.WorkerTarget{ID: w.ID, Address: w.Address})
+	ctx, s.cancel = context.WithCancel(ctx)
+	o.sessions[w.ID] = s
+	go s.run(ctx)
+}
+
+func (o *Owner) endSession(s *session, why string) {
+	s.cancel()
+	delete(o.sessions, s.target.ID)
+	o.planner.Lost(o.now(), s.target.ID, true, why)
+}
+
+// expire drops what ran on silent workers once its lease must have expired.
+func (o *Owner) expire(now time.Duration) {
+	inherited := time.Duration(0)
+	if o.epoch > 1 {
+		inherited = o.startedAt + time.Duration(float64(leaseLength)*(1+clockSlowness)) + lapseMargin
+	}
+	for id, s := range o.sessions {
+		if !s.lapsed(now, inherited) {
+			continue
+		}
+		if !o.planner.Listed(id) {
+			o.endSession(s, "left")
+		} else if o.planner.Holds(id) {
+			o.planner.Lost(now, id, false, "lease expired")
+		}
+	}
+}
+
+func (o *Owner) logNotes() {
+	for _, n := range o.planner.TakeNotes() {
+		o.logNote(&n)
+	}
+}
+
+func (o *Owner) logNote(n *planner.Note) {
+	fields := make([]zap.Field, 0, 8)
+	if n.Job != "" {
+		fields = append(fields, zap.String("job", n.Job))
+	}
+	if n.Worker != "" {
+		fields = append(fields, zap.String("worker", n.Worker))
+	}
+	if n.Run != 0 {
+		fields = append(fields, zap.Int("step", n.Task.Step), zap.Int("index", n.Task.Index), zap.Int64("run", n.Run))
+	}
+	if n.Age != 0 {
+		fields = append(fields, zap.Duration("age", n.Age))
+	}
+	if n.Detail != "" {
+		fields = append(fields, zap.String("detail", n.Detail))
+	}
+	o.log.Info(n.Event, append(fields, zap.Int("count", n.Count))...)
+}
+
+func (o *Owner) logEnds(worker string, ends []port.RunEnd) {
+	for i := range ends {
+		e := &ends[i]
+		o.log.Info("run ended", zap.String("job", e.Task.Job), zap.Int("step", e.Task.Step), zap.Int("index", e.Task.Index),
+			zap.Int64("run", e.Run), zap.String("worker", worker), zap.Int("how", int(e.Kind)), zap.Int64("sequence", e.Sequence))
+	}
+}
--- /dev/null
+++ b/internal/duty/relay/relay.go
@@ -0,0 +1,187 @@
+// Package relay reaches the store through a peer when the store turns this
+// instance away, and settles commits whose answer was lost.
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+)
+
+const (
+	// hedgeAfter is how long the store may take before a peer is asked too. The
+	// store answers within 12 ms at its usual speed.
+	hedgeAfter = 350 * time.Millisecond
+	// distrustFor is how long after a failure peers are asked at once.
+	distrustFor = 2 * time.Second
+	// peersAsked bounds the peers tried for one call.
+	peersAsked = 2
+)
+
+// Store is a RowStore that falls back to peers. It is safe for concurrent use.
+type Store struct {
+	direct port.RowStore
+	peers  func() []port.RowStore
+	now    func() time.Duration
+	// distrusted is until when, on now's clock, the direct way is doubted.
+	distrusted atomic.Int64
+	turn       atomic.Uint64
+}
+
+// New returns a store over direct. peers lists the ways through other
+// instances at present.
+func New(direct port.RowStore, peers func() []port.RowStore, now func() time.Duration) *Store {
+	return &Store{direct: direct, peers: peers, now: now}
+}
+
+// Now implements port.RowStore.
+func (s *Store) Now() time.Duration { return s.direct.Now() }
+
+// outage reports whether another way to the store may fare better.
+func outage(err error) bool {
+	switch fault.CodeOf(err) {
+	case fault.Unavailable, fault.Overloaded, fault.Uncertain, fault.Timeout, fault.Internal:
+		return true
+	}
+	return false
+}
+
+type answer[T any] struct {
+	value  T
+	err    error
+	direct bool
+}
+
+// call runs op on the direct way and, if that fails or takes longer than
+// patience, through peers; the first answer of the store counts.
+func call[T any](ctx context.Context, s *Store, patience time.Duration, op func(context.Context, port.RowStore) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ways := []port.RowStore{s.direct}
+	peers := s.peers()
+	first := int(s.turn.Add(1))
+	for k := range min(peersAsked, len(peers)) {
+		ways = append(ways, peers[(first+k)%len(peers)])
+	}
+	answers := make(chan answer[T], len(ways))
+	launched, pending := 0, 0
+	launch := func() {
+		way, direct := ways[launched], launched == 0
+		launched++
+		pending++
+		go func() {
+			v, err := op(ctx, way)
+			answers <- answer[T]{v, err, direct}
+		}()
+	}
+	launch()
+	if time.Duration(s.distrusted.Load()) > s.now() && len(ways) > 1 {
+		launch()
+	}
+	hedge := time.NewTimer(patience)
+	defer hedge.Stop()
+	var zero T
+	var last error
+	uncertain := false
+	for {
+		select {
+		case a := <-answers:
+			pending--
+			if a.direct {
+				s.trust(a.err)
+			}
+			if !outage(a.err) {
+				return a.value, a.err
+			}
+			uncertain = uncertain || !(fault.Is(a.err, fault.Unavailable) || fault.Is(a.err, fault.Overloaded))
+			last = a.err
+			if launched < len(ways) {
+				launch()
+			} else if pending == 0 {
+				if uncertain && !fault.Is(last, fault.Uncertain) {
+					last = fault.Wrap(fault.Uncertain, "an earlier try may have been carried out", last)
+				}
+				return zero, last
+			}
+		case <-hedge.C:
+			if launched < len(ways) {
+				launch()
+			}
+		case <-ctx.Done():
+			return zero, fault.Wrap(fault.Uncertain, "the store did not answer in time", ctx.Err())
+		}
+	}
+}
+
+func (s *Store) trust(err error) {
+	if outage(err) {
+		s.distrusted.Store(int64(s.now() + distrustFor))
+		return
+	}
+	s.distrusted.Store(0)
+}
+
+// Commit implements port.RowStore. A conflict with rows that hold just what
+// was to be written means that an earlier sending was carried out.
+func (s *Store) Commit(ctx context.Context, txn port.RowTxn) (int64, error) {
+	version, err := call(ctx, s, hedgeAfter, func(ctx context.Context, way port.RowStore) (int64, error) {
+		return way.Commit(ctx, txn)
+	})
+	var conflict *port.RowConflict
+	if errors.As(err, &conflict) {
+		if version, ok := applied(txn, conflict); ok {
+			return version, nil
+		}
+	}
+	return version, err
+}
+
+func applied(txn port.RowTxn, conflict *port.RowConflict) (int64, bool) {
+	version := int64(0)
+	for key, value := range txn.Puts {
+		if _, expected := txn.Expect[key]; !expected {
+			continue
+		}
+		row, ok := conflict.Row(key)
+		if !ok || row.Deleted || !bytes.Equal(row.Value, value) {
+			return 0, false
+		}
+		version = row.Version
+	}
+	return version, version > 0
+}
+
+type rows struct {
+	rows    []port.VersionedRow
+	version int64
+}
+
+// Scan implements port.RowStore.
+func (s *Store) Scan(ctx context.Context, table, part, from, to string) ([]port.VersionedRow, int64, error) {
+	r, err := call(ctx, s, hedgeAfter, func(ctx context.Context, way port.RowStore) (rows, error) {
+		list, version, err := way.Scan(ctx, table, part, from, to)
+		return rows{list, version}, err
+	})
+	return r.rows, r.version, err
+}
+
+// Parts implements port.RowStore.
+func (s *Store) Parts(ctx context.Context, table string) ([]string, error) {
+	return call(ctx, s, hedgeAfter, func(ctx context.Context, way port.RowStore) ([]string, error) {
+		return way.Parts(ctx, table)
+	})
+}
+
+// Feed implements port.RowStore.
+func (s *Store) Feed(ctx context.Context, table string, after int64, wait time.Duration) ([]port.VersionedRow, int64, error) {
+	r, err := call(ctx, s, wait+hedgeAfter, func(ctx context.Context, way port.RowStore) (rows, error) {
+		list, version, err := way.Feed(ctx, table, after, wait)
+		return rows{list, version}, err
+	})
+	return r.rows, r.version, err
+}
--- /dev/null
+++ b/internal/duty/replica/subscribe.go
@@ -0,0 +1,55 @@
+package replica
+
+// Subscription tells which jobs of a pool are new or were cancelled.
+type Subscription struct {
+	replica *Replica
+	pool    string
+	ids     []string // guarded by replica.mu
+	signal  chan struct{}
+}
+
+// Subscribe begins a subscription; it has to be closed.
+func (r *Replica) Subscribe(pool string) *Subscription {
+	s := &Subscription{replica: r, pool: pool, signal: make(chan struct{}, 1)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.subs[s] = struct{}{}
+	return s
+}
+
+// Close ends the subscription.
+func (s *Subscription) Close() {
+	s.replica.mu.Lock()
+	defer s.replica.mu.Unlock()
+	delete(s.replica.subs, s)
+}
+
+// wake is called with the replica's lock held.
+func (s *Subscription) wake() {
+	if len(s.ids) == 0 {
+		return
+	}
+	select {
+	case s.signal <- struct{}{}:
+	default: // a signal is pending already
+	}
+}
+
+// C is signalled when Take has something to return.
+func (s *Subscription) C() <-chan struct{} { return s.signal }
+
+// Take returns the jobs that changed since the last call.
+func (s *Subscription) Take() []JobView {
+	s.replica.mu.Lock()
+	defer s.replica.mu.Unlock()
+	var out []JobView
+	if p := s.replica.pools[s.pool]; p != nil {
+		for _, id := range s.ids {
+			if j := p.jobs[id]; j != nil {
+				out = append(out, *j)
+			}
+		}
+	}
+	s.ids = nil
+	return out
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -40,6 +40,8 @@
 	Draining Code = "draining"
 	// NotReady means that this instance doesn't know the state in force.
 	NotReady Code = "not_ready"
+	// Unauthenticated means that the caller's key is unknown.
+	Unauthenticated Code = "unauthenticated"
 	// Internal means a defect.
 	Internal Code = "internal"
 )
--- /dev/null
+++ b/internal/logsink/logsink.go
@@ -0,0 +1,71 @@
+// Package logsink writes log lines without ever blocking the writer.
+package logsink
+
+import (
+	"io"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// linesHeld bounds the lines that wait for a slow reader.
+const linesHeld = 2048
+
+// Sink hands lines to a goroutine; lines that find the queue full are dropped
+// and counted. It is safe for concurrent use.
+type Sink struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+}
+
+// New returns a sink that writes to out until it is closed.
+func New(out io.Writer) *Sink {
+	s := &Sink{lines: make(chan []byte, linesHeld), done: make(chan struct{})}
+	go s.run(out)
+	return s
+}
+
+func (s *Sink) run(out io.Writer) {
+	defer close(s.done)
+	var batch []byte
+	for line := range s.lines {
+		batch = append(batch[:0], line...)
+		for range len(s.lines) {
+			batch = append(batch, <-s.lines...)
+		}
+		// A reader that went away leaves nowhere to report to.
+		_, _ = out.Write(batch)
+	}
+}
+
+// Write implements io.Writer. It never fails and never blocks.
+func (s *Sink) Write(line []byte) (int, error) {
+	select {
+	case s.lines <- append([]byte(nil), line...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (s *Sink) Sync() error { return nil }
+
+// Dropped counts the lines that were dropped.
+func (s *Sink) Dropped() int64 { return s.dropped.Load() }
+
+// Close writes what is queued. Nothing may be written after it.
+func (s *Sink) Close() {
+	close(s.lines)
+	<-s.done
+}
+
+// Logger returns a logger of JSON lines into the sink.
+func (s *Sink) Logger() *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), s, zapcore.InfoLevel))
+}
--- /dev/null
+++ b/internal/planner/jobs.go
@@ -0,0 +1,174 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+// SetGuarantees replaces the workspaces' guaranteed accelerators.
+func (p *Planner) SetGuarantees(workspaces []work.Workspace) {
+	p.guarantee = map[string]int64{}
+	for _, w := range workspaces {
+		p.guarantee[w.Name] = w.Guaranteed
+	}
+}
+
+// AddJob takes in a job that was accepted age ago. Jobs that a former owner may
+// have started are inherited: they wait until every worker was heard.
+func (p *Planner) AddJob(now, age time.Duration, rec work.Record, inherited bool) {
+	if p.jobs[rec.Job.ID] != nil || rec.State.Ended() {
+		return
+	}
+	j := &job{
+		rec:       rec,
+		arrivedAt: now - age,
+		objective: rec.Job.Objective(),
+		weight:    rec.Job.Weight(),
+		started:   rec.State == work.Running,
+	}
+	j.perStep = make([][]*unit, len(rec.Job.Steps))
+	for i := range rec.Job.Steps {
+		p.addUnits(j, i, now, inherited)
+	}
+	p.jobs[rec.Job.ID] = j
+	p.open = append(p.open, j)
+	m := p.queueMean[rec.Job.Queue]
+	if m == nil {
+		m = &mean{}
+		p.queueMean[rec.Job.Queue] = m
+	}
+	m.add(j.weight)
+	p.unblock(j, now)
+	p.settle(j, now)
+}
+
+func (p *Planner) addUnits(j *job, step int, now time.Duration, inherited bool) {
+	s := &j.rec.Job.Steps[step]
+	j.accel += int64(s.Count) * s.Need.Accel
+	var progress work.StepProgress
+	if step < len(j.rec.Steps) {
+		progress = j.rec.Steps[step]
+	}
+	size, units := 1, s.Count
+	if s.Gang {
+		size, units = s.Count, 1
+	}
+	for k := range units {
+		u := &unit{
+			job: j, step: step, first: k * size, count: size,
+			nextRun: p.firstRun, runs: map[int]*run{}, readyAt: now,
+			fails: progress.Failures[k*size], saved: progress.Checkpoints[k*size],
+			inherited: inherited,
+		}
+		if slices.Contains(progress.Done, u.first) {
+			u.phase = unitDone
+		}
+		j.perStep[step] = append(j.perStep[step], u)
+		j.units = append(j.units, u)
+	}
+}
+
+// unblock frees the units whose steps' dependencies have all succeeded.
+func (p *Planner) unblock(j *job, now time.Duration) {
+	for i, units := range j.perStep {
+		if !j.depsDone(i) {
+			continue
+		}
+		for _, u := range units {
+			if u.phase == unitBlocked {
+				u.phase, u.readyAt = unitReady, now
+			}
+		}
+	}
+}
+
+func (j *job) depsDone(step int) bool {
+	for _, dep := range j.rec.Job.Steps[step].After {
+		for _, u := range j.perStep[dep] {
+			if u.phase != unitDone {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// settle ends the job when its units decide it.
+func (p *Planner) settle(j *job, now time.Duration) {
+	if !j.open() {
+		return
+	}
+	all := true
+	for _, u := range j.units {
+		if u.phase == unitDead {
+			p.end(j, work.Failed, now)
+			return
+		}
+		all = all && u.phase == unitDone
+	}
+	if all {
+		p.end(j, work.Completed, now)
+	}
+}
+
+func (p *Planner) end(j *job, state work.State, now time.Duration) {
+	j.rec.State = state
+	p.touch(j)
+	p.note(Note{Event: "job " + string(state), Job: j.rec.Job.ID, Age: now - j.arrivedAt})
+	p.abandon(j, now, string(state))
+}
+
+// abandon stops whatever of the job still runs.
+func (p *Planner) abandon(j *job, now time.Duration, why string) {
+	for _, u := range j.units {
+		u.claim = nil
+		if u.phase == unitDone {
+			continue
+		}
+		u.phase = unitDead
+		p.stopUnit(u, now, why)
+	}
+}
+
+// Cancel ends a job at its caller's wish.
+func (p *Planner) Cancel(id string, now time.Duration) {
+	j := p.jobs[id]
+	if j == nil || j.cancelled || j.rec.State.Ended() {
+		return
+	}
+	j.cancelled = true
+	p.note(Note{Event: "job cancelled", Job: id, Age: now - j.arrivedAt})
+	p.abandon(j, now, "cancelled")
+}
+
+// Forget drops ended jobs that have no runs left.
+func (p *Planner) Forget() {
+	p.open = slices.DeleteFunc(p.open, func(j *job) bool {
+		if j.open() || j.unstored {
+			return false
+		}
+		for _, u := range j.units {
+			if len(u.runs) > 0 {
+				return false
+			}
+		}
+		delete(p.jobs, j.rec.Job.ID)
+		return true
+	})
+}
+
+// Counts returns the number of jobs that wait and that run.
+func (p *Planner) Counts() (waiting, running int) {
+	for _, j := range p.open {
+		switch {
+		case !j.open():
+		case j.started:
+			running++
+		default:
+			waiting++
+		}
+	}
+	return waiting, running
+}
--- /dev/null
+++ b/internal/planner/runs.go
@@ -0,0 +1,308 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+// retryAfterFailure spaces the attempts of a unit whose attempt was declined or
+// lost. A failed run may start again at once, on another worker.
+const retryAfterFailure = 150 * time.Millisecond
+
+// peersEndWithin is how long the other members of an ended gang may take to be
+// listed as ended before they are told to stop.
+const peersEndWithin = 300 * time.Millisecond
+
+func (p *Planner) addRun(u *unit, index int, w *worker, number int64, phase runPhase, now time.Duration) *run {
+	r := &run{
+		unit: u, task: taskID(u, index), number: number, worker: w,
+		need: u.spec().Need, phase: phase, startedAt: now, confirmedAt: now, progressAt: now,
+	}
+	u.runs[index] = r
+	w.runs[r.task] = r
+	w.free = w.free.Sub(r.need)
+	return r
+}
+
+func (p *Planner) dropRun(r *run) {
+	if r.worker.runs[r.task] == r {
+		delete(r.worker.runs, r.task)
+		r.worker.free = r.worker.free.Add(r.need)
+	}
+	if r.unit != nil && r.unit.runs[r.task.Index] == r {
+		delete(r.unit.runs, r.task.Index)
+	}
+}
+
+// stopRun orders a run to stop. A run that was never confirmed is stopped too:
+// its start may still be carried out.
+func (p *Planner) stopRun(r *run, why string) {
+	if r.phase == runStopping {
+		return
+	}
+	r.phase, r.stopAcked, r.why = runStopping, 0, why
+	p.orders = append(p.orders, Order{Kind: OrderStop, Worker: r.worker.info.ID, Task: r.task, Run: r.number, Why: why})
+}
+
+func (p *Planner) stopUnit(u *unit, now time.Duration, why string) {
+	for _, r := range u.runs {
+		if r.phase == runRunning {
+			p.waste[why] += lostWork(u, r, now)
+		}
+		p.stopRun(r, why)
+	}
+}
+
+// lostWork is what stopping a run throws away, in core-seconds.
+func lostWork(u *unit, r *run, now time.Duration) float64 {
+	done := now - r.startedAt
+	if u.spec().Checkpointable {
+		done = min(done, time.Second)
+	}
+	return done.Seconds() * r.need.Cores()
+}
+
+// giveUp ends the unit's attempt; it may be placed again once no run is left.
+func (p *Planner) giveUp(u *unit, now time.Duration) {
+	if u.phase != unitActive {
+		return
+	}
+	u.phase, u.clearedAt, u.stopSent = unitClearing, now, false
+	p.clear(u, now)
+}
+
+// clear makes the unit ready again, or dead, when its last run is gone.
+func (p *Planner) clear(u *unit, now time.Duration) {
+	if u.phase != unitClearing || len(u.runs) > 0 {
+		return
+	}
+	j := u.job
+	if limit := j.rec.Job.MaxAttempts; limit > 0 && u.fails >= limit && !u.spec().LongLived {
+		u.phase = unitDead
+		p.touch(j)
+		p.settle(j, now)
+		return
+	}
+	u.phase, u.readyAt = unitReady, now
+	if !j.depsDone(u.step) {
+		u.phase = unitBlocked
+	}
+}
+
+// finishClearing tells members that outlive their gang's attempt to stop.
+func (p *Planner) finishClearing(now time.Duration) {
+	for _, j := range p.open {
+		for _, u := range j.units {
+			if u.phase == unitClearing && !u.stopSent && now-u.clearedAt >= peersEndWithin {
+				u.stopSent = true
+				p.stopUnit(u, now, "attempt over")
+			}
+		}
+	}
+}
+
+// Started takes in the answer to a start. rejected is NotRejected for a
+// confirmed start.
+func (p *Planner) Started(now time.Duration, id string, task work.TaskID, number int64, rejected port.Rejection) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	r := w.runs[task]
+	if r == nil || r.number != number {
+		return
+	}
+	if rejected == port.NotRejected {
+		if r.phase == runStarting {
+			r.phase, r.startedAt, r.confirmedAt, r.progressAt = runRunning, now, now, now
+			p.markStarted(r.unit.job)
+		}
+		return
+	}
+	if r.phase != runStarting {
+		return // its stop settles it
+	}
+	u := r.unit
+	p.dropRun(r)
+	u.notBefore = now + retryAfterFailure
+	if rejected == port.RejectedUnhealthy {
+		w.health.declined(now)
+	}
+	if rejected == port.RejectedOld {
+		u.nextRun += runsPerEpoch / 20
+	}
+	p.note(Note{Event: "start rejected", Job: task.Job, Worker: id, Task: task, Run: number, Count: int(rejected)})
+	p.giveUp(u, now)
+	p.clear(u, now)
+}
+
+// Unanswered takes in a start that got no answer; its stop must be confirmed
+// before the task may run elsewhere.
+func (p *Planner) Unanswered(now time.Duration, id string, task work.TaskID, number int64) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	r := w.runs[task]
+	if r == nil || r.number != number || r.phase != runStarting {
+		return
+	}
+	p.note(Note{Event: "start unanswered", Job: task.Job, Worker: id, Task: task, Run: number})
+	p.stopRun(r, "unanswered")
+	r.unit.notBefore = now + retryAfterFailure
+	p.giveUp(r.unit, now)
+}
+
+// Stopped takes in a confirmed stop, sent at sentAt.
+func (p *Planner) Stopped(now time.Duration, id string, task work.TaskID, number int64) {
+	if w := p.workers[id]; w != nil {
+		if r := w.runs[task]; r != nil && r.number == number && r.phase == runStopping {
+			r.stopAcked = now
+		}
+	}
+}
+
+func (p *Planner) markStarted(j *job) {
+	if j.started || !j.open() {
+		return
+	}
+	j.started = true
+	j.rec.State = work.Running
+	p.touch(j)
+}
+
+// ended takes in a listed end. It reports whether the end changes what must be
+// stored before it is acknowledged.
+func (p *Planner) ended(now time.Duration, w *worker, e port.RunEnd) bool {
+	r := w.runs[e.Task]
+	if r == nil || r.number != e.Run {
+		return p.endedUnknown(now, w, e)
+	}
+	u := r.unit
+	p.dropRun(r)
+	if u == nil {
+		return false
+	}
+	if e.Checkpoint != "" && u.spec().Checkpointable {
+		u.saved, u.savedPercent = e.Checkpoint, max(u.savedPercent, r.percent)
+	}
+	switch e.Kind {
+	case port.EndSucceeded:
+		w.health.succeeded()
+		p.succeed(u, now)
+	case port.EndFailed:
+		p.failed(u, r, w, now)
+	default:
+		if r.phase != runStopping && r.phase != runStarting {
+			p.waste["ended "+endName(e.Kind)] += lostWork(u, r, now)
+		}
+		p.giveUp(u, now)
+	}
+	p.clear(u, now)
+	if e.Checkpoint != "" && u.phase != unitDone {
+		p.touch(u.job)
+	}
+	return u.job.unstored
+}
+
+func (p *Planner) failed(u *unit, r *run, w *worker, now time.Duration) {
+	u.countFailure(r.number)
+	if u.avoid == nil {
+		u.avoid = map[string]bool{}
+	}
+	u.avoid[w.info.ID] = true
+	w.health.failed(now, u.job.rec.Job.ID)
+	p.waste["failed"] += lostWork(u, r, now) * float64(u.count)
+	p.touch(u.job)
+	p.note(Note{Event: "run failed", Job: r.task.Job, Worker: w.info.ID, Task: r.task, Run: r.number, Count: u.fails, Age: now - r.startedAt})
+	p.giveUp(u, now)
+}
+
+// countFailure counts a failed run once, however many members of a gang list it.
+func (u *unit) countFailure(number int64) {
+	if number != u.failedRun {
+		u.failedRun = number
+		u.fails++
+	}
+}
+
+func (p *Planner) succeed(u *unit, now time.Duration) {
+	if u.phase == unitDone || u.phase == unitDead {
+		return
+	}
+	u.phase = unitDone
+	p.touch(u.job)
+	p.unblock(u.job, now)
+	p.settle(u.job, now)
+}
+
+// endedUnknown takes in an end of a run that isn't on record: one of a former
+// owner, or one that was given up when its lease must have expired.
+func (p *Planner) endedUnknown(now time.Duration, w *worker, e port.RunEnd) bool {
+	j := p.jobs[e.Task.Job]
+	if j == nil {
+		return false
+	}
+	u := j.unitOf(e.Task)
+	if u == nil {
+		return false
+	}
+	if u.phase == unitDone || u.phase == unitDead {
+		return j.unstored
+	}
+	u.nextRun = max(u.nextRun, e.Run+1)
+	idle := len(u.runs) == 0
+	switch {
+	case e.Kind == port.EndSucceeded && idle:
+		p.succeed(u, now)
+	case e.Kind == port.EndFailed:
+		u.countFailure(e.Run)
+		p.touch(j)
+		if idle {
+			u.phase = unitClearing
+			p.clear(u, now)
+		}
+	}
+	if e.Checkpoint != "" && idle && u.phase != unitDone && u.spec().Checkpointable {
+		u.saved = e.Checkpoint
+		p.touch(j)
+	}
+	return j.unstored
+}
+
+func (j *job) unitOf(t work.TaskID) *unit {
+	if t.Step < 0 || t.Step >= len(j.perStep) || t.Index < 0 || t.Occurrence != 0 {
+		return nil
+	}
+	units := j.perStep[t.Step]
+	if j.rec.Job.Steps[t.Step].Gang {
+		if t.Index >= units[0].count {
+			return nil
+		}
+		return units[0]
+	}
+	if t.Index >= len(units) {
+		return nil
+	}
+	return units[t.Index]
+}
+
+func endName(k port.EndKind) string {
+	switch k {
+	case port.EndSucceeded:
+		return "succeeded"
+	case port.EndFailed:
+		return "failed"
+	case port.EndStopped:
+		return "stopped"
+	case port.EndLeaseExpired:
+		return "lease expired"
+	case port.EndPeerEnded:
+		return "peer ended"
+	case port.EndIncomplete:
+		return "incomplete"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/planner/state.go
@@ -0,0 +1,291 @@
+// Package planner decides what the workers of one pool run: it keeps the jobs,
+// the tasks and what is known of each worker, and turns them into orders. It is
+// pure: time comes in as an argument, orders go out as values.
+package planner
+
+import (
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+// runsPerEpoch is how many run numbers an owner may give to one task. An owner
+// numbers from its epoch's first, so that it needs no record of earlier runs.
+const runsPerEpoch = 1000
+
+// Settings are the figures that the decisions go by.
+type Settings struct {
+	// RackPenalty is how many times longer a one-rack gang, or a step away
+	// from its data, runs elsewhere.
+	RackPenalty float64
+	// ReclaimWithin is how soon after its acceptance a job within its
+	// workspace's guarantee must run.
+	ReclaimWithin time.Duration
+}
+
+// OrderKind says what an order asks of a worker.
+type OrderKind int
+
+// The kinds of order.
+const (
+	OrderStart OrderKind = iota + 1
+	OrderStop
+)
+
+// Order is one thing to tell a worker.
+type Order struct {
+	Kind       OrderKind
+	Worker     string
+	Task       work.TaskID
+	Run        int64
+	Spec       string
+	Checkpoint string
+	// Why says in a word what the decision went by, for the log.
+	Why string
+}
+
+type unitPhase int
+
+const (
+	unitBlocked  unitPhase = iota // a step it depends on hasn't ended
+	unitReady                     // may be placed
+	unitActive                    // placed; its runs are starting or running
+	unitClearing                  // its attempt is over, some runs may live on
+	unitDone
+	unitDead // out of attempts, or its job was cancelled
+)
+
+// unit is what is placed at once: all tasks of a gang, or one other task.
+type unit struct {
+	job   *job
+	step  int
+	first int // index of its first task in the step
+	count int
+	phase unitPhase
+	// nextRun is the number of the next attempt's runs.
+	nextRun int64
+	runs    map[int]*run // by task index in the step
+	fails   int
+	// failedRun is the last run that was counted as failed.
+	failedRun int64
+	saved     string
+	// savedPercent is the progress at which saved was reported.
+	savedPercent int
+	// avoid holds the workers on which an attempt failed or stood still.
+	avoid map[string]bool
+	// notBefore delays the next attempt.
+	notBefore time.Duration
+	readyAt   time.Duration
+	clearedAt time.Duration // when the attempt was given up
+	stopSent  bool
+	// inherited units may run on workers that this owner hasn't heard yet.
+	inherited bool
+	claim     []placement // where room is being made for it
+	claimedAt time.Duration
+}
+
+func (u *unit) spec() *work.Step { return &u.job.rec.Job.Steps[u.step] }
+
+// estimate is the time that a fresh attempt is expected to take.
+func (u *unit) estimate() time.Duration {
+	est := u.spec().Estimate
+	if u.saved != "" && u.savedPercent > 0 {
+		est = est * time.Duration(100-u.savedPercent) / 100
+	}
+	return max(est, 50*time.Millisecond)
+}
+
+// cores is the unit's need in cores, over all its tasks.
+func (u *unit) cores() float64 { return float64(u.count) * u.spec().Need.Cores() }
+
+type runPhase int
+
+const (
+	runStarting runPhase = iota + 1
+	runRunning
+	runStopping
+)
+
+// run is one start of a task on a worker. A run without a unit is a leftover
+// that is being stopped.
+type run struct {
+	unit   *unit
+	task   work.TaskID
+	number int64
+	worker *worker
+	need   work.Resources
+	phase  runPhase
+	// startedAt is when the worker confirmed the run or listed it first.
+	startedAt   time.Duration
+	confirmedAt time.Duration
+	percent     int
+	progressAt  time.Duration // when percent last grew
+	stopAcked   time.Duration // 0 until the stop was confirmed
+	why         string
+}
+
+// left estimates how long the run still takes.
+func (r *run) left(now time.Duration) time.Duration {
+	if r.unit == nil {
+		return 0
+	}
+	est := r.unit.spec().Estimate
+	if r.phase == runStarting {
+		return r.unit.estimate()
+	}
+	left := est * time.Duration(100-r.percent) / 100
+	return max(left-(now-r.progressAt), 100*time.Millisecond)
+}
+
+type worker struct {
+	info work.Worker
+	runs map[work.TaskID]*run
+	free work.Resources
+	// heard is set once this owner's fencing token reached the worker.
+	heard     bool
+	reachable bool
+	listed    bool
+	health    health
+}
+
+func (w *worker) usable(now time.Duration) bool {
+	return w.heard && w.reachable && w.listed && !w.info.Draining && !w.health.quarantined(now)
+}
+
+type job struct {
+	rec       work.Record
+	units     []*unit
+	perStep   [][]*unit
+	arrivedAt time.Duration // on the planner's clock; may be negative
+	objective time.Duration
+	weight    float64
+	cancelled bool
+	started   bool
+	dirty     bool // changed since TakeChanged
+	unstored  bool // changed since the last change known to be stored
+	// accel is how many accelerators all tasks of the job ask for.
+	accel int64
+}
+
+func (j *job) open() bool { return !j.rec.State.Ended() && !j.cancelled }
+
+// Planner is the state of one pool under one owner. It is not safe for
+// concurrent use.
+type Planner struct {
+	settings  Settings
+	firstRun  int64
+	workers   map[string]*worker
+	ids       []string // of workers, sorted
+	jobs      map[string]*job
+	open      []*job // jobs that haven't ended, in order of arrival
+	guarantee map[string]int64
+	unheard   map[string]bool
+	queueMean map[string]*mean
+	orders    []Order
+	dirty     []*job
+	waste     map[string]float64
+	notes     []Note
+}
+
+// Note is a decision or a change of belief for the log.
+type Note struct {
+	Event  string
+	Job    string
+	Worker string
+	Task   work.TaskID
+	Run    int64
+	Detail string
+	Count  int
+	Age    time.Duration
+}
+
+type mean struct{ sum, n float64 }
+
+func (m *mean) add(v float64) { m.sum += v; m.n++ }
+
+// New returns the planner of an owner that holds the pool under epoch.
+func New(settings Settings, epoch int64) *Planner {
+	return &Planner{
+		settings:  settings,
+		firstRun:  (epoch-1)*runsPerEpoch + 1,
+		workers:   map[string]*worker{},
+		jobs:      map[string]*job{},
+		guarantee: map[string]int64{},
+		unheard:   map[string]bool{},
+		queueMean: map[string]*mean{},
+		waste:     map[string]float64{},
+	}
+}
+
+// TakeNotes returns the notes since the last call.
+func (p *Planner) TakeNotes() []Note {
+	n := p.notes
+	p.notes = nil
+	return n
+}
+
+// TakeChanged returns the records of the jobs that changed since the last call.
+func (p *Planner) TakeChanged() []work.Record {
+	if len(p.dirty) == 0 {
+		return nil
+	}
+	out := make([]work.Record, 0, len(p.dirty))
+	for _, j := range p.dirty {
+		j.dirty = false
+		out = append(out, j.snapshot())
+	}
+	p.dirty = nil
+	return out
+}
+
+func (p *Planner) touch(j *job) {
+	j.unstored = true
+	if !j.dirty {
+		j.dirty = true
+		p.dirty = append(p.dirty, j)
+	}
+}
+
+// Stored says that the job's record, as last taken, is in the store.
+func (p *Planner) Stored(id string) {
+	if j := p.jobs[id]; j != nil && !j.dirty {
+		j.unstored = false
+	}
+}
+
+func (p *Planner) note(n Note) { p.notes = append(p.notes, n) }
+
+// snapshot copies the job's progress into a record of its own.
+func (j *job) snapshot() work.Record {
+	rec := j.rec
+	rec.Steps = make([]work.StepProgress, len(j.perStep))
+	for i, units := range j.perStep {
+		s := &rec.Steps[i]
+		for _, u := range units {
+			if u.phase == unitDone {
+				s.Done = append(s.Done, u.first)
+				continue
+			}
+			if u.fails > 0 {
+				if s.Failures == nil {
+					s.Failures = map[int]int{}
+				}
+				s.Failures[u.first] = u.fails
+			}
+			if u.saved != "" {
+				if s.Checkpoints == nil {
+					s.Checkpoints = map[int]string{}
+				}
+				s.Checkpoints[u.first] = u.saved
+			}
+		}
+	}
+	return rec
+}
+
+// Waste returns the core-seconds lost so far, by cause.
+func (p *Planner) Waste() map[string]float64 { return p.waste }
+
+func taskID(u *unit, index int) work.TaskID {
+	return work.TaskID{Job: u.job.rec.Job.ID, Step: u.step, Index: index}
+}
--- /dev/null
+++ b/internal/planner/workers.go
@@ -0,0 +1,247 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+// PutWorker takes in a worker's registry entry.
+func (p *Planner) PutWorker(info work.Worker) {
+	w := p.workers[info.ID]
+	if w == nil {
+		w = &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Room, listed: true}
+		p.workers[info.ID] = w
+		i, _ := slices.BinarySearch(p.ids, info.ID)
+		p.ids = slices.Insert(p.ids, i, info.ID)
+		return
+	}
+	w.free = w.free.Add(info.Room.Sub(w.info.Room))
+	w.info, w.listed = info, true
+}
+
+// Unlist notes that the registry no longer names the worker. What runs there is
+// kept until its lease has surely expired.
+func (p *Planner) Unlist(id string) {
+	if w := p.workers[id]; w != nil {
+		w.listed = false
+	}
+}
+
+// Expect makes inherited jobs wait until the worker was heard or lost.
+func (p *Planner) Expect(id string) { p.unheard[id] = true }
+
+// SetReachable says whether the worker answers.
+func (p *Planner) SetReachable(id string, reachable bool) {
+	if w := p.workers[id]; w != nil {
+		w.reachable = reachable
+	}
+}
+
+// Lost drops all runs of a worker whose leases have surely expired or whose
+// process is known to have ended. forget also drops the worker.
+func (p *Planner) Lost(now time.Duration, id string, forget bool, why string) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	n := len(w.runs)
+	for _, r := range w.runs {
+		u := r.unit
+		if r.phase == runRunning && u != nil {
+			p.waste["lost"] += lostWork(u, r, now)
+		}
+		p.dropRun(r)
+		if u != nil {
+			p.giveUp(u, now)
+			p.clear(u, now)
+		}
+	}
+	p.note(Note{Event: "worker lost", Worker: id, Count: n, Detail: why})
+	delete(p.unheard, id)
+	p.recovered(now)
+	w.health = health{}
+	if forget {
+		delete(p.workers, id)
+		p.ids = slices.DeleteFunc(p.ids, func(s string) bool { return s == id })
+	}
+}
+
+// Reborn drops the runs of a worker's former life. Starts that were never
+// answered could still reach the new life, so they are stopped there.
+func (p *Planner) Reborn(now time.Duration, id string) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	p.note(Note{Event: "worker restarted", Worker: id, Count: len(w.runs)})
+	for _, r := range w.runs {
+		u := r.unit
+		if r.phase == runStarting || (r.phase == runStopping && r.why == "unanswered") {
+			p.stopRun(r, "unanswered")
+			if u != nil {
+				p.giveUp(u, now)
+			}
+			continue
+		}
+		if r.phase == runRunning && u != nil {
+			p.waste["lost"] += lostWork(u, r, now)
+		}
+		p.dropRun(r)
+		if u != nil {
+			p.giveUp(u, now)
+			p.clear(u, now)
+		}
+	}
+	w.health = health{}
+}
+
+// Observe takes in what a worker runs and what ended there. sentAt is when the
+// question was sent. It returns the highest end that may be acknowledged at
+// once, and the highest that may be after the changed jobs are stored.
+func (p *Planner) Observe(now, sentAt time.Duration, id string, reply port.HoldReply) (free, stored int64) {
+	w := p.workers[id]
+	if w == nil {
+		return 0, 0
+	}
+	w.heard, w.reachable = true, true
+	pending := false
+	for _, e := range reply.Ended {
+		pending = p.ended(now, w, e) || pending
+		if !pending {
+			free = e.Sequence
+		}
+		stored = e.Sequence
+	}
+	p.observeRunning(now, sentAt, w, reply.Running)
+	if p.unheard[id] {
+		delete(p.unheard, id)
+		p.recovered(now)
+	}
+	return free, stored
+}
+
+func (p *Planner) observeRunning(now, sentAt time.Duration, w *worker, states []port.RunState) {
+	seen := make(map[work.TaskID]bool, len(states))
+	for i := range states {
+		s := &states[i]
+		seen[s.Task] = true
+		r := w.runs[s.Task]
+		if r == nil || r.number != s.Run {
+			p.adopt(now, w, s)
+			continue
+		}
+		p.progress(now, r, s)
+	}
+	for task, r := range w.runs {
+		if seen[task] {
+			continue
+		}
+		gone := r.phase == runRunning && r.confirmedAt < sentAt ||
+			r.phase == runStopping && r.stopAcked > 0 && r.stopAcked < sentAt
+		if !gone {
+			continue
+		}
+		u := r.unit
+		p.dropRun(r)
+		if u != nil {
+			p.giveUp(u, now)
+			p.clear(u, now)
+		}
+	}
+}
+
+func (p *Planner) progress(now time.Duration, r *run, s *port.RunState) {
+	if r.phase == runStarting {
+		r.phase, r.startedAt, r.confirmedAt = runRunning, now, now
+		p.markStarted(r.unit.job)
+	}
+	if s.Percent > r.percent {
+		r.percent, r.progressAt = s.Percent, now
+	}
+	if s.Checkpoint != "" && r.unit != nil && r.unit.spec().Checkpointable && s.Percent >= r.unit.savedPercent {
+		r.unit.saved, r.unit.savedPercent = s.Checkpoint, s.Percent
+	}
+}
+
+// adopt takes over a run that this owner didn't start, or stops it.
+func (p *Planner) adopt(now time.Duration, w *worker, s *port.RunState) {
+	if old := w.runs[s.Task]; old != nil {
+		return // another run of the task is on record here; its end comes first
+	}
+	j := p.jobs[s.Task.Job]
+	var u *unit
+	if j != nil {
+		u = j.unitOf(s.Task)
+	}
+	if u != nil && j.open() && u.accepts(s) {
+		u.nextRun = max(u.nextRun, s.Run+1)
+		u.phase = unitActive
+		u.claim = nil
+		r := p.addRun(u, s.Task.Index, w, s.Run, runRunning, now)
+		r.percent = s.Percent
+		r.startedAt = now - u.spec().Estimate*time.Duration(s.Percent)/100
+		p.progress(now, r, s)
+		p.markStarted(j)
+		p.note(Note{Event: "run adopted", Job: s.Task.Job, Worker: w.info.ID, Task: s.Task, Run: s.Run})
+		return
+	}
+	r := &run{task: s.Task, number: s.Run, worker: w, phase: runRunning, startedAt: now, confirmedAt: now}
+	if u != nil {
+		r.need = u.spec().Need
+		u.nextRun = max(u.nextRun, s.Run+1)
+	}
+	w.runs[s.Task] = r
+	w.free = w.free.Sub(r.need)
+	p.note(Note{Event: "stray run", Job: s.Task.Job, Worker: w.info.ID, Task: s.Task, Run: s.Run})
+	p.stopRun(r, "stray")
+}
+
+// accepts reports whether a listed run can be this unit's present attempt.
+func (u *unit) accepts(s *port.RunState) bool {
+	switch u.phase {
+	case unitReady, unitBlocked:
+		return len(u.runs) == 0
+	case unitActive:
+		for index, r := range u.runs {
+			if r.number != s.Run || index == s.Task.Index {
+				return false
+			}
+		}
+		return true
+	}
+	return false
+}
+
+// recovered, once no worker is left to hear, gives up gangs of which a former
+// owner's run is only partly there, and lets inherited units be placed.
+func (p *Planner) recovered(now time.Duration) {
+	if len(p.unheard) > 0 {
+		return
+	}
+	for _, j := range p.open {
+		for _, u := range j.units {
+			u.inherited = false
+			if u.phase == unitActive && len(u.runs) < u.count {
+				p.giveUp(u, now)
+				u.stopSent = true
+				p.stopUnit(u, now, "incomplete gang")
+			}
+		}
+	}
+}
+
+// Listed reports whether the registry names the worker.
+func (p *Planner) Listed(id string) bool {
+	w := p.workers[id]
+	return w != nil && w.listed
+}
+
+// Holds reports whether the worker has runs on record, or is still expected to
+// tell which it has.
+func (p *Planner) Holds(id string) bool {
+	w := p.workers[id]
+	return w != nil && len(w.runs) > 0 || p.unheard[id]
+}
--- /dev/null
+++ b/internal/work/work.go
@@ -0,0 +1,213 @@
+// Package work holds the jobs that a pool of workers runs, the workers, and the
+// configuration in force, as plain data shared by the decisions and the duties.
+package work
+
+import "time"
+
+// Resources is an amount of a worker's room.
+type Resources struct {
+	// CPU is in thousandths of a core.
+	CPU int64 `cbor:"1,keyasint,omitempty"`
+	// MemMB is memory in megabytes.
+	MemMB int64 `cbor:"2,keyasint,omitempty"`
+	// Accel counts accelerators.
+	Accel int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Add returns r plus o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPU + o.CPU, r.MemMB + o.MemMB, r.Accel + o.Accel}
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPU - o.CPU, r.MemMB - o.MemMB, r.Accel - o.Accel}
+}
+
+// Fits reports whether r has room for need.
+func (r Resources) Fits(need Resources) bool {
+	return need.CPU <= r.CPU && need.MemMB <= r.MemMB && need.Accel <= r.Accel
+}
+
+// coresPerAccelerator is how many cores an accelerator counts for in a task's
+// weight; the platform's price list uses the same figure.
+const coresPerAccelerator = 8
+
+// Cores returns the amount in cores, accelerators included.
+func (r Resources) Cores() float64 {
+	return float64(r.CPU)/1000 + coresPerAccelerator*float64(r.Accel)
+}
+
+// Step is a set of equal tasks of a job.
+type Step struct {
+	Count int       `cbor:"1,keyasint"`
+	Need  Resources `cbor:"2,keyasint"`
+	// Estimate is the submitter's guess of a task's run time; it is a hint.
+	Estimate time.Duration `cbor:"3,keyasint,omitempty"`
+	// After lists earlier steps whose tasks must all have succeeded first.
+	After []int `cbor:"4,keyasint,omitempty"`
+	// Checkpointable tasks can continue from a saved checkpoint.
+	Checkpointable bool `cbor:"5,keyasint,omitempty"`
+	// Gang tasks run all together or not at all.
+	Gang bool `cbor:"6,keyasint,omitempty"`
+	// SameRack gangs run several times slower when spread over racks.
+	SameRack bool `cbor:"7,keyasint,omitempty"`
+	// RequiredLabel is a label that the worker must carry.
+	RequiredLabel string `cbor:"8,keyasint,omitempty"`
+	// DataRack is the rack on which the step runs at full speed.
+	DataRack string `cbor:"9,keyasint,omitempty"`
+	// MaxPerWorker caps the step's tasks on one worker; 0 means no cap.
+	MaxPerWorker int `cbor:"10,keyasint,omitempty"`
+	// LongLived tasks run until the job is cancelled.
+	LongLived bool `cbor:"11,keyasint,omitempty"`
+}
+
+// Job is what a caller submitted, with the attributes of its queue at that time.
+type Job struct {
+	ID        string `cbor:"1,keyasint"`
+	Pool      string `cbor:"2,keyasint"`
+	Queue     string `cbor:"3,keyasint"`
+	Workspace string `cbor:"4,keyasint,omitempty"`
+	// Priority 0 comes first and may preempt the others.
+	Priority    int `cbor:"5,keyasint,omitempty"`
+	MaxAttempts int `cbor:"6,keyasint,omitempty"`
+	// Stretch times the job's longest chain of work, plus Target, is its
+	// latency objective.
+	Stretch float64       `cbor:"7,keyasint,omitempty"`
+	Target  time.Duration `cbor:"8,keyasint,omitempty"`
+	Spec    string        `cbor:"9,keyasint,omitempty"`
+	Steps   []Step        `cbor:"10,keyasint"`
+	// SubmittedAt is when the job was accepted, on the store's steady clock.
+	SubmittedAt time.Duration `cbor:"11,keyasint,omitempty"`
+}
+
+// Weight returns the estimated work of a step in core-seconds.
+func (s *Step) Weight() float64 {
+	return float64(s.Count) * s.Need.Cores() * s.Estimate.Seconds()
+}
+
+// Weight returns the job's estimated work in core-seconds.
+func (j *Job) Weight() float64 {
+	sum := 0.0
+	for i := range j.Steps {
+		sum += j.Steps[i].Weight()
+	}
+	return sum
+}
+
+// Chain returns the estimated time of the longest chain of dependent steps
+// that begins with step from.
+func (j *Job) Chain(from int) time.Duration {
+	longest := time.Duration(0)
+	for i := from + 1; i < len(j.Steps); i++ {
+		for _, dep := range j.Steps[i].After {
+			if dep == from {
+				longest = max(longest, j.Chain(i))
+			}
+		}
+	}
+	return j.Steps[from].Estimate + longest
+}
+
+// Objective returns the time within which the job counts as on time.
+func (j *Job) Objective() time.Duration {
+	longest := time.Duration(0)
+	for i := range j.Steps {
+		longest = max(longest, j.Chain(i))
+	}
+	return time.Duration(j.Stretch*float64(longest)) + j.Target
+}
+
+// State is a job's state as its caller sees it.
+type State string
+
+// The states of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Ended reports whether the state is final.
+func (s State) Ended() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// StepProgress is what is stored about a step's tasks.
+type StepProgress struct {
+	// Done lists the tasks that succeeded.
+	Done []int `cbor:"1,keyasint,omitempty"`
+	// Failures counts the failed runs by task; a gang counts under task 0.
+	Failures map[int]int `cbor:"2,keyasint,omitempty"`
+	// Checkpoints holds the last checkpoint by task; a gang's is under task 0.
+	Checkpoints map[int]string `cbor:"3,keyasint,omitempty"`
+}
+
+// Record is a job's row in the store.
+type Record struct {
+	Job   Job            `cbor:"1,keyasint"`
+	State State          `cbor:"2,keyasint"`
+	Steps []StepProgress `cbor:"3,keyasint,omitempty"`
+	// EndedAt is when the job ended, on the store's steady clock.
+	EndedAt time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// TaskID names a task.
+type TaskID struct {
+	Job         string
+	Occurrence  int
+	Step, Index int
+}
+
+// Worker is a worker as the registry describes it.
+type Worker struct {
+	ID       string
+	Pool     string
+	Address  string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Room     Resources
+	Draining bool
+}
+
+// HasLabel reports whether the worker carries the label.
+func (w *Worker) HasLabel(label string) bool {
+	for _, l := range w.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// Queue is a route by which jobs arrive.
+type Queue struct {
+	// Name identifies the queue across configurations.
+	Name        string
+	Host        string
+	Prefix      string
+	Pool        string
+	Priority    int
+	MaxAttempts int
+	Stretch     float64
+	Target      time.Duration
+	Anonymous   bool
+}
+
+// Workspace is a team with its keys and its guaranteed accelerators.
+type Workspace struct {
+	Name       string
+	Keys       []string
+	Guaranteed int64
+}
+
+// Config is a whole configuration.
+type Config struct {
+	Version    int64
+	Queues     []Queue
+	Workspaces []Workspace
+	Pools      []string
+	// MaxBodyBytes bounds a submission; 0 means no bound.
+	MaxBodyBytes int64
+}
