Keep cancellations that a lost feed history hid

Cause: reading the table anew after a lost history gives rows in key order, where a cancellation comes before its job, and cancellations of unknown jobs were left out. Test: TestCancellationSurvivesLostHistory, seen failing.

--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -79,6 +79,9 @@
 type pool struct {
 	view PoolView
 	jobs map[string]*JobView
+	// cancelled outlives the order of rows: reading anew finds a cancellation
+	// before its job.
+	cancelled map[string]bool
 }
 
 // Replica is the copy. It is safe for concurrent use.
@@ -166,7 +169,7 @@
 func (r *Replica) poolOf(part string) *pool {
 	p := r.pools[part]
 	if p == nil {
-		p = &pool{jobs: map[string]*JobView{}}
+		p = &pool{jobs: map[string]*JobView{}, cancelled: map[string]bool{}}
 		r.pools[part] = p
 	}
 	return p
@@ -177,11 +180,7 @@
 	case strings.HasPrefix(row.Key, JobPrefix):
 		return r.applyJob(row, strings.TrimPrefix(row.Key, JobPrefix))
 	case strings.HasPrefix(row.Key, CancelPrefix):
-		id := strings.TrimPrefix(row.Key, CancelPrefix)
-		if j := r.poolOf(row.Part).jobs[id]; j != nil && !row.Deleted {
-			j.Cancelled = true
-			r.notify(row.Part, id)
-		}
+		r.applyCancel(row, strings.TrimPrefix(row.Key, CancelPrefix))
 		return nil
 	case strings.HasPrefix(row.Key, nodePrefix):
 		name := strings.TrimPrefix(row.Key, nodePrefix)
@@ -217,6 +216,19 @@
 	return fault.New(fault.Invalid, "unknown key")
 }
 
+func (r *Replica) applyCancel(row *port.VersionedRow, id string) {
+	p := r.poolOf(row.Part)
+	if row.Deleted {
+		delete(p.cancelled, id)
+		return
+	}
+	p.cancelled[id] = true
+	if j := p.jobs[id]; j != nil {
+		j.Cancelled = true
+		r.notify(row.Part, id)
+	}
+}
+
 func (r *Replica) applyJob(row *port.VersionedRow, id string) error {
 	p := r.poolOf(row.Part)
 	if row.Deleted {
@@ -227,13 +239,10 @@
 	if old != nil && old.Version >= row.Version {
 		return nil
 	}
-	v := &JobView{Version: row.Version}
+	v := &JobView{Version: row.Version, Cancelled: p.cancelled[id]}
 	if err := work.Decode(row.Value, &v.Record); err != nil {
 		return err
 	}
-	if old != nil {
-		v.Cancelled = old.Cancelled
-	}
 	p.jobs[id] = v
 	if old == nil {
 		r.notify(row.Part, id)
