Pool owner: four ways to run a task twice, found by seeded faults in virtual time

Cause of each, with the test that failed first (internal/duty/pool): - a start without an answer, sent again and then rejected, freed its task although the first sending could still be carried out (TestRejectionAfterUnansweredStart...); - a takeover right after a store outage counted only the workers that were back in the registry (TestTakeoverAfterOutageWaitsForMissingWorkers); - ends of a worker's new life were acknowledged by the old life's numbers (TestNoTaskRunsTwiceUnderFaults/4); - a success of an earlier run was dropped while a later one was being stopped (TestNoTaskRunsTwiceUnderFaults/6).

--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,9 @@
 	staleAfter = time.Second
 	// eventsHeld bounds the events that wait for the owner's loop.
 	eventsHeld = 4096
+	// registrySettles is how long after an outage of the store a living worker's
+	// entry may be missing: the platform says about two seconds.
+	registrySettles = 2500 * time.Millisecond
 	// planEvery is how often waiting work is looked at without an event.
 	planEvery = 100 * time.Millisecond
 )
@@ -93,6 +97,7 @@
 	confirm  time.Duration // a beat must be confirmed after this before starts go on
 	config   *work.Config
 	done     chan struct{}
+	tasks    sync.WaitGroup // goroutines that end with the owner
 }
 
 func newOwner(deps Deps, pool string, epoch, version int64) *Owner {
@@ -141,16 +146,17 @@
 // run takes the pool over and runs it until ctx ends or the ownership is lost.
 func (o *Owner) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
+	defer o.tasks.Wait()
 	defer cancel()
 	defer close(o.done)
 	o.deposed = cancel
 	sub := o.deps.Replica.Subscribe(o.pool)
 	defer sub.Close()
-	go o.beat(ctx)
+	o.tasks.Go(func() { o.beat(ctx) })
 	if err := o.recover(ctx); err != nil {
 		return err
 	}
-	go o.followWorkers(ctx)
+	o.tasks.Go(func() { o.followWorkers(ctx) })
 	o.loop(ctx, sub)
 	return nil
 }
@@ -168,12 +174,12 @@
 	}
 	for i := range workers {
 		if w := workers[i]; w.Pool == o.pool {
-			if o.epoch > 1 {
-				o.planner.Expect(w.ID)
-			}
 			o.putWorker(ctx, w)
 		}
 	}
+	if o.epoch > 1 {
+		o.planner.Recover(o.registryAt())
+	}
 	o.applyConfig()
 	for i := range jobs {
 		o.addJob(&jobs[i], o.epoch > 1)
@@ -184,6 +190,12 @@
 	return nil
 }
 
+// registryAt is when the registry names every living worker: entries that
+// expired while the store was away come back soon after.
+func (o *Owner) registryAt() time.Duration {
+	return o.deps.Replica.LastFailure() + registrySettles
+}
+
 func (o *Owner) addJob(v *replica.JobView, inherited bool) {
 	if v.Record.State.Ended() || o.storing.versions[v.Record.Job.ID] >= v.Version {
 		return
@@ -270,9 +282,9 @@
 	verb := "start"
 	if order.Kind == planner.OrderStop {
 		verb = "stop"
-		go s.stop(ctx, order)
+		o.tasks.Go(func() { s.stop(ctx, order) })
 	} else {
-		go s.start(ctx, order)
+		o.tasks.Go(func() { s.start(ctx, order) })
 	}
 	o.log.Info(verb, zap.String("job", order.Task.Job), zap.Int("step", order.Task.Step), zap.Int("index", order.Task.Index),
 		zap.Int64("run", order.Run), zap.String("worker", order.Worker), zap.String("why", order.Why))
--- /dev/null
+++ b/internal/duty/pool/pool_test.go
@@ -0,0 +1,251 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+func TestStepsRunInOrderAndGangsTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.launch()
+		second := single(4, 1)
+		second.After = []int{0}
+		w.profile("plain", 1, 0)
+		w.submit("plain", single(3, 1), second)
+		w.profile("gang", 2, 4)
+		w.submit("gang", gang(4, 8, 2))
+		w.await(15 * time.Second)
+		must.EqOp(t, work.Completed, w.state("plain"))
+		must.EqOp(t, work.Completed, w.state("gang"))
+		w.intact()
+	})
+}
+
+func TestJobFailsAfterItsAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.launch()
+		w.pool.Profile("bad", fake.Profile{Work: 200 * time.Millisecond, Fails: true})
+		w.submit("bad", single(1, 0.2))
+		w.await(20 * time.Second)
+		must.EqOp(t, work.Failed, w.state("bad"))
+		must.EqOp(t, 4, w.pool.Starts())
+	})
+}
+
+func TestTakeoverGoesOnWithWhatRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		first := w.launch()
+		time.Sleep(time.Second)
+		w.launch()
+		w.profile("long", 8, 4)
+		w.submit("long", gang(4, 2, 8))
+		time.Sleep(2 * time.Second)
+		must.EqOp(t, 4, w.pool.Running())
+		first.kill()
+		w.await(15 * time.Second)
+		must.EqOp(t, 4, w.pool.Starts())
+		w.intact()
+	})
+}
+
+func TestStoreOutageDoesNotStopWhatRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.launch()
+		w.profile("a", 3, 0)
+		w.submit("a", single(4, 3))
+		time.Sleep(time.Second)
+		w.store.SetFaults(fake.Faults{Down: true})
+		time.Sleep(8 * time.Second)
+		w.store.SetFaults(fake.Faults{})
+		w.await(5 * time.Second)
+		must.EqOp(t, 4, w.pool.Starts())
+		w.intact()
+	})
+}
+
+// lateThenFull carries a job's first start out late and rejects the second.
+type lateThenFull struct {
+	*fake.Pool
+	calls atomic.Int64
+}
+
+func (l *lateThenFull) Start(ctx context.Context, target port.WorkerTarget, o port.StartOrder) (port.WorkerClock, port.Rejection, error) {
+	switch l.calls.Add(1) {
+	case 1:
+		go func() {
+			time.Sleep(2 * time.Second)
+			// Nobody waits for this answer.
+			_, _, _ = l.Pool.Start(context.Background(), target, o)
+		}()
+		<-ctx.Done()
+		return port.WorkerClock{}, port.NotRejected, fault.Wrap(fault.Uncertain, "no answer", ctx.Err())
+	case 2:
+		return port.WorkerClock{}, port.RejectedRoom, nil
+	}
+	return l.Pool.Start(ctx, target, o)
+}
+
+// A start that got no answer may be carried out later, whatever a second
+// sending is answered.
+func TestRejectionAfterUnansweredStartDoesNotFreeTheTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.workers = &lateThenFull{Pool: w.pool}
+		w.launch()
+		w.profile("a", 4, 0)
+		w.submit("a", single(1, 4))
+		w.await(20 * time.Second)
+		w.intact()
+	})
+}
+
+// hidden hides a worker from the registry for a while, as the platform does
+// after an outage of its store.
+type hidden struct {
+	*fake.Pool
+	id    string
+	until time.Time
+}
+
+func (h *hidden) Workers(ctx context.Context) ([]work.Worker, int64, error) {
+	list, version, err := h.Pool.Workers(ctx)
+	if time.Now().After(h.until) {
+		return list, version, err
+	}
+	kept := list[:0]
+	for _, w := range list {
+		if w.ID != h.id {
+			kept = append(kept, w)
+		}
+	}
+	return kept, version, err
+}
+
+func (h *hidden) WatchWorkers(ctx context.Context, after int64, patience time.Duration) ([]port.WorkerChange, int64, error) {
+	_, next, err := h.Pool.WatchWorkers(ctx, after, patience)
+	if err != nil || time.Now().Before(h.until) {
+		return nil, next, err
+	}
+	list, _, err := h.Pool.Workers(ctx)
+	var out []port.WorkerChange
+	for i := range list {
+		out = append(out, port.WorkerChange{ID: list[i].ID, Worker: &list[i]})
+	}
+	return out, next, err
+}
+
+// Entries that expired while the store was away come back within two seconds;
+// the tasks of such a worker run on meanwhile.
+func TestTakeoverAfterOutageWaitsForMissingWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		reg := &hidden{Pool: w.pool, id: "none"}
+		w.registry = reg
+		first := w.launch()
+		time.Sleep(time.Second)
+		w.profile("a", 12, 0)
+		w.submit("a", single(2, 12))
+		time.Sleep(2 * time.Second)
+		w.launch()
+		time.Sleep(time.Second)
+		w.store.SetFaults(fake.Faults{Down: true})
+		first.kill()
+		time.Sleep(2 * time.Second)
+		for _, id := range []string{"w00", "w01"} {
+			reg.id, reg.until = id, time.Now().Add(2300*time.Millisecond)
+			if w.runsOn(id) {
+				break
+			}
+		}
+		w.store.SetFaults(fake.Faults{})
+		w.await(40 * time.Second)
+		w.intact()
+	})
+}
+
+func (w *world) runsOn(id string) bool {
+	reply, err := w.pool.Hold(context.Background(), port.WorkerTarget{ID: id, Address: "10.0.0." + id[2:] + ":1"}, port.HoldRequest{Fence: 1})
+	return err == nil && len(reply.Running) > 0
+}
+
+// Random faults of workers, the store and the owners; the seeds are fixed.
+func TestNoTaskRunsTwiceUnderFaults(t *testing.T) {
+	for seed := range uint64(16) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { chaos(t, seed) })
+		})
+	}
+}
+
+func chaos(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	w := newWorld(t, 6)
+	for range 3 {
+		w.launch()
+	}
+	time.Sleep(time.Second)
+	for k := range 40 {
+		id := fmt.Sprintf("job-%02d", k)
+		seconds := 0.5 + 3*rng.Float64()
+		if rng.IntN(2) == 0 {
+			n := 1 + rng.IntN(4)
+			w.profile(id, seconds, n)
+			w.submit(id, gang(n, int64(1+rng.IntN(8)), seconds))
+		} else {
+			w.profile(id, seconds, 0)
+			w.submit(id, single(1+rng.IntN(6), seconds))
+		}
+		if rng.IntN(8) == 0 {
+			w.cancelJob(id)
+		}
+		address := fmt.Sprintf("10.0.0.%d:1", rng.IntN(6))
+		switch rng.IntN(10) {
+		case 0:
+			w.pool.SetFaults(address, fake.PoolFaults{Cut: true})
+		case 1:
+			w.pool.SetFaults(address, fake.PoolFaults{Mute: true})
+		case 2:
+			w.pool.SetFaults(address, fake.PoolFaults{Late: 3 * time.Second})
+		case 3:
+			w.pool.Restart(address)
+		case 4:
+			w.instances[len(w.instances)-3+rng.IntN(3)].kill()
+			w.launch()
+		default:
+			w.pool.SetFaults(address, fake.PoolFaults{})
+		}
+		time.Sleep(time.Duration(rng.IntN(1200)) * time.Millisecond)
+	}
+	for i := range 6 {
+		w.pool.SetFaults(fmt.Sprintf("10.0.0.%d:1", i), fake.PoolFaults{})
+	}
+	time.Sleep(30 * time.Second)
+	w.intact()
+	for _, id := range w.ids {
+		if s := w.state(id); !s.Ended() && !w.cancelled(id) {
+			t.Errorf("%s is %s at the end", id, s)
+		}
+	}
+	must.EqOp(t, 0, w.pool.Running())
+}
+
+func (w *world) cancelled(id string) bool {
+	rows, _, err := w.store.Scan(context.Background(), "lentilwinch", testPool, "cancel/"+id, "cancel/"+id+"\x00")
+	return err == nil && len(rows) > 0
+}
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -43,6 +43,10 @@
 	clock        leaseClock
 	born         int64
 	acknowledged int64 // the highest end that the worker may forget
+	// sameLife is set while holds are answered without a gap. After one, the
+	// worker may live anew and number its ends from 1: nothing is acknowledged
+	// until it has told its life.
+	sameLife bool
 	lastHeard    time.Duration
 	reachable    bool
 	progressed   chan struct{} // signalled when acknowledged grows
@@ -66,6 +70,7 @@
 			continue
 		}
 		s.heard(reply.Clock)
+		s.setSameLife(true)
 		s.owner.send(ctx, event{kind: evReport, session: s, sentAt: sentAt, reply: reply})
 		if len(reply.Ended) > 0 {
 			s.awaitAcknowledged(ctx)
@@ -88,7 +93,9 @@
 func (s *session) hold(ctx context.Context) (port.HoldReply, error) {
 	req := port.HoldRequest{Fence: s.owner.epoch}
 	s.mu.Lock()
-	req.Acknowledged = s.acknowledged
+	if s.sameLife {
+		req.Acknowledged = s.acknowledged
+	}
 	now := s.owner.now()
 	fresh := s.clock.known && now-s.lastHeard < unreachableAfter+holdWait
 	if fresh && s.owner.mayRenew() {
@@ -127,7 +134,14 @@
 	}
 }
 
+func (s *session) setSameLife(same bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sameLife = same
+}
+
 func (s *session) failed(err error) {
+	s.setSameLife(false)
 	if fault.Is(err, fault.Fenced) {
 		s.owner.depose("a worker has seen a higher fencing token")
 		return
@@ -173,6 +187,7 @@
 
 // start sends a start until it is answered; the same run may be sent again.
 func (s *session) start(ctx context.Context, o planner.Order) {
+	unanswered := false
 	for range orderTries {
 		s.mu.Lock()
 		order := port.StartOrder{
@@ -195,9 +210,15 @@
 			if rejected == port.RejectedLate {
 				continue
 			}
+			if rejected != port.NotRejected && unanswered {
+				// The earlier sending may still be carried out.
+				s.owner.send(ctx, event{kind: evUnanswered, session: s, order: o})
+				return
+			}
 			s.owner.send(ctx, event{kind: evStarted, session: s, order: o, rejected: rejected})
 			return
 		}
+		unanswered = unanswered || !fault.Is(err, fault.Unavailable)
 		s.owner.log.Info("start not answered", zap.String("job", o.Task.Job), zap.Int("step", o.Task.Step), zap.Int("index", o.Task.Index),
 			zap.Int64("run", o.Run), zap.String("worker", s.target.ID), zap.Error(err))
 	}
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -87,7 +87,7 @@
 		st.busy = false
 		return
 	}
-	go o.commit(ctx, records, txn)
+	o.tasks.Go(func() { o.commit(ctx, records, txn) })
 }
 
 func (o *Owner) epochKey() port.RowKey {
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -90,7 +90,7 @@
 	s = newSession(o, port.WorkerTarget{ID: w.ID, Address: w.Address})
 	ctx, s.cancel = context.WithCancel(ctx)
 	o.sessions[w.ID] = s
-	go s.run(ctx)
+	o.tasks.Go(func() { s.run(ctx) })
 }
 
 func (o *Owner) endSession(s *session, why string) {
--- /dev/null
+++ b/internal/duty/pool/world_test.go
@@ -0,0 +1,198 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/duty/relay"
+	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/planner"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+const testPool = "triage"
+
+// world is a store, a pool of workers and instances that may own it.
+type world struct {
+	t         *testing.T
+	store     *fake.Rows
+	pool      *fake.Pool
+	registry  port.WorkerRegistry
+	workers   port.WorkerCaller
+	began     time.Time
+	instances []*instance
+	ids       []string
+}
+
+// instance is one process: its store and workers can be taken away, as a kill
+// does.
+type instance struct {
+	world  *world
+	name   string
+	gone   atomic.Bool
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func newWorld(t *testing.T, workers int) *world {
+	w := &world{t: t, store: fake.NewRows(), pool: fake.NewPool(), began: time.Now()}
+	w.registry, w.workers = w.pool, w.pool
+	for i := range workers {
+		w.pool.Add(work.Worker{
+			ID: fmt.Sprintf("w%02d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Pool: testPool, Rack: fmt.Sprintf("r%d", i/4),
+			Room: work.Resources{CPU: 8000, MemMB: 8000, Accel: 8},
+		})
+	}
+	t.Cleanup(func() {
+		for _, in := range w.instances {
+			in.stop()
+		}
+	})
+	return w
+}
+
+func (w *world) now() time.Duration { return time.Since(w.began) }
+
+func (w *world) launch() *instance {
+	in := &instance{world: w, name: fmt.Sprintf("instance-%d", len(w.instances))}
+	w.instances = append(w.instances, in)
+	ctx, cancel := context.WithCancel(context.Background())
+	in.cancel = cancel
+	store := relay.New(&gatedStore{in, w.store}, func() []port.RowStore { return nil }, w.now)
+	rep := replica.New(store, zap.NewNop(), w.now)
+	deps := Deps{
+		Store: store, Workers: &gatedWorkers{in, w.workers}, Registry: w.registry, Replica: rep,
+		Log: zap.NewNop(), Now: w.now, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.name,
+		Settings: planner.Settings{ReclaimWithin: 3 * time.Second},
+	}
+	in.done.Go(func() { rep.Run(ctx) })
+	in.done.Go(func() { NewElection(deps, testPool).Run(ctx) })
+	return in
+}
+
+// kill takes the instance away without a handover.
+func (in *instance) kill() {
+	in.gone.Store(true)
+	in.stop()
+}
+
+func (in *instance) stop() {
+	in.cancel()
+	in.done.Wait()
+}
+
+func (w *world) submit(id string, steps ...work.Step) {
+	w.t.Helper()
+	job := work.Job{ID: id, Pool: testPool, Queue: "q", Spec: id, Steps: steps, MaxAttempts: 4, Stretch: 3, SubmittedAt: w.store.Now()}
+	value, err := work.Encode(work.Record{Job: job, State: work.Queued})
+	must.NoError(w.t, err)
+	_, err = w.store.Commit(context.Background(), port.RowTxn{Puts: map[port.RowKey][]byte{replica.JobKey(testPool, id): value}})
+	must.NoError(w.t, err)
+	w.ids = append(w.ids, id)
+}
+
+func (w *world) cancelJob(id string) {
+	w.t.Helper()
+	_, err := w.store.Commit(context.Background(), port.RowTxn{Puts: map[port.RowKey][]byte{replica.CancelKey(testPool, id): {1}}})
+	must.NoError(w.t, err)
+}
+
+// state reads a job's state from the store.
+func (w *world) state(id string) work.State {
+	w.t.Helper()
+	jobs, err := replica.ReadPool(context.Background(), w.store, testPool)
+	must.NoError(w.t, err)
+	for i := range jobs {
+		if jobs[i].Record.Job.ID == id {
+			return jobs[i].Record.State
+		}
+	}
+	return ""
+}
+
+// await waits until all jobs ended and fails after limit.
+func (w *world) await(limit time.Duration) {
+	w.t.Helper()
+	until := time.Now().Add(limit)
+	for {
+		var open []string
+		for _, id := range w.ids {
+			if !w.state(id).Ended() {
+				open = append(open, id)
+			}
+		}
+		if len(open) == 0 {
+			return
+		}
+		if time.Now().After(until) {
+			w.t.Fatalf("not ended after %v: %s", limit, strings.Join(open, " "))
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func (w *world) intact() {
+	w.t.Helper()
+	for _, b := range w.pool.Broken() {
+		w.t.Error(b)
+	}
+}
+
+var errGone = fault.New(fault.Unavailable, "the process is gone")
+
+type gatedStore struct {
+	in *instance
+	port.RowStore
+}
+
+func (g *gatedStore) Commit(ctx context.Context, txn port.RowTxn) (int64, error) {
+	if g.in.gone.Load() {
+		return 0, errGone
+	}
+	return g.RowStore.Commit(ctx, txn)
+}
+
+type gatedWorkers struct {
+	in *instance
+	port.WorkerCaller
+}
+
+func (g *gatedWorkers) Start(ctx context.Context, t port.WorkerTarget, o port.StartOrder) (port.WorkerClock, port.Rejection, error) {
+	if g.in.gone.Load() {
+		return port.WorkerClock{}, port.NotRejected, errGone
+	}
+	return g.WorkerCaller.Start(ctx, t, o)
+}
+
+func (g *gatedWorkers) Hold(ctx context.Context, t port.WorkerTarget, req port.HoldRequest) (port.HoldReply, error) {
+	if g.in.gone.Load() {
+		return port.HoldReply{}, errGone
+	}
+	return g.WorkerCaller.Hold(ctx, t, req)
+}
+
+func single(count int, seconds float64) work.Step {
+	return work.Step{Count: count, Need: work.Resources{CPU: 1000, MemMB: 1000, Accel: 1}, Estimate: time.Duration(seconds * float64(time.Second))}
+}
+
+func gang(count int, accel int64, seconds float64) work.Step {
+	s := single(count, seconds)
+	s.Gang, s.Need.Accel = true, accel
+	return s
+}
+
+// profile declares how long a job's tasks really take.
+func (w *world) profile(id string, seconds float64, members int) {
+	w.pool.Profile(id, fake.Profile{Work: time.Duration(seconds * float64(time.Second)), Gang: members})
+}
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -96,23 +96,43 @@
 	subs   map[*Subscription]struct{}
 	ready  bool
 	seenAt time.Duration
+	// failedAt is when the store was last found not to answer. A new copy
+	// begins with its creation, as it can't tell what was before.
+	failedAt time.Duration
 }
 
 // New returns an empty copy.
 func New(store port.RowStore, log *zap.Logger, now func() time.Duration) *Replica {
 	return &Replica{store: store, log: log, now: now, pools: map[string]*pool{},
-		nodes: map[string]Node{}, subs: map[*Subscription]struct{}{}}
+		nodes: map[string]Node{}, subs: map[*Subscription]struct{}{}, failedAt: now()}
 }
 
 // Run follows the store until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	follow.Run(ctx, r.log, follow.Source{
 		Name: "jobs", Spacing: feedSpacing,
-		List:  r.list,
-		Watch: r.watch,
+		List:  func(ctx context.Context) (int64, error) { return r.marked(r.list(ctx)) },
+		Watch: func(ctx context.Context, after int64) (int64, error) { return r.marked(r.watch(ctx, after)) },
 	})
 }
 
+// marked notes the time of a failure.
+func (r *Replica) marked(version int64, err error) (int64, error) {
+	if err != nil {
+		r.mu.Lock()
+		r.failedAt = r.now()
+		r.mu.Unlock()
+	}
+	return version, err
+}
+
+// LastFailure returns when the store was last found not to answer.
+func (r *Replica) LastFailure() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failedAt
+}
+
 func (r *Replica) list(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -59,7 +59,7 @@
 		u := &unit{
 			job: j, step: step, first: k * size, count: size,
 			nextRun: p.firstRun, runs: map[int]*run{}, readyAt: now,
-			fails: progress.Failures[k*size], saved: progress.Checkpoints[k*size],
+			failed: slices.Clone(progress.Failures[k*size]), saved: progress.Checkpoints[k*size],
 			inherited: inherited,
 		}
 		if slices.Contains(progress.Done, u.first) {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -22,6 +22,7 @@
 
 // Plan returns the orders that follow from what is known now.
 func (p *Planner) Plan(now time.Duration) []Order {
+	p.finishRecovery(now)
 	p.finishClearing(now)
 	p.stopStalled(now)
 	v := p.newView(now)
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lentilwinch/lentilwinch/internal/port"
@@ -79,7 +80,7 @@
 		return
 	}
 	j := u.job
-	if limit := j.rec.Job.MaxAttempts; limit > 0 && u.fails >= limit && !u.spec().LongLived {
+	if limit := j.rec.Job.MaxAttempts; limit > 0 && len(u.failed) >= limit && !u.spec().LongLived {
 		u.phase = unitDead
 		p.touch(j)
 		p.settle(j, now)
@@ -216,15 +217,14 @@
 	w.health.failed(now, u.job.rec.Job.ID)
 	p.waste["failed"] += lostWork(u, r, now) * float64(u.count)
 	p.touch(u.job)
-	p.note(Note{Event: "run failed", Job: r.task.Job, Worker: w.info.ID, Task: r.task, Run: r.number, Count: u.fails, Age: now - r.startedAt})
+	p.note(Note{Event: "run failed", Job: r.task.Job, Worker: w.info.ID, Task: r.task, Run: r.number, Count: len(u.failed), Age: now - r.startedAt})
 	p.giveUp(u, now)
 }
 
 // countFailure counts a failed run once, however many members of a gang list it.
 func (u *unit) countFailure(number int64) {
-	if number != u.failedRun {
-		u.failedRun = number
-		u.fails++
+	if !slices.Contains(u.failed, number) {
+		u.failed = append(u.failed, number)
 	}
 }
 
@@ -255,7 +255,8 @@
 	u.nextRun = max(u.nextRun, e.Run+1)
 	idle := len(u.runs) == 0
 	switch {
-	case e.Kind == port.EndSucceeded && idle:
+	case e.Kind == port.EndSucceeded && (idle || !slices.Contains(u.expired, e.Run)):
+		p.stopUnit(u, now, "succeeded elsewhere")
 		p.succeed(u, now)
 	case e.Kind == port.EndFailed:
 		u.countFailure(e.Run)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -4,6 +4,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lentilwinch/lentilwinch/internal/work"
@@ -65,10 +66,11 @@
 	// nextRun is the number of the next attempt's runs.
 	nextRun int64
 	runs    map[int]*run // by task index in the step
-	fails   int
-	// failedRun is the last run that was counted as failed.
-	failedRun int64
-	saved     string
+	failed  []int64 // numbers of the runs that failed
+	// expired holds the runs whose worker's leases expired before an end was
+	// heard; the platform takes no note of a success listed after that.
+	expired []int64
+	saved   string
 	// savedPercent is the progress at which saved was reported.
 	savedPercent int
 	// avoid holds the workers on which an attempt failed or stood still.
@@ -180,11 +182,14 @@
 	open      []*job // jobs that haven't ended, in order of arrival
 	guarantee map[string]int64
 	unheard   map[string]bool
-	queueMean map[string]*mean
-	orders    []Order
-	dirty     []*job
-	waste     map[string]float64
-	notes     []Note
+	// registryAt is when the registry can be trusted to name every worker.
+	registryAt time.Duration
+	recovering bool
+	queueMean  map[string]*mean
+	orders     []Order
+	dirty      []*job
+	waste      map[string]float64
+	notes      []Note
 }
 
 // Note is a decision or a change of belief for the log.
@@ -266,11 +271,11 @@
 				s.Done = append(s.Done, u.first)
 				continue
 			}
-			if u.fails > 0 {
+			if len(u.failed) > 0 {
 				if s.Failures == nil {
-					s.Failures = map[int]int{}
+					s.Failures = map[int][]int64{}
 				}
-				s.Failures[u.first] = u.fails
+				s.Failures[u.first] = slices.Clone(u.failed)
 			}
 			if u.saved != "" {
 				if s.Checkpoints == nil {
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -16,6 +16,9 @@
 		p.workers[info.ID] = w
 		i, _ := slices.BinarySearch(p.ids, info.ID)
 		p.ids = slices.Insert(p.ids, i, info.ID)
+		if p.recovering {
+			p.unheard[info.ID] = true
+		}
 		return
 	}
 	w.free = w.free.Add(info.Room.Sub(w.info.Room))
@@ -30,8 +33,14 @@
 	}
 }
 
-// Expect makes inherited jobs wait until the worker was heard or lost.
-func (p *Planner) Expect(id string) { p.unheard[id] = true }
+// Recover makes inherited jobs wait until every worker that is listed by
+// registryAt was heard or lost: a former owner's tasks may run there.
+func (p *Planner) Recover(registryAt time.Duration) {
+	p.recovering, p.registryAt = true, registryAt
+	for id := range p.workers {
+		p.unheard[id] = true
+	}
+}
 
 // SetReachable says whether the worker answers.
 func (p *Planner) SetReachable(id string, reachable bool) {
@@ -55,13 +64,13 @@
 		}
 		p.dropRun(r)
 		if u != nil {
+			u.expired = append(u.expired, r.number)
 			p.giveUp(u, now)
 			p.clear(u, now)
 		}
 	}
 	p.note(Note{Event: "worker lost", Worker: id, Count: n, Detail: why})
 	delete(p.unheard, id)
-	p.recovered(now)
 	w.health = health{}
 	if forget {
 		delete(p.workers, id)
@@ -116,10 +125,7 @@
 		stored = e.Sequence
 	}
 	p.observeRunning(now, sentAt, w, reply.Running)
-	if p.unheard[id] {
-		delete(p.unheard, id)
-		p.recovered(now)
-	}
+	delete(p.unheard, id)
 	return free, stored
 }
 
@@ -215,12 +221,14 @@
 	return false
 }
 
-// recovered, once no worker is left to hear, gives up gangs of which a former
-// owner's run is only partly there, and lets inherited units be placed.
-func (p *Planner) recovered(now time.Duration) {
-	if len(p.unheard) > 0 {
+// finishRecovery, once no worker is left to hear, gives up gangs of which a
+// former owner's run is only partly there, and lets inherited units be placed.
+func (p *Planner) finishRecovery(now time.Duration) {
+	if !p.recovering || len(p.unheard) > 0 || now < p.registryAt {
 		return
 	}
+	p.recovering = false
+	p.note(Note{Event: "recovery finished", Count: len(p.workers)})
 	for _, j := range p.open {
 		for _, u := range j.units {
 			u.inherited = false
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -137,8 +137,9 @@
 type StepProgress struct {
 	// Done lists the tasks that succeeded.
 	Done []int `cbor:"1,keyasint,omitempty"`
-	// Failures counts the failed runs by task; a gang counts under task 0.
-	Failures map[int]int `cbor:"2,keyasint,omitempty"`
+	// Failures holds the numbers of the failed runs by task; a gang's are under
+	// task 0. An end that is listed again to a new owner isn't counted twice.
+	Failures map[int][]int64 `cbor:"2,keyasint,omitempty"`
 	// Checkpoints holds the last checkpoint by task; a gang's is under task 0.
 	Checkpoints map[int]string `cbor:"3,keyasint,omitempty"`
 }
