--- a/internal/duty/pool/lease.go
+++ b/internal/duty/pool/lease.go
@@ -51,5 +51,10 @@
 	c.lapsesAt = c.at + time.Duration(float64(left)*(1+clockSlowness)) + lapseMargin
 }
 
-// reset forgets a former life of the worker.
-func (c *leaseClock) reset() { *c = leaseClock{} }
+// restart takes in the first answer of a new life of the worker. Orders that
+// were meant for the former life may have set a lease end by its clock, which
+// the worker bounds by longest only.
+func (c *leaseClock) restart(now, longest time.Duration, clock port.WorkerClock) {
+	*c = leaseClock{known: true, worker: clock.Now, at: now, until: clock.Now + longest}
+	c.renewLapse()
+}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -46,6 +46,8 @@
 	// Now is a steady clock that counts suspended time.
 	Now      func() time.Duration
 	Settings planner.Settings
+	// LongestLease is the longest lease that a worker grants.
+	LongestLease time.Duration
 	// Config returns the configuration in force, nil where there is none.
 	Config func() *work.Config
 	// Name and Incarnation tell this instance from its peers and former lives.
@@ -53,6 +55,12 @@
 	Incarnation string
 }
 
+// runKey names a run of a task.
+type runKey struct {
+	task work.TaskID
+	run  int64
+}
+
 type eventKind int
 
 const (
@@ -89,6 +97,7 @@
 
 	planner  *planner.Planner
 	sessions map[string]*session
+	starts   map[runKey]context.CancelFunc // starts that wait for an answer
 	events   chan event
 	deposed  context.CancelFunc
 	beatAt   atomic.Int64 // when the last confirmed beat was sent, on Now's clock
@@ -106,6 +115,7 @@
 		log:       deps.Log.With(zap.String("pool", pool), zap.Int64("epoch", epoch)),
 		planner:   planner.New(deps.Settings, epoch),
 		sessions:  map[string]*session{},
+		starts:    map[runKey]context.CancelFunc{},
 		events:    make(chan event, eventsHeld),
 		startedAt: deps.Now(),
 		done:      make(chan struct{}),
@@ -280,16 +290,29 @@
 		return // the worker is gone; its runs went with it
 	}
 	verb := "start"
+	key := runKey{order.Task, order.Run}
 	if order.Kind == planner.OrderStop {
 		verb = "stop"
+		o.endStart(key)
 		o.tasks.Go(func() { s.stop(ctx, order) })
 	} else {
-		o.tasks.Go(func() { s.start(ctx, order) })
+		startCtx, cancel := context.WithCancel(ctx)
+		o.starts[key] = cancel
+		o.tasks.Go(func() { s.start(startCtx, order) })
 	}
 	o.log.Info(verb, zap.String("job", order.Task.Job), zap.Int("step", order.Task.Step), zap.Int("index", order.Task.Index),
 		zap.Int64("run", order.Run), zap.String("worker", order.Worker), zap.String("why", order.Why))
 }
 
+// endStart keeps a start from being sent again: once its run is given up, a
+// new life of the worker would take it for a new one.
+func (o *Owner) endStart(key runKey) {
+	if cancel := o.starts[key]; cancel != nil {
+		cancel()
+		delete(o.starts, key)
+	}
+}
+
 func (o *Owner) apply(ctx context.Context, ev event) {
 	now := o.now()
 	id := ""
@@ -309,8 +332,10 @@
 	case evUnreachable:
 		o.planner.SetReachable(id, false)
 	case evStarted:
+		o.endStart(runKey{ev.order.Task, ev.order.Run})
 		o.planner.Started(now, id, ev.order.Task, ev.order.Run, ev.rejected)
 	case evUnanswered:
+		o.endStart(runKey{ev.order.Task, ev.order.Run})
 		o.planner.Unanswered(now, id, ev.order.Task, ev.order.Run)
 	case evStopped:
 		o.planner.Stopped(now, id, ev.order.Task, ev.order.Run)
--- a/internal/duty/pool/pool_test.go
+++ b/internal/duty/pool/pool_test.go
@@ -186,7 +186,7 @@
 
 // Random faults of workers, the store and the owners; the seeds are fixed.
 func TestNoTaskRunsTwiceUnderFaults(t *testing.T) {
-	for seed := range uint64(16) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { chaos(t, seed) })
 		})
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -46,10 +46,10 @@
 	// sameLife is set while holds are answered without a gap. After one, the
 	// worker may live anew and number its ends from 1: nothing is acknowledged
 	// until it has told its life.
-	sameLife bool
-	lastHeard    time.Duration
-	reachable    bool
-	progressed   chan struct{} // signalled when acknowledged grows
+	sameLife   bool
+	lastHeard  time.Duration
+	reachable  bool
+	progressed chan struct{} // signalled when acknowledged grows
 }
 
 func newSession(o *Owner, target port.WorkerTarget) *session {
@@ -116,7 +116,7 @@
 	s.mu.Lock()
 	reborn := clock.Born != 0 && s.born != 0 && clock.Born != s.born
 	if reborn {
-		s.clock.reset()
+		s.clock.restart(now, s.owner.deps.LongestLease, clock)
 		s.acknowledged = 0
 	}
 	if clock.Born != 0 {
--- a/internal/duty/pool/world_test.go
+++ b/internal/duty/pool/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"strings"
 	"sync"
@@ -23,6 +24,21 @@
 
 const testPool = "triage"
 
+var (
+	// trace prints what the instances log.
+	trace = flag.Bool("trace", false, "print the instances' logs")
+	// seeds is how many seeds the fault tests run, from firstSeed.
+	seeds     = flag.Uint64("seeds", 16, "seeds of the fault tests")
+	firstSeed = flag.Uint64("first-seed", 0, "first seed of the fault tests")
+)
+
+func testLog() *zap.Logger {
+	if *trace {
+		return zap.Must(zap.NewDevelopment())
+	}
+	return zap.NewNop()
+}
+
 // world is a store, a pool of workers and instances that may own it.
 type world struct {
 	t         *testing.T
@@ -73,8 +89,8 @@
 	rep := replica.New(store, zap.NewNop(), w.now)
 	deps := Deps{
 		Store: store, Workers: &gatedWorkers{in, w.workers}, Registry: w.registry, Replica: rep,
-		Log: zap.NewNop(), Now: w.now, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.name,
-		Settings: planner.Settings{ReclaimWithin: 3 * time.Second},
+		Log: testLog().With(zap.String("in", in.name)), Now: w.now, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.name,
+		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second,
 	}
 	in.done.Go(func() { rep.Run(ctx) })
 	in.done.Go(func() { NewElection(deps, testPool).Run(ctx) })
--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -88,6 +88,9 @@
 	profile  Profile
 }
 
+// longestLease is the longest lease that a worker grants.
+const longestLease = 10 * time.Second
+
 // NewPool returns a pool without workers.
 func NewPool() *Pool {
 	return &Pool{GangPatience: 3 * time.Second, StopTime: 400 * time.Millisecond, workers: map[string]*PoolWorker{},
@@ -261,19 +264,24 @@
 }
 
 func (p *Pool) checkStart(w *PoolWorker, task work.TaskID) {
+	now := time.Now().Format("05.000")
 	if p.finished[task] {
-		p.broken = append(p.broken, fmt.Sprintf("%v starts on %s after an acknowledged success", task, w.info.ID))
+		p.broken = append(p.broken, fmt.Sprintf("%s: %v starts on %s after an acknowledged success", now, task, w.info.ID))
 	}
 	for _, other := range p.workers {
 		other.advance(time.Now())
 		if other.runs[task] != nil {
-			p.broken = append(p.broken, fmt.Sprintf("%v starts on %s while it runs on %s", task, w.info.ID, other.info.ID))
+			p.broken = append(p.broken, fmt.Sprintf("%s: %v starts on %s while it runs on %s", now, task, w.info.ID, other.info.ID))
 		}
 	}
 }
 
 func (w *PoolWorker) extend(until time.Duration) {
-	if t := w.at(until); until > 0 && t.After(w.until) {
+	t := w.at(until)
+	if latest := time.Now().Add(longestLease); t.After(latest) {
+		t = latest
+	}
+	if until > 0 && t.After(w.until) {
 		w.until = t
 	}
 }
@@ -307,8 +315,15 @@
 		return port.HoldReply{}, err
 	}
 	deadline := time.Now().Add(req.Wait)
+	p.mu.Lock()
+	born := w.born
+	p.mu.Unlock()
 	for {
 		p.mu.Lock()
+		if w.born != born {
+			p.mu.Unlock()
+			return port.HoldReply{}, fault.New(fault.Uncertain, "connection reset")
+		}
 		w.advance(time.Now())
 		if req.Fence < w.fence {
 			p.mu.Unlock()
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -255,7 +255,7 @@
 	u.nextRun = max(u.nextRun, e.Run+1)
 	idle := len(u.runs) == 0
 	switch {
-	case e.Kind == port.EndSucceeded && (idle || !slices.Contains(u.expired, e.Run)):
+	case e.Kind == port.EndSucceeded && (idle || !slices.Contains(u.expired, expiredRun{e.Run, w.info.ID, w.life})):
 		p.stopUnit(u, now, "succeeded elsewhere")
 		p.succeed(u, now)
 	case e.Kind == port.EndFailed:
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -66,10 +66,10 @@
 	// nextRun is the number of the next attempt's runs.
 	nextRun int64
 	runs    map[int]*run // by task index in the step
-	failed  []int64 // numbers of the runs that failed
+	failed  []int64      // numbers of the runs that failed
 	// expired holds the runs whose worker's leases expired before an end was
 	// heard; the platform takes no note of a success listed after that.
-	expired []int64
+	expired []expiredRun
 	saved   string
 	// savedPercent is the progress at which saved was reported.
 	savedPercent int
@@ -100,6 +100,14 @@
 // cores is the unit's need in cores, over all its tasks.
 func (u *unit) cores() float64 { return float64(u.count) * u.spec().Need.Cores() }
 
+// expiredRun names a run that one life of a worker held when its leases
+// expired. Another life may run the same number again, if its start is sent again.
+type expiredRun struct {
+	number int64
+	worker string
+	life   int
+}
+
 type runPhase int
 
 const (
@@ -147,6 +155,7 @@
 	heard     bool
 	reachable bool
 	listed    bool
+	life      int // counts the restarts seen
 	health    health
 }
 
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -64,7 +64,7 @@
 		}
 		p.dropRun(r)
 		if u != nil {
-			u.expired = append(u.expired, r.number)
+			u.expired = append(u.expired, expiredRun{r.number, id, w.life})
 			p.giveUp(u, now)
 			p.clear(u, now)
 		}
@@ -85,6 +85,7 @@
 	if w == nil {
 		return
 	}
+	w.life++
 	p.note(Note{Event: "worker restarted", Worker: id, Count: len(w.runs)})
 	for _, r := range w.runs {
 		u := r.unit
