Fail a job whose budget is used up as soon as that is known

The failure was stored while the gang's other members hadn't ended yet; the owner was killed then, and the next one read four failures of a job that still ran. Test: TestUsedUpBudgetIsNotStartedAgain, seen failing.

--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -64,6 +64,8 @@
 		}
 		if slices.Contains(progress.Done, u.first) {
 			u.phase = unitDone
+		} else if u.budgetUsed() {
+			u.phase = unitDead
 		}
 		j.perStep[step] = append(j.perStep[step], u)
 		j.units = append(j.units, u)
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,157 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+// rig drives a planner over healthy workers and keeps what they run.
+type rig struct {
+	t   *testing.T
+	p   *Planner
+	now time.Duration
+	run map[work.TaskID]Order
+	seq map[string]int64
+}
+
+func newRig(t *testing.T, racks, perRack int) *rig {
+	r := &rig{t: t, p: New(Settings{ReclaimWithin: 3 * time.Second}, 1), now: time.Second, run: map[work.TaskID]Order{}, seq: map[string]int64{}}
+	for i := range racks * perRack {
+		r.addWorker(fmt.Sprintf("w%02d", i), fmt.Sprintf("r%d", i/perRack))
+	}
+	return r
+}
+
+func (r *rig) addWorker(id, rack string) {
+	r.p.PutWorker(work.Worker{ID: id, Rack: rack, Room: work.Resources{CPU: 64000, MemMB: 128000, Accel: 8}})
+	r.p.Observe(r.now, r.now, id, port.HoldReply{})
+}
+
+func step(count int, accel int64, seconds float64) work.Step {
+	return work.Step{Count: count, Need: work.Resources{CPU: 1000, MemMB: 1000, Accel: accel}, Estimate: time.Duration(seconds * float64(time.Second))}
+}
+
+func gangOf(count int, accel int64, seconds float64) work.Step {
+	s := step(count, accel, seconds)
+	s.Gang = true
+	return s
+}
+
+func (r *rig) job(id string, priority int, steps ...work.Step) work.Record {
+	return work.Record{State: work.Queued, Job: work.Job{ID: id, Queue: fmt.Sprint(priority), Workspace: "ws", Priority: priority,
+		MaxAttempts: 4, Stretch: 3, Target: time.Second, Steps: steps}}
+}
+
+func (r *rig) add(rec work.Record) { r.p.AddJob(r.now, 0, rec, false) }
+
+// plan applies the orders: starts are confirmed, stops end their runs.
+func (r *rig) plan() []Order {
+	orders := r.p.Plan(r.now)
+	for _, o := range orders {
+		if o.Kind == OrderStart {
+			r.run[o.Task] = o
+			r.p.Started(r.now, o.Worker, o.Task, o.Run, port.NotRejected)
+		}
+	}
+	return orders
+}
+
+func (r *rig) end(task work.TaskID, kind port.EndKind) {
+	o := r.run[task]
+	delete(r.run, task)
+	r.seq[o.Worker]++
+	r.p.Observe(r.now, r.now, o.Worker, port.HoldReply{Running: r.running(o.Worker), Ended: []port.RunEnd{
+		{Sequence: r.seq[o.Worker], Task: task, Run: o.Run, Kind: kind}}})
+}
+
+func (r *rig) running(worker string) []port.RunState {
+	var out []port.RunState
+	for task, o := range r.run {
+		if o.Worker == worker {
+			out = append(out, port.RunState{Task: task, Run: o.Run})
+		}
+	}
+	return out
+}
+
+func starts(orders []Order) int { return count(orders, OrderStart) }
+
+func count(orders []Order, kind OrderKind) int {
+	n := 0
+	for _, o := range orders {
+		if o.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	r := newRig(t, 1, 4)
+	r.add(r.job("a", 1, gangOf(3, 8, 5)))
+	r.add(r.job("b", 1, gangOf(2, 8, 5)))
+	// The smaller gang is worth more for its work; the other finds two workers
+	// for its three tasks and waits.
+	must.EqOp(t, 2, starts(r.plan()))
+	for task := range r.run {
+		must.EqOp(t, "b", task.Job)
+	}
+}
+
+func TestSameRackGangStaysInOneRack(t *testing.T) {
+	r := newRig(t, 2, 4)
+	s := gangOf(4, 8, 5)
+	s.SameRack = true
+	r.add(r.job("small", 1, step(1, 1, 5)))
+	r.plan()
+	r.add(r.job("a", 1, s))
+	racks := map[string]bool{}
+	for _, o := range r.plan() {
+		racks[r.p.workers[o.Worker].info.Rack] = true
+	}
+	must.MapLen(t, 1, racks)
+}
+
+// The budget used up is enough to fail the job, also for a new owner that reads
+// the record before the gang's other members were listed as ended.
+func TestUsedUpBudgetIsNotStartedAgain(t *testing.T) {
+	r := newRig(t, 1, 4)
+	rec := r.job("a", 1, gangOf(3, 1, 5))
+	rec.State = work.Running
+	rec.Steps = []work.StepProgress{{Failures: map[int][]int64{0: {1, 2, 3, 4}}}}
+	r.add(rec)
+	must.EqOp(t, 0, starts(r.plan()))
+	must.EqOp(t, work.Failed, r.p.TakeChanged()[0].State)
+}
+
+func TestFailedRunsOfOneGangCountOnce(t *testing.T) {
+	r := newRig(t, 1, 4)
+	r.add(r.job("a", 1, gangOf(2, 8, 5)))
+	r.plan()
+	r.end(work.TaskID{Job: "a", Index: 0}, port.EndFailed)
+	r.end(work.TaskID{Job: "a", Index: 1}, port.EndFailed)
+	recs := r.p.TakeChanged()
+	must.Eq(t, []int64{1}, recs[len(recs)-1].Steps[0].Failures[0])
+}
+
+func TestEndIsAcknowledgedOnlyAfterItsRecordIsStored(t *testing.T) {
+	r := newRig(t, 1, 1)
+	r.add(r.job("a", 1, step(1, 1, 5)))
+	r.plan()
+	reply := port.HoldReply{Ended: []port.RunEnd{{Sequence: 1, Task: work.TaskID{Job: "a"}, Run: 1, Kind: port.EndSucceeded}}}
+	for range 3 { // listed again until it is acknowledged
+		free, stored := r.p.Observe(r.now, r.now, "w00", reply)
+		must.EqOp(t, 0, free)
+		must.EqOp(t, 1, stored)
+		r.p.TakeChanged()
+	}
+	r.p.Stored("a")
+	free, _ := r.p.Observe(r.now, r.now, "w00", reply)
+	must.EqOp(t, 1, free)
+}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -80,7 +80,7 @@
 		return
 	}
 	j := u.job
-	if limit := j.rec.Job.MaxAttempts; limit > 0 && len(u.failed) >= limit && !u.spec().LongLived {
+	if u.budgetUsed() {
 		u.phase = unitDead
 		p.touch(j)
 		p.settle(j, now)
@@ -228,6 +228,12 @@
 	}
 }
 
+// budgetUsed reports whether the unit failed as often as it may.
+func (u *unit) budgetUsed() bool {
+	limit := u.job.rec.Job.MaxAttempts
+	return limit > 0 && len(u.failed) >= limit && !u.spec().LongLived
+}
+
 func (p *Planner) succeed(u *unit, now time.Duration) {
 	if u.phase == unitDone || u.phase == unitDead {
 		return
