Headroom for urgent jobs; relay at once while the direct way is doubted

Now the emptiest workers are kept for them as their demand asks, they stop each other only when a guarantee is about to be missed, and victims' work counts by their priority.

--- a/internal/duty/pool/world_test.go
+++ b/internal/duty/pool/world_test.go
@@ -85,7 +85,7 @@
 	w.instances = append(w.instances, in)
 	ctx, cancel := context.WithCancel(context.Background())
 	in.cancel = cancel
-	store := relay.New(&gatedStore{in, w.store}, func() []port.RowStore { return nil }, w.now)
+	store := relay.New(&gatedStore{in, w.store}, func() []port.RowStore { return nil })
 	rep := replica.New(store, zap.NewNop(), w.now)
 	deps := Deps{
 		Store: store, Workers: &gatedWorkers{in, w.workers}, Registry: w.registry, Replica: rep,
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -17,8 +17,6 @@
 	// hedgeAfter is how long the store may take before a peer is asked too. The
 	// store answers within 12 ms at its usual speed.
 	hedgeAfter = 350 * time.Millisecond
-	// distrustFor is how long after a failure peers are asked at once.
-	distrustFor = 2 * time.Second
 	// peersAsked bounds the peers tried for one call.
 	peersAsked = 2
 )
@@ -27,16 +25,16 @@
 type Store struct {
 	direct port.RowStore
 	peers  func() []port.RowStore
-	now    func() time.Duration
-	// distrusted is until when, on now's clock, the direct way is doubted.
-	distrusted atomic.Int64
+	// distrusted is set from a failure of the direct way to its next success;
+	// meanwhile a peer is asked at the same time.
+	distrusted atomic.Bool
 	turn       atomic.Uint64
 }
 
 // New returns a store over direct. peers lists the ways through other
 // instances at present.
-func New(direct port.RowStore, peers func() []port.RowStore, now func() time.Duration) *Store {
-	return &Store{direct: direct, peers: peers, now: now}
+func New(direct port.RowStore, peers func() []port.RowStore) *Store {
+	return &Store{direct: direct, peers: peers}
 }
 
 // Now implements port.RowStore.
@@ -80,7 +78,7 @@
 		}()
 	}
 	launch()
-	if time.Duration(s.distrusted.Load()) > s.now() && len(ways) > 1 {
+	if s.distrusted.Load() && len(ways) > 1 {
 		launch()
 	}
 	hedge := time.NewTimer(patience)
@@ -109,6 +107,7 @@
 				return zero, last
 			}
 		case <-hedge.C:
+			s.distrusted.Store(true)
 			if launched < len(ways) {
 				launch()
 			}
@@ -119,11 +118,7 @@
 }
 
 func (s *Store) trust(err error) {
-	if outage(err) {
-		s.distrusted.Store(int64(s.now() + distrustFor))
-		return
-	}
-	s.distrusted.Store(0)
+	s.distrusted.Store(outage(err))
 }
 
 // Commit implements port.RowStore. A conflict with rows that hold just what
--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -22,7 +22,9 @@
 	rackOf  []int
 	// heldFrom is when a reservation begins; shorter work may run before.
 	heldFrom []time.Duration
-	index    map[*worker]int
+	// kept workers are for urgent work only.
+	kept  []bool
+	index map[*worker]int
 }
 
 func (p *Planner) newView(now time.Duration) *view {
@@ -47,6 +49,7 @@
 		v.free = append(v.free, w.free)
 	}
 	v.heldFrom = make([]time.Duration, len(v.workers))
+	p.keepHeadroom(v)
 	return v
 }
 
@@ -91,6 +94,9 @@
 // allowed reports whether the unit may go to worker i at all.
 func (v *view) allowed(u *unit, i int, avoid bool) bool {
 	w := v.workers[i]
+	if v.kept[i] && u.job.rec.Job.Priority > 0 {
+		return false
+	}
 	if label := u.spec().RequiredLabel; label != "" && !w.info.HasLabel(label) {
 		return false
 	}
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -40,6 +40,9 @@
 		p.queueMean[rec.Job.Queue] = m
 	}
 	m.add(j.weight)
+	if rec.Job.Priority == 0 && !inherited {
+		p.urgent.add(now, j.firstCores())
+	}
 	p.unblock(j, now)
 	p.settle(j, now)
 }
@@ -72,6 +75,17 @@
 	}
 }
 
+// firstCores is what the steps that can begin at once ask for.
+func (j *job) firstCores() float64 {
+	sum := 0.0
+	for i := range j.rec.Job.Steps {
+		if s := &j.rec.Job.Steps[i]; len(s.After) == 0 {
+			sum += float64(s.Count) * s.Need.Cores()
+		}
+	}
+	return sum
+}
+
 // unblock frees the units whose steps' dependencies have all succeeded.
 func (p *Planner) unblock(j *job, now time.Duration) {
 	for i, units := range j.perStep {
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -8,10 +9,11 @@
 )
 
 const (
-	// lossFactor is what a lost core-second of a victim counts against a
-	// core-second of a job of priority 0: its own worth, one priority below,
-	// and as much again for the time that it held the room.
-	lossFactor = 2.0 / priorityRatio
+	// wasteCost is what a core-second thrown away costs besides its worth to
+	// its own job, against a core-second of a job of priority 0.
+	wasteCost = 1.0 / priorityRatio
+	// moveCost is what stopping a core costs before any work is lost.
+	moveCost = 0.05
 	// claimExpiry frees the room kept for a unit whose victims' ends don't
 	// come, for instance because a worker fell silent.
 	claimExpiry = 2500 * time.Millisecond
@@ -134,7 +136,8 @@
 	if theirs.Priority > mine.Priority {
 		return true
 	}
-	return m.entitled && theirs.Workspace != mine.Workspace && theirs.Priority == 0 && m.p.beyondGuarantee(theirs.Workspace)
+	late := m.v.now-m.u.job.arrivedAt > m.p.settings.ReclaimWithin/2
+	return late && m.entitled && theirs.Workspace != mine.Workspace && theirs.Priority == 0 && m.p.beyondGuarantee(theirs.Workspace)
 }
 
 // cheapest returns the worker on which one more task costs least, with the
@@ -196,7 +199,8 @@
 	for _, r := range u.runs {
 		lost += lostWork(u, r, now)
 	}
-	return lossFactor*lost + 0.05*u.cores()
+	worth := math.Pow(priorityRatio, -float64(u.job.rec.Job.Priority))
+	return (worth+wasteCost)*lost + moveCost*u.cores()
 }
 
 // beyondGuarantee reports whether the workspace's running jobs of priority 0
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -195,6 +195,7 @@
 	registryAt time.Duration
 	recovering bool
 	queueMean  map[string]*mean
+	urgent     demand
 	orders     []Order
 	dirty      []*job
 	waste      map[string]float64
