New jobs wait for workers that haven't heard of a takeover

Test: TestNewJobsWaitUntilWorkersHeardOfTakeover, seen failing; the fake worker now checks a long poll's token when it arrives only, as the platform does.

--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -32,6 +32,9 @@
 	// registrySettles is how long after an outage of the store a living worker's
 	// entry may be missing: the platform says about two seconds.
 	registrySettles = 2500 * time.Millisecond
+	// formerLearns is how long a former owner may go on as if it still owned the
+	// pool: its next beat, with a store at its slowest, tells it.
+	formerLearns = 2500 * time.Millisecond
 	// planEvery is how often waiting work is looked at without an event.
 	planEvery = 100 * time.Millisecond
 )
@@ -188,7 +191,7 @@
 		}
 	}
 	if o.epoch > 1 {
-		o.planner.Recover(o.registryAt())
+		o.planner.Recover(o.registryAt(), o.startedAt+formerLearns)
 	}
 	o.applyConfig()
 	for i := range jobs {
--- a/internal/duty/pool/pool_test.go
+++ b/internal/duty/pool/pool_test.go
@@ -179,6 +179,27 @@
 	})
 }
 
+// A former owner that doesn't know of the takeover yet still starts new jobs on
+// workers that haven't heard of it either.
+func TestNewJobsWaitUntilWorkersHeardOfTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		first := w.launch()
+		time.Sleep(time.Second)
+		w.launchWith(func(in *instance) { in.slowHold, in.slowAt = 600*time.Millisecond, "w00" })
+		time.Sleep(time.Second)
+		first.mute.Store(true)
+		for k := range 40 {
+			id := fmt.Sprintf("job-%02d", k)
+			w.profile(id, 0.3, 0)
+			w.submit(id, single(2, 0.3))
+			time.Sleep(100 * time.Millisecond)
+		}
+		w.await(20 * time.Second)
+		w.intact()
+	})
+}
+
 func (w *world) runsOn(id string) bool {
 	reply, err := w.pool.Hold(context.Background(), port.WorkerTarget{ID: id, Address: "10.0.0." + id[2:] + ":1"}, port.HoldRequest{Fence: 1})
 	return err == nil && len(reply.Running) > 0
--- a/internal/duty/pool/world_test.go
+++ b/internal/duty/pool/world_test.go
@@ -54,11 +54,15 @@
 // instance is one process: its store and workers can be taken away, as a kill
 // does.
 type instance struct {
-	world  *world
-	name   string
-	gone   atomic.Bool
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	world *world
+	name  string
+	gone  atomic.Bool
+	mute  atomic.Bool // its commits get no answer
+	// slowHold delays its holds at one worker.
+	slowHold time.Duration
+	slowAt   string
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
 }
 
 func newWorld(t *testing.T, workers int) *world {
@@ -80,8 +84,11 @@
 
 func (w *world) now() time.Duration { return time.Since(w.began) }
 
-func (w *world) launch() *instance {
+func (w *world) launch() *instance { return w.launchWith(func(*instance) {}) }
+
+func (w *world) launchWith(change func(*instance)) *instance {
 	in := &instance{world: w, name: fmt.Sprintf("instance-%d", len(w.instances))}
+	change(in)
 	w.instances = append(w.instances, in)
 	ctx, cancel := context.WithCancel(context.Background())
 	in.cancel = cancel
@@ -176,6 +183,10 @@
 	if g.in.gone.Load() {
 		return 0, errGone
 	}
+	if g.in.mute.Load() {
+		<-ctx.Done()
+		return 0, fault.Wrap(fault.Uncertain, "no answer", ctx.Err())
+	}
 	return g.RowStore.Commit(ctx, txn)
 }
 
@@ -195,6 +206,9 @@
 	if g.in.gone.Load() {
 		return port.HoldReply{}, errGone
 	}
+	if t.ID == g.in.slowAt {
+		time.Sleep(g.in.slowHold)
+	}
 	return g.WorkerCaller.Hold(ctx, t, req)
 }
 
--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -316,7 +316,15 @@
 	}
 	deadline := time.Now().Add(req.Wait)
 	p.mu.Lock()
+	w.advance(time.Now())
 	born := w.born
+	if req.Fence < w.fence {
+		p.mu.Unlock()
+		return port.HoldReply{}, fault.New(fault.Fenced, "lower fencing token")
+	}
+	w.fence = req.Fence
+	w.extend(req.LeaseUntil)
+	w.acknowledge(req.Acknowledged)
 	p.mu.Unlock()
 	for {
 		p.mu.Lock()
@@ -325,13 +333,6 @@
 			return port.HoldReply{}, fault.New(fault.Uncertain, "connection reset")
 		}
 		w.advance(time.Now())
-		if req.Fence < w.fence {
-			p.mu.Unlock()
-			return port.HoldReply{}, fault.New(fault.Fenced, "lower fencing token")
-		}
-		w.fence = req.Fence
-		w.extend(req.LeaseUntil)
-		w.acknowledge(req.Acknowledged)
 		if len(w.ends) > 0 || !time.Now().Before(deadline) {
 			reply := w.report()
 			p.mu.Unlock()
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -82,6 +82,9 @@
 	stopSent  bool
 	// inherited units may run on workers that this owner hasn't heard yet.
 	inherited bool
+	// newcomer units arrived during the recovery: a former owner that doesn't
+	// know of its end may start them until newcomersAt.
+	newcomer  bool
 	claim     []placement // where room is being made for it
 	claimedAt time.Duration
 }
@@ -194,12 +197,14 @@
 	// registryAt is when the registry can be trusted to name every worker.
 	registryAt time.Duration
 	recovering bool
-	queueMean  map[string]*mean
-	urgent     demand
-	orders     []Order
-	dirty      []*job
-	waste      map[string]float64
-	notes      []Note
+	// newcomersAt is when a former owner has surely heard of the takeover.
+	newcomersAt time.Duration
+	queueMean   map[string]*mean
+	urgent      demand
+	orders      []Order
+	dirty       []*job
+	waste       map[string]float64
+	notes       []Note
 }
 
 // Note is a decision or a change of belief for the log.
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -34,9 +34,10 @@
 }
 
 // Recover makes inherited jobs wait until every worker that is listed by
-// registryAt was heard or lost: a former owner's tasks may run there.
-func (p *Planner) Recover(registryAt time.Duration) {
-	p.recovering, p.registryAt = true, registryAt
+// registryAt was heard or lost: a former owner's tasks may run there. Jobs that
+// arrive meanwhile wait until newcomersAt at most.
+func (p *Planner) Recover(registryAt, newcomersAt time.Duration) {
+	p.recovering, p.registryAt, p.newcomersAt = true, registryAt, newcomersAt
 	for id := range p.workers {
 		p.unheard[id] = true
 	}
@@ -232,7 +233,7 @@
 	p.note(Note{Event: "recovery finished", Count: len(p.workers)})
 	for _, j := range p.open {
 		for _, u := range j.units {
-			u.inherited = false
+			u.inherited, u.newcomer = false, false
 			if u.phase == unitActive && len(u.runs) < u.count {
 				p.giveUp(u, now)
 				u.stopSent = true
