Reject at once while the store is away, with when to come back

Now an instance that finds the store away on every way sends nothing and answers 503 with Retry-After 1; after a failure the feed is asked for a plain answer, so that its return is known within a quarter of a second. A Retry-After of 2 s made callers fall back to their own shorter pause. Tests: internal/duty/intake.

--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -25,6 +25,9 @@
 	commitTimeout = 1500 * time.Millisecond
 	// resendPause spaces the sendings of a commit that wasn't answered.
 	resendPause = 60 * time.Millisecond
+	// awayRetryAfter is when a caller is asked back while the store is away. The
+	// header counts whole seconds, and callers wait for three in all.
+	awayRetryAfter = time.Second
 )
 
 // Intake serves callers. It is safe for concurrent use.
@@ -33,11 +36,13 @@
 	replica *replica.Replica
 	log     *zap.Logger
 	config  atomic.Pointer[work.Config]
+	outage  func() time.Duration
 }
 
-// New returns an intake without a configuration.
-func New(store port.RowStore, rep *replica.Replica, log *zap.Logger) *Intake {
-	return &Intake{store: store, replica: rep, log: log}
+// New returns an intake without a configuration. outage tells for how long the
+// store has been away, 0 where it answers.
+func New(store port.RowStore, outage func() time.Duration, rep *replica.Replica, log *zap.Logger) *Intake {
+	return &Intake{store: store, outage: outage, replica: rep, log: log}
 }
 
 // SetConfig puts a configuration into force, unless a newer one is.
@@ -114,6 +119,10 @@
 		in.log.Info("job rejected", zap.String("job", id), zap.String("queue", q.Name), zap.Error(err))
 		return err
 	}
+	if away := in.outage(); away > 0 {
+		in.log.Info("job rejected", zap.String("job", id), zap.String("queue", q.Name), zap.String("why", "the store is away"), zap.Duration("away", away))
+		return errAway
+	}
 	value, err := work.Encode(work.Record{Job: job, State: work.Queued})
 	if err != nil {
 		return err
@@ -137,6 +146,9 @@
 	return nil
 }
 
+// errAway rejects a job before anything of it was sent.
+var errAway = &fault.RetryError{After: awayRetryAfter, Err: fault.New(fault.Unavailable, "the store is away")}
+
 // commit sends a conditional transaction until its outcome is known or ctx
 // ends.
 func (in *Intake) commit(ctx context.Context, txn port.RowTxn) (int64, error) {
--- /dev/null
+++ b/internal/duty/intake/intake_test.go
@@ -0,0 +1,143 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/duty/relay"
+	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+type rig struct {
+	rows   *fake.Rows
+	intake *Intake
+	queue  *work.Queue
+}
+
+func newRig(t *testing.T) *rig {
+	began := time.Now()
+	rows := fake.NewRows()
+	store := relay.New(rows, func() []port.RowStore { return nil })
+	rep := replica.New(store, zap.NewNop(), func() time.Duration { return time.Since(began) })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); rep.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	in := New(store, store.Outage, rep, zap.NewNop())
+	in.SetConfig(&work.Config{Version: 1, Queues: []work.Queue{
+		{Name: "q", Host: "h", Prefix: "/a/", Pool: "p"}, {Name: "deep", Host: "h", Prefix: "/a/b/", Pool: "p", Anonymous: true},
+	}, Workspaces: []work.Workspace{{Name: "ws", Keys: []string{"key"}}}})
+	q, _, err := in.Route("h", "/a/x")
+	must.NoError(t, err)
+	time.Sleep(time.Second)
+	return &rig{rows, in, q}
+}
+
+var oneTask = []work.Step{{Count: 1, Estimate: time.Second}}
+
+// submit hands a job in as a caller that waits for three seconds.
+func (r *rig) submit(id string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return r.intake.Submit(ctx, r.queue, "ws", id, "", oneTask)
+}
+
+func TestLongestPrefixDecidesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		q, rest, err := r.intake.Route("h", "/a/b/1")
+		must.NoError(t, err)
+		must.EqOp(t, "deep", q.Name)
+		must.EqOp(t, "1", rest)
+		_, _, err = r.intake.Route("other", "/a/1")
+		must.True(t, fault.Is(err, fault.NotFound))
+	})
+}
+
+func TestUnknownKeyIsRejectedUnlessAnonymous(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		_, err := r.intake.Authorize(r.queue, "nobody's")
+		must.True(t, fault.Is(err, fault.Unauthenticated))
+		ws, err := r.intake.Authorize(r.queue, "key")
+		must.NoError(t, err)
+		must.EqOp(t, "ws", ws)
+		_, err = r.intake.Authorize(&work.Queue{Anonymous: true}, "")
+		must.NoError(t, err)
+	})
+}
+
+func TestSubmittingTwiceIsOneJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		must.NoError(t, r.submit("a"))
+		time.Sleep(time.Second)
+		must.NoError(t, r.submit("a"))
+		must.EqOp(t, 1, r.intake.Waiting(r.queue))
+	})
+}
+
+func TestLostAnswerIsSettledByTheNextTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.rows.SetFaults(fake.Faults{LoseAnswers: true})
+		time.AfterFunc(500*time.Millisecond, func() { r.rows.SetFaults(fake.Faults{}) })
+		must.NoError(t, r.submit("a"))
+		state, err := r.intake.State(t.Context(), r.queue, "a")
+		must.NoError(t, err)
+		must.EqOp(t, work.Queued, state)
+	})
+}
+
+// While the store is away nothing is sent, so that the rejection is true, and
+// the caller hears at once when to come back.
+func TestOutageRejectsAtOnceAndSaysWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.rows.SetFaults(fake.Faults{Down: true})
+		time.Sleep(2 * time.Second)
+		before := time.Now()
+		err := r.submit("a")
+		must.EqOp(t, 0, time.Since(before))
+		must.True(t, fault.Is(err, fault.Unavailable))
+		var retry *fault.RetryError
+		must.True(t, errors.As(err, &retry))
+		must.EqOp(t, time.Second, retry.After)
+		r.rows.SetFaults(fake.Faults{})
+		time.Sleep(time.Second)
+		must.NoError(t, r.submit("a"))
+	})
+}
+
+func TestCancelOfUnknownJobIsNotFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		must.True(t, fault.Is(r.intake.Cancel(t.Context(), r.queue, "none"), fault.NotFound))
+		must.NoError(t, r.submit("a"))
+		must.NoError(t, r.intake.Cancel(t.Context(), r.queue, "a"))
+		time.Sleep(time.Second)
+		state, err := r.intake.State(t.Context(), r.queue, "a")
+		must.NoError(t, err)
+		must.EqOp(t, work.Cancelled, state)
+	})
+}
+
+func TestImpossibleJobIsRejectedWithEveryReason(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		err := r.intake.Submit(t.Context(), r.queue, "ws", "a", "", []work.Step{{Count: 0, After: []int{0}}})
+		var f *fault.Error
+		must.True(t, errors.As(err, &f))
+		must.Len(t, 2, f.Problems)
+	})
+}
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -17,6 +17,9 @@
 	// hedgeAfter is how long the store may take before a peer is asked too. The
 	// store answers within 12 ms at its usual speed.
 	hedgeAfter = 350 * time.Millisecond
+	// silentAfter is how much longer than its patience a call waits before the
+	// store counts as away; at its slowest it answers in 1.2 s.
+	silentAfter = 1500 * time.Millisecond
 	// peersAsked bounds the peers tried for one call.
 	peersAsked = 2
 )
@@ -28,7 +31,9 @@
 	// distrusted is set from a failure of the direct way to its next success;
 	// meanwhile a peer is asked at the same time.
 	distrusted atomic.Bool
-	turn       atomic.Uint64
+	// downSince is when calls began to fail on every way, 0 while they succeed.
+	downSince atomic.Int64
+	turn      atomic.Uint64
 }
 
 // New returns a store over direct. peers lists the ways through other
@@ -83,6 +88,8 @@
 	}
 	hedge := time.NewTimer(patience)
 	defer hedge.Stop()
+	silent := time.NewTimer(patience + silentAfter)
+	defer silent.Stop()
 	var zero T
 	var last error
 	uncertain := false
@@ -94,6 +101,7 @@
 				s.trust(a.err)
 			}
 			if !outage(a.err) {
+				s.downSince.Store(0)
 				return a.value, a.err
 			}
 			uncertain = uncertain || !(fault.Is(a.err, fault.Unavailable) || fault.Is(a.err, fault.Overloaded))
@@ -101,6 +109,7 @@
 			if launched < len(ways) {
 				launch()
 			} else if pending == 0 {
+				s.down()
 				if uncertain && !fault.Is(last, fault.Uncertain) {
 					last = fault.Wrap(fault.Uncertain, "an earlier try may have been carried out", last)
 				}
@@ -111,12 +120,26 @@
 			if launched < len(ways) {
 				launch()
 			}
+		case <-silent.C:
+			s.down()
 		case <-ctx.Done():
 			return zero, fault.Wrap(fault.Uncertain, "the store did not answer in time", ctx.Err())
 		}
 	}
 }
 
+func (s *Store) down() { s.downSince.CompareAndSwap(0, time.Now().UnixNano()) }
+
+// Outage returns for how long calls have failed on every way, 0 where the last
+// one was answered.
+func (s *Store) Outage() time.Duration {
+	since := s.downSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return max(time.Since(time.Unix(0, since)), 1)
+}
+
 func (s *Store) trust(err error) {
 	s.distrusted.Store(outage(err))
 }
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -161,10 +161,21 @@
 	return after, nil
 }
 
+// patience is how long the feed may wait for a change. After a failure it is
+// asked for a plain answer, which tells at once that the store is back.
+func (r *Replica) patience() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failedAt > r.seenAt {
+		return 0
+	}
+	return feedWait
+}
+
 func (r *Replica) watch(ctx context.Context, after int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedWait+scanTimeout/2)
 	defer cancel()
-	rows, next, err := r.store.Feed(ctx, Table, after, feedWait)
+	rows, next, err := r.store.Feed(ctx, Table, after, r.patience())
 	if err != nil {
 		return 0, err
 	}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -106,6 +107,19 @@
 	return e.Code
 }
 
+// RetryError is a failure after which the caller may try again.
+type RetryError struct {
+	// After is when to come back.
+	After time.Duration
+	Err   error
+}
+
+// Error implements error.
+func (e *RetryError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the failure.
+func (e *RetryError) Unwrap() error { return e.Err }
+
 // Coder is implemented by every typed failure.
 type Coder interface {
 	error
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -14,9 +14,9 @@
 
 const (
 	firstRetry = 50 * time.Millisecond
-	// lastRetry keeps the delay after an outage well below the time in which a
-	// configuration must be in force.
-	lastRetry = 400 * time.Millisecond
+	// lastRetry keeps the delay after an outage short: callers are turned away
+	// until the store is known to be back.
+	lastRetry = 250 * time.Millisecond
 )
 
 // Source is what is followed.
