Takeover within a second: faster beats, a list of workers instead of a fixed wait

Beats come each 200 ms, the silence is confirmed by a read (a slow store gets 3 s), first holds wait 0.3 s, and the owner stores the list of its workers, so that a takeover waits for the registry only where one is missing. Log lines were cut where a write was longer than a pipe takes at once.

--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -185,7 +185,8 @@
 		return replica.JobView{}, fault.New(fault.NotFound, "no such job")
 	}
 	v := replica.JobView{Version: rows[0].Version}
-	return v, work.Decode(rows[0].Value, &v.Record)
+	err = work.Decode(rows[0].Value, &v.Record)
+	return v, err
 }
 
 // State returns a job's state. It fails with fault.NotFound, or with what the
--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -16,13 +16,19 @@
 const (
 	// takeoverAfter is how long an owner's beat may stand still, seen through a
 	// feed that works, before another instance takes the pool over.
-	takeoverAfter = 1500 * time.Millisecond
+	takeoverAfter = 800 * time.Millisecond
+	// slowTakeoverAfter is the same while the store answers slowly: then the
+	// beats come late, too.
+	slowTakeoverAfter = 3 * time.Second
+	// slowStore is the time of a read from which the store counts as slow; it
+	// reads within 4 ms at its usual speed.
+	slowStore = 60 * time.Millisecond
 	// watchEvery is how often the beat is looked at.
 	watchEvery = 100 * time.Millisecond
 	// feedGap is the age of the copy from which nothing follows about the owner.
 	feedGap = 1500 * time.Millisecond
 	// spread keeps the instances from all trying at the same moment.
-	spread = 300 * time.Millisecond
+	spread = 200 * time.Millisecond
 	// handoverTimeout bounds the writes of a planned handover.
 	handoverTimeout = 800 * time.Millisecond
 )
@@ -60,9 +66,9 @@
 			seen, changedAt = view, now
 		}
 		vacant := view.Epoch.Owner == ""
-		stale := now-changedAt > takeoverAfter+e.delay
+		stale := now-changedAt > takeoverAfter+e.delay && e.confirmStale(ctx, &seen, now-changedAt)
 		if view.Epoch.Owner == e.deps.Name && view.Epoch.Incarnation != e.deps.Incarnation {
-			stale = true // a former life of this instance
+			stale = true // a former life of this process
 		}
 		if (vacant && now-changedAt >= e.delay/3) || stale {
 			e.tryOwn(ctx, view)
@@ -71,6 +77,24 @@
 	}
 }
 
+// confirmStale reads the beat from the store itself. It reports false when the
+// beat went on, or when the store is slow and the silence may be its own.
+func (e *Election) confirmStale(ctx context.Context, seen *replica.PoolView, silence time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	asked := e.deps.Now()
+	rows, _, err := e.deps.Store.Scan(ctx, replica.Table, e.pool, replica.BeatKey, replica.BeatKey+"\x00")
+	took := e.deps.Now() - asked
+	if err != nil {
+		e.log.Info("owner's beat not confirmed as silent", zap.Error(err))
+		return false
+	}
+	if len(rows) > 0 && rows[0].Version != seen.BeatVersion {
+		return false // the copy is behind; it will show the beat
+	}
+	return took < slowStore || silence > slowTakeoverAfter
+}
+
 func (e *Election) epochKey() port.RowKey {
 	return port.RowKey{Table: replica.Table, Part: e.pool, Key: replica.EpochKey}
 }
@@ -84,6 +108,7 @@
 	}
 	e.log.Info("ownership gained", zap.Int64("epoch", epoch.Number), zap.String("former", view.Epoch.Owner), zap.Int64("version", version))
 	o := newOwner(e.deps, e.pool, epoch.Number, version)
+	o.formerGone = view.Epoch.Owner == "" || view.Epoch.Owner == e.deps.Name
 	if err := o.run(ctx); err != nil {
 		e.log.Warn("takeover failed", zap.Error(err))
 	}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -97,6 +97,7 @@
 	epoch        int64
 	epochVersion int64
 	startedAt    time.Duration
+	formerGone   bool // the former owner can't act any more
 
 	planner  *planner.Planner
 	sessions map[string]*session
@@ -191,7 +192,9 @@
 		}
 	}
 	if o.epoch > 1 {
-		o.planner.Recover(o.registryAt(), o.startedAt+formerLearns)
+		if err := o.beginRecovery(ctx); err != nil {
+			return err
+		}
 	}
 	o.applyConfig()
 	for i := range jobs {
@@ -203,10 +206,27 @@
 	return nil
 }
 
-// registryAt is when the registry names every living worker: entries that
-// expired while the store was away come back soon after.
-func (o *Owner) registryAt() time.Duration {
-	return o.deps.Replica.LastFailure() + registrySettles
+// beginRecovery holds inherited jobs until every worker was heard. Workers of
+// the former owner that the registry doesn't name may come back to it: entries
+// expire while the store is away.
+func (o *Owner) beginRecovery(ctx context.Context) error {
+	former, err := replica.ReadWorkers(ctx, o.deps.Store, o.pool)
+	if err != nil {
+		return err
+	}
+	registryAt := o.startedAt
+	for _, id := range former {
+		if o.sessions[id] == nil {
+			registryAt = o.startedAt + registrySettles
+			o.log.Info("former owner's worker not listed", zap.String("worker", id))
+		}
+	}
+	newcomersAt := o.startedAt + formerLearns
+	if o.formerGone {
+		newcomersAt = o.startedAt
+	}
+	o.planner.Recover(registryAt, newcomersAt)
+	return nil
 }
 
 func (o *Owner) addJob(v *replica.JobView, inherited bool) {
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -19,6 +19,9 @@
 	holdWait = time.Second
 	// holdTimeout is how much longer than holdWait an answer may take.
 	holdTimeout = 700 * time.Millisecond
+	// lookTimeout is how long an answer without a wait may take: a takeover waits
+	// for every worker's first.
+	lookTimeout = 300 * time.Millisecond
 	// orderTimeout is how long an order waits for its answer before it is sent
 	// again; a worker answers within a few milliseconds.
 	orderTimeout = 450 * time.Millisecond
@@ -105,7 +108,11 @@
 		req.Wait = holdWait
 	}
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, req.Wait+holdTimeout)
+	patience := holdTimeout
+	if req.Wait == 0 {
+		patience = lookTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, req.Wait+patience)
 	defer cancel()
 	return s.owner.deps.Workers.Hold(ctx, s.target, req)
 }
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,7 +18,7 @@
 
 const (
 	// beatEvery is how often an owner shows that it lives.
-	beatEvery = 400 * time.Millisecond
+	beatEvery = 200 * time.Millisecond
 	// commitTimeout covers a store that is a hundred times slower than usual.
 	commitTimeout = 2500 * time.Millisecond
 	// rowsPerCommit is how many job rows go into one transaction; the platform
@@ -32,8 +34,10 @@
 	versions map[string]int64 // of job rows, by job
 	pending  map[string]work.Record
 	busy     bool
-	waiting  map[*session]int64 // ends to acknowledge after what is pending
-	inFlight map[*session]int64 // ends to acknowledge after what is under way
+	// workersChanged is set while the stored list of workers is out of date.
+	workersChanged bool
+	waiting        map[*session]int64 // ends to acknowledge after what is pending
+	inFlight       map[*session]int64 // ends to acknowledge after what is under way
 }
 
 type storedResult struct {
@@ -61,7 +65,7 @@
 	if st.busy {
 		return
 	}
-	if len(st.pending) == 0 {
+	if len(st.pending) == 0 && !st.workersChanged {
 		// Whatever the held ends wait for is stored already.
 		for s, sequence := range st.waiting {
 			s.acknowledge(sequence)
@@ -82,6 +86,7 @@
 	}
 	st.busy = true
 	txn, err := o.transaction(records)
+	st.workersChanged = false
 	if err != nil {
 		o.log.Error("records can't be encoded", zap.Error(err))
 		st.busy = false
@@ -106,9 +111,20 @@
 		txn.Expect[key] = o.storing.versions[id]
 		txn.Puts[key] = value
 	}
+	if o.storing.workersChanged {
+		value, err := work.Encode(o.workerIDs())
+		if err != nil {
+			return txn, err
+		}
+		txn.Puts[replica.WorkersKeyOf(o.pool)] = value
+	}
 	return txn, nil
 }
 
+func (o *Owner) workerIDs() []string {
+	return slices.Sorted(maps.Keys(o.sessions))
+}
+
 // commit sends a transaction until its outcome is known.
 func (o *Owner) commit(ctx context.Context, records []work.Record, txn port.RowTxn) {
 	for ctx.Err() == nil {
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -90,12 +90,14 @@
 	s = newSession(o, port.WorkerTarget{ID: w.ID, Address: w.Address})
 	ctx, s.cancel = context.WithCancel(ctx)
 	o.sessions[w.ID] = s
+	o.storing.workersChanged = true
 	o.tasks.Go(func() { s.run(ctx) })
 }
 
 func (o *Owner) endSession(s *session, why string) {
 	s.cancel()
 	delete(o.sessions, s.target.ID)
+	o.storing.workersChanged = true
 	o.planner.Lost(o.now(), s.target.ID, true, why)
 }
 
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -24,6 +24,7 @@
 	EpochKey     = "epoch"
 	BeatKey      = "beat"
 	LoadKey      = "load"
+	WorkersKey   = "workers"
 	JobPrefix    = "job/"
 	jobEnd       = "job0" // '0' follows '/'
 	CancelPrefix = "cancel/"
@@ -96,15 +97,14 @@
 	subs   map[*Subscription]struct{}
 	ready  bool
 	seenAt time.Duration
-	// failedAt is when the store was last found not to answer. A new copy
-	// begins with its creation, as it can't tell what was before.
+	// failedAt is when the store was last found not to answer.
 	failedAt time.Duration
 }
 
 // New returns an empty copy.
 func New(store port.RowStore, log *zap.Logger, now func() time.Duration) *Replica {
 	return &Replica{store: store, log: log, now: now, pools: map[string]*pool{},
-		nodes: map[string]Node{}, subs: map[*Subscription]struct{}{}, failedAt: now()}
+		nodes: map[string]Node{}, subs: map[*Subscription]struct{}{}}
 }
 
 // Run follows the store until ctx ends.
@@ -126,13 +126,6 @@
 	return version, err
 }
 
-// LastFailure returns when the store was last found not to answer.
-func (r *Replica) LastFailure() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.failedAt
-}
-
 func (r *Replica) list(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
@@ -236,6 +229,8 @@
 		}
 		v.Epoch, v.EpochVersion = e, row.Version
 		return nil
+	case row.Key == WorkersKey:
+		return nil // read at a takeover only
 	case row.Key == LoadKey:
 		var l Load
 		err := work.Decode(row.Value, &l)
@@ -390,6 +385,22 @@
 	return out, nil
 }
 
+// ReadWorkers reads the workers that a pool's owner used last.
+func ReadWorkers(ctx context.Context, store port.RowStore, name string) ([]string, error) {
+	rows, _, err := store.Scan(ctx, Table, name, WorkersKey, WorkersKey+"\x00")
+	if err != nil || len(rows) == 0 {
+		return nil, err
+	}
+	var ids []string
+	err = work.Decode(rows[0].Value, &ids)
+	return ids, err
+}
+
+// WorkersKeyOf returns the key of the list of a pool's workers.
+func WorkersKeyOf(pool string) port.RowKey {
+	return port.RowKey{Table: Table, Part: pool, Key: WorkersKey}
+}
+
 // JobKey returns the key of a job's row.
 func JobKey(pool, id string) port.RowKey {
 	return port.RowKey{Table: Table, Part: pool, Key: JobPrefix + id}
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -12,6 +12,9 @@
 // linesHeld bounds the lines that wait for a slow reader.
 const linesHeld = 2048
 
+// largestWrite is what a pipe takes as a whole.
+const largestWrite = 4096
+
 // Sink hands lines to a goroutine; lines that find the queue full are dropped
 // and counted. It is safe for concurrent use.
 type Sink struct {
@@ -33,13 +36,22 @@
 	for line := range s.lines {
 		batch = append(batch[:0], line...)
 		for range len(s.lines) {
-			batch = append(batch, <-s.lines...)
+			next := <-s.lines
+			if len(batch)+len(next) > largestWrite {
+				write(out, batch)
+				batch = batch[:0]
+			}
+			batch = append(batch, next...)
 		}
-		// A reader that went away leaves nowhere to report to.
-		_, _ = out.Write(batch)
+		write(out, batch)
 	}
 }
 
+func write(out io.Writer, batch []byte) {
+	// A reader that went away leaves nowhere to report to.
+	_, _ = out.Write(batch)
+}
+
 // Write implements io.Writer. It never fails and never blocks.
 func (s *Sink) Write(line []byte) (int, error) {
 	select {
