Jobs in 16 parts, patience that follows the store's speed, turns at takeovers

Jobs now have parts of their own, fenced by their rows' versions: what two owners wrote around a takeover is merged. Takeovers read the copy once it has the epoch's version. The instances try by turns, and a slow store is not asked twice.

--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -27,8 +27,11 @@
 	watchEvery = 100 * time.Millisecond
 	// feedGap is the age of the copy from which nothing follows about the owner.
 	feedGap = 1500 * time.Millisecond
-	// spread keeps the instances from all trying at the same moment.
-	spread = 200 * time.Millisecond
+	// turn is how much later each further instance tries, so that one of them
+	// finds the pool taken instead of all writing at once; slowTurn is the same
+	// while the store is slow.
+	turn     = 60 * time.Millisecond
+	slowTurn = 1200 * time.Millisecond
 	// handoverTimeout bounds the writes of a planned handover.
 	handoverTimeout = 800 * time.Millisecond
 )
@@ -36,19 +39,33 @@
 // Election keeps one pool owned: it watches the owner and becomes it when the
 // owner is gone.
 type Election struct {
-	deps  Deps
-	pool  string
-	log   *zap.Logger
-	delay time.Duration
+	deps Deps
+	pool string
+	log  *zap.Logger
 }
 
 // NewElection returns the election of a pool.
 func NewElection(deps Deps, pool string) *Election {
-	rank := xxhash.Sum64String(deps.Name + "/" + pool)
-	return &Election{deps: deps, pool: pool, log: deps.Log.With(zap.String("pool", pool)),
-		delay: time.Duration(rank % uint64(spread))}
+	return &Election{deps: deps, pool: pool, log: deps.Log.With(zap.String("pool", pool))}
 }
 
+// delay is this instance's turn among those that are known.
+func (e *Election) delay() time.Duration {
+	mine := e.rank(e.deps.Name)
+	before := 0
+	for _, n := range e.deps.Replica.Nodes(e.deps.Name) {
+		if e.rank(n.Name) < mine {
+			before++
+		}
+	}
+	if e.deps.Latency() > slowStore {
+		return time.Duration(before) * slowTurn
+	}
+	return time.Duration(before) * turn
+}
+
+func (e *Election) rank(name string) uint64 { return xxhash.Sum64String(name + "/" + e.pool) }
+
 // Run watches and owns the pool by turns until ctx ends. When it ends as the
 // owner, it hands the pool over.
 func (e *Election) Run(ctx context.Context) {
@@ -66,11 +83,12 @@
 			seen, changedAt = view, now
 		}
 		vacant := view.Epoch.Owner == ""
-		stale := now-changedAt > takeoverAfter+e.delay && e.confirmStale(ctx, &seen, now-changedAt)
+		delay := e.delay()
+		stale := now-changedAt > takeoverAfter+delay && e.confirmStale(ctx, &seen, now-changedAt)
 		if view.Epoch.Owner == e.deps.Name && view.Epoch.Incarnation != e.deps.Incarnation {
 			stale = true // a former life of this process
 		}
-		if (vacant && now-changedAt >= e.delay/3) || stale {
+		if (vacant && now-changedAt >= delay) || stale {
 			e.tryOwn(ctx, view)
 			changedAt = e.deps.Now()
 		}
@@ -95,9 +113,7 @@
 	return took < slowStore || silence > slowTakeoverAfter
 }
 
-func (e *Election) epochKey() port.RowKey {
-	return port.RowKey{Table: replica.Table, Part: e.pool, Key: replica.EpochKey}
-}
+func (e *Election) epochKey() port.RowKey { return replica.PoolKey(e.pool, replica.EpochKey) }
 
 func (e *Election) tryOwn(ctx context.Context, view replica.PoolView) {
 	epoch := replica.Epoch{Number: view.Epoch.Number + 1, Owner: e.deps.Name, Incarnation: e.deps.Incarnation}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -51,6 +51,8 @@
 	Settings planner.Settings
 	// LongestLease is the longest lease that a worker grants.
 	LongestLease time.Duration
+	// Latency tells what the store's calls take at present.
+	Latency func() time.Duration
 	// Config returns the configuration in force, nil where there is none.
 	Config func() *work.Config
 	// Name and Incarnation tell this instance from its peers and former lives.
@@ -178,10 +180,11 @@
 // recover reads the jobs and the workers, and lets inherited jobs wait until
 // each worker was heard or its leases must have expired.
 func (o *Owner) recover(ctx context.Context) error {
-	jobs, err := replica.ReadPool(ctx, o.deps.Store, o.pool)
-	if err != nil {
+	// Whatever was accepted before this epoch is in the copy once it is there.
+	if err := o.deps.Replica.Await(ctx, o.epochVersion); err != nil {
 		return err
 	}
+	jobs := o.deps.Replica.Jobs(o.pool)
 	workers, _, err := o.deps.Registry.Workers(ctx)
 	if err != nil {
 		return err
@@ -192,9 +195,7 @@
 		}
 	}
 	if o.epoch > 1 {
-		if err := o.beginRecovery(ctx); err != nil {
-			return err
-		}
+		o.beginRecovery()
 	}
 	o.applyConfig()
 	for i := range jobs {
@@ -209,13 +210,9 @@
 // beginRecovery holds inherited jobs until every worker was heard. Workers of
 // the former owner that the registry doesn't name may come back to it: entries
 // expire while the store is away.
-func (o *Owner) beginRecovery(ctx context.Context) error {
-	former, err := replica.ReadWorkers(ctx, o.deps.Store, o.pool)
-	if err != nil {
-		return err
-	}
+func (o *Owner) beginRecovery() {
 	registryAt := o.startedAt
-	for _, id := range former {
+	for _, id := range o.deps.Replica.Pool(o.pool).Workers {
 		if o.sessions[id] == nil {
 			registryAt = o.startedAt + registrySettles
 			o.log.Info("former owner's worker not listed", zap.String("worker", id))
@@ -226,7 +223,6 @@
 		newcomersAt = o.startedAt
 	}
 	o.planner.Recover(registryAt, newcomersAt)
-	return nil
 }
 
 func (o *Owner) addJob(v *replica.JobView, inherited bool) {
@@ -344,11 +340,8 @@
 	}
 	switch ev.kind {
 	case evReport:
-		free, stored := o.planner.Observe(now, ev.sentAt, id, ev.reply)
-		ev.session.acknowledge(free)
-		if stored > free {
-			o.storing.hold(ev.session, stored)
-		}
+		o.planner.Observe(now, ev.sentAt, id, ev.reply)
+		ev.session.acknowledge(o.planner.Acknowledgeable(id))
 		o.logEnds(id, ev.reply.Ended)
 	case evReborn:
 		o.planner.Reborn(now, id)
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -28,19 +28,18 @@
 	storePause = 200 * time.Millisecond
 )
 
-// storing is the owner's state of writing job records. One transaction is
-// under way at a time; what changes meanwhile goes into the next.
+// storing is the owner's state of writing job records. A part has one
+// transaction under way at a time; what changes meanwhile goes into the next.
 type storing struct {
 	versions map[string]int64 // of job rows, by job
 	pending  map[string]work.Record
-	busy     bool
+	busy     map[string]bool // parts with a transaction under way
 	// workersChanged is set while the stored list of workers is out of date.
 	workersChanged bool
-	waiting        map[*session]int64 // ends to acknowledge after what is pending
-	inFlight       map[*session]int64 // ends to acknowledge after what is under way
 }
 
 type storedResult struct {
+	part    string
 	records []work.Record
 	version int64
 	err     error
@@ -49,11 +48,9 @@
 func (st *storing) init() {
 	st.versions = map[string]int64{}
 	st.pending = map[string]work.Record{}
-	st.waiting = map[*session]int64{}
+	st.busy = map[string]bool{}
 }
 
-func (st *storing) hold(s *session, sequence int64) { st.waiting[s] = sequence }
-
 func (o *Owner) storeChanged(ctx context.Context) {
 	st := &o.storing
 	for _, rec := range o.planner.TakeChanged() {
@@ -62,45 +59,34 @@
 		}
 		st.pending[rec.Job.ID] = rec
 	}
-	if st.busy {
-		return
-	}
-	if len(st.pending) == 0 && !st.workersChanged {
-		// Whatever the held ends wait for is stored already.
-		for s, sequence := range st.waiting {
-			s.acknowledge(sequence)
-			delete(st.waiting, s)
-		}
-		return
-	}
-	var records []work.Record
+	byPart := map[string][]work.Record{}
 	for id, rec := range st.pending {
-		if len(records) == rowsPerCommit {
-			break
+		part := replica.JobKey(o.pool, id).Part
+		if !st.busy[part] && len(byPart[part]) < rowsPerCommit {
+			byPart[part] = append(byPart[part], rec)
+			delete(st.pending, id)
 		}
-		records = append(records, rec)
-		delete(st.pending, id)
 	}
-	if len(st.pending) == 0 {
-		st.inFlight, st.waiting = st.waiting, map[*session]int64{}
+	for part, records := range byPart {
+		txn, err := o.transaction(records)
+		if err != nil {
+			o.log.Error("records can't be encoded", zap.Error(err))
+			continue
+		}
+		o.begin(ctx, part, records, txn)
 	}
-	st.busy = true
-	txn, err := o.transaction(records)
-	st.workersChanged = false
-	if err != nil {
-		o.log.Error("records can't be encoded", zap.Error(err))
-		st.busy = false
-		return
+	if st.workersChanged && !st.busy[o.pool] {
+		o.storeWorkers(ctx)
 	}
-	o.tasks.Go(func() { o.commit(ctx, records, txn) })
 }
 
-func (o *Owner) epochKey() port.RowKey {
-	return port.RowKey{Table: replica.Table, Part: o.pool, Key: replica.EpochKey}
+func (o *Owner) begin(ctx context.Context, part string, records []work.Record, txn port.RowTxn) {
+	o.storing.busy[part] = true
+	o.tasks.Go(func() { o.commit(ctx, part, records, txn) })
 }
 
 func (o *Owner) transaction(records []work.Record) (port.RowTxn, error) {
-	txn := port.RowTxn{Expect: map[port.RowKey]int64{o.epochKey(): o.epochVersion}, Puts: map[port.RowKey][]byte{}}
+	txn := port.RowTxn{Expect: map[port.RowKey]int64{}, Puts: map[port.RowKey][]byte{}}
 	for i := range records {
 		id := records[i].Job.ID
 		value, err := work.Encode(&records[i])
@@ -111,33 +97,38 @@
 		txn.Expect[key] = o.storing.versions[id]
 		txn.Puts[key] = value
 	}
-	if o.storing.workersChanged {
-		value, err := work.Encode(o.workerIDs())
-		if err != nil {
-			return txn, err
-		}
-		txn.Puts[replica.WorkersKeyOf(o.pool)] = value
-	}
 	return txn, nil
 }
 
-func (o *Owner) workerIDs() []string {
-	return slices.Sorted(maps.Keys(o.sessions))
+// storeWorkers writes which workers this owner uses, for the next one.
+func (o *Owner) storeWorkers(ctx context.Context) {
+	value, err := work.Encode(slices.Sorted(maps.Keys(o.sessions)))
+	if err != nil {
+		o.log.Error("workers can't be encoded", zap.Error(err))
+		return
+	}
+	o.storing.workersChanged = false
+	o.begin(ctx, o.pool, nil, port.RowTxn{
+		Expect: map[port.RowKey]int64{o.epochKey(): o.epochVersion},
+		Puts:   map[port.RowKey][]byte{replica.PoolKey(o.pool, replica.WorkersKey): value},
+	})
 }
 
+func (o *Owner) epochKey() port.RowKey { return replica.PoolKey(o.pool, replica.EpochKey) }
+
 // commit sends a transaction until its outcome is known.
-func (o *Owner) commit(ctx context.Context, records []work.Record, txn port.RowTxn) {
+func (o *Owner) commit(ctx context.Context, part string, records []work.Record, txn port.RowTxn) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
 		version, err := o.deps.Store.Commit(call, txn)
 		cancel()
 		var conflict *port.RowConflict
 		if err == nil || errors.As(err, &conflict) {
-			o.send(ctx, event{kind: evStored, stored: storedResult{records, version, err}})
+			o.send(ctx, event{kind: evStored, stored: storedResult{part, records, version, err}})
 			return
 		}
 		if ctx.Err() == nil {
-			o.log.Warn("jobs not stored yet", zap.Int("jobs", len(records)), zap.Error(err))
+			o.log.Warn("jobs not stored yet", zap.String("part", part), zap.Int("jobs", len(records)), zap.Error(err))
 		}
 		_ = wait.For(ctx, storePause) // ends early only with ctx, which the loop checks
 	}
@@ -145,10 +136,14 @@
 
 func (o *Owner) storedDone(r storedResult) {
 	st := &o.storing
-	st.busy = false
-	if r.err != nil {
-		// Only owners write job rows: another one has taken over.
-		o.depose(r.err.Error())
+	delete(st.busy, r.part)
+	var conflict *port.RowConflict
+	switch {
+	case errors.As(r.err, &conflict) && r.part == o.pool:
+		o.depose("another owner holds the pool")
+		return
+	case errors.As(r.err, &conflict):
+		o.mergeConflict(r, conflict)
 		return
 	}
 	for i := range r.records {
@@ -159,15 +154,41 @@
 		}
 		o.log.Info("job stored", zap.String("job", rec.Job.ID), zap.String("state", string(rec.State)), zap.Int64("version", r.version))
 	}
-	for s, sequence := range st.inFlight {
-		s.acknowledge(sequence)
+	for id, s := range o.sessions {
+		s.acknowledge(o.planner.Acknowledgeable(id))
+	}
+}
+
+// mergeConflict takes in what another owner stored, around a takeover, and
+// stores the records anew. If this owner is the former one, its next beat says so.
+func (o *Owner) mergeConflict(r storedResult, conflict *port.RowConflict) {
+	for i := range r.records {
+		rec := &r.records[i]
+		row, found := conflict.Row(replica.JobKey(o.pool, rec.Job.ID))
+		if !found {
+			o.log.Warn("job's row is gone", zap.String("job", rec.Job.ID))
+			continue
+		}
+		if _, newer := o.storing.pending[rec.Job.ID]; !newer {
+			o.storing.pending[rec.Job.ID] = *rec
+		}
+		if row.Version == o.storing.versions[rec.Job.ID] {
+			continue
+		}
+		o.storing.versions[rec.Job.ID] = row.Version
+		var other work.Record
+		if err := work.Decode(row.Value, &other); err != nil {
+			o.log.Error("job's row can't be read", zap.String("job", rec.Job.ID), zap.Error(err))
+			continue
+		}
+		o.log.Info("job stored by another owner too", zap.String("job", rec.Job.ID), zap.Int64("version", row.Version))
+		o.planner.Merge(o.now(), other)
 	}
-	st.inFlight = nil
 }
 
 // beat shows the others that this owner lives, until ctx ends.
 func (o *Owner) beat(ctx context.Context) {
-	key := port.RowKey{Table: replica.Table, Part: o.pool, Key: replica.BeatKey}
+	key := replica.PoolKey(o.pool, replica.BeatKey)
 	value := []byte(o.deps.Name)
 	for ctx.Err() == nil {
 		sentAt := o.now()
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -17,6 +17,12 @@
 	// hedgeAfter is how long the store may take before a peer is asked too. The
 	// store answers within 12 ms at its usual speed.
 	hedgeAfter = 350 * time.Millisecond
+	// hedgeFactor times the present latency is as much patience as a slow store
+	// gets, up to hedgeMost.
+	hedgeFactor = 3
+	hedgeMost   = 2 * time.Second
+	// latencyWeight is the inverse weight of one call in the moving mean.
+	latencyWeight = 3
 	// silentAfter is how much longer than its patience a call waits before the
 	// store counts as away; at its slowest it answers in 1.2 s.
 	silentAfter = 1500 * time.Millisecond
@@ -33,7 +39,9 @@
 	distrusted atomic.Bool
 	// downSince is when calls began to fail on every way, 0 while they succeed.
 	downSince atomic.Int64
-	turn      atomic.Uint64
+	// latency is a moving mean of what reads and commits take, in nanoseconds.
+	latency atomic.Int64
+	turn    atomic.Uint64
 }
 
 // New returns a store over direct. peers lists the ways through other
@@ -147,7 +155,7 @@
 // Commit implements port.RowStore. A conflict with rows that hold just what
 // was to be written means that an earlier sending was carried out.
 func (s *Store) Commit(ctx context.Context, txn port.RowTxn) (int64, error) {
-	version, err := call(ctx, s, hedgeAfter, func(ctx context.Context, way port.RowStore) (int64, error) {
+	version, err := timed(s, ctx, func(ctx context.Context, way port.RowStore) (int64, error) {
 		return way.Commit(ctx, txn)
 	})
 	var conflict *port.RowConflict
@@ -174,6 +182,26 @@
 	return version, version > 0
 }
 
+// timed measures a read or commit that was answered.
+func timed[T any](s *Store, ctx context.Context, op func(context.Context, port.RowStore) (T, error)) (T, error) {
+	began := time.Now()
+	v, err := call(ctx, s, s.patience(), op)
+	if !outage(err) {
+		old := s.latency.Load()
+		s.latency.Store(old + int64(time.Since(began)-time.Duration(old))/latencyWeight)
+	}
+	return v, err
+}
+
+// Latency returns what reads and commits take at present.
+func (s *Store) Latency() time.Duration { return time.Duration(s.latency.Load()) }
+
+// patience is when a call is sent through a peer, too. A slow store is not made
+// slower by it.
+func (s *Store) patience() time.Duration {
+	return min(max(hedgeAfter, hedgeFactor*s.Latency()), hedgeMost)
+}
+
 type rows struct {
 	rows    []port.VersionedRow
 	version int64
@@ -181,7 +209,7 @@
 
 // Scan implements port.RowStore.
 func (s *Store) Scan(ctx context.Context, table, part, from, to string) ([]port.VersionedRow, int64, error) {
-	r, err := call(ctx, s, hedgeAfter, func(ctx context.Context, way port.RowStore) (rows, error) {
+	r, err := timed(s, ctx, func(ctx context.Context, way port.RowStore) (rows, error) {
 		list, version, err := way.Scan(ctx, table, part, from, to)
 		return rows{list, version}, err
 	})
@@ -190,14 +218,14 @@
 
 // Parts implements port.RowStore.
 func (s *Store) Parts(ctx context.Context, table string) ([]string, error) {
-	return call(ctx, s, hedgeAfter, func(ctx context.Context, way port.RowStore) ([]string, error) {
+	return timed(s, ctx, func(ctx context.Context, way port.RowStore) ([]string, error) {
 		return way.Parts(ctx, table)
 	})
 }
 
 // Feed implements port.RowStore.
 func (s *Store) Feed(ctx context.Context, table string, after int64, wait time.Duration) ([]port.VersionedRow, int64, error) {
-	r, err := call(ctx, s, wait+hedgeAfter, func(ctx context.Context, way port.RowStore) (rows, error) {
+	r, err := call(ctx, s, wait+s.patience(), func(ctx context.Context, way port.RowStore) (rows, error) {
 		list, version, err := way.Feed(ctx, table, after, wait)
 		return rows{list, version}, err
 	})
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -4,11 +4,15 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/follow"
@@ -19,25 +23,30 @@
 // Table is the store's table that holds all rows of the product.
 const Table = "lentilwinch"
 
-// Keys of rows. A pool's rows share the part that is named like the pool.
+// Keys of rows. A pool's own rows lie in the part that is named like the pool,
+// its jobs and their cancellations in parts of their own: a part takes one
+// transaction at a time, which a slow store makes a second each.
 const (
 	EpochKey     = "epoch"
 	BeatKey      = "beat"
 	LoadKey      = "load"
 	WorkersKey   = "workers"
-	JobPrefix    = "job/"
-	jobEnd       = "job0" // '0' follows '/'
-	CancelPrefix = "cancel/"
-	cancelEnd    = "cancel0"
+	jobPrefix    = "job/"
+	cancelPrefix = "cancel/"
 	nodePrefix   = "node/"
 )
 
+// jobParts is how many parts a pool's jobs are spread over.
+const jobParts = 16
+
 const (
 	// feedWait bounds a silent store's effect on the copy's age.
 	feedWait = time.Second
 	// feedSpacing bounds the wake-ups while many jobs change.
 	feedSpacing = 60 * time.Millisecond
 	scanTimeout = 5 * time.Second
+	// scansAtOnce keeps a copy's first reading short on a slow store.
+	scansAtOnce = 8
 )
 
 // Epoch names a pool's owner. Number is its fencing token.
@@ -75,14 +84,8 @@
 	EpochVersion int64
 	BeatVersion  int64
 	Load         Load
-}
-
-type pool struct {
-	view PoolView
-	jobs map[string]*JobView
-	// cancelled outlives the order of rows: reading anew finds a cancellation
-	// before its job.
-	cancelled map[string]bool
+	// Workers are those that the owner used last.
+	Workers []string
 }
 
 // Replica is the copy. It is safe for concurrent use.
@@ -91,20 +94,32 @@
 	log   *zap.Logger
 	now   func() time.Duration
 
-	mu     sync.Mutex
-	pools  map[string]*pool
-	nodes  map[string]Node
-	subs   map[*Subscription]struct{}
-	ready  bool
-	seenAt time.Duration
+	mu    sync.Mutex
+	pools map[string]*PoolView
+	jobs  map[string]*JobView
+	// cancelled outlives the order of rows: reading anew finds a cancellation
+	// before its job.
+	cancelled map[string]bool
+	nodes     map[string]Node
+	subs      map[*Subscription]struct{}
+	ready     bool
+	version   int64         // of the store, up to which changes are in
+	advanced  chan struct{} // closed when version grows
+	seenAt    time.Duration
 	// failedAt is when the store was last found not to answer.
 	failedAt time.Duration
 }
 
 // New returns an empty copy.
 func New(store port.RowStore, log *zap.Logger, now func() time.Duration) *Replica {
-	return &Replica{store: store, log: log, now: now, pools: map[string]*pool{},
-		nodes: map[string]Node{}, subs: map[*Subscription]struct{}{}}
+	r := &Replica{store: store, log: log, now: now, subs: map[*Subscription]struct{}{}, advanced: make(chan struct{})}
+	r.reset()
+	return r
+}
+
+func (r *Replica) reset() {
+	r.pools, r.jobs = map[string]*PoolView{}, map[string]*JobView{}
+	r.cancelled, r.nodes = map[string]bool{}, map[string]Node{}
 }
 
 // Run follows the store until ctx ends.
@@ -133,24 +148,16 @@
 	if err != nil {
 		return 0, err
 	}
-	var rows []port.VersionedRow
-	after := int64(-1)
-	for _, part := range append(parts, "") {
-		list, version, err := r.store.Scan(ctx, Table, part, "", "")
-		if err != nil {
-			return 0, err
-		}
-		if after < 0 || version < after {
-			after = version
-		}
-		rows = append(rows, list...)
+	rows, after, err := r.scanParts(ctx, append(parts, ""))
+	if err != nil {
+		return 0, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.pools, r.nodes = map[string]*pool{}, map[string]Node{}
+	r.reset()
 	r.apply(rows)
 	r.ready = true
-	r.seenAt = r.now()
+	r.advance(after)
 	return after, nil
 }
 
@@ -165,6 +172,29 @@
 	return feedWait
 }
 
+// scanParts reads parts side by side and returns the oldest of their versions.
+func (r *Replica) scanParts(ctx context.Context, parts []string) ([]port.VersionedRow, int64, error) {
+	var mu sync.Mutex
+	var rows []port.VersionedRow
+	oldest := int64(-1)
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(scansAtOnce)
+	for _, part := range parts {
+		group.Go(func() error {
+			list, version, err := r.store.Scan(ctx, Table, part, "", "")
+			mu.Lock()
+			defer mu.Unlock()
+			rows = append(rows, list...)
+			if oldest < 0 || version < oldest {
+				oldest = version
+			}
+			return err
+		})
+	}
+	err := group.Wait()
+	return rows, oldest, err
+}
+
 func (r *Replica) watch(ctx context.Context, after int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedWait+scanTimeout/2)
 	defer cancel()
@@ -175,7 +205,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.apply(rows)
-	r.seenAt = r.now()
+	r.advance(next)
 	return next, nil
 }
 
@@ -190,96 +220,128 @@
 	}
 }
 
-func (r *Replica) poolOf(part string) *pool {
+func (r *Replica) advance(version int64) {
+	r.seenAt = r.now()
+	if version > r.version {
+		r.version = version
+		close(r.advanced)
+		r.advanced = make(chan struct{})
+	}
+}
+
+// Await waits until the copy holds all changes up to version. It fails with
+// fault.Timeout when ctx ends first.
+func (r *Replica) Await(ctx context.Context, version int64) error {
+	for {
+		r.mu.Lock()
+		reached, advanced := r.version >= version, r.advanced
+		r.mu.Unlock()
+		if reached {
+			return nil
+		}
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+			return fault.Wrap(fault.Timeout, "the copy is behind", ctx.Err())
+		}
+	}
+}
+
+func (r *Replica) poolOf(part string) *PoolView {
 	p := r.pools[part]
 	if p == nil {
-		p = &pool{jobs: map[string]*JobView{}, cancelled: map[string]bool{}}
+		p = &PoolView{}
 		r.pools[part] = p
 	}
 	return p
 }
 
 func (r *Replica) applyRow(row *port.VersionedRow) error {
-	switch {
-	case strings.HasPrefix(row.Key, JobPrefix):
-		return r.applyJob(row, strings.TrimPrefix(row.Key, JobPrefix))
-	case strings.HasPrefix(row.Key, CancelPrefix):
-		r.applyCancel(row, strings.TrimPrefix(row.Key, CancelPrefix))
-		return nil
-	case strings.HasPrefix(row.Key, nodePrefix):
-		name := strings.TrimPrefix(row.Key, nodePrefix)
-		if row.Deleted {
-			delete(r.nodes, name)
-			return nil
-		}
-		var n Node
-		err := work.Decode(row.Value, &n)
-		if err == nil {
-			r.nodes[name] = n
-		}
-		return err
-	case row.Key == BeatKey:
-		r.poolOf(row.Part).view.BeatVersion = row.Version
+	if id, ok := strings.CutPrefix(row.Key, jobPrefix); ok {
+		return r.applyJob(row, id)
+	}
+	if id, ok := strings.CutPrefix(row.Key, cancelPrefix); ok {
+		r.applyCancel(row, id)
 		return nil
-	case row.Key == EpochKey:
-		v := &r.poolOf(row.Part).view
-		var e Epoch
-		if err := work.Decode(row.Value, &e); err != nil {
-			return err
-		}
-		v.Epoch, v.EpochVersion = e, row.Version
+	}
+	if name, ok := strings.CutPrefix(row.Key, nodePrefix); ok {
+		return r.applyNode(row, name)
+	}
+	p := r.poolOf(row.Part)
+	switch row.Key {
+	case BeatKey:
+		p.BeatVersion = row.Version
 		return nil
-	case row.Key == WorkersKey:
-		return nil // read at a takeover only
-	case row.Key == LoadKey:
-		var l Load
-		err := work.Decode(row.Value, &l)
-		if err == nil {
-			r.poolOf(row.Part).view.Load = l
-		}
-		return err
+	case EpochKey:
+		p.EpochVersion = row.Version
+		return decodeInto(row.Value, &p.Epoch)
+	case WorkersKey:
+		return decodeInto(row.Value, &p.Workers)
+	case LoadKey:
+		return decodeInto(row.Value, &p.Load)
 	}
 	return fault.New(fault.Invalid, "unknown key")
 }
 
+// decodeInto replaces all of into, also what the row leaves out.
+func decodeInto[T any](value []byte, into *T) error {
+	var fresh T
+	err := work.Decode(value, &fresh)
+	if err == nil {
+		*into = fresh
+	}
+	return err
+}
+
+func (r *Replica) applyNode(row *port.VersionedRow, name string) error {
+	delete(r.nodes, name)
+	if row.Deleted {
+		return nil
+	}
+	var n Node
+	err := work.Decode(row.Value, &n)
+	if err == nil {
+		r.nodes[name] = n
+	}
+	return err
+}
+
 func (r *Replica) applyCancel(row *port.VersionedRow, id string) {
-	p := r.poolOf(row.Part)
 	if row.Deleted {
-		delete(p.cancelled, id)
+		delete(r.cancelled, id)
 		return
 	}
-	p.cancelled[id] = true
-	if j := p.jobs[id]; j != nil {
+	r.cancelled[id] = true
+	if j := r.jobs[id]; j != nil {
 		j.Cancelled = true
-		r.notify(row.Part, id)
+		r.notify(j)
 	}
 }
 
 func (r *Replica) applyJob(row *port.VersionedRow, id string) error {
-	p := r.poolOf(row.Part)
 	if row.Deleted {
-		delete(p.jobs, id)
+		delete(r.jobs, id)
 		return nil
 	}
-	old := p.jobs[id]
+	old := r.jobs[id]
 	if old != nil && old.Version >= row.Version {
 		return nil
 	}
-	v := &JobView{Version: row.Version, Cancelled: p.cancelled[id]}
+	v := &JobView{Version: row.Version, Cancelled: r.cancelled[id]}
 	if err := work.Decode(row.Value, &v.Record); err != nil {
 		return err
 	}
-	p.jobs[id] = v
+	r.jobs[id] = v
 	if old == nil {
-		r.notify(row.Part, id)
+		r.notify(v)
 	}
 	return nil
 }
 
-func (r *Replica) notify(part, id string) {
+func (r *Replica) notify(v *JobView) {
 	for s := range r.subs {
-		if s.pool == part {
-			s.ids = append(s.ids, id)
+		if s.pool == v.Record.Job.Pool {
+			s.ids = append(s.ids, v.Record.Job.ID)
 		}
 	}
 }
@@ -302,24 +364,34 @@
 func (r *Replica) Job(id string) (JobView, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, p := range r.pools {
-		if j := p.jobs[id]; j != nil {
-			return *j, true
-		}
+	if j := r.jobs[id]; j != nil {
+		return *j, true
 	}
 	return JobView{}, false
 }
 
+// Jobs returns a pool's jobs.
+func (r *Replica) Jobs(pool string) []JobView {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []JobView
+	for _, j := range r.jobs {
+		if j.Record.Job.Pool == pool {
+			out = append(out, *j)
+		}
+	}
+	slices.SortFunc(out, func(a, b JobView) int { return strings.Compare(a.Record.Job.ID, b.Record.Job.ID) })
+	return out
+}
+
 // Waiting counts a queue's jobs of which no task has started.
 func (r *Replica) Waiting(queue string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
-	for _, p := range r.pools {
-		for _, j := range p.jobs {
-			if j.Record.Job.Queue == queue && j.Record.State == work.Queued && !j.Cancelled {
-				n++
-			}
+	for _, j := range r.jobs {
+		if j.Record.Job.Queue == queue && j.Record.State == work.Queued && !j.Cancelled {
+			n++
 		}
 	}
 	return n
@@ -330,7 +402,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p := r.pools[name]; p != nil {
-		return p.view
+		return *p
 	}
 	return PoolView{}
 }
@@ -359,54 +431,21 @@
 	return err
 }
 
-// ReadPool reads a pool's jobs from the store itself.
-func ReadPool(ctx context.Context, store port.RowStore, name string) ([]JobView, error) {
-	rows, _, err := store.Scan(ctx, Table, name, JobPrefix, jobEnd)
-	if err != nil {
-		return nil, err
-	}
-	cancels, _, err := store.Scan(ctx, Table, name, CancelPrefix, cancelEnd)
-	if err != nil {
-		return nil, err
-	}
-	cancelled := map[string]bool{}
-	for i := range cancels {
-		cancelled[strings.TrimPrefix(cancels[i].Key, CancelPrefix)] = true
-	}
-	out := make([]JobView, 0, len(rows))
-	for i := range rows {
-		v := JobView{Version: rows[i].Version}
-		if err := work.Decode(rows[i].Value, &v.Record); err != nil {
-			return nil, err
-		}
-		v.Cancelled = cancelled[v.Record.Job.ID]
-		out = append(out, v)
-	}
-	return out, nil
-}
-
-// ReadWorkers reads the workers that a pool's owner used last.
-func ReadWorkers(ctx context.Context, store port.RowStore, name string) ([]string, error) {
-	rows, _, err := store.Scan(ctx, Table, name, WorkersKey, WorkersKey+"\x00")
-	if err != nil || len(rows) == 0 {
-		return nil, err
-	}
-	var ids []string
-	err = work.Decode(rows[0].Value, &ids)
-	return ids, err
+// PoolKey returns the key of one of a pool's own rows.
+func PoolKey(pool, key string) port.RowKey {
+	return port.RowKey{Table: Table, Part: pool, Key: key}
 }
 
-// WorkersKeyOf returns the key of the list of a pool's workers.
-func WorkersKeyOf(pool string) port.RowKey {
-	return port.RowKey{Table: Table, Part: pool, Key: WorkersKey}
+func jobPart(pool, id string) string {
+	return fmt.Sprintf("%s.%d", pool, xxhash.Sum64String(id)%jobParts)
 }
 
 // JobKey returns the key of a job's row.
 func JobKey(pool, id string) port.RowKey {
-	return port.RowKey{Table: Table, Part: pool, Key: JobPrefix + id}
+	return port.RowKey{Table: Table, Part: jobPart(pool, id), Key: jobPrefix + id}
 }
 
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(pool, id string) port.RowKey {
-	return port.RowKey{Table: Table, Part: pool, Key: CancelPrefix + id}
+	return port.RowKey{Table: Table, Part: jobPart(pool, id), Key: cancelPrefix + id}
 }
--- a/internal/duty/replica/subscribe.go
+++ b/internal/duty/replica/subscribe.go
@@ -43,11 +43,9 @@
 	s.replica.mu.Lock()
 	defer s.replica.mu.Unlock()
 	var out []JobView
-	if p := s.replica.pools[s.pool]; p != nil {
-		for _, id := range s.ids {
-			if j := p.jobs[id]; j != nil {
-				out = append(out, *j)
-			}
+	for _, id := range s.ids {
+		if j := s.replica.jobs[id]; j != nil {
+			out = append(out, *j)
 		}
 	}
 	s.ids = nil
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -188,3 +188,30 @@
 	}
 	return waiting, running
 }
+
+// Merge takes in a record that another owner stored. What it says is true, as
+// far as it goes: tasks that succeeded and runs that failed stay so.
+func (p *Planner) Merge(now time.Duration, rec work.Record) {
+	j := p.jobs[rec.Job.ID]
+	if j == nil {
+		return
+	}
+	for i := range rec.Steps {
+		if i >= len(j.perStep) {
+			break
+		}
+		for _, u := range j.perStep[i] {
+			for _, number := range rec.Steps[i].Failures[u.first] {
+				u.countFailure(number)
+			}
+			if slices.Contains(rec.Steps[i].Done, u.first) && u.phase != unitDone && u.phase != unitDead {
+				p.stopUnit(u, now, "succeeded elsewhere")
+				p.succeed(u, now)
+			}
+		}
+	}
+	if rec.State.Ended() && j.open() {
+		p.end(j, rec.State, now)
+	}
+	p.touch(j)
+}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -174,17 +174,17 @@
 	p.touch(j)
 }
 
-// ended takes in a listed end. It reports whether the end changes what must be
-// stored before it is acknowledged.
-func (p *Planner) ended(now time.Duration, w *worker, e port.RunEnd) bool {
+// ended takes in a listed end.
+func (p *Planner) ended(now time.Duration, w *worker, e port.RunEnd) {
 	r := w.runs[e.Task]
 	if r == nil || r.number != e.Run {
-		return p.endedUnknown(now, w, e)
+		p.endedUnknown(now, w, e)
+		return
 	}
 	u := r.unit
 	p.dropRun(r)
 	if u == nil {
-		return false
+		return
 	}
 	if e.Checkpoint != "" && u.spec().Checkpointable {
 		u.saved, u.savedPercent = e.Checkpoint, max(u.savedPercent, r.percent)
@@ -205,7 +205,6 @@
 	if e.Checkpoint != "" && u.phase != unitDone {
 		p.touch(u.job)
 	}
-	return u.job.unstored
 }
 
 func (p *Planner) failed(u *unit, r *run, w *worker, now time.Duration) {
@@ -246,17 +245,14 @@
 
 // endedUnknown takes in an end of a run that isn't on record: one of a former
 // owner, or one that was given up when its lease must have expired.
-func (p *Planner) endedUnknown(now time.Duration, w *worker, e port.RunEnd) bool {
+func (p *Planner) endedUnknown(now time.Duration, w *worker, e port.RunEnd) {
 	j := p.jobs[e.Task.Job]
 	if j == nil {
-		return false
+		return
 	}
 	u := j.unitOf(e.Task)
-	if u == nil {
-		return false
-	}
-	if u.phase == unitDone || u.phase == unitDead {
-		return j.unstored
+	if u == nil || u.phase == unitDone || u.phase == unitDead {
+		return
 	}
 	u.nextRun = max(u.nextRun, e.Run+1)
 	idle := len(u.runs) == 0
@@ -276,7 +272,6 @@
 		u.saved = e.Checkpoint
 		p.touch(j)
 	}
-	return j.unstored
 }
 
 func (j *job) unitOf(t work.TaskID) *unit {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -159,7 +159,17 @@
 	reachable bool
 	listed    bool
 	life      int // counts the restarts seen
-	health    health
+	// lastEnd is the last end taken in, acked the last that may be forgotten,
+	// and unacked those between them.
+	lastEnd, acked int64
+	unacked        []listedEnd
+	health         health
+}
+
+// listedEnd is an end whose job has to be stored before it is acknowledged.
+type listedEnd struct {
+	sequence int64
+	job      string
 }
 
 func (w *worker) usable(now time.Duration) bool {
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -87,6 +87,7 @@
 		return
 	}
 	w.life++
+	w.lastEnd, w.acked, w.unacked = 0, 0, nil
 	p.note(Note{Event: "worker restarted", Worker: id, Count: len(w.runs)})
 	for _, r := range w.runs {
 		u := r.unit
@@ -110,25 +111,40 @@
 }
 
 // Observe takes in what a worker runs and what ended there. sentAt is when the
-// question was sent. It returns the highest end that may be acknowledged at
-// once, and the highest that may be after the changed jobs are stored.
-func (p *Planner) Observe(now, sentAt time.Duration, id string, reply port.HoldReply) (free, stored int64) {
+// question was sent.
+func (p *Planner) Observe(now, sentAt time.Duration, id string, reply port.HoldReply) {
 	w := p.workers[id]
 	if w == nil {
-		return 0, 0
+		return
 	}
 	w.heard, w.reachable = true, true
-	pending := false
 	for _, e := range reply.Ended {
-		pending = p.ended(now, w, e) || pending
-		if !pending {
-			free = e.Sequence
+		if e.Sequence <= w.lastEnd {
+			continue // listed again until it is acknowledged
 		}
-		stored = e.Sequence
+		w.lastEnd = e.Sequence
+		w.unacked = append(w.unacked, listedEnd{e.Sequence, e.Task.Job})
+		p.ended(now, w, e)
 	}
 	p.observeRunning(now, sentAt, w, reply.Running)
 	delete(p.unheard, id)
-	return free, stored
+}
+
+// Acknowledgeable returns the highest end of a worker that may be forgotten:
+// whatever the ends up to it changed is stored.
+func (p *Planner) Acknowledgeable(id string) int64 {
+	w := p.workers[id]
+	if w == nil {
+		return 0
+	}
+	for len(w.unacked) > 0 {
+		if j := p.jobs[w.unacked[0].job]; j != nil && j.unstored {
+			break
+		}
+		w.acked = w.unacked[0].sequence
+		w.unacked = w.unacked[1:]
+	}
+	return w.acked
 }
 
 func (p *Planner) observeRunning(now, sentAt time.Duration, w *worker, states []port.RunState) {
