Placements are on record before a start, so that takeovers wait for less

The workers of an attempt are now stored before its starts are sent (150 ms at most; a slow or absent store holds nothing up), and a new owner that saw no trouble of the store for 10 s lets only the tasks wait that were placed on a silent worker. Otherwise all wait, as before.

--- /dev/null
+++ b/internal/duty/pool/held.go
@@ -0,0 +1,87 @@
+package pool
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/planner"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+// heldStart is a start that waits until its placement is stored: the next owner
+// has to know where a task may run.
+type heldStart struct {
+	order planner.Order
+	plan  int64
+	since time.Duration
+}
+
+// takeOrders sends the stops at once and holds the starts.
+func (o *Owner) takeOrders(ctx context.Context, orders []planner.Order) {
+	if len(orders) == 0 {
+		return
+	}
+	o.plans++
+	now := o.now()
+	for _, order := range orders {
+		if order.Kind == planner.OrderStart {
+			o.held = append(o.held, heldStart{order, o.plans, now})
+			continue
+		}
+		o.held = slices.DeleteFunc(o.held, func(h heldStart) bool {
+			return h.order.Task == order.Task && h.order.Run == order.Run
+		})
+		o.dispatch(ctx, order)
+	}
+}
+
+// release sends the starts whose placements the stored records hold. plan is
+// the last one that the records follow from.
+func (o *Owner) release(ctx context.Context, records []work.Record, plan int64) {
+	stored := make(map[string]bool, len(records))
+	for i := range records {
+		stored[records[i].Job.ID] = true
+	}
+	o.releaseIf(ctx, func(h *heldStart) bool { return h.plan <= plan && stored[h.order.Task.Job] })
+}
+
+// releaseOverdue sends the starts that waited long enough.
+func (o *Owner) releaseOverdue(ctx context.Context, now time.Duration) {
+	o.releaseIf(ctx, func(h *heldStart) bool {
+		overdue := now-h.since >= recordWait
+		if overdue {
+			o.log.Info("start before its placement is stored", zap.String("job", h.order.Task.Job), zap.Int64("run", h.order.Run))
+		}
+		return overdue
+	})
+}
+
+func (o *Owner) releaseIf(ctx context.Context, ready func(*heldStart) bool) {
+	kept := o.held[:0]
+	for i := range o.held {
+		if ready(&o.held[i]) {
+			o.dispatch(ctx, o.held[i].order)
+			continue
+		}
+		kept = append(kept, o.held[i])
+	}
+	o.held = kept
+}
+
+// dropHeld gives up the starts of a job that another owner wrote.
+func (o *Owner) dropHeld(job string) {
+	kept := o.held[:0]
+	for _, h := range o.held {
+		if h.order.Task.Job != job {
+			kept = append(kept, h)
+			continue
+		}
+		o.log.Info("start dropped, another owner holds the job", zap.String("job", job), zap.Int64("run", h.order.Run))
+		o.planner.Started(o.now(), h.order.Worker, h.order.Task, h.order.Run, port.RejectedFence)
+	}
+	o.held = kept
+}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -35,6 +35,12 @@
 	// formerLearns is how long a former owner may go on as if it still owned the
 	// pool: its next beat, with a store at its slowest, tells it.
 	formerLearns = 2500 * time.Millisecond
+	// settledAfter is how long the store must have served this instance without
+	// a failure for a former owner's placements to be taken as complete.
+	settledAfter = 10 * time.Second
+	// recordWait is how long a start waits for its placement to be stored; the
+	// store takes 12 ms at its usual speed. While it is slow or away, starts go on.
+	recordWait = 150 * time.Millisecond
 	// planEvery is how often waiting work is looked at without an event.
 	planEvery = 100 * time.Millisecond
 )
@@ -108,6 +114,8 @@
 	deposed  context.CancelFunc
 	beatAt   atomic.Int64 // when the last confirmed beat was sent, on Now's clock
 	storing  storing
+	held     []heldStart
+	plans    int64 // counts the plans, to order starts and records
 	lastLoop time.Duration
 	confirm  time.Duration // a beat must be confirmed after this before starts go on
 	config   *work.Config
@@ -222,7 +230,9 @@
 	if o.formerGone {
 		newcomersAt = o.startedAt
 	}
-	o.planner.Recover(registryAt, newcomersAt)
+	recorded := o.deps.Replica.QuietFor() > settledAfter && o.deps.Latency() < slowStore
+	o.log.Info("recovery begins", zap.Bool("placements_complete", recorded), zap.Duration("store_quiet_for", o.deps.Replica.QuietFor()))
+	o.planner.Recover(registryAt, newcomersAt, recorded)
 }
 
 func (o *Owner) addJob(v *replica.JobView, inherited bool) {
@@ -294,12 +304,11 @@
 	o.applyConfig()
 	o.expire(now)
 	if beat := time.Duration(o.beatAt.Load()); beat >= o.confirm && now-beat < renewWithout {
-		for _, order := range o.planner.Plan(now) {
-			o.dispatch(ctx, order)
-		}
+		o.takeOrders(ctx, o.planner.Plan(now))
 	}
 	o.logNotes()
 	o.storeChanged(ctx)
+	o.releaseOverdue(ctx, now)
 	o.planner.Forget()
 }
 
@@ -358,6 +367,6 @@
 	case evWorkers:
 		o.changeWorkers(ctx, ev)
 	case evStored:
-		o.storedDone(ev.stored)
+		o.storedDone(ctx, ev.stored)
 	}
 }
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -41,6 +41,7 @@
 type storedResult struct {
 	part    string
 	records []work.Record
+	plan    int64
 	version int64
 	err     error
 }
@@ -82,7 +83,8 @@
 
 func (o *Owner) begin(ctx context.Context, part string, records []work.Record, txn port.RowTxn) {
 	o.storing.busy[part] = true
-	o.tasks.Go(func() { o.commit(ctx, part, records, txn) })
+	plan := o.plans
+	o.tasks.Go(func() { o.commit(ctx, storedResult{part: part, records: records, plan: plan}, txn) })
 }
 
 func (o *Owner) transaction(records []work.Record) (port.RowTxn, error) {
@@ -117,24 +119,25 @@
 func (o *Owner) epochKey() port.RowKey { return replica.PoolKey(o.pool, replica.EpochKey) }
 
 // commit sends a transaction until its outcome is known.
-func (o *Owner) commit(ctx context.Context, part string, records []work.Record, txn port.RowTxn) {
+func (o *Owner) commit(ctx context.Context, result storedResult, txn port.RowTxn) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
 		version, err := o.deps.Store.Commit(call, txn)
 		cancel()
 		var conflict *port.RowConflict
 		if err == nil || errors.As(err, &conflict) {
-			o.send(ctx, event{kind: evStored, stored: storedResult{part, records, version, err}})
+			result.version, result.err = version, err
+			o.send(ctx, event{kind: evStored, stored: result})
 			return
 		}
 		if ctx.Err() == nil {
-			o.log.Warn("jobs not stored yet", zap.String("part", part), zap.Int("jobs", len(records)), zap.Error(err))
+			o.log.Warn("jobs not stored yet", zap.String("part", result.part), zap.Int("jobs", len(result.records)), zap.Error(err))
 		}
 		_ = wait.For(ctx, storePause) // ends early only with ctx, which the loop checks
 	}
 }
 
-func (o *Owner) storedDone(r storedResult) {
+func (o *Owner) storedDone(ctx context.Context, r storedResult) {
 	st := &o.storing
 	delete(st.busy, r.part)
 	var conflict *port.RowConflict
@@ -154,6 +157,7 @@
 		}
 		o.log.Info("job stored", zap.String("job", rec.Job.ID), zap.String("state", string(rec.State)), zap.Int64("version", r.version))
 	}
+	o.release(ctx, r.records, r.plan)
 	for id, s := range o.sessions {
 		s.acknowledge(o.planner.Acknowledgeable(id))
 	}
@@ -181,6 +185,7 @@
 			o.log.Error("job's row can't be read", zap.String("job", rec.Job.ID), zap.Error(err))
 			continue
 		}
+		o.dropHeld(rec.Job.ID)
 		o.log.Info("job stored by another owner too", zap.String("job", rec.Job.ID), zap.Int64("version", row.Version))
 		o.planner.Merge(o.now(), other)
 	}
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -106,13 +106,14 @@
 	version   int64         // of the store, up to which changes are in
 	advanced  chan struct{} // closed when version grows
 	seenAt    time.Duration
-	// failedAt is when the store was last found not to answer.
+	// failedAt is when the store was last found not to answer. A new copy
+	// begins with its creation, as it can't tell what was before.
 	failedAt time.Duration
 }
 
 // New returns an empty copy.
 func New(store port.RowStore, log *zap.Logger, now func() time.Duration) *Replica {
-	r := &Replica{store: store, log: log, now: now, subs: map[*Subscription]struct{}{}, advanced: make(chan struct{})}
+	r := &Replica{store: store, log: log, now: now, subs: map[*Subscription]struct{}{}, failedAt: now(), advanced: make(chan struct{})}
 	r.reset()
 	return r
 }
@@ -144,11 +145,17 @@
 func (r *Replica) list(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
+	// The feed goes on from before the parts were listed: a part that is new
+	// since then is not read here.
+	_, after, err := r.store.Scan(ctx, Table, "", "", "")
+	if err != nil {
+		return 0, err
+	}
 	parts, err := r.store.Parts(ctx, Table)
 	if err != nil {
 		return 0, err
 	}
-	rows, after, err := r.scanParts(ctx, append(parts, ""))
+	rows, err := r.scanParts(ctx, append(parts, ""))
 	if err != nil {
 		return 0, err
 	}
@@ -172,27 +179,23 @@
 	return feedWait
 }
 
-// scanParts reads parts side by side and returns the oldest of their versions.
-func (r *Replica) scanParts(ctx context.Context, parts []string) ([]port.VersionedRow, int64, error) {
+// scanParts reads parts side by side.
+func (r *Replica) scanParts(ctx context.Context, parts []string) ([]port.VersionedRow, error) {
 	var mu sync.Mutex
 	var rows []port.VersionedRow
-	oldest := int64(-1)
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(scansAtOnce)
 	for _, part := range parts {
 		group.Go(func() error {
-			list, version, err := r.store.Scan(ctx, Table, part, "", "")
+			list, _, err := r.store.Scan(ctx, Table, part, "", "")
 			mu.Lock()
 			defer mu.Unlock()
 			rows = append(rows, list...)
-			if oldest < 0 || version < oldest {
-				oldest = version
-			}
 			return err
 		})
 	}
 	err := group.Wait()
-	return rows, oldest, err
+	return rows, err
 }
 
 func (r *Replica) watch(ctx context.Context, after int64) (int64, error) {
@@ -353,6 +356,13 @@
 	return r.ready
 }
 
+// QuietFor returns how long the store has answered without a failure.
+func (r *Replica) QuietFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.now() - r.failedAt
+}
+
 // Age returns the time since the store was last heard.
 func (r *Replica) Age() time.Duration {
 	r.mu.Lock()
--- a/internal/fake/rows.go
+++ b/internal/fake/rows.go
@@ -33,6 +33,9 @@
 // SetFaults changes how the store misbehaves.
 func (r *Rows) SetFaults(f Faults) { r.set(f) }
 
+// Healthy reports whether no fault is set.
+func (r *Rows) Healthy() bool { return r.get() == Faults{} }
+
 // Compact drops the feed's history.
 func (r *Rows) Compact() {
 	r.mu.Lock()
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -63,7 +63,7 @@
 			job: j, step: step, first: k * size, count: size,
 			nextRun: p.firstRun, runs: map[int]*run{}, readyAt: now,
 			failed: slices.Clone(progress.Failures[k*size]), saved: progress.Checkpoints[k*size],
-			inherited: inherited, newcomer: !inherited && p.recovering,
+			placed: progress.Placed[k*size], inherited: inherited, newcomer: !inherited && p.recovering,
 		}
 		if slices.Contains(progress.Done, u.first) {
 			u.phase = unitDone
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		for _, u := range j.units {
-			if u.phase != unitReady || now < u.notBefore || u.inherited || (u.newcomer && now < p.newcomersAt) {
+			if u.phase != unitReady || now < u.notBefore || p.awaited(u, now) {
 				continue
 			}
 			out = append(out, ranked{u, p.score(u, now)})
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -91,6 +91,8 @@
 	number := u.nextRun
 	u.nextRun++
 	u.phase = unitActive
+	u.placed = nil
+	p.touch(u.job)
 	index := u.first
 	for _, pl := range out {
 		for range pl.count {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -169,3 +169,51 @@
 	must.Eq(t, []int64{7}, merged.Failures[2])
 	must.EqOp(t, 1, count(r.plan(), OrderStop)) // the copy of task 1
 }
+
+// recovering returns a rig of an owner under epoch 2 that has heard no worker.
+func recovering(t *testing.T, workers int) *rig {
+	r := &rig{t: t, p: New(Settings{ReclaimWithin: 3 * time.Second}, 2), now: time.Second, run: map[work.TaskID]Order{}, seq: map[string]int64{}}
+	for i := range workers {
+		r.p.PutWorker(work.Worker{ID: fmt.Sprintf("w%02d", i), Rack: "r0", Room: work.Resources{CPU: 64000, MemMB: 128000, Accel: 8}})
+	}
+	r.p.Recover(r.now, r.now, true)
+	return r
+}
+
+func (r *rig) hear(worker string, running ...port.RunState) {
+	r.p.Observe(r.now, r.now, worker, port.HoldReply{Running: running})
+}
+
+// A gang whose workers are heard one by one is neither preempted in part nor
+// started anew while members of its former attempt run.
+func TestGangOfFormerOwnerIsAdoptedWhole(t *testing.T) {
+	r := recovering(t, 4)
+	rec := r.job("gang", 1, gangOf(2, 8, 9))
+	rec.State = work.Running
+	rec.Steps = []work.StepProgress{{Placed: map[int][]string{0: {"w00", "w01"}}}}
+	r.p.AddJob(r.now, 0, rec, true)
+	r.hear("w00", port.RunState{Task: work.TaskID{Job: "gang", Index: 0}, Run: 1})
+	r.add(r.job("urgent", 0, step(1, 8, 1)))
+	must.EqOp(t, 0, count(r.plan(), OrderStop))
+	r.hear("w01", port.RunState{Task: work.TaskID{Job: "gang", Index: 1}, Run: 1})
+	r.hear("w02")
+	r.hear("w03")
+	for _, o := range r.plan() {
+		must.EqOp(t, "urgent", o.Task.Job)
+	}
+}
+
+// A run that can't be adopted holds its task back until it has ended.
+func TestStrayRunHoldsItsTaskBack(t *testing.T) {
+	r := recovering(t, 2)
+	r.p.AddJob(r.now, 0, r.job("a", 1, gangOf(2, 1, 9)), true)
+	r.hear("w00", port.RunState{Task: work.TaskID{Job: "a", Index: 0}, Run: 1})
+	r.hear("w01", port.RunState{Task: work.TaskID{Job: "a", Index: 1}, Run: 2}) // of another attempt
+	must.EqOp(t, 0, starts(r.plan()))
+	r.p.Observe(r.now, r.now, "w00", port.HoldReply{Ended: []port.RunEnd{
+		{Sequence: 1, Task: work.TaskID{Job: "a", Index: 0}, Run: 1, Kind: port.EndStopped}}})
+	must.EqOp(t, 0, starts(r.plan()))
+	r.p.Observe(r.now, r.now, "w01", port.HoldReply{Ended: []port.RunEnd{
+		{Sequence: 1, Task: work.TaskID{Job: "a", Index: 1}, Run: 2, Kind: port.EndStopped}}})
+	must.EqOp(t, 2, starts(r.plan()))
+}
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -129,7 +129,7 @@
 }
 
 func (m *roomMaker) mayStop(victim *unit) bool {
-	if victim.phase != unitActive || victim.spec().LongLived {
+	if victim.phase != unitActive || victim.spec().LongLived || m.p.awaited(victim, m.v.now) {
 		return false
 	}
 	mine, theirs := &m.u.job.rec.Job, &victim.job.rec.Job
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -82,6 +82,8 @@
 	stopSent  bool
 	// inherited units may run on workers that this owner hasn't heard yet.
 	inherited bool
+	// placed names the workers on which a former owner's attempt may run.
+	placed []string
 	// newcomer units arrived during the recovery: a former owner that doesn't
 	// know of its end may start them until newcomersAt.
 	newcomer  bool
@@ -207,6 +209,9 @@
 	// registryAt is when the registry can be trusted to name every worker.
 	registryAt time.Duration
 	recovering bool
+	// recorded says that a former owner's placements are all on record, so that
+	// a unit waits for the workers of its own attempt only.
+	recorded bool
 	// newcomersAt is when a former owner has surely heard of the takeover.
 	newcomersAt time.Duration
 	queueMean   map[string]*mean
@@ -302,6 +307,12 @@
 				}
 				s.Failures[u.first] = slices.Clone(u.failed)
 			}
+			if workers := u.workers(); len(workers) > 0 {
+				if s.Placed == nil {
+					s.Placed = map[int][]string{}
+				}
+				s.Placed[u.first] = workers
+			}
 			if u.saved != "" {
 				if s.Checkpoints == nil {
 					s.Checkpoints = map[int]string{}
@@ -313,6 +324,16 @@
 	return rec
 }
 
+// workers names those that the unit's runs are on, or may be.
+func (u *unit) workers() []string {
+	out := slices.Clone(u.placed)
+	for _, r := range u.runs {
+		out = append(out, r.worker.info.ID)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // Waste returns the core-seconds lost so far, by cause.
 func (p *Planner) Waste() map[string]float64 { return p.waste }
 
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -35,9 +35,10 @@
 
 // Recover makes inherited jobs wait until every worker that is listed by
 // registryAt was heard or lost: a former owner's tasks may run there. Jobs that
-// arrive meanwhile wait until newcomersAt at most.
-func (p *Planner) Recover(registryAt, newcomersAt time.Duration) {
-	p.recovering, p.registryAt, p.newcomersAt = true, registryAt, newcomersAt
+// arrive meanwhile wait until newcomersAt at most. With recorded, the stored
+// placements are complete, and jobs wait for the workers of their own attempts.
+func (p *Planner) Recover(registryAt, newcomersAt time.Duration, recorded bool) {
+	p.recovering, p.registryAt, p.newcomersAt, p.recorded = true, registryAt, newcomersAt, recorded
 	for id := range p.workers {
 		p.unheard[id] = true
 	}
@@ -216,6 +217,7 @@
 	if u != nil {
 		r.need = u.spec().Need
 		u.nextRun = max(u.nextRun, s.Run+1)
+		p.awaitEnd(u, r, now)
 	}
 	w.runs[s.Task] = r
 	w.free = w.free.Sub(r.need)
@@ -223,6 +225,21 @@
 	p.stopRun(r, "stray")
 }
 
+// awaitEnd keeps the unit from being placed until a run that can't be adopted
+// has ended.
+func (p *Planner) awaitEnd(u *unit, r *run, now time.Duration) {
+	if u.phase == unitDone || u.phase == unitDead || u.runs[r.task.Index] != nil {
+		return
+	}
+	if u.phase == unitActive { // a gang of which another attempt is partly there
+		p.giveUp(u, now)
+		p.stopUnit(u, now, "incomplete gang")
+	}
+	r.unit = u
+	u.runs[r.task.Index] = r
+	u.phase, u.clearedAt, u.stopSent, u.claim = unitClearing, now, true, nil
+}
+
 // accepts reports whether a listed run can be this unit's present attempt.
 func (u *unit) accepts(s *port.RunState) bool {
 	switch u.phase {
@@ -239,6 +256,23 @@
 	return false
 }
 
+// awaited reports whether a former owner's attempt of the unit may run on a
+// worker that wasn't heard yet.
+func (p *Planner) awaited(u *unit, now time.Duration) bool {
+	if !p.recovering {
+		return false
+	}
+	if !p.recorded {
+		return u.inherited || (u.newcomer && now < p.newcomersAt)
+	}
+	for _, id := range u.placed {
+		if p.unheard[id] || (p.workers[id] == nil && now < p.registryAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // finishRecovery, once no worker is left to hear, gives up gangs of which a
 // former owner's run is only partly there, and lets inherited units be placed.
 func (p *Planner) finishRecovery(now time.Duration) {
@@ -249,7 +283,7 @@
 	p.note(Note{Event: "recovery finished", Count: len(p.workers)})
 	for _, j := range p.open {
 		for _, u := range j.units {
-			u.inherited, u.newcomer = false, false
+			u.inherited, u.newcomer, u.placed = false, false, nil
 			if u.phase == unitActive && len(u.runs) < u.count {
 				p.giveUp(u, now)
 				u.stopSent = true
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -142,6 +142,9 @@
 	Failures map[int][]int64 `cbor:"2,keyasint,omitempty"`
 	// Checkpoints holds the last checkpoint by task; a gang's is under task 0.
 	Checkpoints map[int]string `cbor:"3,keyasint,omitempty"`
+	// Placed names the workers of the present attempt by task; a gang's are
+	// under task 0. It is stored before the attempt's starts are sent.
+	Placed map[int][]string `cbor:"4,keyasint,omitempty"`
 }
 
 // Record is a job's row in the store.
