--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -78,6 +78,7 @@
 	evReport eventKind = iota + 1
 	evReborn
 	evUnreachable
+	evTried
 	evStarted
 	evUnanswered
 	evStopped
@@ -354,6 +355,8 @@
 		o.logEnds(id, ev.reply.Ended)
 	case evReborn:
 		o.planner.Reborn(now, id)
+	case evTried:
+		o.planner.Tried(id)
 	case evUnreachable:
 		o.planner.SetReachable(id, false)
 	case evStarted:
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -52,6 +52,7 @@
 	sameLife   bool
 	lastHeard  time.Duration
 	reachable  bool
+	tried      bool          // a call was answered or failed
 	progressed chan struct{} // signalled when acknowledged grows
 }
 
@@ -155,11 +156,16 @@
 	}
 	s.mu.Lock()
 	silent := s.owner.now() - s.lastHeard
+	first := !s.tried
+	s.tried = true
 	lost := s.reachable && silent >= unreachableAfter
 	if lost {
 		s.reachable = false
 	}
 	s.mu.Unlock()
+	if first {
+		s.owner.post(event{kind: evTried, session: s})
+	}
 	if lost {
 		s.owner.log.Warn("worker silent", zap.String("worker", s.target.ID), zap.Duration("silent", silent), zap.Error(err))
 		s.owner.post(event{kind: evUnreachable, session: s})
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -217,3 +217,16 @@
 		{Sequence: 1, Task: work.TaskID{Job: "a", Index: 1}, Run: 2, Kind: port.EndStopped}}})
 	must.EqOp(t, 2, starts(r.plan()))
 }
+
+// A start may have been sent before its placement was stored; workers that
+// answer tell of it.
+func TestRecoveryHearsEveryWorkerThatAnswers(t *testing.T) {
+	r := recovering(t, 3)
+	r.p.AddJob(r.now, 0, r.job("a", 1, step(1, 1, 9)), true)
+	r.hear("w00")
+	r.p.Tried("w02")
+	must.EqOp(t, 0, starts(r.plan()))
+	r.hear("w01", port.RunState{Task: work.TaskID{Job: "a"}, Run: 1})
+	must.EqOp(t, 0, starts(r.plan()))
+	must.EqOp(t, work.Running, r.p.TakeChanged()[0].State)
+}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -209,6 +209,8 @@
 	// registryAt is when the registry can be trusted to name every worker.
 	registryAt time.Duration
 	recovering bool
+	// untried holds the workers that haven't answered or failed to answer once.
+	untried map[string]bool
 	// recorded says that a former owner's placements are all on record, so that
 	// a unit waits for the workers of its own attempt only.
 	recorded bool
@@ -246,7 +248,7 @@
 		workers:   map[string]*worker{},
 		jobs:      map[string]*job{},
 		guarantee: map[string]int64{},
-		unheard:   map[string]bool{},
+		unheard:   map[string]bool{}, untried: map[string]bool{},
 		queueMean: map[string]*mean{},
 		waste:     map[string]float64{},
 	}
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -40,10 +40,13 @@
 func (p *Planner) Recover(registryAt, newcomersAt time.Duration, recorded bool) {
 	p.recovering, p.registryAt, p.newcomersAt, p.recorded = true, registryAt, newcomersAt, recorded
 	for id := range p.workers {
-		p.unheard[id] = true
+		p.unheard[id], p.untried[id] = true, true
 	}
 }
 
+// Tried says that the worker's first answer is missing.
+func (p *Planner) Tried(id string) { delete(p.untried, id) }
+
 // SetReachable says whether the worker answers.
 func (p *Planner) SetReachable(id string, reachable bool) {
 	if w := p.workers[id]; w != nil {
@@ -73,6 +76,7 @@
 	}
 	p.note(Note{Event: "worker lost", Worker: id, Count: n, Detail: why})
 	delete(p.unheard, id)
+	delete(p.untried, id)
 	w.health = health{}
 	if forget {
 		delete(p.workers, id)
@@ -129,6 +133,7 @@
 	}
 	p.observeRunning(now, sentAt, w, reply.Running)
 	delete(p.unheard, id)
+	delete(p.untried, id)
 }
 
 // Acknowledgeable returns the highest end of a worker that may be forgotten:
@@ -262,6 +267,9 @@
 	if !p.recovering {
 		return false
 	}
+	if len(p.untried) > 0 && (u.inherited || u.newcomer) {
+		return true
+	}
 	if !p.recorded {
 		return u.inherited || (u.newcomer && now < p.newcomersAt)
 	}
