A job's row goes to another of its three places when its part is away

Failures of parts no longer count as an outage; submissions, cancellations and records go to another place, records are ordered by sequence, and a copy that misses parts leaves alone what it can't know: jobs that may have a row there wait, ends of unknown jobs are kept.

--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -36,13 +36,22 @@
 	replica *replica.Replica
 	log     *zap.Logger
 	config  atomic.Pointer[work.Config]
-	outage  func() time.Duration
+	health  Health
 }
 
-// New returns an intake without a configuration. outage tells for how long the
-// store has been away, 0 where it answers.
-func New(store port.RowStore, outage func() time.Duration, rep *replica.Replica, log *zap.Logger) *Intake {
-	return &Intake{store: store, outage: outage, replica: rep, log: log}
+// Health tells what is known of the store's present state.
+type Health interface {
+	// Outage is for how long the store has been away, 0 where it answers.
+	Outage() time.Duration
+	// PartDown reports whether a part failed lately.
+	PartDown(part string) bool
+	// Patience is how long a call may take before it counts as unanswered.
+	Patience() time.Duration
+}
+
+// New returns an intake without a configuration.
+func New(store port.RowStore, health Health, rep *replica.Replica, log *zap.Logger) *Intake {
+	return &Intake{store: store, health: health, replica: rep, log: log}
 }
 
 // SetConfig puts a configuration into force, unless a newer one is.
@@ -119,7 +128,7 @@
 		in.log.Info("job rejected", zap.String("job", id), zap.String("queue", q.Name), zap.Error(err))
 		return err
 	}
-	if away := in.outage(); away > 0 {
+	if away := in.health.Outage(); away > 0 {
 		in.log.Info("job rejected", zap.String("job", id), zap.String("queue", q.Name), zap.String("why", "the store is away"), zap.Duration("away", away))
 		return errAway
 	}
@@ -127,10 +136,11 @@
 	if err != nil {
 		return err
 	}
-	key := replica.JobKey(q.Pool, id)
-	version, err := in.commit(ctx, port.RowTxn{
-		Expect: map[port.RowKey]int64{key: 0},
-		Puts:   map[port.RowKey][]byte{key: value},
+	version, err := in.commit(ctx, replica.JobKeys(q.Pool, id), func(key port.RowKey) port.RowTxn {
+		return port.RowTxn{
+			Expect: map[port.RowKey]int64{key: 0},
+			Puts:   map[port.RowKey][]byte{key: value},
+		}
 	})
 	if fault.Is(err, fault.Conflict) {
 		in.log.Info("job known already", zap.String("job", id), zap.String("queue", q.Name))
@@ -149,19 +159,21 @@
 // errAway rejects a job before anything of it was sent.
 var errAway = &fault.RetryError{After: awayRetryAfter, Err: fault.New(fault.Unavailable, "the store is away")}
 
-// commit sends a conditional transaction until its outcome is known or ctx
-// ends.
-func (in *Intake) commit(ctx context.Context, txn port.RowTxn) (int64, error) {
+// commit sends a transaction, to one place after another as parts fail, until
+// its outcome is known or ctx ends. Rows in several places are one job's.
+func (in *Intake) commit(ctx context.Context, places []port.RowKey, txn func(port.RowKey) port.RowTxn) (int64, error) {
 	uncertain := false
-	for {
-		call, cancel := context.WithTimeout(ctx, commitTimeout)
-		version, err := in.store.Commit(call, txn)
+	for try := 0; ; try++ {
+		key := in.place(places, try)
+		call, cancel := context.WithTimeout(ctx, min(commitTimeout, 2*in.health.Patience()))
+		version, err := in.store.Commit(call, txn(key))
 		cancel()
 		var conflict *port.RowConflict
 		if err == nil || errors.As(err, &conflict) {
 			return version, err
 		}
 		uncertain = uncertain || !(fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Overloaded))
+		in.log.Info("commit not answered", zap.String("part", key.Part), zap.String("key", key.Key), zap.Int("try", try), zap.Error(err))
 		if waitErr := wait.For(ctx, resendPause); waitErr != nil {
 			if uncertain {
 				return 0, fault.Wrap(fault.Uncertain, "the store's answer is missing", err)
@@ -171,22 +183,40 @@
 	}
 }
 
+// place chooses where a try goes: to the next place whose part isn't known to
+// fail, the usual one first.
+func (in *Intake) place(places []port.RowKey, try int) port.RowKey {
+	for k := range places {
+		key := places[(try+k)%len(places)]
+		if !in.health.PartDown(key.Part) {
+			return key
+		}
+	}
+	return places[try%len(places)]
+}
+
 // find returns a job by the copy or, where that doesn't know it, by the store.
 func (in *Intake) find(ctx context.Context, q *work.Queue, id string) (replica.JobView, error) {
 	if v, ok := in.replica.Job(id); ok {
 		return v, nil
 	}
-	key := replica.JobKey(q.Pool, id)
-	rows, _, err := in.store.Scan(ctx, key.Table, key.Part, key.Key, key.Key+"\x00")
-	if err != nil {
-		return replica.JobView{}, err
+	var failed error
+	for _, key := range replica.JobKeys(q.Pool, id) {
+		rows, _, err := in.store.Scan(ctx, key.Table, key.Part, key.Key, key.Key+"\x00")
+		if err != nil {
+			failed = err
+			continue
+		}
+		if len(rows) > 0 {
+			var v replica.JobView
+			err := work.Decode(rows[0].Value, &v.Record)
+			return v, err
+		}
 	}
-	if len(rows) == 0 {
-		return replica.JobView{}, fault.New(fault.NotFound, "no such job")
+	if failed != nil {
+		return replica.JobView{}, failed
 	}
-	v := replica.JobView{Version: rows[0].Version}
-	err = work.Decode(rows[0].Value, &v.Record)
-	return v, err
+	return replica.JobView{}, fault.New(fault.NotFound, "no such job")
 }
 
 // State returns a job's state. It fails with fault.NotFound, or with what the
@@ -212,8 +242,8 @@
 	if v.Cancelled || v.Record.State.Ended() {
 		return nil
 	}
-	version, err := in.commit(ctx, port.RowTxn{
-		Puts: map[port.RowKey][]byte{replica.CancelKey(v.Record.Job.Pool, id): {1}},
+	version, err := in.commit(ctx, replica.CancelKeys(v.Record.Job.Pool, id), func(key port.RowKey) port.RowTxn {
+		return port.RowTxn{Puts: map[port.RowKey][]byte{key: {1}}}
 	})
 	if err != nil {
 		in.log.Warn("cancellation not stored", zap.String("job", id), zap.Error(err))
--- a/internal/duty/intake/intake_test.go
+++ b/internal/duty/intake/intake_test.go
@@ -33,7 +33,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); rep.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	in := New(store, store.Outage, rep, zap.NewNop())
+	in := New(store, store, rep, zap.NewNop())
 	in.SetConfig(&work.Config{Version: 1, Queues: []work.Queue{
 		{Name: "q", Host: "h", Prefix: "/a/", Pool: "p"}, {Name: "deep", Host: "h", Prefix: "/a/b/", Pool: "p", Anonymous: true},
 	}, Workspaces: []work.Workspace{{Name: "ws", Keys: []string{"key"}}}})
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -41,6 +41,9 @@
 	// recordWait is how long a start waits for its placement to be stored; the
 	// store takes 12 ms at its usual speed. While it is slow or away, starts go on.
 	recordWait = 150 * time.Millisecond
+	// knownWithin is the age from which a job that becomes known may have been
+	// started by an earlier owner.
+	knownWithin = 2 * time.Second
 	// planEvery is how often waiting work is looked at without an event.
 	planEvery = 100 * time.Millisecond
 )
@@ -59,6 +62,8 @@
 	LongestLease time.Duration
 	// Latency tells what the store's calls take at present.
 	Latency func() time.Duration
+	// PartDown reports whether a part of the store failed lately.
+	PartDown func(part string) bool
 	// Config returns the configuration in force, nil where there is none.
 	Config func() *work.Config
 	// Name and Incarnation tell this instance from its peers and former lives.
@@ -116,7 +121,8 @@
 	beatAt   atomic.Int64 // when the last confirmed beat was sent, on Now's clock
 	storing  storing
 	held     []heldStart
-	plans    int64 // counts the plans, to order starts and records
+	deferred map[string]bool // jobs of which a row may be missing
+	plans    int64           // counts the plans, to order starts and records
 	lastLoop time.Duration
 	confirm  time.Duration // a beat must be confirmed after this before starts go on
 	config   *work.Config
@@ -131,6 +137,7 @@
 		planner:   planner.New(deps.Settings, epoch),
 		sessions:  map[string]*session{},
 		starts:    map[runKey]context.CancelFunc{},
+		deferred:  map[string]bool{},
 		events:    make(chan event, eventsHeld),
 		startedAt: deps.Now(),
 		done:      make(chan struct{}),
@@ -237,20 +244,64 @@
 }
 
 func (o *Owner) addJob(v *replica.JobView, inherited bool) {
-	if v.Record.State.Ended() || o.storing.versions[v.Record.Job.ID] >= v.Version {
+	id := v.Record.Job.ID
+	if v.Record.State.Ended() || o.storing.seen[id] {
+		return
+	}
+	if o.deps.Replica.Uncertain(o.pool, id) {
+		o.log.Info("job deferred, a row of it may be in a part that is away", zap.String("job", id))
+		o.deferred[id] = true
 		return
 	}
+	o.storing.seen[id] = true
 	now := o.now()
-	id := v.Record.Job.ID
-	o.storing.versions[id] = v.Version
+	for _, row := range v.Rows {
+		o.storing.versions[rowOf{row.Part, id}] = row.Version
+	}
 	age := max(o.deps.Store.Now()-v.Record.Job.SubmittedAt, 0)
 	o.planner.AddJob(now, age, v.Record, inherited)
-	o.log.Info("job queued", zap.String("job", id), zap.Duration("age", age), zap.Int64("version", v.Version), zap.Bool("inherited", inherited))
+	o.log.Info("job queued", zap.String("job", id), zap.Duration("age", age), zap.Int64("sequence", v.Record.Sequence), zap.Bool("inherited", inherited))
+	if !inherited && (v.Record.Sequence > 0 || age > knownWithin) {
+		o.planner.HoldBack(id, now)
+	}
+	for i := range v.Rows {
+		if v.Rows[i].Record.Sequence != v.Record.Sequence {
+			o.planner.Merge(now, v.Rows[i].Record)
+		}
+	}
 	if v.Cancelled {
 		o.planner.Cancel(id, now)
 	}
 }
 
+// takeJobs takes in what the copy told since the last time. Whether the copy is
+// complete is asked first: what it told before that is all that was missing.
+func (o *Owner) takeJobs(sub *replica.Subscription) {
+	complete := o.deps.Replica.Complete()
+	for _, v := range sub.Take() {
+		o.addJob(&v, false)
+		if v.Cancelled {
+			o.planner.Cancel(v.Record.Job.ID, o.now())
+		}
+	}
+	o.addDeferred()
+	o.planner.SetPartial(!complete)
+}
+
+// addDeferred takes in the jobs whose rows can be read by now. What runs of
+// them is seen by the next holds.
+func (o *Owner) addDeferred() {
+	for id := range o.deferred {
+		if o.deps.Replica.Uncertain(o.pool, id) {
+			continue
+		}
+		delete(o.deferred, id)
+		if v, ok := o.deps.Replica.Job(id); ok {
+			o.addJob(&v, false)
+		}
+	}
+}
+
 func (o *Owner) applyConfig() {
 	if c := o.deps.Config(); c != nil && c != o.config {
 		o.config = c
@@ -272,12 +323,7 @@
 		case <-ctx.Done():
 			return
 		}
-		for _, v := range sub.Take() {
-			o.addJob(&v, false)
-			if v.Cancelled {
-				o.planner.Cancel(v.Record.Job.ID, o.now())
-			}
-		}
+		o.takeJobs(sub)
 		o.step(ctx)
 	}
 }
--- a/internal/duty/pool/pool_test.go
+++ b/internal/duty/pool/pool_test.go
@@ -302,7 +302,7 @@
 }
 
 func (w *world) cancelled(id string) bool {
-	key := replica.CancelKey(testPool, id)
+	key := replica.CancelKeys(testPool, id)[0]
 	rows, _, err := w.store.Scan(context.Background(), key.Table, key.Part, key.Key, key.Key+"\x00")
 	return err == nil && len(rows) > 0
 }
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -31,13 +31,19 @@
 // storing is the owner's state of writing job records. A part has one
 // transaction under way at a time; what changes meanwhile goes into the next.
 type storing struct {
-	versions map[string]int64 // of job rows, by job
+	seen     map[string]bool // jobs taken in
+	versions map[rowOf]int64
+	sequence int64            // of the last record
+	latest   map[string]int64 // sequence of each job's last record
 	pending  map[string]work.Record
 	busy     map[string]bool // parts with a transaction under way
 	// workersChanged is set while the stored list of workers is out of date.
 	workersChanged bool
 }
 
+// rowOf names a job's row in a part.
+type rowOf struct{ part, job string }
+
 type storedResult struct {
 	part    string
 	records []work.Record
@@ -47,7 +53,9 @@
 }
 
 func (st *storing) init() {
-	st.versions = map[string]int64{}
+	st.seen = map[string]bool{}
+	st.versions = map[rowOf]int64{}
+	st.latest = map[string]int64{}
 	st.pending = map[string]work.Record{}
 	st.busy = map[string]bool{}
 }
@@ -58,18 +66,21 @@
 		if rec.State.Ended() {
 			rec.EndedAt = o.deps.Store.Now()
 		}
+		st.sequence++
+		rec.Sequence = o.epoch<<32 | st.sequence
+		st.latest[rec.Job.ID] = rec.Sequence
 		st.pending[rec.Job.ID] = rec
 	}
 	byPart := map[string][]work.Record{}
 	for id, rec := range st.pending {
-		part := replica.JobKey(o.pool, id).Part
+		part := o.placeOf(id)
 		if !st.busy[part] && len(byPart[part]) < rowsPerCommit {
 			byPart[part] = append(byPart[part], rec)
 			delete(st.pending, id)
 		}
 	}
 	for part, records := range byPart {
-		txn, err := o.transaction(records)
+		txn, err := o.transaction(part, records)
 		if err != nil {
 			o.log.Error("records can't be encoded", zap.Error(err))
 			continue
@@ -87,7 +98,19 @@
 	o.tasks.Go(func() { o.commit(ctx, storedResult{part: part, records: records, plan: plan}, txn) })
 }
 
-func (o *Owner) transaction(records []work.Record) (port.RowTxn, error) {
+// placeOf chooses the part that a job's record goes to: the usual one, unless it
+// is away.
+func (o *Owner) placeOf(id string) string {
+	keys := replica.JobKeys(o.pool, id)
+	for _, key := range keys {
+		if !o.deps.PartDown(key.Part) {
+			return key.Part
+		}
+	}
+	return keys[0].Part
+}
+
+func (o *Owner) transaction(part string, records []work.Record) (port.RowTxn, error) {
 	txn := port.RowTxn{Expect: map[port.RowKey]int64{}, Puts: map[port.RowKey][]byte{}}
 	for i := range records {
 		id := records[i].Job.ID
@@ -95,8 +118,9 @@
 		if err != nil {
 			return txn, err
 		}
-		key := replica.JobKey(o.pool, id)
-		txn.Expect[key] = o.storing.versions[id]
+		key := replica.JobKeys(o.pool, id)[0]
+		key.Part = part
+		txn.Expect[key] = o.storing.versions[rowOf{part, id}]
 		txn.Puts[key] = value
 	}
 	return txn, nil
@@ -118,22 +142,25 @@
 
 func (o *Owner) epochKey() port.RowKey { return replica.PoolKey(o.pool, replica.EpochKey) }
 
-// commit sends a transaction until its outcome is known.
+// commit sends a transaction until its outcome is known or its part is away.
 func (o *Owner) commit(ctx context.Context, result storedResult, txn port.RowTxn) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
 		version, err := o.deps.Store.Commit(call, txn)
 		cancel()
 		var conflict *port.RowConflict
-		if err == nil || errors.As(err, &conflict) {
+		known := err == nil || errors.As(err, &conflict)
+		if !known {
+			if ctx.Err() == nil {
+				o.log.Warn("jobs not stored yet", zap.String("part", result.part), zap.Int("jobs", len(result.records)), zap.Error(err))
+			}
+			_ = wait.For(ctx, storePause) // ends early only with ctx, which the loop checks
+		}
+		if known || o.deps.PartDown(result.part) {
 			result.version, result.err = version, err
 			o.send(ctx, event{kind: evStored, stored: result})
 			return
 		}
-		if ctx.Err() == nil {
-			o.log.Warn("jobs not stored yet", zap.String("part", result.part), zap.Int("jobs", len(result.records)), zap.Error(err))
-		}
-		_ = wait.For(ctx, storePause) // ends early only with ctx, which the loop checks
 	}
 }
 
@@ -148,11 +175,14 @@
 	case errors.As(r.err, &conflict):
 		o.mergeConflict(r, conflict)
 		return
+	case r.err != nil:
+		o.storeElsewhere(r)
+		return
 	}
 	for i := range r.records {
 		rec := &r.records[i]
-		st.versions[rec.Job.ID] = r.version
-		if _, newer := st.pending[rec.Job.ID]; !newer {
+		st.versions[rowOf{r.part, rec.Job.ID}] = r.version
+		if rec.Sequence == st.latest[rec.Job.ID] {
 			o.planner.Stored(rec.Job.ID)
 		}
 		o.log.Info("job stored", zap.String("job", rec.Job.ID), zap.String("state", string(rec.State)), zap.Int64("version", r.version))
@@ -163,30 +193,51 @@
 	}
 }
 
+// storeElsewhere puts records back whose part is away; their next transaction
+// goes to another place of theirs.
+func (o *Owner) storeElsewhere(r storedResult) {
+	o.log.Warn("part away, storing elsewhere", zap.String("part", r.part), zap.Int("jobs", len(r.records)), zap.Error(r.err))
+	if r.part == o.pool {
+		o.storing.workersChanged = true
+	}
+	for i := range r.records {
+		o.storing.putBack(&r.records[i])
+	}
+}
+
+// putBack makes a record pending again unless a newer one is on its way.
+func (st *storing) putBack(rec *work.Record) {
+	if st.latest[rec.Job.ID] == rec.Sequence {
+		st.pending[rec.Job.ID] = *rec
+	}
+}
+
 // mergeConflict takes in what another owner stored, around a takeover, and
 // stores the records anew. If this owner is the former one, its next beat says so.
 func (o *Owner) mergeConflict(r storedResult, conflict *port.RowConflict) {
 	for i := range r.records {
 		rec := &r.records[i]
-		row, found := conflict.Row(replica.JobKey(o.pool, rec.Job.ID))
-		if !found {
-			o.log.Warn("job's row is gone", zap.String("job", rec.Job.ID))
+		key := replica.JobKeys(o.pool, rec.Job.ID)[0]
+		key.Part = r.part
+		o.storing.putBack(rec)
+		row, found := conflict.Row(key)
+		if !found { // as expected of a first row here, or removed
+			delete(o.storing.versions, rowOf{r.part, rec.Job.ID})
 			continue
 		}
-		if _, newer := o.storing.pending[rec.Job.ID]; !newer {
-			o.storing.pending[rec.Job.ID] = *rec
-		}
-		if row.Version == o.storing.versions[rec.Job.ID] {
+		if row.Version == o.storing.versions[rowOf{r.part, rec.Job.ID}] {
 			continue
 		}
-		o.storing.versions[rec.Job.ID] = row.Version
+		o.storing.versions[rowOf{r.part, rec.Job.ID}] = row.Version
 		var other work.Record
 		if err := work.Decode(row.Value, &other); err != nil {
 			o.log.Error("job's row can't be read", zap.String("job", rec.Job.ID), zap.Error(err))
 			continue
 		}
-		o.dropHeld(rec.Job.ID)
-		o.log.Info("job stored by another owner too", zap.String("job", rec.Job.ID), zap.Int64("version", row.Version))
+		if other.Sequence > 0 {
+			o.dropHeld(rec.Job.ID)
+		}
+		o.log.Info("job has another row too", zap.String("job", rec.Job.ID), zap.Int64("version", row.Version))
 		o.planner.Merge(o.now(), other)
 	}
 }
--- a/internal/duty/pool/world_test.go
+++ b/internal/duty/pool/world_test.go
@@ -97,7 +97,7 @@
 	deps := Deps{
 		Store: store, Workers: &gatedWorkers{in, w.workers}, Registry: w.registry, Replica: rep,
 		Log: testLog().With(zap.String("in", in.name)), Now: w.now, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.name,
-		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, Latency: store.Latency,
+		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, Latency: store.Latency, PartDown: store.PartDown,
 	}
 	in.done.Go(func() { rep.Run(ctx) })
 	in.done.Go(func() { NewElection(deps, testPool).Run(ctx) })
@@ -122,29 +122,34 @@
 	job := work.Job{ID: id, Pool: testPool, Priority: priority, Queue: "q", Spec: id, Steps: steps, MaxAttempts: 4, Stretch: 3, SubmittedAt: w.store.Now()}
 	value, err := work.Encode(work.Record{Job: job, State: work.Queued})
 	must.NoError(w.t, err)
-	_, err = w.store.Commit(context.Background(), port.RowTxn{Puts: map[port.RowKey][]byte{replica.JobKey(testPool, id): value}})
+	_, err = w.store.Commit(context.Background(), port.RowTxn{Puts: map[port.RowKey][]byte{replica.JobKeys(testPool, id)[0]: value}})
 	must.NoError(w.t, err)
 	w.ids = append(w.ids, id)
 }
 
 func (w *world) cancelJob(id string) {
 	w.t.Helper()
-	_, err := w.store.Commit(context.Background(), port.RowTxn{Puts: map[port.RowKey][]byte{replica.CancelKey(testPool, id): {1}}})
+	_, err := w.store.Commit(context.Background(), port.RowTxn{Puts: map[port.RowKey][]byte{replica.CancelKeys(testPool, id)[0]: {1}}})
 	must.NoError(w.t, err)
 }
 
 // state reads a job's state from the store.
 func (w *world) state(id string) work.State {
 	w.t.Helper()
-	key := replica.JobKey(testPool, id)
-	rows, _, err := w.store.Scan(context.Background(), key.Table, key.Part, key.Key, key.Key+"\x00")
-	must.NoError(w.t, err)
-	if len(rows) == 0 {
-		return ""
+	var newest work.Record
+	for i, key := range replica.JobKeys(testPool, id) {
+		rows, _, err := w.store.Scan(context.Background(), key.Table, key.Part, key.Key, key.Key+"\x00")
+		must.NoError(w.t, err)
+		if len(rows) == 0 {
+			continue
+		}
+		var rec work.Record
+		must.NoError(w.t, work.Decode(rows[0].Value, &rec))
+		if i == 0 || rec.Newer(&newest) {
+			newest = rec
+		}
 	}
-	var rec work.Record
-	must.NoError(w.t, work.Decode(rows[0].Value, &rec))
-	return rec.State
+	return newest.State
 }
 
 // await waits until all jobs ended and fails after limit.
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -41,6 +41,7 @@
 	downSince atomic.Int64
 	// latency is a moving mean of what reads and commits take, in nanoseconds.
 	latency atomic.Int64
+	parts   partHealth
 	turn    atomic.Uint64
 }
 
@@ -70,7 +71,7 @@
 
 // call runs op on the direct way and, if that fails or takes longer than
 // patience, through peers; the first answer of the store counts.
-func call[T any](ctx context.Context, s *Store, patience time.Duration, op func(context.Context, port.RowStore) (T, error)) (T, error) {
+func call[T any](ctx context.Context, s *Store, scope scope, patience time.Duration, op func(context.Context, port.RowStore) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ways := []port.RowStore{s.direct}
@@ -109,7 +110,7 @@
 				s.trust(a.err)
 			}
 			if !outage(a.err) {
-				s.downSince.Store(0)
+				s.up(scope)
 				return a.value, a.err
 			}
 			uncertain = uncertain || !(fault.Is(a.err, fault.Unavailable) || fault.Is(a.err, fault.Overloaded))
@@ -117,7 +118,7 @@
 			if launched < len(ways) {
 				launch()
 			} else if pending == 0 {
-				s.down()
+				s.down(scope)
 				if uncertain && !fault.Is(last, fault.Uncertain) {
 					last = fault.Wrap(fault.Uncertain, "an earlier try may have been carried out", last)
 				}
@@ -129,14 +130,35 @@
 				launch()
 			}
 		case <-silent.C:
-			s.down()
+			s.down(scope)
 		case <-ctx.Done():
 			return zero, fault.Wrap(fault.Uncertain, "the store did not answer in time", ctx.Err())
 		}
 	}
 }
 
-func (s *Store) down() { s.downSince.CompareAndSwap(0, time.Now().UnixNano()) }
+// scope is what a call's failure says something about: one part of a table, or
+// with an empty name the store as a whole.
+type scope string
+
+func (s *Store) down(what scope) {
+	if what == whole {
+		s.downSince.CompareAndSwap(0, time.Now().UnixNano())
+		return
+	}
+	s.parts.fail(string(what))
+}
+
+func (s *Store) up(what scope) {
+	s.downSince.Store(0)
+	if what != whole {
+		s.parts.clear(string(what))
+	}
+}
+
+// PartDown reports whether a part failed lately while the store as a whole may
+// serve.
+func (s *Store) PartDown(part string) bool { return s.parts.isDown(part) }
 
 // Outage returns for how long calls have failed on every way, 0 where the last
 // one was answered.
@@ -155,7 +177,7 @@
 // Commit implements port.RowStore. A conflict with rows that hold just what
 // was to be written means that an earlier sending was carried out.
 func (s *Store) Commit(ctx context.Context, txn port.RowTxn) (int64, error) {
-	version, err := timed(s, ctx, func(ctx context.Context, way port.RowStore) (int64, error) {
+	version, err := timed(s, ctx, partOf(txn), func(ctx context.Context, way port.RowStore) (int64, error) {
 		return way.Commit(ctx, txn)
 	})
 	var conflict *port.RowConflict
@@ -182,10 +204,21 @@
 	return version, version > 0
 }
 
+// partOf names the part that a transaction writes to.
+func partOf(txn port.RowTxn) scope {
+	for key := range txn.Puts {
+		return scope(key.Part)
+	}
+	for _, key := range txn.Removes {
+		return scope(key.Part)
+	}
+	return whole
+}
+
 // timed measures a read or commit that was answered.
-func timed[T any](s *Store, ctx context.Context, op func(context.Context, port.RowStore) (T, error)) (T, error) {
+func timed[T any](s *Store, ctx context.Context, what scope, op func(context.Context, port.RowStore) (T, error)) (T, error) {
 	began := time.Now()
-	v, err := call(ctx, s, s.patience(), op)
+	v, err := call(ctx, s, what, s.Patience(), op)
 	if !outage(err) {
 		old := s.latency.Load()
 		s.latency.Store(old + int64(time.Since(began)-time.Duration(old))/latencyWeight)
@@ -196,9 +229,9 @@
 // Latency returns what reads and commits take at present.
 func (s *Store) Latency() time.Duration { return time.Duration(s.latency.Load()) }
 
-// patience is when a call is sent through a peer, too. A slow store is not made
+// Patience is when a call is sent through a peer, too. A slow store is not made
 // slower by it.
-func (s *Store) patience() time.Duration {
+func (s *Store) Patience() time.Duration {
 	return min(max(hedgeAfter, hedgeFactor*s.Latency()), hedgeMost)
 }
 
@@ -209,7 +242,7 @@
 
 // Scan implements port.RowStore.
 func (s *Store) Scan(ctx context.Context, table, part, from, to string) ([]port.VersionedRow, int64, error) {
-	r, err := timed(s, ctx, func(ctx context.Context, way port.RowStore) (rows, error) {
+	r, err := timed(s, ctx, scope(part), func(ctx context.Context, way port.RowStore) (rows, error) {
 		list, version, err := way.Scan(ctx, table, part, from, to)
 		return rows{list, version}, err
 	})
@@ -218,14 +251,14 @@
 
 // Parts implements port.RowStore.
 func (s *Store) Parts(ctx context.Context, table string) ([]string, error) {
-	return timed(s, ctx, func(ctx context.Context, way port.RowStore) ([]string, error) {
+	return timed(s, ctx, whole, func(ctx context.Context, way port.RowStore) ([]string, error) {
 		return way.Parts(ctx, table)
 	})
 }
 
 // Feed implements port.RowStore.
 func (s *Store) Feed(ctx context.Context, table string, after int64, wait time.Duration) ([]port.VersionedRow, int64, error) {
-	r, err := call(ctx, s, wait+s.patience(), func(ctx context.Context, way port.RowStore) (rows, error) {
+	r, err := call(ctx, s, whole, wait+s.Patience(), func(ctx context.Context, way port.RowStore) (rows, error) {
 		list, version, err := way.Feed(ctx, table, after, wait)
 		return rows{list, version}, err
 	})
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -71,13 +71,22 @@
 	Largest work.Resources `cbor:"2,keyasint"`
 }
 
-// JobView is a job as the copy knows it.
+// JobView is a job as the copy knows it. A job has more than one row where the
+// part of its first row was away.
 type JobView struct {
+	// Record is that of the newest row.
 	Record    work.Record
-	Version   int64
+	Rows      []JobRow
 	Cancelled bool
 }
 
+// JobRow is one row of a job.
+type JobRow struct {
+	Part    string
+	Version int64
+	Record  work.Record
+}
+
 // PoolView is what the copy knows about a pool's ownership.
 type PoolView struct {
 	Epoch        Epoch
@@ -102,10 +111,12 @@
 	cancelled map[string]bool
 	nodes     map[string]Node
 	subs      map[*Subscription]struct{}
-	ready     bool
-	version   int64         // of the store, up to which changes are in
-	advanced  chan struct{} // closed when version grows
-	seenAt    time.Duration
+	// missing holds the parts that couldn't be read yet.
+	missing  []string
+	ready    bool
+	version  int64         // of the store, up to which changes are in
+	advanced chan struct{} // closed when version grows
+	seenAt   time.Duration
 	// failedAt is when the store was last found not to answer. A new copy
 	// begins with its creation, as it can't tell what was before.
 	failedAt time.Duration
@@ -155,14 +166,12 @@
 	if err != nil {
 		return 0, err
 	}
-	rows, err := r.scanParts(ctx, append(parts, ""))
-	if err != nil {
-		return 0, err
-	}
+	rows, missing := r.scanParts(ctx, append(parts, ""))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reset()
 	r.apply(rows)
+	r.missing = missing
 	r.ready = true
 	r.advance(after)
 	return after, nil
@@ -179,11 +188,12 @@
 	return feedWait
 }
 
-// scanParts reads parts side by side.
-func (r *Replica) scanParts(ctx context.Context, parts []string) ([]port.VersionedRow, error) {
+// scanParts reads parts side by side. missing are those that can't be read.
+func (r *Replica) scanParts(ctx context.Context, parts []string) (rows []port.VersionedRow, missing []string) {
+	ctx, cancel := context.WithTimeout(ctx, scanTimeout/2)
+	defer cancel()
 	var mu sync.Mutex
-	var rows []port.VersionedRow
-	group, ctx := errgroup.WithContext(ctx)
+	var group errgroup.Group
 	group.SetLimit(scansAtOnce)
 	for _, part := range parts {
 		group.Go(func() error {
@@ -191,16 +201,62 @@
 			mu.Lock()
 			defer mu.Unlock()
 			rows = append(rows, list...)
-			return err
+			if err != nil {
+				missing = append(missing, part)
+				r.log.Warn("part not read", zap.String("part", part), zap.Error(err))
+			}
+			return nil
 		})
 	}
-	err := group.Wait()
-	return rows, err
+	_ = group.Wait() // failures are in missing
+	return rows, missing
+}
+
+// readMissing tries again to read the parts that were away.
+func (r *Replica) readMissing(ctx context.Context) {
+	r.mu.Lock()
+	parts := r.missing
+	r.mu.Unlock()
+	if len(parts) == 0 {
+		return
+	}
+	rows, missing := r.scanParts(ctx, parts)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(rows)
+	r.missing = missing
+	if len(missing) < len(parts) {
+		r.log.Info("missing parts read", zap.Int("read", len(parts)-len(missing)), zap.Strings("missing", missing))
+	}
+}
+
+// Uncertain reports whether a row of the job may lie in a part that couldn't be
+// read yet.
+func (r *Replica) Uncertain(pool, id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.missing) == 0 {
+		return false
+	}
+	for _, part := range jobPlaces(pool, id) {
+		if slices.Contains(r.missing, part) {
+			return true
+		}
+	}
+	return false
+}
+
+// Complete reports whether every part could be read.
+func (r *Replica) Complete() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.missing) == 0
 }
 
 func (r *Replica) watch(ctx context.Context, after int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedWait+scanTimeout/2)
 	defer cancel()
+	r.readMissing(ctx)
 	rows, next, err := r.store.Feed(ctx, Table, after, r.patience())
 	if err != nil {
 		return 0, err
@@ -322,25 +378,55 @@
 }
 
 func (r *Replica) applyJob(row *port.VersionedRow, id string) error {
+	v := r.jobs[id]
 	if row.Deleted {
-		delete(r.jobs, id)
-		return nil
-	}
-	old := r.jobs[id]
-	if old != nil && old.Version >= row.Version {
+		if v != nil {
+			v.Rows = slices.DeleteFunc(v.Rows, func(o JobRow) bool { return o.Part == row.Part })
+			if len(v.Rows) == 0 {
+				delete(r.jobs, id)
+			}
+		}
 		return nil
 	}
-	v := &JobView{Version: row.Version, Cancelled: r.cancelled[id]}
-	if err := work.Decode(row.Value, &v.Record); err != nil {
+	fresh := JobRow{Part: row.Part, Version: row.Version}
+	if err := work.Decode(row.Value, &fresh.Record); err != nil {
 		return err
 	}
-	r.jobs[id] = v
-	if old == nil {
+	if v == nil {
+		v = &JobView{Cancelled: r.cancelled[id]}
+		r.jobs[id] = v
+	}
+	if !v.put(fresh) {
+		return nil
+	}
+	if len(v.Rows) == 1 && v.Record.Job.ID == "" {
+		v.Record = fresh.Record
 		r.notify(v)
 	}
+	if fresh.Record.Newer(&v.Record) || len(v.Rows) == 1 {
+		v.Record = fresh.Record
+	}
 	return nil
 }
 
+// put takes in a row unless a newer one of its part is there. Rows are copied
+// on write, as views are handed out.
+func (v *JobView) put(row JobRow) bool {
+	rows := slices.Clone(v.Rows)
+	for i := range rows {
+		if rows[i].Part == row.Part {
+			if rows[i].Version >= row.Version {
+				return false
+			}
+			rows[i] = row
+			v.Rows = rows
+			return true
+		}
+	}
+	v.Rows = append(rows, row)
+	return true
+}
+
 func (r *Replica) notify(v *JobView) {
 	for s := range r.subs {
 		if s.pool == v.Record.Job.Pool {
@@ -446,16 +532,32 @@
 	return port.RowKey{Table: Table, Part: pool, Key: key}
 }
 
-func jobPart(pool, id string) string {
-	return fmt.Sprintf("%s.%d", pool, xxhash.Sum64String(id)%jobParts)
-}
+// placesPerJob is how many parts a job's row may lie in.
+const placesPerJob = 3
 
-// JobKey returns the key of a job's row.
-func JobKey(pool, id string) port.RowKey {
-	return port.RowKey{Table: Table, Part: jobPart(pool, id), Key: jobPrefix + id}
+// jobPlaces returns the parts in which a job's rows may lie, the usual one first.
+func jobPlaces(pool, id string) [placesPerJob]string {
+	var out [placesPerJob]string
+	first := xxhash.Sum64String(id)
+	for k := range out {
+		out[k] = fmt.Sprintf("%s.%d", pool, (first+uint64(k)*placeStride)%jobParts)
+	}
+	return out
 }
 
-// CancelKey returns the key of a job's cancellation.
-func CancelKey(pool, id string) port.RowKey {
-	return port.RowKey{Table: Table, Part: jobPart(pool, id), Key: cancelPrefix + id}
+// placeStride spaces the parts of one job; it is prime to jobParts.
+const placeStride = 5
+
+// JobKeys returns the keys that a job's rows may have, the usual one first.
+func JobKeys(pool, id string) []port.RowKey { return keysAt(pool, id, jobPrefix) }
+
+// CancelKeys returns the keys that a job's cancellation may have.
+func CancelKeys(pool, id string) []port.RowKey { return keysAt(pool, id, cancelPrefix) }
+
+func keysAt(pool, id, prefix string) []port.RowKey {
+	var out []port.RowKey
+	for _, part := range jobPlaces(pool, id) {
+		out = append(out, port.RowKey{Table: Table, Part: part, Key: prefix + id})
+	}
+	return out
 }
--- a/internal/duty/replica/replica_test.go
+++ b/internal/duty/replica/replica_test.go
@@ -20,13 +20,13 @@
 	t.Helper()
 	value, err := work.Encode(work.Record{Job: work.Job{ID: id, Pool: testPool, Queue: "q"}, State: work.Queued})
 	must.NoError(t, err)
-	_, err = store.Commit(t.Context(), port.RowTxn{Puts: map[port.RowKey][]byte{JobKey(testPool, id): value}})
+	_, err = store.Commit(t.Context(), port.RowTxn{Puts: map[port.RowKey][]byte{JobKeys(testPool, id)[0]: value}})
 	must.NoError(t, err)
 }
 
 func cancelJob(t *testing.T, store *fake.Rows, id string) {
 	t.Helper()
-	_, err := store.Commit(t.Context(), port.RowTxn{Puts: map[port.RowKey][]byte{CancelKey(testPool, id): {1}}})
+	_, err := store.Commit(t.Context(), port.RowTxn{Puts: map[port.RowKey][]byte{CancelKeys(testPool, id)[0]: {1}}})
 	must.NoError(t, err)
 }
 
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -45,6 +45,24 @@
 	}
 	p.unblock(j, now)
 	p.settle(j, now)
+	for _, o := range p.orphans[rec.Job.ID] {
+		p.ended(now, o.worker, o.end)
+	}
+	delete(p.orphans, rec.Job.ID)
+}
+
+// adoptWithin is how long a job that an earlier owner has had waits for the
+// workers to tell what runs of it: a long poll and its timeout.
+const adoptWithin = 1700 * time.Millisecond
+
+// HoldBack keeps a job from being placed until the workers have told what runs
+// of it.
+func (p *Planner) HoldBack(id string, now time.Duration) {
+	if j := p.jobs[id]; j != nil {
+		for _, u := range j.units {
+			u.notBefore = now + adoptWithin
+		}
+	}
 }
 
 func (p *Planner) addUnits(j *job, step int, now time.Duration, inherited bool) {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -230,3 +230,24 @@
 	must.EqOp(t, 0, starts(r.plan()))
 	must.EqOp(t, work.Running, r.p.TakeChanged()[0].State)
 }
+
+// While a part of the store is away, ends of jobs that it may hold wait, and
+// those of the other jobs count.
+func TestEndsOfUnknownJobsWaitWhileJobsAreMissing(t *testing.T) {
+	r := recovering(t, 1)
+	r.p.SetPartial(true)
+	r.p.AddJob(r.now, 0, r.job("known", 1, step(1, 1, 9)), true)
+	r.p.Observe(r.now, r.now, "w00", port.HoldReply{Ended: []port.RunEnd{
+		{Sequence: 1, Task: work.TaskID{Job: "later"}, Run: 1, Kind: port.EndSucceeded},
+		{Sequence: 2, Task: work.TaskID{Job: "known"}, Run: 1, Kind: port.EndSucceeded},
+	}})
+	must.EqOp(t, 0, starts(r.plan()))
+	must.EqOp(t, 0, r.p.Acknowledgeable("w00"))
+	r.p.AddJob(r.now, 0, r.job("later", 1, step(1, 1, 9)), false)
+	r.p.SetPartial(false)
+	must.EqOp(t, 0, starts(r.plan()))
+	must.Len(t, 2, r.p.TakeChanged())
+	r.p.Stored("known")
+	r.p.Stored("later")
+	must.EqOp(t, 2, r.p.Acknowledgeable("w00"))
+}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -168,6 +169,12 @@
 	health         health
 }
 
+// orphanEnd is an end of a job that isn't known yet.
+type orphanEnd struct {
+	worker *worker
+	end    port.RunEnd
+}
+
 // listedEnd is an end whose job has to be stored before it is acknowledged.
 type listedEnd struct {
 	sequence int64
@@ -211,6 +218,10 @@
 	recovering bool
 	// untried holds the workers that haven't answered or failed to answer once.
 	untried map[string]bool
+	// partial is set while some jobs may not be known.
+	partial bool
+	// orphans are ends of jobs that aren't known yet, by job.
+	orphans map[string][]orphanEnd
 	// recorded says that a former owner's placements are all on record, so that
 	// a unit waits for the workers of its own attempt only.
 	recorded bool
@@ -248,7 +259,7 @@
 		workers:   map[string]*worker{},
 		jobs:      map[string]*job{},
 		guarantee: map[string]int64{},
-		unheard:   map[string]bool{}, untried: map[string]bool{},
+		unheard:   map[string]bool{}, orphans: map[string][]orphanEnd{}, untried: map[string]bool{},
 		queueMean: map[string]*mean{},
 		waste:     map[string]float64{},
 	}
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -44,6 +44,15 @@
 	}
 }
 
+// SetPartial says whether some jobs may not be known, because a part of the
+// store is away. What runs for unknown jobs is left alone then.
+func (p *Planner) SetPartial(partial bool) {
+	p.partial = partial
+	if !partial {
+		clear(p.orphans)
+	}
+}
+
 // Tried says that the worker's first answer is missing.
 func (p *Planner) Tried(id string) { delete(p.untried, id) }
 
@@ -129,6 +138,10 @@
 		}
 		w.lastEnd = e.Sequence
 		w.unacked = append(w.unacked, listedEnd{e.Sequence, e.Task.Job})
+		if id := e.Task.Job; p.partial && p.jobs[id] == nil {
+			p.orphans[id] = append(p.orphans[id], orphanEnd{w, e})
+			continue
+		}
 		p.ended(now, w, e)
 	}
 	p.observeRunning(now, sentAt, w, reply.Running)
@@ -144,7 +157,8 @@
 		return 0
 	}
 	for len(w.unacked) > 0 {
-		if j := p.jobs[w.unacked[0].job]; j != nil && j.unstored {
+		id := w.unacked[0].job
+		if j := p.jobs[id]; j != nil && j.unstored || p.orphans[id] != nil {
 			break
 		}
 		w.acked = w.unacked[0].sequence
@@ -202,6 +216,9 @@
 		return // another run of the task is on record here; its end comes first
 	}
 	j := p.jobs[s.Task.Job]
+	if j == nil && p.partial {
+		return // its job may become known
+	}
 	var u *unit
 	if j != nil {
 		u = j.unitOf(s.Task)
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -154,6 +154,18 @@
 	Steps []StepProgress `cbor:"3,keyasint,omitempty"`
 	// EndedAt is when the job ended, on the store's steady clock.
 	EndedAt time.Duration `cbor:"4,keyasint,omitempty"`
+	// Sequence orders the records that owners wrote of one job: the owner's
+	// epoch in the upper half, a count in the lower. 0 is the submission's.
+	Sequence int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Newer reports whether r says more than o about the same job: a final state
+// goes before any other.
+func (r *Record) Newer(o *Record) bool {
+	if r.State.Ended() != o.State.Ended() {
+		return r.State.Ended()
+	}
+	return r.Sequence > o.Sequence
 }
 
 // TaskID names a task.
