--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -128,7 +128,10 @@
 
 // storeWorkers writes which workers this owner uses, for the next one.
 func (o *Owner) storeWorkers(ctx context.Context) {
-	value, err := work.Encode(slices.Sorted(maps.Keys(o.sessions)))
+	ids := slices.Sorted(maps.Keys(o.sessions))
+	// A draining worker that is no longer listed has left.
+	ids = slices.DeleteFunc(ids, o.planner.Draining)
+	value, err := work.Encode(ids)
 	if err != nil {
 		o.log.Error("workers can't be encoded", zap.Error(err))
 		return
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -82,6 +82,10 @@
 		o.endSession(s, "address changed")
 		s = nil
 	}
+	if w.Draining && !o.planner.Draining(w.ID) {
+		o.log.Info("worker draining", zap.String("worker", w.ID))
+		o.storing.workersChanged = true
+	}
 	o.planner.PutWorker(w)
 	if s != nil {
 		return
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -330,3 +330,9 @@
 	w := p.workers[id]
 	return w != nil && len(w.runs) > 0 || p.unheard[id]
 }
+
+// Draining reports whether the worker is about to leave.
+func (p *Planner) Draining(id string) bool {
+	w := p.workers[id]
+	return w != nil && w.info.Draining
+}
