--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -60,6 +60,8 @@
 	Settings planner.Settings
 	// LongestLease is the longest lease that a worker grants.
 	LongestLease time.Duration
+	// RetainFor is how long callers may ask for an ended job.
+	RetainFor time.Duration
 	// Latency tells what the store's calls take at present.
 	Latency func() time.Duration
 	// PartDown reports whether a part of the store failed lately.
@@ -89,6 +91,7 @@
 	evStopped
 	evWorkers
 	evStored
+	evRemoved
 )
 
 type event struct {
@@ -101,6 +104,7 @@
 	workers  []port.WorkerChange
 	whole    bool // workers is the whole list
 	stored   storedResult
+	job      string
 }
 
 // Owner runs one pool under one epoch.
@@ -189,6 +193,7 @@
 		return err
 	}
 	o.tasks.Go(func() { o.followWorkers(ctx) })
+	o.tasks.Go(func() { o.retain(ctx) })
 	o.loop(ctx, sub)
 	return nil
 }
@@ -415,6 +420,8 @@
 		o.planner.Stopped(now, id, ev.order.Task, ev.order.Run)
 	case evWorkers:
 		o.changeWorkers(ctx, ev)
+	case evRemoved:
+		o.forget(ev.job)
 	case evStored:
 		o.storedDone(ctx, ev.stored)
 	}
--- a/internal/duty/pool/pool_test.go
+++ b/internal/duty/pool/pool_test.go
@@ -80,6 +80,19 @@
 	})
 }
 
+func TestEndedJobsAreRemovedAfterTheirTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.launch()
+		w.profile("a", 1, 0)
+		w.submit("a", single(1, 1))
+		time.Sleep(2*time.Minute + retainSlack/2)
+		must.EqOp(t, work.Completed, w.state("a"))
+		time.Sleep(retainSlack)
+		must.EqOp(t, "", w.state("a"))
+	})
+}
+
 // lateThenFull carries a job's first start out late and rejects the second.
 type lateThenFull struct {
 	*fake.Pool
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -136,10 +136,18 @@
 		o.log.Error("workers can't be encoded", zap.Error(err))
 		return
 	}
+	room, err := work.Encode(replica.Load{Largest: o.planner.LargestRoom()})
+	if err != nil {
+		o.log.Error("room can't be encoded", zap.Error(err))
+		return
+	}
 	o.storing.workersChanged = false
 	o.begin(ctx, o.pool, nil, port.RowTxn{
 		Expect: map[port.RowKey]int64{o.epochKey(): o.epochVersion},
-		Puts:   map[port.RowKey][]byte{replica.PoolKey(o.pool, replica.WorkersKey): value},
+		Puts: map[port.RowKey][]byte{
+			replica.PoolKey(o.pool, replica.WorkersKey): value,
+			replica.PoolKey(o.pool, replica.LoadKey):    room,
+		},
 	})
 }
 
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -63,10 +63,8 @@
 	Address string `cbor:"2,keyasint"`
 }
 
-// Load is what an owner tells the others about its queue.
+// Load is what an owner tells the others about its pool.
 type Load struct {
-	// Backlog is the time that the work ahead of a new job takes, by priority.
-	Backlog map[int]time.Duration `cbor:"1,keyasint,omitempty"`
 	// Largest is the room of the largest worker.
 	Largest work.Resources `cbor:"2,keyasint"`
 }
--- /dev/null
+++ b/internal/logsink/logsink_test.go
@@ -0,0 +1,45 @@
+package logsink
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+)
+
+func TestLinesArriveWholeAndInOrder(t *testing.T) {
+	var out bytes.Buffer
+	s := New(&out)
+	for range 500 {
+		_, err := s.Write([]byte(strings.Repeat("x", 99) + "\n"))
+		must.NoError(t, err)
+	}
+	s.Close()
+	must.EqOp(t, 500, strings.Count(out.String(), strings.Repeat("x", 99)+"\n"))
+}
+
+// A reader that stalls costs lines, never time.
+func TestStalledReaderDropsLines(t *testing.T) {
+	r, w := io.Pipe()
+	s := New(w)
+	log := s.Logger()
+	for range 2 * linesHeld {
+		log.Info("decision", zap.String("job", "a"))
+	}
+	must.Greater(t, 0, s.Dropped())
+	go func() { _, _ = io.Copy(io.Discard, r) }()
+	s.Close()
+}
+
+func BenchmarkLine(b *testing.B) {
+	s := New(io.Discard)
+	defer s.Close()
+	log := s.Logger()
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Info("start", zap.String("job", "5c0e7a21d94b36f8"), zap.Int("step", 0), zap.Int64("run", 1), zap.String("worker", "i-7f3a91c2"))
+	}
+}
