--- /dev/null
+++ b/internal/planner/bench_test.go
@@ -0,0 +1,49 @@
+package planner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+// overloaded returns a planner whose workers are all taken, with a queue of
+// jobs of three priorities, most of them gangs, as at the peak of a burst.
+func overloaded(workers, jobs int) (*Planner, time.Duration) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	p := New(Settings{ReclaimWithin: 3 * time.Second}, 1)
+	now := time.Second
+	for i := range workers {
+		id := fmt.Sprintf("w%04d", i)
+		p.PutWorker(work.Worker{ID: id, Rack: fmt.Sprintf("r%d", i/6), Room: work.Resources{CPU: 64000, MemMB: 128000, Accel: 8}})
+		p.Observe(now, now, id, port.HoldReply{})
+	}
+	for k := range jobs {
+		s := work.Step{Count: 1 + rng.IntN(8), Estimate: time.Duration(1+rng.IntN(9)) * time.Second,
+			Need: work.Resources{CPU: 5000, MemMB: 15000, Accel: []int64{1, 2, 4, 8, 8}[rng.IntN(5)]}}
+		s.Gang = rng.IntN(3) > 0
+		s.SameRack = s.Gang && rng.IntN(2) == 0
+		priority := rng.IntN(3)
+		p.AddJob(now, 0, work.Record{State: work.Queued, Job: work.Job{ID: fmt.Sprintf("j%05d", k), Queue: fmt.Sprint(priority),
+			Workspace: fmt.Sprint(k % 4), Priority: priority, Stretch: 3, Target: time.Second, Steps: []work.Step{s}}}, false)
+	}
+	for _, o := range p.Plan(now) {
+		p.Started(now, o.Worker, o.Task, o.Run, port.NotRejected)
+	}
+	return p, now
+}
+
+func benchmarkPlan(b *testing.B, workers, jobs int) {
+	p, now := overloaded(workers, jobs)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Millisecond
+		p.Plan(now)
+	}
+}
+
+func BenchmarkPlan48Workers300Jobs(b *testing.B)   { benchmarkPlan(b, 48, 300) }
+func BenchmarkPlan350Workers2000Jobs(b *testing.B) { benchmarkPlan(b, 350, 2000) }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -10,6 +10,9 @@
 	// maxReservations is how many waiting units get workers kept for them in
 	// one pass; more would leave too little to backfill.
 	maxReservations = 2
+	// maxRefused is how many waiting steps one pass tries in vain; it bounds a
+	// pass over a long queue.
+	maxRefused = 120
 	// stalledAfter is how long a run's progress may stand still. A task reports
 	// whole percents, and the slowest ones seen take 75 s.
 	stalledAfter = 2500 * time.Millisecond
@@ -32,6 +35,9 @@
 	for _, r := range p.ranking(now) {
 		u := r.unit
 		key := shape{u.job, u.step}
+		if len(refused) >= maxRefused {
+			break
+		}
 		if u.claim != nil || refused[key] {
 			continue
 		}
@@ -43,7 +49,7 @@
 		refused[key] = true
 		if u.job.rec.Job.Priority == 0 {
 			if p.reclaim(u, v, p.entitled(u), spread) {
-				refused[key] = false
+				delete(refused, key)
 				continue
 			}
 		}
