--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -195,6 +195,7 @@
 	o.tasks.Go(func() { o.followWorkers(ctx) })
 	o.tasks.Go(func() { o.retain(ctx) })
 	o.loop(ctx, sub)
+	o.log.Info("ownership over", zap.Any("core_seconds_thrown_away", o.planner.Waste()))
 	return nil
 }
 
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -22,7 +22,7 @@
 
 func (o *Owner) followWorkers(ctx context.Context) {
 	follow.Run(ctx, o.log, follow.Source{
-		Name: "workers", Spacing: registrySpacing,
+		Name: "workers", Spacing: follow.Every(registrySpacing),
 		List: func(ctx context.Context) (int64, error) {
 			ctx, cancel := context.WithTimeout(ctx, registryTimeout)
 			defer cancel()
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -42,9 +42,12 @@
 const (
 	// feedWait bounds a silent store's effect on the copy's age.
 	feedWait = time.Second
-	// feedSpacing bounds the wake-ups while many jobs change.
-	feedSpacing = 60 * time.Millisecond
-	scanTimeout = 5 * time.Second
+	// ownerSpacing bounds the wake-ups while many jobs change, where an owner
+	// waits for them; followerSpacing does so where only callers' questions are
+	// answered, as each of the store's calls has its price.
+	ownerSpacing    = 60 * time.Millisecond
+	followerSpacing = 200 * time.Millisecond
+	scanTimeout     = 5 * time.Second
 	// scansAtOnce keeps a copy's first reading short on a slow store.
 	scansAtOnce = 8
 )
@@ -135,12 +138,21 @@
 // Run follows the store until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	follow.Run(ctx, r.log, follow.Source{
-		Name: "jobs", Spacing: feedSpacing,
+		Name: "jobs", Spacing: r.spacing,
 		List:  func(ctx context.Context) (int64, error) { return r.marked(r.list(ctx)) },
 		Watch: func(ctx context.Context, after int64) (int64, error) { return r.marked(r.watch(ctx, after)) },
 	})
 }
 
+func (r *Replica) spacing() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.subs) > 0 {
+		return ownerSpacing
+	}
+	return followerSpacing
+}
+
 // marked notes the time of a failure.
 func (r *Replica) marked(version int64, err error) (int64, error) {
 	if err != nil {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -27,11 +27,14 @@
 	List func(ctx context.Context) (int64, error)
 	// Watch waits for changes after a version and returns the next one.
 	Watch func(ctx context.Context, after int64) (int64, error)
-	// Spacing is the least time between two answers of Watch, which bounds the
-	// wake-ups while changes are frequent.
-	Spacing time.Duration
+	// Spacing tells the least time between two answers of Watch, which bounds
+	// the wake-ups while changes are frequent.
+	Spacing func() time.Duration
 }
 
+// Every returns a spacing that doesn't change.
+func Every(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // Run lists, then watches, until ctx ends. It lists again when the history was
 // lost. Every failure is tried again.
 func Run(ctx context.Context, log *zap.Logger, src Source) {
@@ -59,7 +62,7 @@
 			}
 			failing = false
 			retry.Reset()
-			_ = wait.For(ctx, src.Spacing) // ends early only with ctx, which the loop checks
+			_ = wait.For(ctx, src.Spacing()) // ends early only with ctx, which the loop checks
 			continue
 		}
 		if fault.Is(err, fault.NotFound) {
