End a job as unplaceable that would wait for kept accelerators for ever

Known red: a job that may not be preempted, and fits only on accelerators kept for guarantees, waited for 30 min in an idle cluster. Also: a setting without a reader went.

--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -17,9 +17,6 @@
 
 // Settings are the figures that the decisions go by.
 type Settings struct {
-	// RackPenalty is how many times longer a one-rack gang, or a step away
-	// from its data, runs elsewhere.
-	RackPenalty float64
 	// ReclaimWithin is how soon after its acceptance a job within its
 	// workspace's guarantee must run.
 	ReclaimWithin time.Duration
--- a/internal/scheduler/decide_test.go
+++ b/internal/scheduler/decide_test.go
@@ -176,3 +176,30 @@
 	s.Gangs = s.Gangs[2:]
 	must.Len(t, 3, Decide(s).Starts)
 }
+
+// A job that may not be preempted can't use accelerators kept for guarantees.
+// Where it fits on no others in an idle domain, it would wait for ever.
+func TestJobThatOnlyFitsOnKeptAcceleratorsIsUnplaceable(t *testing.T) {
+	s := oneRack(4, 4)
+	s.Workspaces = append(s.Workspaces, structs.Workspace{Name: "b", Guarantees: []structs.Guarantee{
+		{Domain: "d", Gangs: 1, Members: 2, Accelerators: 4, Adjacency: structs.AdjacencyRack}}})
+	job := pending("kept", 1, 2, 30*time.Minute, time.Hour)
+	job.Spec.Preemptible = false
+	s.Queued = []Pending{job}
+	p := Decide(s)
+	must.Len(t, 1, p.Unplaceable)
+	must.EqOp(t, "kept", p.Unplaceable[0].Key.ID)
+
+	busy := s
+	busy.Gangs = []Gang{running("lent", 4, time.Minute, time.Hour, "1")}
+	must.Len(t, 0, Decide(busy).Unplaceable)
+
+	lost := s
+	lost.Workers = append([]Worker(nil), s.Workers...)
+	lost.Workers[1].Usable = false
+	must.Len(t, 0, Decide(lost).Unplaceable)
+
+	job.Spec.Preemptible = true
+	s.Queued = []Pending{job}
+	must.Len(t, 1, Decide(s).Starts)
+}
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -76,6 +76,10 @@
 		return
 	}
 	b, reason := l.place(p)
+	if reason == reasonKept && len(p.Avoid) == 0 && l.st.idle() {
+		l.st.plan.Unplaceable = append(l.st.plan.Unplaceable, Verdict{Key: p.Spec.Key, Reason: reasonAlwaysKept})
+		return
+	}
 	if reason != "" {
 		if l.reserve(p) {
 			reason = reasonMoving
--- a/internal/scheduler/never.go
+++ b/internal/scheduler/never.go
@@ -15,6 +15,7 @@
 	reasonUnheld      = "lost workers leave the guaranteed shape without a place"
 	reasonNoLending   = "nothing is lent while a guaranteed shape has no place"
 	reasonKept        = "only preemptible jobs may use accelerators kept for guarantees"
+	reasonAlwaysKept  = "may not be preempted and fits only on accelerators kept for guarantees"
 	reasonMoving      = "moving preemptible gangs to make room"
 )
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -117,6 +117,20 @@
 	return newGrid(f, counts)
 }
 
+// idle reports whether all workers are usable and nothing runs, or starts by
+// this plan: whatever finds no place now never will.
+func (st *state) idle() bool {
+	if len(st.gangs) > 0 || len(st.plan.Starts) > 0 {
+		return false
+	}
+	for i := range st.fleet.workers {
+		if !st.fleet.workers[i].Usable {
+			return false
+		}
+	}
+	return true
+}
+
 // short reports whether some guarantee has no place now.
 func (st *state) short() bool {
 	for _, n := range st.missing {
