--- /dev/null
+++ b/internal/duty/pool/recover.go
@@ -0,0 +1,118 @@
+package pool
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
+)
+
+// recover reads the jobs and the workers, and lets inherited jobs wait until
+// each worker was heard or its leases must have expired.
+func (o *Owner) recover(ctx context.Context) error {
+	// Whatever was accepted before this epoch is in the copy once it is there.
+	if err := o.deps.Replica.Await(ctx, o.epochVersion); err != nil {
+		return err
+	}
+	jobs := o.deps.Replica.Jobs(o.pool)
+	workers, _, err := o.deps.Registry.Workers(ctx)
+	if err != nil {
+		return err
+	}
+	for i := range workers {
+		if w := workers[i]; w.Pool == o.pool {
+			o.putWorker(ctx, w)
+		}
+	}
+	if o.epoch > 1 {
+		o.beginRecovery()
+	}
+	o.applyConfig()
+	for i := range jobs {
+		o.addJob(&jobs[i], o.epoch > 1)
+	}
+	waiting, running := o.planner.Counts()
+	o.log.Info("pool taken over", zap.Int("jobs", len(jobs)), zap.Int("waiting", waiting), zap.Int("running", running),
+		zap.Int("workers", len(o.sessions)))
+	return nil
+}
+
+// beginRecovery holds inherited jobs until every worker was heard. Workers of
+// the former owner that the registry doesn't name may come back to it: entries
+// expire while the store is away.
+func (o *Owner) beginRecovery() {
+	registryAt := o.startedAt
+	for _, id := range o.deps.Replica.Pool(o.pool).Workers {
+		if o.sessions[id] == nil {
+			registryAt = o.startedAt + registrySettles
+			o.log.Info("former owner's worker not listed", zap.String("worker", id))
+		}
+	}
+	newcomersAt := o.startedAt + formerLearns
+	if o.formerGone {
+		newcomersAt = o.startedAt
+	}
+	recorded := o.deps.Replica.QuietFor() > settledAfter && o.deps.Latency() < slowStore
+	o.log.Info("recovery begins", zap.Bool("placements_complete", recorded), zap.Duration("store_quiet_for", o.deps.Replica.QuietFor()))
+	o.planner.Recover(registryAt, newcomersAt, recorded)
+}
+
+func (o *Owner) addJob(v *replica.JobView, inherited bool) {
+	id := v.Record.Job.ID
+	if v.Record.State.Ended() || o.storing.seen[id] {
+		return
+	}
+	if o.deps.Replica.Uncertain(o.pool, id) {
+		o.log.Info("job deferred, a row of it may be in a part that is away", zap.String("job", id))
+		o.deferred[id] = true
+		return
+	}
+	o.storing.seen[id] = true
+	now := o.now()
+	for _, row := range v.Rows {
+		o.storing.versions[rowOf{row.Part, id}] = row.Version
+	}
+	age := max(o.deps.Store.Now()-v.Record.Job.SubmittedAt, 0)
+	o.planner.AddJob(now, age, v.Record, inherited)
+	o.log.Info("job queued", zap.String("job", id), zap.Duration("age", age), zap.Int64("sequence", v.Record.Sequence), zap.Bool("inherited", inherited))
+	if !inherited && (v.Record.Sequence > 0 || age > knownWithin) {
+		o.planner.HoldBack(id, now)
+	}
+	for i := range v.Rows {
+		if v.Rows[i].Record.Sequence != v.Record.Sequence {
+			o.planner.Merge(now, v.Rows[i].Record)
+		}
+	}
+	if v.Cancelled {
+		o.planner.Cancel(id, now)
+	}
+}
+
+// takeJobs takes in what the copy told since the last time. Whether the copy is
+// complete is asked first: what it told before that is all that was missing.
+func (o *Owner) takeJobs(sub *replica.Subscription) {
+	complete := o.deps.Replica.Complete()
+	for _, v := range sub.Take() {
+		o.addJob(&v, false)
+		if v.Cancelled {
+			o.planner.Cancel(v.Record.Job.ID, o.now())
+		}
+	}
+	o.addDeferred()
+	o.planner.SetPartial(!complete)
+}
+
+// addDeferred takes in the jobs whose rows can be read by now. What runs of
+// them is seen by the next holds.
+func (o *Owner) addDeferred() {
+	for id := range o.deferred {
+		if o.deps.Replica.Uncertain(o.pool, id) {
+			continue
+		}
+		delete(o.deferred, id)
+		if v, ok := o.deps.Replica.Job(id); ok {
+			o.addJob(&v, false)
+		}
+	}
+}
--- /dev/null
+++ b/internal/duty/replica/apply.go
@@ -0,0 +1,152 @@
+package replica
+
+import (
+	"slices"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+func (r *Replica) apply(rows []port.VersionedRow) {
+	for i := range rows {
+		if err := r.applyRow(&rows[i]); err != nil {
+			r.log.Error("row left out", zap.String("part", rows[i].Part), zap.String("key", rows[i].Key), zap.Error(err))
+		}
+	}
+	for s := range r.subs {
+		s.wake()
+	}
+}
+
+func (r *Replica) poolOf(part string) *PoolView {
+	p := r.pools[part]
+	if p == nil {
+		p = &PoolView{}
+		r.pools[part] = p
+	}
+	return p
+}
+
+func (r *Replica) applyRow(row *port.VersionedRow) error {
+	if id, ok := strings.CutPrefix(row.Key, jobPrefix); ok {
+		return r.applyJob(row, id)
+	}
+	if id, ok := strings.CutPrefix(row.Key, cancelPrefix); ok {
+		r.applyCancel(row, id)
+		return nil
+	}
+	if name, ok := strings.CutPrefix(row.Key, nodePrefix); ok {
+		return r.applyNode(row, name)
+	}
+	p := r.poolOf(row.Part)
+	switch row.Key {
+	case BeatKey:
+		p.BeatVersion = row.Version
+		return nil
+	case EpochKey:
+		p.EpochVersion = row.Version
+		return decodeInto(row.Value, &p.Epoch)
+	case WorkersKey:
+		return decodeInto(row.Value, &p.Workers)
+	case LoadKey:
+		return decodeInto(row.Value, &p.Load)
+	}
+	return fault.New(fault.Invalid, "unknown key")
+}
+
+// decodeInto replaces all of into, also what the row leaves out.
+func decodeInto[T any](value []byte, into *T) error {
+	var fresh T
+	err := work.Decode(value, &fresh)
+	if err == nil {
+		*into = fresh
+	}
+	return err
+}
+
+func (r *Replica) applyNode(row *port.VersionedRow, name string) error {
+	delete(r.nodes, name)
+	if row.Deleted {
+		return nil
+	}
+	var n Node
+	err := work.Decode(row.Value, &n)
+	if err == nil {
+		r.nodes[name] = n
+	}
+	return err
+}
+
+func (r *Replica) applyCancel(row *port.VersionedRow, id string) {
+	if row.Deleted {
+		delete(r.cancelled, id)
+		return
+	}
+	r.cancelled[id] = true
+	if j := r.jobs[id]; j != nil {
+		j.Cancelled = true
+		r.notify(j)
+	}
+}
+
+func (r *Replica) applyJob(row *port.VersionedRow, id string) error {
+	v := r.jobs[id]
+	if row.Deleted {
+		if v != nil {
+			v.Rows = slices.DeleteFunc(v.Rows, func(o JobRow) bool { return o.Part == row.Part })
+			if len(v.Rows) == 0 {
+				delete(r.jobs, id)
+			}
+		}
+		return nil
+	}
+	fresh := JobRow{Part: row.Part, Version: row.Version}
+	if err := work.Decode(row.Value, &fresh.Record); err != nil {
+		return err
+	}
+	if v == nil {
+		v = &JobView{Cancelled: r.cancelled[id]}
+		r.jobs[id] = v
+	}
+	if !v.put(fresh) {
+		return nil
+	}
+	if len(v.Rows) == 1 && v.Record.Job.ID == "" {
+		v.Record = fresh.Record
+		r.notify(v)
+	}
+	if fresh.Record.Newer(&v.Record) || len(v.Rows) == 1 {
+		v.Record = fresh.Record
+	}
+	return nil
+}
+
+// put takes in a row unless a newer one of its part is there. Rows are copied
+// on write, as views are handed out.
+func (v *JobView) put(row JobRow) bool {
+	rows := slices.Clone(v.Rows)
+	for i := range rows {
+		if rows[i].Part == row.Part {
+			if rows[i].Version >= row.Version {
+				return false
+			}
+			rows[i] = row
+			v.Rows = rows
+			return true
+		}
+	}
+	v.Rows = append(rows, row)
+	return true
+}
+
+func (r *Replica) notify(v *JobView) {
+	for s := range r.subs {
+		if s.pool == v.Record.Job.Pool {
+			s.ids = append(s.ids, v.Record.Job.ID)
+		}
+	}
+}
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -4,13 +4,11 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -20,25 +18,6 @@
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
-// Table is the store's table that holds all rows of the product.
-const Table = "lentilwinch"
-
-// Keys of rows. A pool's own rows lie in the part that is named like the pool,
-// its jobs and their cancellations in parts of their own: a part takes one
-// transaction at a time, which a slow store makes a second each.
-const (
-	EpochKey     = "epoch"
-	BeatKey      = "beat"
-	LoadKey      = "load"
-	WorkersKey   = "workers"
-	jobPrefix    = "job/"
-	cancelPrefix = "cancel/"
-	nodePrefix   = "node/"
-)
-
-// jobParts is how many parts a pool's jobs are spread over.
-const jobParts = 16
-
 const (
 	// feedWait bounds a silent store's effect on the copy's age.
 	feedWait = time.Second
@@ -52,52 +31,6 @@
 	scansAtOnce = 8
 )
 
-// Epoch names a pool's owner. Number is its fencing token.
-type Epoch struct {
-	Number int64  `cbor:"1,keyasint"`
-	Owner  string `cbor:"2,keyasint,omitempty"`
-	// Incarnation tells two lives of one owner apart.
-	Incarnation string `cbor:"3,keyasint,omitempty"`
-}
-
-// Node is an instance that peers may relay through.
-type Node struct {
-	Name    string `cbor:"1,keyasint"`
-	Address string `cbor:"2,keyasint"`
-}
-
-// Load is what an owner tells the others about its pool.
-type Load struct {
-	// Largest is the room of the largest worker.
-	Largest work.Resources `cbor:"2,keyasint"`
-}
-
-// JobView is a job as the copy knows it. A job has more than one row where the
-// part of its first row was away.
-type JobView struct {
-	// Record is that of the newest row.
-	Record    work.Record
-	Rows      []JobRow
-	Cancelled bool
-}
-
-// JobRow is one row of a job.
-type JobRow struct {
-	Part    string
-	Version int64
-	Record  work.Record
-}
-
-// PoolView is what the copy knows about a pool's ownership.
-type PoolView struct {
-	Epoch        Epoch
-	EpochVersion int64
-	BeatVersion  int64
-	Load         Load
-	// Workers are those that the owner used last.
-	Workers []string
-}
-
 // Replica is the copy. It is safe for concurrent use.
 type Replica struct {
 	store port.RowStore
@@ -278,17 +211,6 @@
 	return next, nil
 }
 
-func (r *Replica) apply(rows []port.VersionedRow) {
-	for i := range rows {
-		if err := r.applyRow(&rows[i]); err != nil {
-			r.log.Error("row left out", zap.String("part", rows[i].Part), zap.String("key", rows[i].Key), zap.Error(err))
-		}
-	}
-	for s := range r.subs {
-		s.wake()
-	}
-}
-
 func (r *Replica) advance(version int64) {
 	r.seenAt = r.now()
 	if version > r.version {
@@ -316,135 +238,6 @@
 	}
 }
 
-func (r *Replica) poolOf(part string) *PoolView {
-	p := r.pools[part]
-	if p == nil {
-		p = &PoolView{}
-		r.pools[part] = p
-	}
-	return p
-}
-
-func (r *Replica) applyRow(row *port.VersionedRow) error {
-	if id, ok := strings.CutPrefix(row.Key, jobPrefix); ok {
-		return r.applyJob(row, id)
-	}
-	if id, ok := strings.CutPrefix(row.Key, cancelPrefix); ok {
-		r.applyCancel(row, id)
-		return nil
-	}
-	if name, ok := strings.CutPrefix(row.Key, nodePrefix); ok {
-		return r.applyNode(row, name)
-	}
-	p := r.poolOf(row.Part)
-	switch row.Key {
-	case BeatKey:
-		p.BeatVersion = row.Version
-		return nil
-	case EpochKey:
-		p.EpochVersion = row.Version
-		return decodeInto(row.Value, &p.Epoch)
-	case WorkersKey:
-		return decodeInto(row.Value, &p.Workers)
-	case LoadKey:
-		return decodeInto(row.Value, &p.Load)
-	}
-	return fault.New(fault.Invalid, "unknown key")
-}
-
-// decodeInto replaces all of into, also what the row leaves out.
-func decodeInto[T any](value []byte, into *T) error {
-	var fresh T
-	err := work.Decode(value, &fresh)
-	if err == nil {
-		*into = fresh
-	}
-	return err
-}
-
-func (r *Replica) applyNode(row *port.VersionedRow, name string) error {
-	delete(r.nodes, name)
-	if row.Deleted {
-		return nil
-	}
-	var n Node
-	err := work.Decode(row.Value, &n)
-	if err == nil {
-		r.nodes[name] = n
-	}
-	return err
-}
-
-func (r *Replica) applyCancel(row *port.VersionedRow, id string) {
-	if row.Deleted {
-		delete(r.cancelled, id)
-		return
-	}
-	r.cancelled[id] = true
-	if j := r.jobs[id]; j != nil {
-		j.Cancelled = true
-		r.notify(j)
-	}
-}
-
-func (r *Replica) applyJob(row *port.VersionedRow, id string) error {
-	v := r.jobs[id]
-	if row.Deleted {
-		if v != nil {
-			v.Rows = slices.DeleteFunc(v.Rows, func(o JobRow) bool { return o.Part == row.Part })
-			if len(v.Rows) == 0 {
-				delete(r.jobs, id)
-			}
-		}
-		return nil
-	}
-	fresh := JobRow{Part: row.Part, Version: row.Version}
-	if err := work.Decode(row.Value, &fresh.Record); err != nil {
-		return err
-	}
-	if v == nil {
-		v = &JobView{Cancelled: r.cancelled[id]}
-		r.jobs[id] = v
-	}
-	if !v.put(fresh) {
-		return nil
-	}
-	if len(v.Rows) == 1 && v.Record.Job.ID == "" {
-		v.Record = fresh.Record
-		r.notify(v)
-	}
-	if fresh.Record.Newer(&v.Record) || len(v.Rows) == 1 {
-		v.Record = fresh.Record
-	}
-	return nil
-}
-
-// put takes in a row unless a newer one of its part is there. Rows are copied
-// on write, as views are handed out.
-func (v *JobView) put(row JobRow) bool {
-	rows := slices.Clone(v.Rows)
-	for i := range rows {
-		if rows[i].Part == row.Part {
-			if rows[i].Version >= row.Version {
-				return false
-			}
-			rows[i] = row
-			v.Rows = rows
-			return true
-		}
-	}
-	v.Rows = append(rows, row)
-	return true
-}
-
-func (r *Replica) notify(v *JobView) {
-	for s := range r.subs {
-		if s.pool == v.Record.Job.Pool {
-			s.ids = append(s.ids, v.Record.Job.ID)
-		}
-	}
-}
-
 // Ready reports whether the copy was read once.
 func (r *Replica) Ready() bool {
 	r.mu.Lock()
@@ -536,38 +329,3 @@
 	_, err = r.store.Commit(ctx, port.RowTxn{Puts: map[port.RowKey][]byte{key: value}})
 	return err
 }
-
-// PoolKey returns the key of one of a pool's own rows.
-func PoolKey(pool, key string) port.RowKey {
-	return port.RowKey{Table: Table, Part: pool, Key: key}
-}
-
-// placesPerJob is how many parts a job's row may lie in.
-const placesPerJob = 3
-
-// jobPlaces returns the parts in which a job's rows may lie, the usual one first.
-func jobPlaces(pool, id string) [placesPerJob]string {
-	var out [placesPerJob]string
-	first := xxhash.Sum64String(id)
-	for k := range out {
-		out[k] = fmt.Sprintf("%s.%d", pool, (first+uint64(k)*placeStride)%jobParts)
-	}
-	return out
-}
-
-// placeStride spaces the parts of one job; it is prime to jobParts.
-const placeStride = 5
-
-// JobKeys returns the keys that a job's rows may have, the usual one first.
-func JobKeys(pool, id string) []port.RowKey { return keysAt(pool, id, jobPrefix) }
-
-// CancelKeys returns the keys that a job's cancellation may have.
-func CancelKeys(pool, id string) []port.RowKey { return keysAt(pool, id, cancelPrefix) }
-
-func keysAt(pool, id, prefix string) []port.RowKey {
-	var out []port.RowKey
-	for _, part := range jobPlaces(pool, id) {
-		out = append(out, port.RowKey{Table: Table, Part: part, Key: prefix + id})
-	}
-	return out
-}
