--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -49,12 +49,13 @@
 	return &Election{deps: deps, pool: pool, log: deps.Log.With(zap.String("pool", pool))}
 }
 
-// delay is this instance's turn among those that are known.
+// delay is this instance's turn among those that are known. Instances with more
+// processor go first, as owning takes most of it.
 func (e *Election) delay() time.Duration {
 	mine := e.rank(e.deps.Name)
 	before := 0
 	for _, n := range e.deps.Replica.Nodes(e.deps.Name) {
-		if e.rank(n.Name) < mine {
+		if n.Cores > e.deps.Cores || (n.Cores == e.deps.Cores && e.rank(n.Name) < mine) {
 			before++
 		}
 	}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -68,6 +68,8 @@
 	PartDown func(part string) bool
 	// Config returns the configuration in force, nil where there is none.
 	Config func() *work.Config
+	// Cores is the processor that this instance may use.
+	Cores float64
 	// Name and Incarnation tell this instance from its peers and former lives.
 	Name        string
 	Incarnation string
@@ -131,6 +133,7 @@
 	confirm  time.Duration // a beat must be confirmed after this before starts go on
 	config   *work.Config
 	done     chan struct{}
+	lost     sync.Once      // logs the end of the ownership
 	tasks    sync.WaitGroup // goroutines that end with the owner
 }
 
@@ -170,7 +173,7 @@
 }
 
 func (o *Owner) depose(why string) {
-	o.log.Warn("ownership lost", zap.String("reason", why))
+	o.lost.Do(func() { o.log.Warn("ownership lost", zap.String("reason", why)) })
 	o.deposed()
 }
 
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -40,6 +40,8 @@
 type Node struct {
 	Name    string `cbor:"1,keyasint"`
 	Address string `cbor:"2,keyasint"`
+	// Cores is the processor that the instance may use.
+	Cores float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Load is what an owner tells the others about its pool.
