--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -35,6 +35,9 @@
 	// formerLearns is how long a former owner may go on as if it still owned the
 	// pool: its next beat, with a store at its slowest, tells it.
 	formerLearns = 2500 * time.Millisecond
+	// formerRenews is how long a former owner that lives on may renew leases: its
+	// next long poll at any worker that knows the new owner ends it.
+	formerRenews = holdWait + 500*time.Millisecond
 	// settledAfter is how long the store must have served this instance without
 	// a failure for a former owner's placements to be taken as complete.
 	settledAfter = 10 * time.Second
--- a/internal/duty/pool/pool_test.go
+++ b/internal/duty/pool/pool_test.go
@@ -214,6 +214,28 @@
 	})
 }
 
+// A former owner that lives on renews leases until a worker tells it of the
+// takeover, also where the new owner can't reach the worker.
+func TestLeasesThatTheFormerOwnerRenewsAreWaitedFor(t *testing.T) {
+	for phase := range 10 {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 2)
+				first := w.launch()
+				time.Sleep(time.Second)
+				w.launchWith(func(in *instance) { in.slowHold, in.slowAt = time.Hour, "w00" })
+				time.Sleep(settledAfter + time.Second)
+				w.profile("wide", 20, 0)
+				w.submit("wide", single(9, 20)) // eight on w00, one on w01
+				time.Sleep(time.Second + time.Duration(phase)*100*time.Millisecond)
+				first.mute.Store(true)
+				time.Sleep(12 * time.Second)
+				w.intact()
+			})
+		})
+	}
+}
+
 // A worker that doesn't answer the new owner holds up only the tasks that the
 // former owner placed there.
 func TestTakeoverWithSilentWorkerStartsWhatWaits(t *testing.T) {
--- a/internal/duty/pool/world_test.go
+++ b/internal/duty/pool/world_test.go
@@ -215,7 +215,11 @@
 		return port.HoldReply{}, errGone
 	}
 	if t.ID == g.in.slowAt {
-		time.Sleep(g.in.slowHold)
+		select {
+		case <-time.After(g.in.slowHold):
+		case <-ctx.Done():
+			return port.HoldReply{}, fault.Wrap(fault.Uncertain, "no answer", ctx.Err())
+		}
 	}
 	return g.WorkerCaller.Hold(ctx, t, req)
 }
