--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -49,8 +49,13 @@
 	o.releaseIf(ctx, func(h *heldStart) bool { return h.plan <= plan && stored[h.order.Task.Job] })
 }
 
-// releaseOverdue sends the starts that waited long enough.
+// releaseOverdue sends the starts that waited long enough. While a former owner
+// may still store and acknowledge ends, only a stored placement tells that it
+// hasn't.
 func (o *Owner) releaseOverdue(ctx context.Context, now time.Duration) {
+	if !o.formerOver {
+		return
+	}
 	o.releaseIf(ctx, func(h *heldStart) bool {
 		overdue := now-h.since >= recordWait
 		if overdue {
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -47,6 +47,8 @@
 	// knownWithin is the age from which a job that becomes known may have been
 	// started by an earlier owner.
 	knownWithin = 2 * time.Second
+	// freshCopy is the age up to which the copy holds a former owner's last writes.
+	freshCopy = 500 * time.Millisecond
 	// planEvery is how often waiting work is looked at without an event.
 	planEvery = 100 * time.Millisecond
 )
@@ -122,22 +124,23 @@
 	startedAt    time.Duration
 	formerGone   bool // the former owner can't act any more
 
-	planner  *planner.Planner
-	sessions map[string]*session
-	starts   map[runKey]context.CancelFunc // starts that wait for an answer
-	events   chan event
-	deposed  context.CancelFunc
-	beatAt   atomic.Int64 // when the last confirmed beat was sent, on Now's clock
-	storing  storing
-	held     []heldStart
-	deferred map[string]bool // jobs of which a row may be missing
-	plans    int64           // counts the plans, to order starts and records
-	lastLoop time.Duration
-	confirm  time.Duration // a beat must be confirmed after this before starts go on
-	config   *work.Config
-	done     chan struct{}
-	lost     sync.Once      // logs the end of the ownership
-	tasks    sync.WaitGroup // goroutines that end with the owner
+	planner    *planner.Planner
+	sessions   map[string]*session
+	starts     map[runKey]context.CancelFunc // starts that wait for an answer
+	events     chan event
+	deposed    context.CancelFunc
+	beatAt     atomic.Int64 // when the last confirmed beat was sent, on Now's clock
+	storing    storing
+	held       []heldStart
+	deferred   map[string]bool // jobs of which a row may be missing
+	plans      int64           // counts the plans, to order starts and records
+	lastLoop   time.Duration
+	confirm    time.Duration // a beat must be confirmed after this before starts go on
+	config     *work.Config
+	done       chan struct{}
+	formerOver bool           // a former owner has ended and what it stored is merged
+	lost       sync.Once      // logs the end of the ownership
+	tasks      sync.WaitGroup // goroutines that end with the owner
 }
 
 func newOwner(deps Deps, pool string, epoch, version int64) *Owner {
@@ -252,6 +255,7 @@
 	}
 	o.lastLoop = now
 	o.applyConfig()
+	o.mergeFormer(now)
 	o.expire(now)
 	if beat := time.Duration(o.beatAt.Load()); beat >= o.confirm && now-beat < renewWithout {
 		o.takeOrders(ctx, o.planner.Plan(now))
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -116,3 +117,27 @@
 		}
 	}
 }
+
+// mergeFormer takes in, once, what a former owner stored between the takeover
+// and its own end.
+func (o *Owner) mergeFormer(now time.Duration) {
+	if o.formerOver {
+		return
+	}
+	alone := o.epoch == 1 || o.formerGone
+	if !alone && (now < o.startedAt+formerLearns || o.deps.Replica.Age() > freshCopy) {
+		return
+	}
+	merged := 0
+	for _, v := range o.deps.Replica.Jobs(o.pool) {
+		for i := range v.Rows {
+			if rec := &v.Rows[i].Record; !alone && rec.Sequence > 0 && rec.Sequence>>32 < o.epoch {
+				o.planner.Merge(now, *rec)
+				merged++
+			}
+		}
+	}
+	o.formerOver = true
+	o.planner.FormerOver()
+	o.log.Info("former owner over", zap.Int("records", merged))
+}
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -220,7 +220,9 @@
 		}
 		for _, u := range j.perStep[i] {
 			for _, number := range rec.Steps[i].Failures[u.first] {
-				u.countFailure(number)
+				if u.countFailure(number) {
+					p.touch(j)
+				}
 			}
 			if slices.Contains(rec.Steps[i].Done, u.first) && u.phase != unitDone && u.phase != unitDead {
 				p.stopUnit(u, now, "succeeded elsewhere")
@@ -231,5 +233,4 @@
 	if rec.State.Ended() && j.open() {
 		p.end(j, rec.State, now)
 	}
-	p.touch(j)
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -270,3 +270,20 @@
 	must.EqOp(t, 1, starts(orders))
 	must.EqOp(t, 0, count(orders, OrderStop))
 }
+
+// Under trouble of the store a former owner may have stored and acknowledged a
+// success that this owner can't know of yet.
+func TestRecoveryUnderTroubleWaitsForTheFormerOwner(t *testing.T) {
+	r := recovering(t, 1)
+	r.p.Recover(r.now, r.now, false)
+	rec := r.job("a", 1, step(1, 1, 9))
+	rec.State = work.Running
+	r.p.AddJob(r.now, 0, rec, true)
+	r.hear("w00")
+	must.EqOp(t, 0, starts(r.plan()))
+	rec.Steps = []work.StepProgress{{Done: []int{0}}}
+	r.p.Merge(r.now, rec)
+	r.p.FormerOver()
+	must.EqOp(t, 0, starts(r.plan()))
+	must.EqOp(t, work.Completed, r.p.TakeChanged()[0].State)
+}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -220,11 +220,14 @@
 	p.giveUp(u, now)
 }
 
-// countFailure counts a failed run once, however many members of a gang list it.
-func (u *unit) countFailure(number int64) {
-	if !slices.Contains(u.failed, number) {
-		u.failed = append(u.failed, number)
-	}
+// countFailure counts a failed run once, however many members of a gang list it,
+// and reports whether it was new.
+func (u *unit) countFailure(number int64) bool {
+	if slices.Contains(u.failed, number) {
+		return false
+	}
+	u.failed = append(u.failed, number)
+	return true
 }
 
 // budgetUsed reports whether the unit failed as often as it may.
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -222,6 +222,9 @@
 	// recorded says that a former owner's placements are all on record, so that
 	// a unit waits for the workers of its own attempt only.
 	recorded bool
+	// formerOver is set once a former owner can't store or acknowledge anything
+	// any more, and what it did is known.
+	formerOver bool
 	// newcomersAt is when a former owner has surely heard of the takeover.
 	newcomersAt time.Duration
 	queueMean   map[string]*mean
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -53,6 +53,10 @@
 	}
 }
 
+// FormerOver says that a former owner has ended and all that it stored is
+// merged.
+func (p *Planner) FormerOver() { p.formerOver = true }
+
 // Tried says that the worker's first answer is missing.
 func (p *Planner) Tried(id string) { delete(p.untried, id) }
 
@@ -304,6 +308,9 @@
 	if !p.recovering || len(p.unheard) > 0 || now < p.registryAt {
 		return
 	}
+	if !p.recorded && !p.formerOver {
+		return
+	}
 	p.recovering = false
 	p.note(Note{Event: "recovery finished", Count: len(p.workers)})
 	for _, j := range p.open {
