One place for logic that the new code had twice; drop state without a reader

Behaviour is as before. Intake and owner chose a job's place, and told failures without effect from others, each for itself (replica.Place, fault.NoEffect); runs that are gone without an end were dropped alike in three places (loseRun); a job's key in a part was put together twice (JobKeyIn); three lazily made maps alike (put). unit.readyAt and job.accel were written and never read.

--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -164,7 +164,7 @@
 func (in *Intake) commit(ctx context.Context, places []port.RowKey, txn func(port.RowKey) port.RowTxn) (int64, error) {
 	uncertain := false
 	for try := 0; ; try++ {
-		key := in.place(places, try)
+		key := replica.Place(places, try, in.health.PartDown)
 		call, cancel := context.WithTimeout(ctx, min(commitTimeout, 2*in.health.Patience()))
 		version, err := in.store.Commit(call, txn(key))
 		cancel()
@@ -172,7 +172,7 @@
 		if err == nil || errors.As(err, &conflict) {
 			return version, err
 		}
-		uncertain = uncertain || !(fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Overloaded))
+		uncertain = uncertain || !fault.NoEffect(err)
 		in.log.Info("commit not answered", zap.String("part", key.Part), zap.String("key", key.Key), zap.Int("try", try), zap.Error(err))
 		if waitErr := wait.For(ctx, resendPause); waitErr != nil {
 			if uncertain {
@@ -183,18 +183,6 @@
 	}
 }
 
-// place chooses where a try goes: to the next place whose part isn't known to
-// fail, the usual one first.
-func (in *Intake) place(places []port.RowKey, try int) port.RowKey {
-	for k := range places {
-		key := places[(try+k)%len(places)]
-		if !in.health.PartDown(key.Part) {
-			return key
-		}
-	}
-	return places[try%len(places)]
-}
-
 // find returns a job by the copy or, where that doesn't know it, by the store.
 func (in *Intake) find(ctx context.Context, q *work.Queue, id string) (replica.JobView, error) {
 	if v, ok := in.replica.Job(id); ok {
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -36,6 +36,9 @@
 	unreachableAfter = 900 * time.Millisecond
 )
 
+// reasonFenced is why an owner ends that a worker refused.
+const reasonFenced = "a worker has seen a higher fencing token"
+
 // session is the conversation with one worker.
 type session struct {
 	owner  *Owner
@@ -151,7 +154,7 @@
 func (s *session) failed(err error) {
 	s.setSameLife(false)
 	if fault.Is(err, fault.Fenced) {
-		s.owner.depose("a worker has seen a higher fencing token")
+		s.owner.depose(reasonFenced)
 		return
 	}
 	s.mu.Lock()
@@ -217,7 +220,7 @@
 		case err == nil:
 			s.heard(clock)
 			if rejected == port.RejectedFence {
-				s.owner.depose("a worker has seen a higher fencing token")
+				s.owner.depose(reasonFenced)
 				return
 			}
 			if rejected == port.RejectedLate {
@@ -250,7 +253,7 @@
 			return
 		}
 		if fault.Is(err, fault.Fenced) {
-			s.owner.depose("a worker has seen a higher fencing token")
+			s.owner.depose(reasonFenced)
 			return
 		}
 		_ = wait.For(ctx, retryPause) // ends early only with ctx, which the loop checks
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -101,13 +101,7 @@
 // placeOf chooses the part that a job's record goes to: the usual one, unless it
 // is away.
 func (o *Owner) placeOf(id string) string {
-	keys := replica.JobKeys(o.pool, id)
-	for _, key := range keys {
-		if !o.deps.PartDown(key.Part) {
-			return key.Part
-		}
-	}
-	return keys[0].Part
+	return replica.Place(replica.JobKeys(o.pool, id), 0, o.deps.PartDown).Part
 }
 
 func (o *Owner) transaction(part string, records []work.Record) (port.RowTxn, error) {
@@ -118,8 +112,7 @@
 		if err != nil {
 			return txn, err
 		}
-		key := replica.JobKeys(o.pool, id)[0]
-		key.Part = part
+		key := replica.JobKeyIn(part, id)
 		txn.Expect[key] = o.storing.versions[rowOf{part, id}]
 		txn.Puts[key] = value
 	}
@@ -228,8 +221,7 @@
 func (o *Owner) mergeConflict(r storedResult, conflict *port.RowConflict) {
 	for i := range r.records {
 		rec := &r.records[i]
-		key := replica.JobKeys(o.pool, rec.Job.ID)[0]
-		key.Part = r.part
+		key := replica.JobKeyIn(r.part, rec.Job.ID)
 		o.storing.putBack(rec)
 		row, found := conflict.Row(key)
 		if !found { // as expected of a first row here, or removed
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -113,7 +113,7 @@
 				s.up(scope)
 				return a.value, a.err
 			}
-			uncertain = uncertain || !(fault.Is(a.err, fault.Unavailable) || fault.Is(a.err, fault.Overloaded))
+			uncertain = uncertain || !fault.NoEffect(a.err)
 			last = a.err
 			if launched < len(ways) {
 				launch()
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -100,6 +100,22 @@
 // JobKeys returns the keys that a job's rows may have, the usual one first.
 func JobKeys(pool, id string) []port.RowKey { return keysAt(pool, id, jobPrefix) }
 
+// Place chooses among the keys of one job: from the one that try counts to, the
+// first whose part isn't down.
+func Place(keys []port.RowKey, try int, down func(part string) bool) port.RowKey {
+	for k := range keys {
+		if key := keys[(try+k)%len(keys)]; !down(key.Part) {
+			return key
+		}
+	}
+	return keys[try%len(keys)]
+}
+
+// JobKeyIn returns the key of a job's row in a part.
+func JobKeyIn(part, id string) port.RowKey {
+	return port.RowKey{Table: Table, Part: part, Key: jobPrefix + id}
+}
+
 // CancelKeys returns the keys that a job's cancellation may have.
 func CancelKeys(pool, id string) []port.RowKey { return keysAt(pool, id, cancelPrefix) }
 
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -139,6 +139,12 @@
 	return Internal
 }
 
+// NoEffect reports whether err says that the operation certainly did nothing,
+// so that it may be tried elsewhere.
+func NoEffect(err error) bool {
+	return Is(err, Unavailable) || Is(err, Overloaded)
+}
+
 // Is reports whether err carries the code.
 func Is(err error, code Code) bool {
 	return err != nil && CodeOf(err) == code
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -67,7 +67,6 @@
 
 func (p *Planner) addUnits(j *job, step int, now time.Duration, inherited bool) {
 	s := &j.rec.Job.Steps[step]
-	j.accel += int64(s.Count) * s.Need.Accel
 	var progress work.StepProgress
 	if step < len(j.rec.Steps) {
 		progress = j.rec.Steps[step]
@@ -79,7 +78,7 @@
 	for k := range units {
 		u := &unit{
 			job: j, step: step, first: k * size, count: size,
-			nextRun: p.firstRun, runs: map[int]*run{}, readyAt: now,
+			nextRun: p.firstRun, runs: map[int]*run{},
 			failed: slices.Clone(progress.Failures[k*size]), saved: progress.Checkpoints[k*size],
 			placed: progress.Placed[k*size], inherited: inherited, newcomer: !inherited && p.recovering,
 		}
@@ -112,7 +111,7 @@
 		}
 		for _, u := range units {
 			if u.phase == unitBlocked {
-				u.phase, u.readyAt = unitReady, now
+				u.phase = unitReady
 			}
 		}
 	}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -37,6 +37,15 @@
 	}
 }
 
+// loseRun drops a run that is gone without an end, and gives up its attempt.
+func (p *Planner) loseRun(r *run, now time.Duration) {
+	p.dropRun(r)
+	if r.unit != nil {
+		p.giveUp(r.unit, now)
+		p.clear(r.unit, now)
+	}
+}
+
 // stopRun orders a run to stop. A run that was never confirmed is stopped too:
 // its start may still be carried out.
 func (p *Planner) stopRun(r *run, why string) {
@@ -86,7 +95,7 @@
 		p.settle(j, now)
 		return
 	}
-	u.phase, u.readyAt = unitReady, now
+	u.phase = unitReady
 	if !j.depsDone(u.step) {
 		u.phase = unitBlocked
 	}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -75,7 +75,6 @@
 	avoid map[string]bool
 	// notBefore delays the next attempt.
 	notBefore time.Duration
-	readyAt   time.Duration
 	clearedAt time.Duration // when the attempt was given up
 	stopSent  bool
 	// inherited units may run on workers that this owner hasn't heard yet.
@@ -193,8 +192,6 @@
 	started   bool
 	dirty     bool // changed since TakeChanged
 	unstored  bool // changed since the last change known to be stored
-	// accel is how many accelerators all tasks of the job ask for.
-	accel int64
 }
 
 func (j *job) open() bool { return !j.rec.State.Ended() && !j.cancelled }
@@ -315,28 +312,27 @@
 				continue
 			}
 			if len(u.failed) > 0 {
-				if s.Failures == nil {
-					s.Failures = map[int][]int64{}
-				}
-				s.Failures[u.first] = slices.Clone(u.failed)
+				put(&s.Failures, u.first, slices.Clone(u.failed))
 			}
 			if workers := u.workers(); len(workers) > 0 {
-				if s.Placed == nil {
-					s.Placed = map[int][]string{}
-				}
-				s.Placed[u.first] = workers
+				put(&s.Placed, u.first, workers)
 			}
 			if u.saved != "" {
-				if s.Checkpoints == nil {
-					s.Checkpoints = map[int]string{}
-				}
-				s.Checkpoints[u.first] = u.saved
+				put(&s.Checkpoints, u.first, u.saved)
 			}
 		}
 	}
 	return rec
 }
 
+// put sets a value in a map that is made when it is first needed.
+func put[V any](m *map[int]V, key int, value V) {
+	if *m == nil {
+		*m = map[int]V{}
+	}
+	(*m)[key] = value
+}
+
 // workers names those that the unit's runs are on, or may be.
 func (u *unit) workers() []string {
 	out := slices.Clone(u.placed)
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -80,12 +80,10 @@
 		if r.phase == runRunning && u != nil {
 			p.waste["lost"] += lostWork(u, r, now)
 		}
-		p.dropRun(r)
 		if u != nil {
 			u.expired = append(u.expired, expiredRun{r.number, id, w.life})
-			p.giveUp(u, now)
-			p.clear(u, now)
 		}
+		p.loseRun(r, now)
 	}
 	p.note(Note{Event: "worker lost", Worker: id, Count: n, Detail: why})
 	delete(p.unheard, id)
@@ -119,11 +117,7 @@
 		if r.phase == runRunning && u != nil {
 			p.waste["lost"] += lostWork(u, r, now)
 		}
-		p.dropRun(r)
-		if u != nil {
-			p.giveUp(u, now)
-			p.clear(u, now)
-		}
+		p.loseRun(r, now)
 	}
 	w.health = health{}
 }
@@ -192,12 +186,7 @@
 		if !gone {
 			continue
 		}
-		u := r.unit
-		p.dropRun(r)
-		if u != nil {
-			p.giveUp(u, now)
-			p.clear(u, now)
-		}
+		p.loseRun(r, now)
 	}
 }
 
