Ask peers that reach the store first; hand the pool over when turned away

Its calls went through peers by turns, two of which were cut as well: each such try took 0.8 s to fail, a hung one was never followed by a third, so that the owner heard of jobs 0.7 to 0.9 s late and started before placements were stored. The next owner was again one of the three. - relay: a peer that failed or was overtaken after the patience is asked last for 5 s; hedging goes on to a third peer; after a failure the direct way has a head start of 30 ms, so that it is seen to work again. - pool: instances without a direct way take a later turn; an owner without one for 1.5 s hands the pool over, at most once in 5 s. Ruled out: overload of the owner (0.9% of a core). Tests seen failing without the change: TestPeersThatDontReachTheStoreAreAskedLast, TestOwnerThatTheStoreTurnsAwayHandsOver. Also logs work lost by cause and job.

--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -32,6 +32,9 @@
 	// while the store is slow.
 	turn     = 60 * time.Millisecond
 	slowTurn = 1200 * time.Millisecond
+	// indirectDelay puts instances that reach the store through peers only behind
+	// the others: these hear of a vacant pool within 0.3 s and take it in turns.
+	indirectDelay = 700 * time.Millisecond
 	// handoverTimeout bounds the writes of a planned handover.
 	handoverTimeout = 800 * time.Millisecond
 )
@@ -50,7 +53,8 @@
 }
 
 // delay is this instance's turn among those that are known. Instances with more
-// processor go first, as owning takes most of it.
+// processor go first, as owning takes most of it, and those that the store turns
+// away last.
 func (e *Election) delay() time.Duration {
 	mine := e.rank(e.deps.Name)
 	before := 0
@@ -59,10 +63,15 @@
 			before++
 		}
 	}
+	each := turn
 	if e.deps.Latency() > slowStore {
-		return time.Duration(before) * slowTurn
+		each = slowTurn
 	}
-	return time.Duration(before) * turn
+	delay := time.Duration(before) * each
+	if e.deps.DirectDown() > 0 {
+		delay += indirectDelay
+	}
+	return delay
 }
 
 func (e *Election) rank(name string) uint64 { return xxhash.Sum64String(name + "/" + e.pool) }
@@ -129,7 +138,7 @@
 	if err := o.run(ctx); err != nil {
 		e.log.Warn("takeover failed", zap.Error(err))
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || o.yielded {
 		e.handOver(epoch, version)
 	}
 }
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -49,6 +49,13 @@
 	knownWithin = 2 * time.Second
 	// freshCopy is the age up to which the copy holds a former owner's last writes.
 	freshCopy = 500 * time.Millisecond
+	// yieldAfter is how long an owner may reach the store through peers only
+	// before it hands the pool over to an instance that may fare better: each of
+	// its writes takes several times as long, for partitions of 2 to 12 s.
+	yieldAfter = 1500 * time.Millisecond
+	// yieldSpacing keeps the pool from being passed around where all instances
+	// fare alike.
+	yieldSpacing = 5 * time.Second
 	// planEvery is how often waiting work is looked at without an event.
 	planEvery = 100 * time.Millisecond
 )
@@ -69,6 +76,8 @@
 	RetainFor time.Duration
 	// Latency tells what the store's calls take at present.
 	Latency func() time.Duration
+	// DirectDown tells for how long the store has been reached through peers only.
+	DirectDown func() time.Duration
 	// PartDown reports whether a part of the store failed lately.
 	PartDown func(part string) bool
 	// Config returns the configuration in force, nil where there is none.
@@ -139,6 +148,7 @@
 	config     *work.Config
 	done       chan struct{}
 	formerOver bool           // a former owner has ended and what it stored is merged
+	yielded    bool           // the pool is to be handed over while this process goes on
 	lost       sync.Once      // logs the end of the ownership
 	tasks      sync.WaitGroup // goroutines that end with the owner
 }
@@ -208,6 +218,21 @@
 	return nil
 }
 
+// shouldYield reports whether another instance is likely to own the pool better:
+// this one reaches the store through peers only.
+func (o *Owner) shouldYield() bool {
+	down := o.deps.DirectDown()
+	now := o.now()
+	if down < yieldAfter || now-o.startedAt < yieldSpacing || now-time.Duration(o.beatAt.Load()) > takeoverAfter {
+		return false
+	}
+	if len(o.deps.Replica.Nodes(o.deps.Name)) == 0 {
+		return false
+	}
+	o.log.Info("handing over, the store is reached through peers only", zap.Duration("for", down))
+	return true
+}
+
 func (o *Owner) applyConfig() {
 	if c := o.deps.Config(); c != nil && c != o.config {
 		o.config = c
@@ -229,6 +254,10 @@
 		case <-ctx.Done():
 			return
 		}
+		if o.shouldYield() {
+			o.yielded = true
+			return
+		}
 		o.takeJobs(sub)
 		o.step(ctx)
 	}
--- a/internal/duty/pool/pool_test.go
+++ b/internal/duty/pool/pool_test.go
@@ -341,3 +341,51 @@
 	rows, _, err := w.store.Scan(context.Background(), key.Table, key.Part, key.Key, key.Key+"\x00")
 	return err == nil && len(rows) > 0
 }
+
+// The store turns the owner away and it works through its peers, each of whose
+// answers takes a detour: an instance with a way of its own takes over while
+// everything runs on.
+func TestOwnerThatTheStoreTurnsAwayHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		first := w.launch()
+		time.Sleep(time.Second)
+		second := w.launch()
+		for _, in := range w.instances {
+			must.NoError(t, in.replica.Register(context.Background(), replica.Node{Name: in.name, Address: in.name}))
+		}
+		w.profile("long", 14, 4)
+		w.submit("long", gang(4, 2, 14))
+		time.Sleep(6 * time.Second)
+		must.EqOp(t, first.name, w.owner())
+		first.turned.Store(true)
+		time.Sleep(3 * time.Second)
+		must.EqOp(t, second.name, w.owner())
+		must.EqOp(t, 4, w.pool.Running())
+		w.await(15 * time.Second)
+		must.EqOp(t, 4, w.pool.Starts())
+		w.intact()
+	})
+}
+
+// Where the store turns every instance away by turns, the pool isn't passed
+// around.
+func TestPoolIsNotPassedAroundWhenAllAreTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		for range 3 {
+			w.launch()
+		}
+		time.Sleep(7 * time.Second)
+		for _, in := range w.instances {
+			must.NoError(t, in.replica.Register(context.Background(), replica.Node{Name: in.name, Address: in.name}))
+		}
+		time.Sleep(time.Second)
+		for _, in := range w.instances {
+			in.turned.Store(true)
+		}
+		before := w.instances[0].replica.Pool(testPool).Epoch.Number
+		time.Sleep(12 * time.Second)
+		must.LessEq(t, before+2*3, w.instances[0].replica.Pool(testPool).Epoch.Number)
+	})
+}
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -146,6 +147,9 @@
 	if n.Detail != "" {
 		fields = append(fields, zap.String("detail", n.Detail))
 	}
+	if n.Lost != 0 {
+		fields = append(fields, zap.Float64("core_seconds", math.Round(n.Lost)))
+	}
 	o.log.Info(n.Event, append(fields, zap.Int("count", n.Count))...)
 }
 
--- a/internal/duty/pool/world_test.go
+++ b/internal/duty/pool/world_test.go
@@ -54,13 +54,15 @@
 // instance is one process: its store and workers can be taken away, as a kill
 // does.
 type instance struct {
-	world *world
-	name  string
-	gone  atomic.Bool
-	mute  atomic.Bool // its commits get no answer
+	world  *world
+	name   string
+	gone   atomic.Bool
+	mute   atomic.Bool // its commits get no answer
+	turned atomic.Bool // the store turns it away, but not its peers
 	// slowHold delays its holds at one worker.
 	slowHold time.Duration
 	slowAt   string
+	replica  *replica.Replica
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 }
@@ -92,13 +94,14 @@
 	w.instances = append(w.instances, in)
 	ctx, cancel := context.WithCancel(context.Background())
 	in.cancel = cancel
-	store := relay.New(&gatedStore{in, w.store}, func() []port.RowStore { return nil })
+	store := relay.New(&gatedStore{in, w.store}, in.peers)
 	rep := replica.New(store, zap.NewNop(), w.now)
 	deps := Deps{
 		Store: store, Workers: &gatedWorkers{in, w.workers}, Registry: w.registry, Replica: rep,
 		Log: testLog().With(zap.String("in", in.name)), Now: w.now, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.name,
-		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, RetainFor: 2 * time.Minute, Latency: store.Latency, PartDown: store.PartDown,
+		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, RetainFor: 2 * time.Minute, Latency: store.Latency, DirectDown: store.DirectDown, PartDown: store.PartDown,
 	}
+	in.replica = rep
 	in.done.Go(func() { rep.Run(ctx) })
 	in.done.Go(func() { NewElection(deps, testPool).Run(ctx) })
 	return in
@@ -173,6 +176,17 @@
 	}
 }
 
+// owner reads which instance owns the pool from the store.
+func (w *world) owner() string {
+	w.t.Helper()
+	rows, _, err := w.store.Scan(context.Background(), replica.Table, testPool, replica.EpochKey, replica.EpochKey+"\x00")
+	must.NoError(w.t, err)
+	must.Len(w.t, 1, rows)
+	var epoch replica.Epoch
+	must.NoError(w.t, work.Decode(rows[0].Value, &epoch))
+	return epoch.Owner
+}
+
 func (w *world) intact() {
 	w.t.Helper()
 	for _, b := range w.pool.Broken() {
@@ -180,6 +194,16 @@
 	}
 }
 
+var errTurnedAway = fault.New(fault.Overloaded, "too many calls")
+
+// peers are the ways to the store through other instances.
+func (in *instance) peers() []port.RowStore {
+	if in.turned.Load() && !in.gone.Load() {
+		return []port.RowStore{in.world.store}
+	}
+	return nil
+}
+
 var errGone = fault.New(fault.Unavailable, "the process is gone")
 
 type gatedStore struct {
@@ -187,7 +211,17 @@
 	port.RowStore
 }
 
+func (g *gatedStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) ([]port.VersionedRow, int64, error) {
+	if g.in.turned.Load() {
+		return nil, 0, errTurnedAway
+	}
+	return g.RowStore.Feed(ctx, table, after, wait)
+}
+
 func (g *gatedStore) Commit(ctx context.Context, txn port.RowTxn) (int64, error) {
+	if g.in.turned.Load() {
+		return 0, errTurnedAway
+	}
 	if g.in.gone.Load() {
 		return 0, errGone
 	}
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -27,21 +27,26 @@
 	// store counts as away; at its slowest it answers in 1.2 s.
 	silentAfter = 1500 * time.Millisecond
 	// peersAsked bounds the peers tried for one call.
-	peersAsked = 2
+	peersAsked = 3
+	// headStart is how much earlier the direct way is asked than a peer after it
+	// failed, so that it shows when it works again; it takes 12 ms at its usual
+	// speed.
+	headStart = 30 * time.Millisecond
 )
 
 // Store is a RowStore that falls back to peers. It is safe for concurrent use.
 type Store struct {
 	direct port.RowStore
 	peers  func() []port.RowStore
-	// distrusted is set from a failure of the direct way to its next success;
+	// distrustedAt is when the direct way began to fail, 0 while it succeeds;
 	// meanwhile a peer is asked at the same time.
-	distrusted atomic.Bool
+	distrustedAt atomic.Int64
 	// downSince is when calls began to fail on every way, 0 while they succeed.
 	downSince atomic.Int64
 	// latency is a moving mean of what reads and commits take, in nanoseconds.
 	latency atomic.Int64
 	parts   partHealth
+	ways    wayHealth
 	turn    atomic.Uint64
 }
 
@@ -64,9 +69,9 @@
 }
 
 type answer[T any] struct {
-	value  T
-	err    error
-	direct bool
+	value T
+	err   error
+	way   int // its index among the ways asked
 }
 
 // call runs op on the direct way and, if that fails or takes longer than
@@ -75,27 +80,33 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ways := []port.RowStore{s.direct}
-	peers := s.peers()
-	first := int(s.turn.Add(1))
-	for k := range min(peersAsked, len(peers)) {
-		ways = append(ways, peers[(first+k)%len(peers)])
-	}
+	ways = append(ways, s.ways.choose(s.peers(), int(s.turn.Add(1)), peersAsked)...)
 	answers := make(chan answer[T], len(ways))
 	launched, pending := 0, 0
+	askedAt := make([]time.Time, len(ways)) // zero once answered
 	launch := func() {
-		way, direct := ways[launched], launched == 0
+		k := launched
 		launched++
 		pending++
+		askedAt[k] = time.Now()
 		go func() {
-			v, err := op(ctx, way)
-			answers <- answer[T]{v, err, direct}
+			v, err := op(ctx, ways[k])
+			answers <- answer[T]{v, err, k}
 		}()
 	}
+	defer func() {
+		for k := 1; k < launched; k++ {
+			if !askedAt[k].IsZero() && time.Since(askedAt[k]) >= patience {
+				s.ways.fail(ways[k]) // overtaken by another way
+			}
+		}
+	}()
 	launch()
-	if s.distrusted.Load() && len(ways) > 1 {
-		launch()
+	first := patience
+	if s.DirectDown() > 0 {
+		first = headStart
 	}
-	hedge := time.NewTimer(patience)
+	hedge := time.NewTimer(first)
 	defer hedge.Stop()
 	silent := time.NewTimer(patience + silentAfter)
 	defer silent.Stop()
@@ -106,9 +117,8 @@
 		select {
 		case a := <-answers:
 			pending--
-			if a.direct {
-				s.trust(a.err)
-			}
+			askedAt[a.way] = time.Time{}
+			s.judge(ways[a.way], a.err)
 			if !outage(a.err) {
 				s.up(scope)
 				return a.value, a.err
@@ -125,9 +135,12 @@
 				return zero, last
 			}
 		case <-hedge.C:
-			s.distrusted.Store(true)
+			if time.Since(askedAt[0]) >= patience {
+				s.distrust(true)
+			}
 			if launched < len(ways) {
 				launch()
+				hedge.Reset(patience)
 			}
 		case <-silent.C:
 			s.down(scope)
@@ -163,15 +176,42 @@
 // Outage returns for how long calls have failed on every way, 0 where the last
 // one was answered.
 func (s *Store) Outage() time.Duration {
-	since := s.downSince.Load()
-	if since == 0 {
-		return 0
+	return since(&s.downSince)
+}
+
+// judge remembers how a way fared.
+func (s *Store) judge(way port.RowStore, err error) {
+	failed := outage(err)
+	switch {
+	case way == s.direct:
+		s.distrust(failed)
+	case failed:
+		s.ways.fail(way)
+	default:
+		s.ways.clear(way)
 	}
-	return max(time.Since(time.Unix(0, since)), 1)
 }
 
-func (s *Store) trust(err error) {
-	s.distrusted.Store(outage(err))
+func (s *Store) distrust(failed bool) {
+	if !failed {
+		s.distrustedAt.Store(0)
+		return
+	}
+	s.distrustedAt.CompareAndSwap(0, time.Now().UnixNano())
+}
+
+// DirectDown returns for how long the direct way has failed, 0 where its last
+// call was answered.
+func (s *Store) DirectDown() time.Duration { return since(&s.distrustedAt) }
+
+// since returns the time from a stored moment, at least 1 ns, or 0 where none
+// is stored.
+func since(moment *atomic.Int64) time.Duration {
+	at := moment.Load()
+	if at == 0 {
+		return 0
+	}
+	return max(time.Since(time.Unix(0, at)), 1)
 }
 
 // Commit implements port.RowStore. A conflict with rows that hold just what
--- /dev/null
+++ b/internal/duty/relay/relay_test.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+)
+
+// way is a path to the store that fails after a time, or never answers.
+type way struct {
+	port.RowStore
+	silent bool
+	fails  time.Duration
+}
+
+func (w *way) Commit(ctx context.Context, txn port.RowTxn) (int64, error) {
+	switch {
+	case w.silent:
+		<-ctx.Done()
+		return 0, fault.Wrap(fault.Uncertain, "no answer", ctx.Err())
+	case w.fails > 0:
+		select {
+		case <-time.After(w.fails):
+		case <-ctx.Done():
+		}
+		return 0, fault.New(fault.Unavailable, "can't connect")
+	}
+	return w.RowStore.Commit(ctx, txn)
+}
+
+func commitTook(t *testing.T, s *Store) time.Duration {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	began := time.Now()
+	_, err := s.Commit(ctx, port.RowTxn{Puts: map[port.RowKey][]byte{{Table: "t", Part: "p", Key: "k"}: {1}}})
+	must.NoError(t, err)
+	return time.Since(began)
+}
+
+// Two of three peers are cut off from the store, too: whether they fail or hang,
+// they cost their first calls only.
+func TestPeersThatDontReachTheStoreAreAskedLast(t *testing.T) {
+	for name, cut := range map[string]way{"hang": {silent: true}, "fail": {fails: 800 * time.Millisecond}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rows := fake.NewRows()
+				one, two := cut, cut
+				peers := []port.RowStore{&one, &two, &way{RowStore: rows}}
+				s := New(&way{silent: true}, func() []port.RowStore { return peers })
+				for range 4 {
+					commitTook(t, s)
+				}
+				for range 12 {
+					must.Less(t, 50*time.Millisecond, commitTook(t, s))
+				}
+			})
+		})
+	}
+}
+
+func TestDirectWayIsTrustedAgainOnceItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fake.NewRows()
+		direct := &way{RowStore: rows, silent: true}
+		s := New(direct, func() []port.RowStore { return []port.RowStore{&way{RowStore: rows}} })
+		must.EqOp(t, 0, s.DirectDown())
+		commitTook(t, s)
+		time.Sleep(time.Second)
+		must.GreaterEq(t, time.Second, s.DirectDown())
+		direct.silent = false
+		commitTook(t, s)
+		must.EqOp(t, 0, s.DirectDown())
+	})
+}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -57,12 +57,23 @@
 }
 
 func (p *Planner) stopUnit(u *unit, now time.Duration, why string) {
+	lost := 0.0
 	for _, r := range u.runs {
 		if r.phase == runRunning {
-			p.waste[why] += lostWork(u, r, now)
+			lost += lostWork(u, r, now)
 		}
 		p.stopRun(r, why)
 	}
+	p.lose(u.job, why, lost)
+}
+
+// lose counts work that was thrown away, in core-seconds.
+func (p *Planner) lose(j *job, why string, lost float64) {
+	if lost == 0 {
+		return
+	}
+	p.waste[why] += lost
+	p.note(Note{Event: "work lost", Job: j.rec.Job.ID, Detail: why, Lost: lost})
 }
 
 // lostWork is what stopping a run throws away, in core-seconds.
@@ -206,7 +217,7 @@
 		p.failed(u, r, w, now)
 	default:
 		if r.phase != runStopping && r.phase != runStarting {
-			p.waste["ended "+endName(e.Kind)] += lostWork(u, r, now)
+			p.lose(u.job, "ended "+endName(e.Kind), lostWork(u, r, now))
 		}
 		p.giveUp(u, now)
 	}
@@ -223,7 +234,7 @@
 	}
 	u.avoid[w.info.ID] = true
 	w.health.failed(now, u.job.rec.Job.ID)
-	p.waste["failed"] += lostWork(u, r, now) * float64(u.count)
+	p.lose(u.job, "failed", lostWork(u, r, now)*float64(u.count))
 	p.touch(u.job)
 	p.note(Note{Event: "run failed", Job: r.task.Job, Worker: w.info.ID, Task: r.task, Run: r.number, Count: len(u.failed), Age: now - r.startedAt})
 	p.giveUp(u, now)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -242,6 +242,8 @@
 	Detail string
 	Count  int
 	Age    time.Duration
+	// Lost is the work thrown away, in core-seconds.
+	Lost float64
 }
 
 type mean struct{ sum, n float64 }
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -78,7 +78,7 @@
 	for _, r := range w.runs {
 		u := r.unit
 		if r.phase == runRunning && u != nil {
-			p.waste["lost"] += lostWork(u, r, now)
+			p.lose(u.job, "worker lost", lostWork(u, r, now))
 		}
 		if u != nil {
 			u.expired = append(u.expired, expiredRun{r.number, id, w.life})
@@ -115,7 +115,7 @@
 			continue
 		}
 		if r.phase == runRunning && u != nil {
-			p.waste["lost"] += lostWork(u, r, now)
+			p.lose(u.job, "worker lost", lostWork(u, r, now))
 		}
 		p.loseRun(r, now)
 	}
