Metrics of a pool instance, and explain ID

Counters and histograms (tally, scraped as Prometheus text) at the port and path of the deploy file; an observer in duty/pool, decorators for callers' calls and the store's. lentilwinch explain ID puts a job's lines of all logs in order, with what concerned its pool and workers meanwhile, and names the outcome and the longest spans. Event names of the planner stand in one place; ends and rejections are logged in words. internal/explain's tests play a rejection, a late job, a preempted one and a failed one and find the cause from the log alone.

--- a/cmd/lentilwinch-poold/main.go
+++ b/cmd/lentilwinch-poold/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(platform.Run())
+	os.Exit(platform.Run(os.Args[1:]))
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -87,6 +87,7 @@
 			a.statusCommand(),
 			a.dumpCommand(),
 			a.checkCommand(),
+			a.explainCommand(),
 		},
 		Exec: unknownCommand,
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -34,6 +34,7 @@
 func TestHelpShowsExamples(t *testing.T) {
 	for _, command := range []string{
 		"apply", "ticket", "submit", "jobs", "job", "watch", "cancel", "request", "outcome", "status", "dump", "check",
+		"explain",
 	} {
 		got := run(background, command, "-h")
 		must.Eq(t, ExitOK, got.exit)
@@ -295,3 +296,15 @@
 	must.StrContains(t, got.stdout, "north-yard-1.json: ok")
 	must.StrContains(t, got.stderr, "remove_services: found unknown field")
 }
+
+func TestExplainReadsLogs(t *testing.T) {
+	log := filepath.Join(t.TempDir(), "north-1.log")
+	line := `{"level":"info","ts":"2026-03-09T06:16:10.011Z","msg":"job rejected","node":"north-1","job":"a1","why":"the store is away"}`
+	must.NoError(t, os.WriteFile(log, []byte(line+"\n"), 0o600))
+	got := run(background, "explain", "a1", log)
+	must.Eq(t, ExitOK, got.exit)
+	must.StrContains(t, got.stdout, "rejected\n  - job rejected: the store is away")
+	must.StrContains(t, run(background, "explain", "-json", "a1", log).stdout, `"outcome": "rejected"`)
+	must.Eq(t, ExitNotFound, run(background, "explain", "b2", log).exit)
+	must.Eq(t, ExitNotFound, run(background, "explain", "a1", log+".gone").exit)
+}
--- a/internal/duty/pool/lease.go
+++ b/internal/duty/pool/lease.go
@@ -43,6 +43,11 @@
 	return until
 }
 
+// left returns how much of the lease remains, if one was ever asked for.
+func (c *leaseClock) left(now time.Duration) (time.Duration, bool) {
+	return c.until - c.worker - (now - c.at), c.until > 0
+}
+
 func (c *leaseClock) renewLapse() {
 	if !c.known {
 		return
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -58,6 +58,8 @@
 	yieldSpacing = 5 * time.Second
 	// planEvery is how often waiting work is looked at without an event.
 	planEvery = 100 * time.Millisecond
+	// reportEvery is how often the queue's lengths are reported to the metrics.
+	reportEvery = time.Second
 )
 
 // Deps are what an owner works with.
@@ -67,6 +69,7 @@
 	Registry port.WorkerRegistry
 	Replica  *replica.Replica
 	Log      *zap.Logger
+	Observer Observer
 	// Now is a steady clock that counts suspended time.
 	Now      func() time.Duration
 	Settings planner.Settings
@@ -243,6 +246,9 @@
 func (o *Owner) loop(ctx context.Context, sub *replica.Subscription) {
 	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
+	report := time.NewTicker(reportEvery)
+	defer report.Stop()
+	defer o.deps.Observer.Owning(o.pool, false, 0, 0)
 	o.lastLoop = o.now()
 	for {
 		select {
@@ -251,6 +257,10 @@
 			o.drain(ctx)
 		case <-sub.C():
 		case <-tick.C:
+		case <-report.C:
+			waiting, running := o.planner.Counts()
+			o.deps.Observer.Owning(o.pool, true, waiting, running)
+			continue
 		case <-ctx.Done():
 			return
 		}
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -106,6 +106,9 @@
 	now := s.owner.now()
 	fresh := s.clock.known && now-s.lastHeard < unreachableAfter+holdWait
 	if fresh && s.owner.mayRenew() {
+		if left, ok := s.clock.left(now); ok {
+			s.owner.deps.Observer.LeaseMargin(left)
+		}
 		req.LeaseUntil = s.clock.extend(now, leaseLength)
 	}
 	if s.clock.known && s.reachable {
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -127,6 +127,26 @@
 func (o *Owner) logNotes() {
 	for _, n := range o.planner.TakeNotes() {
 		o.logNote(&n)
+		o.observe(&n)
+	}
+}
+
+func (o *Owner) observe(n *planner.Note) {
+	seen := o.deps.Observer
+	seen.Decided(n.Event)
+	switch n.Event {
+	case planner.EventJobStarted:
+		seen.JobStarted(n.Priority, n.Age)
+	case planner.EventJobCompleted:
+		seen.JobEnded(n.Priority, string(work.Completed), n.Age)
+	case planner.EventJobFailed:
+		seen.JobEnded(n.Priority, string(work.Failed), n.Age)
+	case planner.EventJobCancelled:
+		seen.JobEnded(n.Priority, string(work.Cancelled), n.Age)
+	case planner.EventWorkLost:
+		seen.WorkLost(n.Detail, n.Lost)
+	case planner.EventRecoveryFinished:
+		seen.TakenOver(o.now() - o.startedAt)
 	}
 }
 
@@ -157,6 +177,7 @@
 	for i := range ends {
 		e := &ends[i]
 		o.log.Info("run ended", zap.String("job", e.Task.Job), zap.Int("step", e.Task.Step), zap.Int("index", e.Task.Index),
-			zap.Int64("run", e.Run), zap.String("worker", worker), zap.Int("how", int(e.Kind)), zap.Int64("sequence", e.Sequence))
+			zap.Int64("run", e.Run), zap.String("worker", worker), zap.Stringer("how", e.Kind), zap.Int64("sequence", e.Sequence))
+		o.deps.Observer.RunEnded(e.Kind.String())
 	}
 }
--- a/internal/duty/pool/world_test.go
+++ b/internal/duty/pool/world_test.go
@@ -98,7 +98,7 @@
 	rep := replica.New(store, zap.NewNop(), w.now)
 	deps := Deps{
 		Store: store, Workers: &gatedWorkers{in, w.workers}, Registry: w.registry, Replica: rep,
-		Log: testLog().With(zap.String("in", in.name)), Now: w.now, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.name,
+		Log: testLog().With(zap.String("in", in.name)), Now: w.now, Observer: NoObserver{}, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.name,
 		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, RetainFor: 2 * time.Minute, Latency: store.Latency, DirectDown: store.DirectDown, PartDown: store.PartDown,
 	}
 	in.replica = rep
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,171 @@
+package explain_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/lentilwinch/lentilwinch/internal/duty/intake"
+	"github.com/lentilwinch/lentilwinch/internal/duty/pool"
+	"github.com/lentilwinch/lentilwinch/internal/duty/relay"
+	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
+	"github.com/lentilwinch/lentilwinch/internal/explain"
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/logsink"
+	"github.com/lentilwinch/lentilwinch/internal/planner"
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+// site is one instance with its store and workers, whose log is kept.
+type site struct {
+	t       *testing.T
+	rows    *fake.Rows
+	workers *fake.Pool
+	intake  *intake.Intake
+	queues  []work.Queue
+	out     lockedBuffer
+	close   func()
+}
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, rows: fake.NewRows(), workers: fake.NewPool()}
+	s.queues = []work.Queue{
+		{Name: "urgent", Host: "h", Prefix: "/u/", Pool: "p", MaxAttempts: 3, Stretch: 2},
+		{Name: "batch", Host: "h", Prefix: "/b/", Pool: "p", Priority: 1, MaxAttempts: 3, Stretch: 2},
+	}
+	s.workers.Add(work.Worker{ID: "w1", Address: "10.0.0.1:1", Pool: "p", Rack: "r", Room: work.Resources{CPU: 8000, MemMB: 8000, Accel: 8}})
+	sink := logsink.New(&s.out)
+	log := sink.Logger().With(zap.String("node", "north-1"))
+	began := time.Now()
+	now := func() time.Duration { return time.Since(began) }
+	store := relay.New(s.rows, func() []port.RowStore { return nil })
+	rep := replica.New(store, log, now)
+	s.intake = intake.New(store, store, rep, log)
+	s.intake.SetConfig(&work.Config{Version: 1, Queues: s.queues})
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { rep.Run(ctx) })
+	done.Go(func() {
+		pool.NewElection(pool.Deps{
+			Store: store, Workers: s.workers, Registry: s.workers, Replica: rep, Log: log, Observer: pool.NoObserver{}, Now: now,
+			Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, RetainFor: time.Minute,
+			Latency: store.Latency, DirectDown: store.DirectDown, PartDown: store.PartDown,
+			Config: s.intake.Config, Name: "north-1", Incarnation: "a",
+		}, "p").Run(ctx)
+	})
+	s.close = sync.OnceFunc(func() { cancel(); done.Wait(); sink.Close() })
+	t.Cleanup(s.close)
+	time.Sleep(2 * time.Second)
+	return s
+}
+
+// submit hands in a job of tasks that take a whole worker each.
+func (s *site) submit(queue int, id string, count int, seconds float64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	length := time.Duration(seconds * float64(time.Second))
+	steps := []work.Step{{Count: count, Need: work.Resources{CPU: 1000, MemMB: 100, Accel: 8}, Estimate: length}}
+	return s.intake.Submit(ctx, &s.queues[queue], "ws", id, id, steps)
+}
+
+// explain ends the site and asks its log alone about a job.
+func (s *site) explain(id string) explain.History {
+	s.t.Helper()
+	s.close()
+	var log explain.Log
+	must.NoError(s.t, log.Read(&s.out.buf))
+	must.EqOp(s.t, 0, log.Unread)
+	h := log.Explain(id)
+	must.NotEqOp(s.t, 0, len(h.Entries))
+	return h
+}
+
+func reasons(h explain.History) string { return strings.Join(h.Verdict.Reasons, "\n") }
+
+func TestRejectionIsExplainedByTheStoresOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		s.rows.SetFaults(fake.Faults{Down: true})
+		time.Sleep(5 * time.Second)
+		must.True(t, fault.Is(s.submit(0, "aaaa", 1, 1), fault.Unavailable))
+		h := s.explain("aaaa")
+		must.EqOp(t, explain.Rejected, h.Verdict.Outcome)
+		must.StrContains(t, reasons(h), "the store is away")
+	})
+}
+
+func TestLatenessIsExplainedByWaitingForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		s.workers.Profile("first", fake.Profile{Work: 6 * time.Second})
+		s.workers.Profile("aaaa", fake.Profile{Work: time.Second})
+		must.NoError(t, s.submit(1, "first", 1, 6))
+		time.Sleep(time.Second)
+		must.NoError(t, s.submit(1, "aaaa", 1, 1))
+		time.Sleep(9 * time.Second)
+		h := s.explain("aaaa")
+		must.EqOp(t, explain.Completed, h.Verdict.Outcome)
+		must.True(t, h.Verdict.Late)
+		must.StrContains(t, h.Verdict.Reasons[0], "until the first start: no room")
+	})
+}
+
+func TestPreemptionIsNamedWithWhatTookTheRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		s.workers.Profile("aaaa", fake.Profile{Work: 5 * time.Second})
+		s.workers.Profile("bbbb", fake.Profile{Work: time.Second})
+		must.NoError(t, s.submit(1, "aaaa", 1, 5))
+		time.Sleep(500 * time.Millisecond)
+		must.NoError(t, s.submit(0, "bbbb", 1, 1))
+		time.Sleep(12 * time.Second)
+		h := s.explain("aaaa")
+		must.EqOp(t, explain.Completed, h.Verdict.Outcome)
+		must.StrContains(t, reasons(h), "preempted for bbbb")
+	})
+}
+
+func TestFailureIsExplainedByItsFailedRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		s.workers.Profile("aaaa", fake.Profile{Work: 200 * time.Millisecond, Fails: true})
+		must.NoError(t, s.submit(0, "aaaa", 1, 0.2))
+		time.Sleep(10 * time.Second)
+		h := s.explain("aaaa")
+		must.EqOp(t, explain.Failed, h.Verdict.Outcome)
+		must.StrContains(t, reasons(h), "runs failed on w1, w1, w1")
+		var page bytes.Buffer
+		must.NoError(t, h.Page(&page))
+		must.StrContains(t, page.String(), "job accepted")
+	})
+}
+
+func TestLinesThatAreNoLogLinesAreCounted(t *testing.T) {
+	var log explain.Log
+	must.NoError(t, log.Read(strings.NewReader("panic: x\n12.5 north-1 "+
+		`{"level":"info","ts":"2026-03-09T06:16:10.011Z","msg":"job accepted","node":"north-1","job":"a"}`+"\n{}\n")))
+	must.EqOp(t, 2, log.Unread)
+	must.SliceLen(t, 1, log.Lines)
+	must.EqOp(t, "north-1", log.Lines[0].Instance)
+	must.SliceEmpty(t, log.Explain("b").Entries)
+}
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -29,26 +29,27 @@
 	h.lastLength = 0
 }
 
-func (h *health) failed(now time.Duration, job string) {
+// failed counts a failed run and reports whether that quarantines the worker.
+func (h *health) failed(now time.Duration, job string) bool {
 	if h.failedJobs == nil {
 		h.failedJobs = map[string]bool{}
 	}
 	h.failedJobs[job] = true
-	if len(h.failedJobs) >= sickAfterJobs {
-		h.quarantine(now)
-	}
+	return len(h.failedJobs) >= sickAfterJobs && h.quarantine(now)
 }
 
 // stalled counts a run that stood still; that is never the job's own doing as
 // long as its peers elsewhere progress.
-func (h *health) stalled(now time.Duration) { h.quarantine(now) }
+func (h *health) stalled(now time.Duration) bool { return h.quarantine(now) }
 
 func (h *health) declined(now time.Duration) { h.until = max(h.until, now+declinedPause) }
 
-func (h *health) quarantine(now time.Duration) {
+// quarantine leaves the worker out for a while, unless it is already.
+func (h *health) quarantine(now time.Duration) bool {
 	if h.quarantined(now) {
-		return
+		return false
 	}
 	h.lastLength = min(max(firstQuarantine, 2*h.lastLength), maxQuarantine)
 	h.until = now + h.lastLength
+	return true
 }
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -149,7 +149,11 @@
 func (p *Planner) end(j *job, state work.State, now time.Duration) {
 	j.rec.State = state
 	p.touch(j)
-	p.note(Note{Event: "job " + string(state), Job: j.rec.Job.ID, Age: now - j.arrivedAt})
+	event := EventJobCompleted
+	if state == work.Failed {
+		event = EventJobFailed
+	}
+	p.note(Note{Event: event, Job: j.rec.Job.ID, Priority: j.rec.Job.Priority, Age: now - j.arrivedAt})
 	p.abandon(j, now, string(state))
 }
 
@@ -172,7 +176,7 @@
 		return
 	}
 	j.cancelled = true
-	p.note(Note{Event: "job cancelled", Job: id, Age: now - j.arrivedAt})
+	p.note(Note{Event: EventJobCancelled, Job: id, Priority: j.rec.Job.Priority, Age: now - j.arrivedAt})
 	p.abandon(j, now, "cancelled")
 }
 
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -140,9 +140,9 @@
 		return
 	}
 	for _, r := range still {
-		p.note(Note{Event: "run stalled", Job: r.task.Job, Worker: r.worker.info.ID, Task: r.task, Run: r.number, Count: r.percent})
-		if len(still) < u.count || u.count == 1 {
-			r.worker.health.stalled(now)
+		p.note(Note{Event: EventRunStalled, Job: r.task.Job, Worker: r.worker.info.ID, Task: r.task, Run: r.number, Count: r.percent})
+		if (len(still) < u.count || u.count == 1) && r.worker.health.stalled(now) {
+			p.noteQuarantine(r.worker, "a run stood still")
 		}
 		if u.avoid == nil {
 			u.avoid = map[string]bool{}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -73,7 +73,7 @@
 		return
 	}
 	p.waste[why] += lost
-	p.note(Note{Event: "work lost", Job: j.rec.Job.ID, Detail: why, Lost: lost})
+	p.note(Note{Event: EventWorkLost, Job: j.rec.Job.ID, Detail: why, Lost: lost})
 }
 
 // lostWork is what stopping a run throws away, in core-seconds.
@@ -138,7 +138,7 @@
 	if rejected == port.NotRejected {
 		if r.phase == runStarting {
 			r.phase, r.startedAt, r.confirmedAt, r.progressAt = runRunning, now, now, now
-			p.markStarted(r.unit.job)
+			p.markStarted(r.unit.job, now)
 		}
 		return
 	}
@@ -154,7 +154,7 @@
 	if rejected == port.RejectedOld {
 		u.nextRun += runsPerEpoch / 20
 	}
-	p.note(Note{Event: "start rejected", Job: task.Job, Worker: id, Task: task, Run: number, Count: int(rejected)})
+	p.note(Note{Event: EventStartRejected, Job: task.Job, Worker: id, Task: task, Run: number, Detail: rejected.String()})
 	p.giveUp(u, now)
 	p.clear(u, now)
 }
@@ -170,7 +170,7 @@
 	if r == nil || r.number != number || r.phase != runStarting {
 		return
 	}
-	p.note(Note{Event: "start unanswered", Job: task.Job, Worker: id, Task: task, Run: number})
+	p.note(Note{Event: EventStartUnanswered, Job: task.Job, Worker: id, Task: task, Run: number})
 	p.stopRun(r, "unanswered")
 	r.unit.notBefore = now + retryAfterFailure
 	p.giveUp(r.unit, now)
@@ -185,13 +185,14 @@
 	}
 }
 
-func (p *Planner) markStarted(j *job) {
+func (p *Planner) markStarted(j *job, now time.Duration) {
 	if j.started || !j.open() {
 		return
 	}
 	j.started = true
 	j.rec.State = work.Running
 	p.touch(j)
+	p.note(Note{Event: EventJobStarted, Job: j.rec.Job.ID, Priority: j.rec.Job.Priority, Age: now - j.arrivedAt})
 }
 
 // ended takes in a listed end.
@@ -217,7 +218,7 @@
 		p.failed(u, r, w, now)
 	default:
 		if r.phase != runStopping && r.phase != runStarting {
-			p.lose(u.job, "ended "+endName(e.Kind), lostWork(u, r, now))
+			p.lose(u.job, "ended "+e.Kind.String(), lostWork(u, r, now))
 		}
 		p.giveUp(u, now)
 	}
@@ -233,13 +234,19 @@
 		u.avoid = map[string]bool{}
 	}
 	u.avoid[w.info.ID] = true
-	w.health.failed(now, u.job.rec.Job.ID)
+	if w.health.failed(now, u.job.rec.Job.ID) {
+		p.noteQuarantine(w, "failed runs of several jobs")
+	}
 	p.lose(u.job, "failed", lostWork(u, r, now)*float64(u.count))
 	p.touch(u.job)
-	p.note(Note{Event: "run failed", Job: r.task.Job, Worker: w.info.ID, Task: r.task, Run: r.number, Count: len(u.failed), Age: now - r.startedAt})
+	p.note(Note{Event: EventRunFailed, Job: r.task.Job, Worker: w.info.ID, Task: r.task, Run: r.number, Count: len(u.failed), Age: now - r.startedAt})
 	p.giveUp(u, now)
 }
 
+func (p *Planner) noteQuarantine(w *worker, why string) {
+	p.note(Note{Event: EventWorkerQuarantined, Worker: w.info.ID, Detail: why, Age: w.health.lastLength})
+}
+
 // countFailure counts a failed run once, however many members of a gang list it,
 // and reports whether it was new.
 func (u *unit) countFailure(number int64) bool {
@@ -313,21 +320,3 @@
 	}
 	return units[t.Index]
 }
-
-func endName(k port.EndKind) string {
-	switch k {
-	case port.EndSucceeded:
-		return "succeeded"
-	case port.EndFailed:
-		return "failed"
-	case port.EndStopped:
-		return "stopped"
-	case port.EndLeaseExpired:
-		return "lease expired"
-	case port.EndPeerEnded:
-		return "peer ended"
-	case port.EndIncomplete:
-		return "incomplete"
-	}
-	return "unknown"
-}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -234,14 +234,16 @@
 
 // Note is a decision or a change of belief for the log.
 type Note struct {
-	Event  string
-	Job    string
-	Worker string
-	Task   work.TaskID
-	Run    int64
-	Detail string
-	Count  int
-	Age    time.Duration
+	Event string // one of the events
+	Job   string
+	// Priority is the job's, where the event is about one.
+	Priority int
+	Worker   string
+	Task     work.TaskID
+	Run      int64
+	Detail   string
+	Count    int
+	Age      time.Duration
 	// Lost is the work thrown away, in core-seconds.
 	Lost float64
 }
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -85,7 +85,7 @@
 		}
 		p.loseRun(r, now)
 	}
-	p.note(Note{Event: "worker lost", Worker: id, Count: n, Detail: why})
+	p.note(Note{Event: EventWorkerLost, Worker: id, Count: n, Detail: why})
 	delete(p.unheard, id)
 	delete(p.untried, id)
 	w.health = health{}
@@ -104,7 +104,7 @@
 	}
 	w.life++
 	w.lastEnd, w.acked, w.unacked = 0, 0, nil
-	p.note(Note{Event: "worker restarted", Worker: id, Count: len(w.runs)})
+	p.note(Note{Event: EventWorkerRestarted, Worker: id, Count: len(w.runs)})
 	for _, r := range w.runs {
 		u := r.unit
 		if r.phase == runStarting || (r.phase == runStopping && r.why == "unanswered") {
@@ -193,7 +193,7 @@
 func (p *Planner) progress(now time.Duration, r *run, s *port.RunState) {
 	if r.phase == runStarting {
 		r.phase, r.startedAt, r.confirmedAt = runRunning, now, now
-		p.markStarted(r.unit.job)
+		p.markStarted(r.unit.job, now)
 	}
 	if s.Percent > r.percent {
 		r.percent, r.progressAt = s.Percent, now
@@ -224,8 +224,8 @@
 		r.percent = s.Percent
 		r.startedAt = now - u.spec().Estimate*time.Duration(s.Percent)/100
 		p.progress(now, r, s)
-		p.markStarted(j)
-		p.note(Note{Event: "run adopted", Job: s.Task.Job, Worker: w.info.ID, Task: s.Task, Run: s.Run})
+		p.markStarted(j, now)
+		p.note(Note{Event: EventRunAdopted, Job: s.Task.Job, Worker: w.info.ID, Task: s.Task, Run: s.Run})
 		return
 	}
 	r := &run{task: s.Task, number: s.Run, worker: w, phase: runRunning, startedAt: now, confirmedAt: now}
@@ -236,7 +236,7 @@
 	}
 	w.runs[s.Task] = r
 	w.free = w.free.Sub(r.need)
-	p.note(Note{Event: "stray run", Job: s.Task.Job, Worker: w.info.ID, Task: s.Task, Run: s.Run})
+	p.note(Note{Event: EventStrayRun, Job: s.Task.Job, Worker: w.info.ID, Task: s.Task, Run: s.Run})
 	p.stopRun(r, "stray")
 }
 
@@ -301,7 +301,7 @@
 		return
 	}
 	p.recovering = false
-	p.note(Note{Event: "recovery finished", Count: len(p.workers)})
+	p.note(Note{Event: EventRecoveryFinished, Count: len(p.workers)})
 	for _, j := range p.open {
 		for _, u := range j.units {
 			u.inherited, u.newcomer, u.placed = false, false, nil
--- a/internal/port/rows.go
+++ b/internal/port/rows.go
@@ -177,3 +177,30 @@
 	Stop(ctx context.Context, target WorkerTarget, task work.TaskID, run, fence int64) (WorkerClock, error)
 	Hold(ctx context.Context, target WorkerTarget, req HoldRequest) (HoldReply, error)
 }
+
+var endNames = map[EndKind]string{
+	EndSucceeded: "succeeded", EndFailed: "failed", EndStopped: "stopped", EndLeaseExpired: "lease expired",
+	EndPeerEnded: "peer ended", EndIncomplete: "incomplete",
+}
+
+// String implements fmt.Stringer.
+func (k EndKind) String() string {
+	if name, ok := endNames[k]; ok {
+		return name
+	}
+	return "unknown"
+}
+
+var rejectionNames = map[Rejection]string{
+	NotRejected: "not rejected", RejectedFence: "higher fencing token seen", RejectedOld: "run number not higher",
+	RejectedLate: "lease over", RejectedRoom: "no room", RejectedUnhealthy: "unhealthy", RejectedInvalid: "order not read",
+	RejectedLife: "another life of the worker",
+}
+
+// String implements fmt.Stringer.
+func (r Rejection) String() string {
+	if name, ok := rejectionNames[r]; ok {
+		return name
+	}
+	return "unknown"
+}
