Occurrences, long-lived tasks, tasks that a step may miss, fillers

Cause: a job with maxRuns was run once and at once, a long-lived task that ended as done counted as succeeded and one that failed used up its budget, long-lived work could never give way to a guarantee, fillers counted against a worker's processor and could disturb serving tasks. - Occurrences: a step of an occurrence is planned like a step; its progress stands in the record under occurrence x steps + step.

--- a/internal/duty/intake/check.go
+++ b/internal/duty/intake/check.go
@@ -47,8 +47,11 @@
 			}
 		}
 	}
-	if tasks > maxTasks {
-		add("steps", fmt.Sprintf("%d tasks", tasks), fmt.Sprintf("up to %d", maxTasks))
+	if job.Schedule.Count < 0 || job.Schedule.Every < 0 {
+		add("schedule", fmt.Sprintf("%d times, every %s", job.Schedule.Count, job.Schedule.Every), "no negative values")
+	}
+	if times := job.Occurrences(); tasks > maxTasks/times {
+		add("steps", fmt.Sprintf("%d tasks, %d times", tasks, times), fmt.Sprintf("up to %d in all", maxTasks))
 	}
 	if problems != nil {
 		return fault.Document("the job can't be taken", problems)
--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -118,10 +118,10 @@
 // Submit stores a job. Submitting the same ID again is no failure. It fails
 // with fault.Invalid, with fault.Unavailable when the job is surely not stored
 // and with fault.Uncertain when it may be.
-func (in *Intake) Submit(ctx context.Context, q *work.Queue, workspace, id, spec string, steps []work.Step) error {
+func (in *Intake) Submit(ctx context.Context, q *work.Queue, workspace, id string, sub work.Submission) error {
 	job := work.Job{
 		ID: id, Pool: q.Pool, Queue: q.Name, Workspace: workspace, Priority: q.Priority,
-		MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target, Spec: spec, Steps: steps,
+		MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target, Spec: sub.Spec, Steps: sub.Steps, Schedule: sub.Schedule,
 		SubmittedAt: in.store.Now(),
 	}
 	if err := in.check(&job); err != nil {
@@ -151,7 +151,7 @@
 		return err
 	}
 	in.log.Info("job accepted", zap.String("job", id), zap.String("queue", q.Name), zap.String("workspace", workspace),
-		zap.Int("priority", q.Priority), zap.Int("steps", len(steps)), zap.Float64("core_seconds", job.Weight()),
+		zap.Int("priority", q.Priority), zap.Int("steps", len(sub.Steps)), zap.Int("occurrences", job.Occurrences()), zap.Float64("core_seconds", job.Weight()),
 		zap.Duration("objective", job.Objective()), zap.Int64("version", version), zap.Int64("config", in.config.Load().Version))
 	return nil
 }
--- a/internal/duty/intake/intake_test.go
+++ b/internal/duty/intake/intake_test.go
@@ -49,7 +49,7 @@
 func (r *rig) submit(id string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	return r.intake.Submit(ctx, r.queue, "ws", id, "", oneTask)
+	return r.intake.Submit(ctx, r.queue, "ws", id, work.Submission{Steps: oneTask})
 }
 
 func TestLongestPrefixDecidesTheQueue(t *testing.T) {
@@ -135,7 +135,7 @@
 func TestImpossibleJobIsRejectedWithEveryReason(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
-		err := r.intake.Submit(t.Context(), r.queue, "ws", "a", "", []work.Step{{Count: 0, After: []int{0}}})
+		err := r.intake.Submit(t.Context(), r.queue, "ws", "a", work.Submission{Steps: []work.Step{{Count: 0, After: []int{0}}}})
 		var f *fault.Error
 		must.True(t, errors.As(err, &f))
 		must.Len(t, 2, f.Problems)
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -71,7 +71,9 @@
 	Log      *zap.Logger
 	Observer Observer
 	// Now is a steady clock that counts suspended time.
-	Now      func() time.Duration
+	Now func() time.Duration
+	// Wall is this machine's time of day, since 1970.
+	Wall     func() time.Duration
 	Settings planner.Settings
 	// LongestLease is the longest lease that a worker grants.
 	LongestLease time.Duration
@@ -236,6 +238,12 @@
 	return true
 }
 
+// wall is the time of day, since 1970, that the instances agree on.
+func (o *Owner) wall() time.Duration {
+	store := o.deps.Store.Now()
+	return store + o.deps.Replica.WallOffset(o.deps.Name, o.deps.Wall()-store)
+}
+
 func (o *Owner) applyConfig() {
 	if c := o.deps.Config(); c != nil && c != o.config {
 		o.config = c
@@ -294,6 +302,7 @@
 	}
 	o.lastLoop = now
 	o.applyConfig()
+	o.planner.SetWallClock(now, o.wall())
 	o.mergeFormer(now)
 	o.expire(now)
 	if beat := time.Duration(o.beatAt.Load()); beat >= o.confirm && now-beat < renewWithout {
--- a/internal/duty/pool/pool_test.go
+++ b/internal/duty/pool/pool_test.go
@@ -352,7 +352,7 @@
 		time.Sleep(time.Second)
 		second := w.launch()
 		for _, in := range w.instances {
-			must.NoError(t, in.replica.Register(context.Background(), replica.Node{Name: in.name, Address: in.name}))
+			in.register()
 		}
 		w.profile("long", 14, 4)
 		w.submit("long", gang(4, 2, 14))
@@ -378,7 +378,7 @@
 		}
 		time.Sleep(7 * time.Second)
 		for _, in := range w.instances {
-			must.NoError(t, in.replica.Register(context.Background(), replica.Node{Name: in.name, Address: in.name}))
+			in.register()
 		}
 		time.Sleep(time.Second)
 		for _, in := range w.instances {
@@ -389,3 +389,37 @@
 		must.LessEq(t, before+2*3, w.instances[0].replica.Pool(testPool).Epoch.Number)
 	})
 }
+
+// The owner's time of day jumps ahead by an hour, and the owner is killed
+// between two occurrences: none starts early, none twice.
+func TestOccurrencesAreNeverEarlyWhenOneClockJumps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		first := w.launchWith(func(in *instance) { in.wallAhead = time.Hour })
+		time.Sleep(time.Second)
+		w.launch()
+		w.launch()
+		time.Sleep(time.Second)
+		for _, in := range w.instances {
+			in.register()
+		}
+		time.Sleep(time.Second)
+		must.EqOp(t, first.name, w.owner())
+		w.profile("timed", 1, 0)
+		start := w.instances[1].wall() + 5*time.Second
+		w.submitJob("timed", 0, work.Schedule{Count: 3, First: start, Every: 4 * time.Second}, []work.Step{single(1, 1)})
+		time.Sleep(4900 * time.Millisecond)
+		must.EqOp(t, 0, w.pool.Starts())
+		time.Sleep(time.Second)
+		must.EqOp(t, 1, w.pool.Starts())
+		first.kill()
+		time.Sleep(3 * time.Second)
+		must.EqOp(t, 1, w.pool.Starts())
+		time.Sleep(time.Second)
+		must.EqOp(t, 2, w.pool.Starts())
+		w.await(10 * time.Second)
+		must.EqOp(t, 3, w.pool.Starts())
+		must.EqOp(t, work.Completed, w.state("timed"))
+		w.intact()
+	})
+}
--- a/internal/duty/pool/world_test.go
+++ b/internal/duty/pool/world_test.go
@@ -62,9 +62,11 @@
 	// slowHold delays its holds at one worker.
 	slowHold time.Duration
 	slowAt   string
-	replica  *replica.Replica
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
+	// wallAhead is by how much its time of day is wrong.
+	wallAhead time.Duration
+	replica   *replica.Replica
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
 }
 
 func newWorld(t *testing.T, workers int) *world {
@@ -98,7 +100,7 @@
 	rep := replica.New(store, zap.NewNop(), w.now)
 	deps := Deps{
 		Store: store, Workers: &gatedWorkers{in, w.workers}, Registry: w.registry, Replica: rep,
-		Log: testLog().With(zap.String("in", in.name)), Now: w.now, Observer: NoObserver{}, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.name,
+		Log: testLog().With(zap.String("in", in.name)), Now: w.now, Observer: NoObserver{}, Wall: in.wall, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.name,
 		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, RetainFor: 2 * time.Minute, Latency: store.Latency, DirectDown: store.DirectDown, PartDown: store.PartDown,
 	}
 	in.replica = rep
@@ -122,7 +124,12 @@
 
 func (w *world) submitAt(id string, priority int, steps ...work.Step) {
 	w.t.Helper()
-	job := work.Job{ID: id, Pool: testPool, Priority: priority, Queue: "q", Spec: id, Steps: steps, MaxAttempts: 4, Stretch: 3, SubmittedAt: w.store.Now()}
+	w.submitJob(id, priority, work.Schedule{}, steps)
+}
+
+func (w *world) submitJob(id string, priority int, schedule work.Schedule, steps []work.Step) {
+	w.t.Helper()
+	job := work.Job{Schedule: schedule, ID: id, Pool: testPool, Priority: priority, Queue: "q", Spec: id, Steps: steps, MaxAttempts: 4, Stretch: 3, SubmittedAt: w.store.Now()}
 	value, err := work.Encode(work.Record{Job: job, State: work.Queued})
 	must.NoError(w.t, err)
 	_, err = w.store.Commit(context.Background(), port.RowTxn{Puts: map[port.RowKey][]byte{replica.JobKeys(testPool, id)[0]: value}})
@@ -272,3 +279,15 @@
 func (w *world) profile(id string, seconds float64, members int) {
 	w.pool.Profile(id, fake.Profile{Work: time.Duration(seconds * float64(time.Second)), Gang: members})
 }
+
+func (in *instance) wall() time.Duration {
+	return time.Duration(time.Now().UnixNano()) + in.wallAhead
+}
+
+// register tells the others of the instance, as its process does.
+func (in *instance) register() {
+	in.world.t.Helper()
+	must.NoError(in.world.t, in.replica.Register(context.Background(), replica.Node{
+		Name: in.name, Address: in.name, WallOffset: in.wall() - in.world.store.Now(),
+	}))
+}
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -42,6 +43,9 @@
 	Address string `cbor:"2,keyasint"`
 	// Cores is the processor that the instance may use.
 	Cores float64 `cbor:"3,keyasint,omitempty"`
+	// WallOffset is the instance's time of day, since 1970, less the store's
+	// clock.
+	WallOffset time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Load is what an owner tells the others about its pool.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -68,6 +68,7 @@
 	done.Go(func() {
 		pool.NewElection(pool.Deps{
 			Store: store, Workers: s.workers, Registry: s.workers, Replica: rep, Log: log, Observer: pool.NoObserver{}, Now: now,
+			Wall:     func() time.Duration { return time.Duration(time.Now().UnixNano()) },
 			Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, RetainFor: time.Minute,
 			Latency: store.Latency, DirectDown: store.DirectDown, PartDown: store.PartDown,
 			Config: s.intake.Config, Name: "north-1", Incarnation: "a",
@@ -85,7 +86,7 @@
 	defer cancel()
 	length := time.Duration(seconds * float64(time.Second))
 	steps := []work.Step{{Count: count, Need: work.Resources{CPU: 1000, MemMB: 100, Accel: 8}, Estimate: length}}
-	return s.intake.Submit(ctx, &s.queues[queue], "ws", id, id, steps)
+	return s.intake.Submit(ctx, &s.queues[queue], "ws", id, work.Submission{Spec: id, Steps: steps})
 }
 
 // explain ends the site and asks its log alone about a job.
--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -20,6 +20,7 @@
 	free    []work.Resources
 	racks   [][]int // indexes by rack, in order of first appearance
 	rackOf  []int
+	beside  []neighbours // by worker
 	// heldFrom is when a reservation begins; shorter work may run before.
 	heldFrom []time.Duration
 	// kept workers are for urgent work only.
@@ -47,6 +48,7 @@
 		v.index[w] = i
 		v.workers = append(v.workers, w)
 		v.free = append(v.free, w.free)
+		v.beside = append(v.beside, w.neighbours())
 	}
 	v.heldFrom = make([]time.Duration, len(v.workers))
 	p.keepHeadroom(v)
@@ -83,8 +85,8 @@
 // tasksOf counts the worker's runs of the unit's step.
 func (w *worker) tasksOf(u *unit) int {
 	n := 0
-	for task, r := range w.runs {
-		if r.unit != nil && task.Job == u.job.rec.Job.ID && task.Step == u.step {
+	for _, r := range w.runs {
+		if r.unit != nil && r.unit.job == u.job && r.unit.occurrence == u.occurrence && r.unit.step == u.step {
 			n++
 		}
 	}
@@ -94,7 +96,7 @@
 // allowed reports whether the unit may go to worker i at all.
 func (v *view) allowed(u *unit, i int, avoid bool) bool {
 	w := v.workers[i]
-	if v.kept[i] && u.job.rec.Job.Priority > 0 {
+	if v.kept[i] && u.job.rec.Job.Priority > 0 || !u.shares(v.beside[i]) {
 		return false
 	}
 	if label := u.spec().RequiredLabel; label != "" && !w.info.HasLabel(label) {
@@ -164,6 +166,9 @@
 	var cands []candidate
 	total := 0
 	until := v.now + u.estimate()
+	if s := u.spec(); s.LongLived {
+		until = v.now + forever
+	}
 	for _, i := range members {
 		if !v.allowed(u, i, avoid) || (v.heldFrom[i] > 0 && until > v.heldFrom[i]) {
 			continue
@@ -212,6 +217,7 @@
 func (v *view) take(u *unit, out []placement) {
 	for _, pl := range out {
 		if i, ok := v.index[pl.worker]; ok {
+			v.beside[i].serving = v.beside[i].serving || u.serves()
 			for range pl.count {
 				v.free[i] = v.free[i].Sub(u.spec().Need)
 			}
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -28,9 +28,9 @@
 		weight:    rec.Job.Weight(),
 		started:   rec.State == work.Running,
 	}
-	j.perStep = make([][]*unit, len(rec.Job.Steps))
-	for i := range rec.Job.Steps {
-		p.addUnits(j, i, now, inherited)
+	j.perStep = make([][]*unit, rec.Job.Occurrences()*len(rec.Job.Steps))
+	for i := range j.perStep {
+		p.addUnits(j, i, inherited)
 	}
 	p.jobs[rec.Job.ID] = j
 	p.open = append(p.open, j)
@@ -40,7 +40,7 @@
 		p.queueMean[rec.Job.Queue] = m
 	}
 	m.add(j.weight)
-	if rec.Job.Priority == 0 && !inherited {
+	if rec.Job.Priority == 0 && !inherited && rec.Job.Schedule.Count == 0 {
 		p.urgent.add(now, j.firstCores())
 	}
 	p.unblock(j, now)
@@ -65,11 +65,14 @@
 	}
 }
 
-func (p *Planner) addUnits(j *job, step int, now time.Duration, inherited bool) {
+// addUnits makes the units of one step of one occurrence.
+func (p *Planner) addUnits(j *job, index int, inherited bool) {
+	steps := len(j.rec.Job.Steps)
+	occurrence, step := index/steps, index%steps
 	s := &j.rec.Job.Steps[step]
 	var progress work.StepProgress
-	if step < len(j.rec.Steps) {
-		progress = j.rec.Steps[step]
+	if index < len(j.rec.Steps) {
+		progress = j.rec.Steps[index]
 	}
 	size, units := 1, s.Count
 	if s.Gang {
@@ -77,7 +80,7 @@
 	}
 	for k := range units {
 		u := &unit{
-			job: j, step: step, first: k * size, count: size,
+			job: j, occurrence: occurrence, step: step, first: k * size, count: size,
 			nextRun: p.firstRun, runs: map[int]*run{},
 			failed: slices.Clone(progress.Failures[k*size]), saved: progress.Checkpoints[k*size],
 			placed: progress.Placed[k*size], inherited: inherited, newcomer: !inherited && p.recovering,
@@ -87,7 +90,7 @@
 		} else if u.budgetUsed() {
 			u.phase = unitDead
 		}
-		j.perStep[step] = append(j.perStep[step], u)
+		j.perStep[index] = append(j.perStep[index], u)
 		j.units = append(j.units, u)
 	}
 }
@@ -105,8 +108,8 @@
 
 // unblock frees the units whose steps' dependencies have all succeeded.
 func (p *Planner) unblock(j *job, now time.Duration) {
-	for i, units := range j.perStep {
-		if !j.depsDone(i) {
+	for _, units := range j.perStep {
+		if len(units) == 0 || !j.depsDone(units[0]) {
 			continue
 		}
 		for _, u := range units {
@@ -117,10 +120,12 @@
 	}
 }
 
-func (j *job) depsDone(step int) bool {
-	for _, dep := range j.rec.Job.Steps[step].After {
-		for _, u := range j.perStep[dep] {
-			if u.phase != unitDone {
+// depsDone reports whether the steps that the unit's step depends on have
+// succeeded, within its occurrence.
+func (j *job) depsDone(u *unit) bool {
+	for _, dep := range u.spec().After {
+		for _, other := range j.unitsOf(u.occurrence, dep) {
+			if other.phase != unitDone {
 				return false
 			}
 		}
@@ -128,6 +133,11 @@
 	return true
 }
 
+// unitsOf returns the units of a step of one occurrence.
+func (j *job) unitsOf(occurrence, step int) []*unit {
+	return j.perStep[occurrence*len(j.rec.Job.Steps)+step]
+}
+
 // settle ends the job when its units decide it.
 func (p *Planner) settle(j *job, now time.Duration) {
 	if !j.open() {
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		for _, u := range j.units {
-			if u.phase != unitReady || now < u.notBefore || p.awaited(u, now) {
+			if u.phase != unitReady || now < u.notBefore || !p.due(u, now) || p.awaited(u, now) {
 				continue
 			}
 			out = append(out, ranked{u, p.score(u, now)})
@@ -57,13 +57,14 @@
 // score is the worth of the unit's job for its remaining work.
 func (p *Planner) score(u *unit, now time.Duration) float64 {
 	j := u.job
-	age := now - j.arrivedAt
+	age := p.waited(u, now)
 	rest := j.rec.Job.Chain(u.step)
 	if u.saved != "" {
 		rest -= u.spec().Estimate - u.estimate()
 	}
 	worth := math.Pow(priorityRatio, -float64(j.rec.Job.Priority))
 	switch end := age + rest; {
+	case u.spec().LongLived: // earns by the time that it runs
 	case end <= j.objective:
 	case end <= lateLimit*j.objective:
 		worth *= lateWorth
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -19,10 +19,12 @@
 )
 
 type shape struct {
-	job  *job
-	step int
+	job              *job
+	occurrence, step int
 }
 
+func (u *unit) shape() shape { return shape{u.job, u.occurrence, u.step} }
+
 // Plan returns the orders that follow from what is known now.
 func (p *Planner) Plan(now time.Duration) []Order {
 	p.finishRecovery(now)
@@ -34,7 +36,7 @@
 	refused := map[shape]bool{}
 	for _, r := range p.ranking(now) {
 		u := r.unit
-		key := shape{u.job, u.step}
+		key := u.shape()
 		if len(refused) >= maxRefused {
 			break
 		}
@@ -66,7 +68,7 @@
 // maySpread lets a one-rack gang use several racks when its guarantee is about
 // to be missed: it then runs longer, but it runs.
 func (p *Planner) maySpread(u *unit, now time.Duration) bool {
-	return u.job.rec.Job.Priority == 0 && now-u.job.arrivedAt > p.settings.ReclaimWithin*6/10 && p.entitled(u)
+	return u.job.rec.Job.Priority == 0 && p.waited(u, now) > p.settings.ReclaimWithin*6/10 && p.entitled(u)
 }
 
 // claims places the units for which room was made, and keeps that room for
@@ -101,6 +103,9 @@
 	p.touch(u.job)
 	index := u.first
 	for _, pl := range out {
+		if u.serves() {
+			p.clearFillers(pl.worker, v.now)
+		}
 		for range pl.count {
 			r := p.addRun(u, index, pl.worker, number, runStarting, v.now)
 			p.orders = append(p.orders, Order{
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -67,6 +67,8 @@
 	chosen   map[*unit]bool
 	cost     map[*unit]float64
 	victims  map[int][]*unit
+	// missing counts the chosen victims of steps that may miss few of their tasks.
+	missing map[shape]int
 }
 
 // makeRoom chooses victims worker by worker, each time where one more task
@@ -74,7 +76,7 @@
 func (p *Planner) makeRoom(u *unit, v *view, members []int, entitled bool) *eviction {
 	m := &roomMaker{p: p, u: u, v: v, entitled: entitled,
 		free: map[int]work.Resources{}, placed: map[int]int{}, chosen: map[*unit]bool{},
-		cost: map[*unit]float64{}, victims: map[int][]*unit{}}
+		cost: map[*unit]float64{}, victims: map[int][]*unit{}, missing: map[shape]int{}}
 	for _, i := range members {
 		if v.allowed(u, i, true) {
 			m.prepare(i)
@@ -129,14 +131,14 @@
 }
 
 func (m *roomMaker) mayStop(victim *unit) bool {
-	if victim.phase != unitActive || victim.spec().LongLived || m.p.awaited(victim, m.v.now) {
+	if victim.phase != unitActive || m.p.awaited(victim, m.v.now) || victim.job.mayMiss(victim) <= 0 {
 		return false
 	}
 	mine, theirs := &m.u.job.rec.Job, &victim.job.rec.Job
 	if theirs.Priority > mine.Priority {
 		return true
 	}
-	late := m.v.now-m.u.job.arrivedAt > m.p.settings.ReclaimWithin/2
+	late := m.p.waited(m.u, m.v.now) > m.p.settings.ReclaimWithin/2
 	return late && m.entitled && theirs.Workspace != mine.Workspace && theirs.Priority == 0 && m.p.beyondGuarantee(theirs.Workspace)
 }
 
@@ -158,7 +160,7 @@
 			if free.Fits(need) {
 				break
 			}
-			if m.chosen[victim] {
+			if m.chosen[victim] || m.missesTooMany(victim) {
 				continue
 			}
 			free = free.Add(victim.needOn(m.v.workers[i]))
@@ -172,8 +174,17 @@
 	return best, bestAdd, bestCost
 }
 
+// missesTooMany reports whether the victim's step can't miss another task
+// besides those chosen.
+func (m *roomMaker) missesTooMany(victim *unit) bool {
+	return victim.spec().MayMiss > 0 && m.missing[victim.shape()] >= victim.job.mayMiss(victim)
+}
+
 func (m *roomMaker) choose(victim *unit) {
 	m.chosen[victim] = true
+	if victim.spec().MayMiss > 0 {
+		m.missing[victim.shape()]++
+	}
 	for _, r := range victim.runs {
 		if i, ok := m.v.index[r.worker]; ok {
 			if free, mine := m.free[i]; mine {
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -79,6 +79,9 @@
 // lostWork is what stopping a run throws away, in core-seconds.
 func lostWork(u *unit, r *run, now time.Duration) float64 {
 	done := now - r.startedAt
+	if u.spec().LongLived {
+		done = min(done, longLivedLost)
+	}
 	if u.spec().Checkpointable {
 		done = min(done, time.Second)
 	}
@@ -107,7 +110,7 @@
 		return
 	}
 	u.phase = unitReady
-	if !j.depsDone(u.step) {
+	if !j.depsDone(u) {
 		u.phase = unitBlocked
 	}
 }
@@ -213,6 +216,10 @@
 	switch e.Kind {
 	case port.EndSucceeded:
 		w.health.succeeded()
+		if u.spec().LongLived {
+			p.restartLater(u, r, now)
+			break
+		}
 		p.succeed(u, now)
 	case port.EndFailed:
 		p.failed(u, r, w, now)
@@ -229,6 +236,11 @@
 }
 
 func (p *Planner) failed(u *unit, r *run, w *worker, now time.Duration) {
+	if u.spec().LongLived {
+		p.note(Note{Event: EventRunFailed, Job: r.task.Job, Worker: w.info.ID, Task: r.task, Run: r.number, Age: now - r.startedAt})
+		p.restartLater(u, r, now)
+		return
+	}
 	u.countFailure(r.number)
 	if u.avoid == nil {
 		u.avoid = map[string]bool{}
@@ -287,6 +299,7 @@
 	u.nextRun = max(u.nextRun, e.Run+1)
 	idle := len(u.runs) == 0
 	switch {
+	case u.spec().LongLived:
 	case e.Kind == port.EndSucceeded && (idle || !slices.Contains(u.expired, expiredRun{e.Run, w.info.ID, w.life})):
 		p.stopUnit(u, now, "succeeded elsewhere")
 		p.succeed(u, now)
@@ -305,10 +318,11 @@
 }
 
 func (j *job) unitOf(t work.TaskID) *unit {
-	if t.Step < 0 || t.Step >= len(j.perStep) || t.Index < 0 || t.Occurrence != 0 {
+	job := &j.rec.Job
+	if t.Step < 0 || t.Step >= len(job.Steps) || t.Index < 0 || t.Occurrence < 0 || t.Occurrence >= job.Occurrences() {
 		return nil
 	}
-	units := j.perStep[t.Step]
+	units := j.unitsOf(t.Occurrence, t.Step)
 	if j.rec.Job.Steps[t.Step].Gang {
 		if t.Index >= units[0].count {
 			return nil
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -56,11 +56,12 @@
 
 // unit is what is placed at once: all tasks of a gang, or one other task.
 type unit struct {
-	job   *job
-	step  int
-	first int // index of its first task in the step
-	count int
-	phase unitPhase
+	job        *job
+	occurrence int
+	step       int
+	first      int // index of its first task in the step
+	count      int
+	phase      unitPhase
 	// nextRun is the number of the next attempt's runs.
 	nextRun int64
 	runs    map[int]*run // by task index in the step
@@ -77,6 +78,7 @@
 	notBefore time.Duration
 	clearedAt time.Duration // when the attempt was given up
 	stopSent  bool
+	restarts  int // of a long-lived task that ended soon after its start
 	// inherited units may run on workers that this owner hasn't heard yet.
 	inherited bool
 	// placed names the workers on which a former owner's attempt may run.
@@ -142,6 +144,9 @@
 		return 0
 	}
 	est := r.unit.spec().Estimate
+	if r.unit.spec().LongLived {
+		return forever
+	}
 	if r.phase == runStarting {
 		return r.unit.estimate()
 	}
@@ -182,8 +187,9 @@
 }
 
 type job struct {
-	rec       work.Record
-	units     []*unit
+	rec   work.Record
+	units []*unit
+	// perStep holds the units of all steps of occurrence 0, then of 1 and so on.
 	perStep   [][]*unit
 	arrivedAt time.Duration // on the planner's clock; may be negative
 	objective time.Duration
@@ -226,10 +232,14 @@
 	newcomersAt time.Duration
 	queueMean   map[string]*mean
 	urgent      demand
-	orders      []Order
-	dirty       []*job
-	waste       map[string]float64
-	notes       []Note
+	// wallOffset is the wall clock, since 1970, less the planner's clock; it is
+	// unknown until told, and nothing scheduled starts before that.
+	wallOffset time.Duration
+	wallKnown  bool
+	orders     []Order
+	dirty      []*job
+	waste      map[string]float64
+	notes      []Note
 }
 
 // Note is a decision or a change of belief for the log.
@@ -351,5 +361,5 @@
 func (p *Planner) Waste() map[string]float64 { return p.waste }
 
 func taskID(u *unit, index int) work.TaskID {
-	return work.TaskID{Job: u.job.rec.Job.ID, Step: u.step, Index: index}
+	return work.TaskID{Job: u.job.rec.Job.ID, Occurrence: u.occurrence, Step: u.step, Index: index}
 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -58,8 +58,47 @@
 	DataRack string `cbor:"9,keyasint,omitempty"`
 	// MaxPerWorker caps the step's tasks on one worker; 0 means no cap.
 	MaxPerWorker int `cbor:"10,keyasint,omitempty"`
-	// LongLived tasks run until the job is cancelled.
+	// LongLived tasks run until the job is cancelled and are started again
+	// however they end.
 	LongLived bool `cbor:"11,keyasint,omitempty"`
+	// MayMiss is how many of the step's long-lived tasks may be away at once
+	// because of the scheduler's orders; 0 means that there is no such limit.
+	MayMiss int `cbor:"12,keyasint,omitempty"`
+	// TailTarget is the tail of a serving task's response times that its users
+	// expect; 0 for tasks that don't serve.
+	TailTarget time.Duration `cbor:"13,keyasint,omitempty"`
+	// Fills marks tasks that use what others leave of a worker's processor; Need
+	// holds no processor then, FillerCPU what they would use, in thousandths.
+	Fills     bool  `cbor:"14,keyasint,omitempty"`
+	FillerCPU int64 `cbor:"15,keyasint,omitempty"`
+	// Concurrent tasks may run in several copies, of which the first to succeed
+	// counts. One copy is run.
+	Concurrent bool `cbor:"16,keyasint,omitempty"`
+	// Image names what the tasks run; tasks of one image behave alike.
+	Image string `cbor:"17,keyasint,omitempty"`
+}
+
+// Schedule makes a job's steps run several times. Occurrences may overlap.
+type Schedule struct {
+	// Count is the number of occurrences; 0 for a job that runs once, at once.
+	Count int `cbor:"1,keyasint,omitempty"`
+	// First is when occurrence 0 is due, in wall-clock time since 1970.
+	First time.Duration `cbor:"2,keyasint,omitempty"`
+	// Every is the time between two occurrences.
+	Every time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// Due returns when an occurrence is due, in wall-clock time since 1970.
+func (s *Schedule) Due(occurrence int) time.Duration {
+	return s.First + time.Duration(occurrence)*s.Every
+}
+
+// Submission is what a caller hands in.
+type Submission struct {
+	// Spec is the task specification, which the product doesn't read.
+	Spec     string
+	Steps    []Step
+	Schedule Schedule
 }
 
 // Job is what a caller submitted, with the attributes of its queue at that time.
@@ -79,8 +118,12 @@
 	Steps   []Step        `cbor:"10,keyasint"`
 	// SubmittedAt is when the job was accepted, on the store's steady clock.
 	SubmittedAt time.Duration `cbor:"11,keyasint,omitempty"`
+	Schedule    Schedule      `cbor:"12,keyasint,omitempty"`
 }
 
+// Occurrences returns how often the job's steps run, at least once.
+func (j *Job) Occurrences() int { return max(j.Schedule.Count, 1) }
+
 // Weight returns the estimated work of a step in core-seconds.
 func (s *Step) Weight() float64 {
 	return float64(s.Count) * s.Need.Cores() * s.Estimate.Seconds()
@@ -149,8 +192,9 @@
 
 // Record is a job's row in the store.
 type Record struct {
-	Job   Job            `cbor:"1,keyasint"`
-	State State          `cbor:"2,keyasint"`
+	Job   Job   `cbor:"1,keyasint"`
+	State State `cbor:"2,keyasint"`
+	// Steps holds the progress of all steps of occurrence 0, then of 1 and so on.
 	Steps []StepProgress `cbor:"3,keyasint,omitempty"`
 	// EndedAt is when the job ended, on the store's steady clock.
 	EndedAt time.Duration `cbor:"4,keyasint,omitempty"`
