Policy advice: tickets by step and worker life, asked for few workers first

Cause: on a queue with a policy every start was rejected and its jobs never ran. The owner asks one question at a time for the most urgent unit that found no room among the workers with tickets: twice as many workers as needed, 8 to 30, those with room first; refusals hold for the worker's life, tickets until 0.8 s before their end. A rejected ticket is asked for anew, also where the queue gained its policy after the job came. Not built: spreading questions over instances; one owner asks in turn.

--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -121,7 +121,7 @@
 func (in *Intake) Submit(ctx context.Context, q *work.Queue, workspace, id string, sub work.Submission) error {
 	job := work.Job{
 		ID: id, Pool: q.Pool, Queue: q.Name, Workspace: workspace, Priority: q.Priority,
-		MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target, Spec: sub.Spec, Steps: sub.Steps, Schedule: sub.Schedule,
+		MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target, Spec: sub.Spec, Steps: sub.Steps, Schedule: sub.Schedule, Advised: q.Advised,
 		SubmittedAt: in.store.Now(),
 	}
 	if err := in.check(&job); err != nil {
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -67,6 +67,8 @@
 	Store    port.RowStore
 	Workers  port.WorkerCaller
 	Registry port.WorkerRegistry
+	// Advisor is the policy service, nil where there is none.
+	Advisor  port.Advisor
 	Replica  *replica.Replica
 	Log      *zap.Logger
 	Observer Observer
@@ -113,6 +115,7 @@
 	evWorkers
 	evStored
 	evRemoved
+	evAdvised
 )
 
 type event struct {
@@ -126,6 +129,7 @@
 	whole    bool // workers is the whole list
 	stored   storedResult
 	job      string
+	advice   adviceResult
 }
 
 // Owner runs one pool under one epoch.
@@ -145,6 +149,7 @@
 	deposed    context.CancelFunc
 	beatAt     atomic.Int64 // when the last confirmed beat was sent, on Now's clock
 	storing    storing
+	advice     advice
 	held       []heldStart
 	deferred   map[string]bool // jobs of which a row may be missing
 	plans      int64           // counts the plans, to order starts and records
@@ -172,6 +177,7 @@
 	}
 	o.beatAt.Store(int64(o.startedAt))
 	o.storing.init()
+	o.advice.init()
 	return o
 }
 
@@ -307,6 +313,7 @@
 	o.expire(now)
 	if beat := time.Duration(o.beatAt.Load()); beat >= o.confirm && now-beat < renewWithout {
 		o.takeOrders(ctx, o.planner.Plan(now))
+		o.askAdvice(ctx, now)
 	}
 	o.logNotes()
 	o.storeChanged(ctx)
@@ -372,6 +379,8 @@
 		o.changeWorkers(ctx, ev)
 	case evRemoved:
 		o.forget(ev.job)
+	case evAdvised:
+		o.advised(now, ev.advice)
 	case evStored:
 		o.storedDone(ctx, ev.stored)
 	}
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -210,7 +210,7 @@
 	for range orderTries {
 		s.mu.Lock()
 		order := port.StartOrder{
-			Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint,
+			Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
 			Fence: s.owner.epoch, LeaseUntil: s.clock.extend(s.owner.now(), leaseLength),
 		}
 		s.mu.Unlock()
--- a/internal/duty/pool/world_test.go
+++ b/internal/duty/pool/world_test.go
@@ -46,6 +46,7 @@
 	pool      *fake.Pool
 	registry  port.WorkerRegistry
 	workers   port.WorkerCaller
+	advisor   *policy // nil where there is none
 	began     time.Time
 	instances []*instance
 	ids       []string
@@ -105,6 +106,9 @@
 	}
 	in.replica = rep
 	in.done.Go(func() { rep.Run(ctx) })
+	if w.advisor != nil {
+		deps.Advisor = w.advisor
+	}
 	in.done.Go(func() { NewElection(deps, testPool).Run(ctx) })
 	return in
 }
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -18,5 +18,6 @@
 	EventWorkerLost        = "worker lost"        // detail: why; count: its runs
 	EventWorkerRestarted   = "worker restarted"   // count: its runs
 	EventRecoveryFinished  = "recovery finished"  // count: workers
+	EventAdvised           = "advised"            // count: workers that may run a step, of those asked about
 	EventWorkerQuarantined = "worker quarantined" // detail: why; age: how long it is left out
 )
--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -15,6 +15,7 @@
 
 // view is the room as one pass of decisions sees and uses it up.
 type view struct {
+	planner *Planner
 	now     time.Duration
 	workers []*worker // usable ones
 	free    []work.Resources
@@ -29,7 +30,7 @@
 }
 
 func (p *Planner) newView(now time.Duration) *view {
-	v := &view{now: now, index: make(map[*worker]int, len(p.ids))}
+	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.ids))}
 	rackIndex := map[string]int{}
 	for _, id := range p.ids {
 		w := p.workers[id]
@@ -93,18 +94,27 @@
 	return n
 }
 
-// allowed reports whether the unit may go to worker i at all.
+// allowed reports whether the unit may go to worker i at present.
 func (v *view) allowed(u *unit, i int, avoid bool) bool {
 	w := v.workers[i]
-	if v.kept[i] && u.job.rec.Job.Priority > 0 || !u.shares(v.beside[i]) {
+	if v.kept[i] && u.job.rec.Job.Priority > 0 || !v.suits(u, i) {
 		return false
 	}
-	if label := u.spec().RequiredLabel; label != "" && !w.info.HasLabel(label) {
+	if _, ok := v.planner.ticket(u, w, v.now); !ok {
 		return false
 	}
 	return !avoid || !u.avoid[w.info.ID]
 }
 
+// suits reports whether worker i is of the kind that the unit needs, and runs
+// nothing that it must not be beside.
+func (v *view) suits(u *unit, i int) bool {
+	if label := u.spec().RequiredLabel; label != "" && !v.workers[i].info.HasLabel(label) {
+		return false
+	}
+	return u.shares(v.beside[i])
+}
+
 // place finds room for the whole unit, or returns nil. Workers on which it
 // failed before are used only when nothing else is left.
 func (v *view) place(u *unit, spread bool) []placement {
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -201,6 +201,7 @@
 				return false
 			}
 		}
+		p.forgetAdvice(j)
 		delete(p.jobs, j.rec.Job.ID)
 		return true
 	})
--- a/internal/planner/kinds_test.go
+++ b/internal/planner/kinds_test.go
@@ -164,3 +164,84 @@
 	r.add(r.job("serve", 0, serving))
 	must.SliceLen(t, 1, r.pass(100*time.Millisecond))
 }
+
+// ask answers the planner's next question: workers whose number is divisible by
+// nth may run the step. It returns how many it was asked about.
+func (r *rig) ask(validFor time.Duration) int { return r.askNth(validFor, 2) }
+
+func (r *rig) askNth(validFor time.Duration, nth byte) int {
+	q, ok := r.p.Question(r.now)
+	if !ok {
+		return 0
+	}
+	answer := port.Advice{Tickets: map[string]string{}, ValidFor: validFor}
+	for _, id := range q.Workers {
+		if (id[len(id)-1]-'0')%nth == 0 {
+			answer.Tickets[id] = "t-" + id
+		}
+	}
+	r.p.Advised(r.now, q, answer)
+	return len(q.Workers)
+}
+
+func (r *rig) advised(id string, steps ...work.Step) {
+	rec := r.job(id, 0, steps...)
+	rec.Job.Advised = true
+	r.add(rec)
+}
+
+func TestAdvisedStepStartsOnlyWhereItHasATicket(t *testing.T) {
+	r := newRig(t, 2, 10)
+	r.advised("a", gangOf(4, 8, 5))
+	must.SliceLen(t, 0, r.pass(100*time.Millisecond))
+	must.EqOp(t, fewestAsked, r.ask(time.Minute))
+	starts := r.pass(100 * time.Millisecond)
+	must.SliceLen(t, 4, starts)
+	for _, o := range starts {
+		must.EqOp(t, "t-"+o.Worker, o.Ticket)
+	}
+	r.pass(100 * time.Millisecond)
+	must.EqOp(t, 0, r.ask(time.Minute))
+}
+
+func TestMoreWorkersAreAskedAboutWhileTooFewMayRunTheStep(t *testing.T) {
+	r := newRig(t, 2, 10)
+	r.advised("a", gangOf(4, 8, 5)) // four of twenty may run it
+	asked := 0
+	for range 5 {
+		if len(r.pass(100*time.Millisecond)) > 0 {
+			break
+		}
+		asked += r.askNth(time.Minute, 5)
+	}
+	must.EqOp(t, 4, len(r.run))
+	must.EqOp(t, 2*fewestAsked, asked)
+}
+
+func TestTicketsEndWithTheirTimeAndWithTheWorkersLife(t *testing.T) {
+	r := newRig(t, 1, 2)
+	r.advised("a", step(1, 8, 5))
+	r.pass(100 * time.Millisecond)
+	must.EqOp(t, 2, r.ask(time.Second))
+	r.now += time.Second
+	must.SliceLen(t, 0, r.pass(100*time.Millisecond))
+	must.EqOp(t, 1, r.ask(time.Minute)) // not the one that may not run it
+	r.p.Reborn(r.now, "w00")
+	r.p.Observe(r.now, r.now, "w00", port.HoldReply{})
+	must.SliceLen(t, 0, r.pass(100*time.Millisecond))
+	must.EqOp(t, 1, r.ask(time.Minute))
+	must.SliceLen(t, 1, r.pass(100*time.Millisecond))
+}
+
+func TestRejectedTicketIsAskedForAnew(t *testing.T) {
+	r := newRig(t, 1, 1)
+	r.add(r.job("a", 0, step(1, 8, 5))) // its queue has gained a policy since
+	o := r.p.Plan(r.now)[0]
+	r.p.Started(r.now, o.Worker, o.Task, o.Run, port.RejectedTicket)
+	r.now += time.Second
+	must.SliceLen(t, 0, r.pass(100*time.Millisecond))
+	must.EqOp(t, 1, r.ask(time.Minute))
+	starts := r.pass(100 * time.Millisecond)
+	must.SliceLen(t, 1, starts)
+	must.EqOp(t, "t-w00", starts[0].Ticket)
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -30,6 +30,7 @@
 	p.finishRecovery(now)
 	p.finishClearing(now)
 	p.stopStalled(now)
+	p.unadvised = nil
 	v := p.newView(now)
 	p.claims(v)
 	reservations := 0
@@ -49,6 +50,9 @@
 			continue
 		}
 		refused[key] = true
+		if p.unadvised == nil && u.job.rec.Job.Advised {
+			p.unadvised = u
+		}
 		if u.job.rec.Job.Priority == 0 {
 			if p.reclaim(u, v, p.entitled(u), spread) {
 				delete(refused, key)
@@ -83,7 +87,7 @@
 				u.claim = nil
 				continue
 			}
-			if v.now >= u.notBefore && v.fitsNow(u, u.claim) {
+			if v.now >= u.notBefore && v.fitsNow(u, u.claim) && p.ticketed(u, u.claim, v.now) {
 				out := u.claim
 				u.claim = nil
 				p.start(u, v, out, "reclaimed")
@@ -108,9 +112,10 @@
 		}
 		for range pl.count {
 			r := p.addRun(u, index, pl.worker, number, runStarting, v.now)
+			ticket, _ := p.ticket(u, pl.worker, v.now) // the placement checked that there is one
 			p.orders = append(p.orders, Order{
 				Kind: OrderStart, Worker: pl.worker.info.ID, Task: r.task, Run: number,
-				Spec: u.job.rec.Job.Spec, Checkpoint: u.saved, Why: why,
+				Spec: u.job.rec.Job.Spec, Checkpoint: u.saved, Ticket: ticket, Why: why,
 			})
 			index++
 		}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -154,6 +154,9 @@
 	if rejected == port.RejectedUnhealthy {
 		w.health.declined(now)
 	}
+	if rejected == port.RejectedTicket {
+		p.dropTicket(u, w)
+	}
 	if rejected == port.RejectedOld {
 		u.nextRun += runsPerEpoch / 20
 	}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -39,6 +39,7 @@
 	Run        int64
 	Spec       string
 	Checkpoint string
+	Ticket     string
 	// Why says in a word what the decision went by, for the log.
 	Why string
 }
@@ -236,10 +237,14 @@
 	// unknown until told, and nothing scheduled starts before that.
 	wallOffset time.Duration
 	wallKnown  bool
-	orders     []Order
-	dirty      []*job
-	waste      map[string]float64
-	notes      []Note
+	// verdicts are the policy service's, by step and worker.
+	verdicts map[work.StepID]map[string]verdict
+	// unadvised is the most urgent unit of the last pass that needs more tickets.
+	unadvised *unit
+	orders    []Order
+	dirty     []*job
+	waste     map[string]float64
+	notes     []Note
 }
 
 // Note is a decision or a change of belief for the log.
@@ -273,6 +278,7 @@
 		unheard:   map[string]bool{}, orphans: map[string][]orphanEnd{}, untried: map[string]bool{},
 		queueMean: map[string]*mean{},
 		waste:     map[string]float64{},
+		verdicts:  map[work.StepID]map[string]verdict{},
 	}
 }
 
--- a/internal/port/rows.go
+++ b/internal/port/rows.go
@@ -117,7 +117,9 @@
 	Run        int64
 	Spec       string
 	Checkpoint string
-	Fence      int64
+	// Ticket is the policy service's, empty where none is needed.
+	Ticket string
+	Fence  int64
 	// LeaseUntil is on the worker's clock.
 	LeaseUntil time.Duration
 }
@@ -140,6 +142,8 @@
 	RejectedUnhealthy
 	// RejectedInvalid means that the worker can't read the order.
 	RejectedInvalid
+	// RejectedTicket means that the start carries no valid ticket.
+	RejectedTicket
 	// RejectedLife means that another life of the worker answered.
 	RejectedLife
 )
@@ -194,7 +198,7 @@
 var rejectionNames = map[Rejection]string{
 	NotRejected: "not rejected", RejectedFence: "higher fencing token seen", RejectedOld: "run number not higher",
 	RejectedLate: "lease over", RejectedRoom: "no room", RejectedUnhealthy: "unhealthy", RejectedInvalid: "order not read",
-	RejectedLife: "another life of the worker",
+	RejectedLife: "another life of the worker", RejectedTicket: "no valid ticket",
 }
 
 // String implements fmt.Stringer.
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -119,6 +119,9 @@
 	// SubmittedAt is when the job was accepted, on the store's steady clock.
 	SubmittedAt time.Duration `cbor:"11,keyasint,omitempty"`
 	Schedule    Schedule      `cbor:"12,keyasint,omitempty"`
+	// Advised jobs run only where the queue's policy allows; each start carries
+	// a ticket of the policy service.
+	Advised bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Occurrences returns how often the job's steps run, at least once.
@@ -219,6 +222,12 @@
 	Step, Index int
 }
 
+// StepID names a step of one occurrence of a job.
+type StepID struct {
+	Job              string
+	Occurrence, Step int
+}
+
 // Worker is a worker as the registry describes it.
 type Worker struct {
 	ID       string
@@ -253,6 +262,8 @@
 	Stretch     float64
 	Target      time.Duration
 	Anonymous   bool
+	// Advised queues have a policy that allows only some workers to run a step.
+	Advised bool
 }
 
 // Workspace is a team with its keys and its guaranteed accelerators.
