--- a/internal/adapter/metrics/pool.go
+++ b/internal/adapter/metrics/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -57,7 +58,8 @@
 
 // NewPool returns metrics with a registry of their own.
 func NewPool() *Pool {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "lentilwinch",
 		CachedReporter: reporter,
