An owner that wakes sends no start again before its ownership is confirmed

Its owner was suspended with a start unanswered, two others took over in turn, the task succeeded and was acknowledged, its worker was restarted (and so forgot the fencing tokens it had seen); the first owner woke, sent the start again and the worker ran it. Starts that waited for their records were released without confirmation as well. The confirmation was asked of new plans only. Ruled out: the new owners, which each recovered all workers. - a start isn't sent, or sent again, when more than orderTimeout + 1 s passed since it was decided or last sent: the owner was suspended; - held starts wait for the confirmed beat; the gap is noticed before any event is applied.

--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -66,6 +66,9 @@
 }
 
 func (o *Owner) releaseIf(ctx context.Context, ready func(*heldStart) bool) {
+	if !o.mayStart(o.now()) {
+		return
+	}
 	kept := o.held[:0]
 	for i := range o.held {
 		if ready(&o.held[i]) {
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -267,10 +267,13 @@
 	for {
 		select {
 		case ev := <-o.events:
+			o.noticeSuspension()
 			o.apply(ctx, ev)
 			o.drain(ctx)
 		case <-sub.C():
+			o.noticeSuspension()
 		case <-tick.C:
+			o.noticeSuspension()
 		case <-report.C:
 			waiting, running := o.planner.Counts()
 			o.deps.Observer.Owning(o.pool, true, waiting, running)
@@ -302,16 +305,11 @@
 // step plans, sends the orders and stores what changed.
 func (o *Owner) step(ctx context.Context) {
 	now := o.now()
-	if now-o.lastLoop > staleAfter {
-		o.log.Warn("suspended, confirming ownership first", zap.Duration("gap", now-o.lastLoop))
-		o.confirm = now
-	}
-	o.lastLoop = now
 	o.applyConfig()
 	o.planner.SetWallClock(now, o.wall())
 	o.mergeFormer(now)
 	o.expire(now)
-	if beat := time.Duration(o.beatAt.Load()); beat >= o.confirm && now-beat < renewWithout {
+	if o.mayStart(now) {
 		o.takeOrders(ctx, o.planner.Plan(now))
 		o.askAdvice(ctx, now)
 	}
@@ -321,6 +319,24 @@
 	o.planner.Forget()
 }
 
+// noticeSuspension makes starts wait for a confirmed beat when this process was
+// suspended: another instance may own the pool by now, and a worker that was
+// restarted meanwhile would know of no higher fencing token.
+func (o *Owner) noticeSuspension() {
+	now := o.now()
+	if now-o.lastLoop > staleAfter {
+		o.log.Warn("suspended, confirming ownership first", zap.Duration("gap", now-o.lastLoop))
+		o.confirm = now
+	}
+	o.lastLoop = now
+}
+
+// mayStart reports whether starts may be sent on this owner's belief.
+func (o *Owner) mayStart(now time.Duration) bool {
+	beat := time.Duration(o.beatAt.Load())
+	return beat >= o.confirm && now-beat < renewWithout
+}
+
 func (o *Owner) dispatch(ctx context.Context, order planner.Order) {
 	s := o.sessions[order.Worker]
 	if s == nil {
@@ -335,7 +351,8 @@
 	} else {
 		startCtx, cancel := context.WithCancel(ctx)
 		o.starts[key] = cancel
-		o.tasks.Go(func() { s.start(startCtx, order) })
+		decidedAt := o.now()
+		o.tasks.Go(func() { s.start(startCtx, order, decidedAt) })
 	}
 	o.log.Info(verb, zap.String("job", order.Task.Job), zap.Int("step", order.Task.Step), zap.Int("index", order.Task.Index),
 		zap.Int64("run", order.Run), zap.String("worker", order.Worker), zap.String("why", order.Why))
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -204,10 +204,18 @@
 	}
 }
 
-// start sends a start until it is answered; the same run may be sent again.
-func (s *session) start(ctx context.Context, o planner.Order) {
+// start sends a start until it is answered; the same run may be sent again, but
+// not after this process was suspended: its ownership has to be confirmed first.
+func (s *session) start(ctx context.Context, o planner.Order, decidedAt time.Duration) {
 	unanswered := false
 	for range orderTries {
+		now := s.owner.now()
+		if now-decidedAt > orderTimeout+staleAfter {
+			s.owner.log.Warn("start not sent, suspended since it was decided", zap.String("job", o.Task.Job), zap.Int("step", o.Task.Step),
+				zap.Int("index", o.Task.Index), zap.Int64("run", o.Run), zap.String("worker", s.target.ID), zap.Duration("gap", now-decidedAt))
+			break
+		}
+		decidedAt = now
 		s.mu.Lock()
 		order := port.StartOrder{
 			Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -30,6 +30,7 @@
 	finished map[work.TaskID]bool // succeeded and acknowledged
 	specs    map[string]Profile
 	starts   int
+	begun    map[string]bool // jobs of which a run began
 }
 
 // Profile says how a job's tasks behave.
@@ -94,7 +95,7 @@
 // NewPool returns a pool without workers.
 func NewPool() *Pool {
 	return &Pool{GangPatience: 3 * time.Second, StopTime: 400 * time.Millisecond, workers: map[string]*PoolWorker{},
-		finished: map[work.TaskID]bool{}, specs: map[string]Profile{}}
+		finished: map[work.TaskID]bool{}, specs: map[string]Profile{}, begun: map[string]bool{}}
 }
 
 // Add adds a worker.
@@ -135,6 +136,13 @@
 	return slices.Clone(p.broken)
 }
 
+// Started reports whether a run of a job began.
+func (p *Pool) Started(job string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.begun[job]
+}
+
 // Starts counts the runs that began.
 func (p *Pool) Starts() int {
 	p.mu.Lock()
@@ -259,6 +267,7 @@
 	}
 	w.pool.checkStart(w, o.Task)
 	w.pool.starts++
+	w.pool.begun[o.Task.Job] = true
 	w.runs[o.Task] = &poolRun{task: o.Task, number: o.Run, need: profile.Work, lastTick: now, started: now, profile: profile}
 	return port.NotRejected
 }
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +21,7 @@
 
 	lentilwinchv1 "github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1"
 	"github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1/lentilwinchv1connect"
+	"github.com/lentilwinch/lentilwinch/internal/fake"
 	"github.com/lentilwinch/lentilwinch/internal/settings"
 	"github.com/lentilwinch/lentilwinch/internal/standin/backend"
 	"github.com/lentilwinch/lentilwinch/internal/standin/control"
@@ -201,30 +201,11 @@
 	must.NoError(c.t, in.cmd.Process.Signal(s))
 }
 
-// firstPort and lastPort bound the instances' ports. They lie below those that
-// outgoing connections take: an instance that was stopped must find its port
-// free when it starts again.
-const (
-	firstPort = 20_000
-	lastPort  = 32_000
-)
-
-var nextPort = firstPort + os.Getpid()%(lastPort-firstPort)
-
 func freeAddress(t *testing.T) string {
-	for range lastPort - firstPort {
-		nextPort++
-		if nextPort >= lastPort {
-			nextPort = firstPort
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		if l, err := net.Listen("tcp", address); err == nil {
-			must.NoError(t, l.Close())
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
+	t.Helper()
+	address, err := fake.FreeAddress()
+	must.NoError(t, err)
+	return address
 }
 
 // eventually waits for a condition.
