Recovery ends once all workers are heard and the copy has caught up

A former owner can't acknowledge or start anything at workers that have heard a higher token; what it stored before is found by reading the store's version after that and awaiting it in the copy.

--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -116,6 +116,7 @@
 	evStored
 	evRemoved
 	evAdvised
+	evCaughtUp
 )
 
 type event struct {
@@ -130,6 +131,7 @@
 	stored   storedResult
 	job      string
 	advice   adviceResult
+	err      error
 }
 
 // Owner runs one pool under one epoch.
@@ -157,6 +159,9 @@
 	confirm    time.Duration // a beat must be confirmed after this before starts go on
 	config     *work.Config
 	done       chan struct{}
+	catchingUp bool           // a read that catches up with a former owner is under way
+	catchUpAt  time.Duration  // no such read before this
+	caughtUp   bool           // a former owner can't act, and the copy holds what it stored
 	formerOver bool           // a former owner has ended and what it stored is merged
 	yielded    bool           // the pool is to be handed over while this process goes on
 	lost       sync.Once      // logs the end of the ownership
@@ -307,7 +312,7 @@
 	now := o.now()
 	o.applyConfig()
 	o.planner.SetWallClock(now, o.wall())
-	o.mergeFormer(now)
+	o.mergeFormer(ctx, now)
 	o.expire(now)
 	if o.mayStart(now) {
 		o.takeOrders(ctx, o.planner.Plan(now))
@@ -396,6 +401,8 @@
 		o.changeWorkers(ctx, ev)
 	case evRemoved:
 		o.forget(ev.job)
+	case evCaughtUp:
+		o.caughtUpTo(ev.err)
 	case evAdvised:
 		o.advised(now, ev.advice)
 	case evStored:
--- a/internal/duty/pool/pool_test.go
+++ b/internal/duty/pool/pool_test.go
@@ -423,3 +423,30 @@
 		w.intact()
 	})
 }
+
+// The store had an outage, so that stored placements may be incomplete, and the
+// owner is killed right after it. Once all workers have heard the next owner, and
+// its copy holds what the store had then, jobs start.
+func TestRecoveryAfterAnOutageEndsOnceAllWorkersAreHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		first := w.launch()
+		time.Sleep(time.Second)
+		w.launch()
+		time.Sleep(3 * time.Second)
+		w.profile("inherited", 8, 0) // outlives the check, as the takeover may come before the kill
+		w.profile("new", 8, 0)
+		w.store.SetFaults(fake.Faults{Down: true})
+		time.Sleep(time.Second)
+		w.store.SetFaults(fake.Faults{})
+		time.Sleep(400 * time.Millisecond)
+		first.kill()
+		w.submit("inherited", single(1, 8))
+		time.Sleep(1500 * time.Millisecond)
+		w.submit("new", single(1, 8))
+		time.Sleep(500 * time.Millisecond)
+		must.EqOp(t, 2, w.pool.Running())
+		w.await(20 * time.Second)
+		w.intact()
+	})
+}
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -120,12 +120,14 @@
 
 // mergeFormer takes in, once, what a former owner stored between the takeover
 // and its own end.
-func (o *Owner) mergeFormer(now time.Duration) {
+func (o *Owner) mergeFormer(ctx context.Context, now time.Duration) {
 	if o.formerOver {
 		return
 	}
 	alone := o.epoch == 1 || o.formerGone
-	if !alone && (now < o.startedAt+formerLearns || o.deps.Replica.Age() > freshCopy) {
+	learned := now >= o.startedAt+formerLearns && o.deps.Replica.Age() <= freshCopy
+	if !alone && !learned && !o.caughtUp {
+		o.catchUp(ctx, now)
 		return
 	}
 	merged := 0
@@ -141,3 +143,34 @@
 	o.planner.FormerOver()
 	o.log.Info("former owner over", zap.Int("records", merged))
 }
+
+// catchUp reads the store's version once every worker has heard this owner's
+// fencing token, and waits until the copy holds it. From then on a former owner
+// can't acknowledge an end or start anything, and what it stored before an
+// acknowledgement is in the copy: there is no need to wait until it learns of
+// the takeover.
+func (o *Owner) catchUp(ctx context.Context, now time.Duration) {
+	if o.catchingUp || now < o.catchUpAt || !o.planner.AllHeard(now) || !o.deps.Replica.Complete() {
+		return
+	}
+	o.catchingUp = true
+	o.tasks.Go(func() {
+		call, cancel := context.WithTimeout(ctx, commitTimeout)
+		defer cancel()
+		_, version, err := o.deps.Store.Scan(call, replica.Table, o.pool, replica.EpochKey, replica.EpochKey+"\x00")
+		if err == nil {
+			err = o.deps.Replica.Await(call, version)
+		}
+		o.send(ctx, event{kind: evCaughtUp, err: err})
+	})
+}
+
+func (o *Owner) caughtUpTo(err error) {
+	o.catchingUp = false
+	if err != nil {
+		o.catchUpAt = o.now() + storePause
+		o.log.Info("the copy has not caught up with a former owner yet", zap.Error(err))
+		return
+	}
+	o.caughtUp = true
+}
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -53,6 +53,12 @@
 	}
 }
 
+// AllHeard reports whether every worker that is listed, or may be, has answered
+// this owner or lost its runs.
+func (p *Planner) AllHeard(now time.Duration) bool {
+	return !p.recovering || len(p.unheard) == 0 && now >= p.registryAt
+}
+
 // FormerOver says that a former owner has ended and all that it stored is
 // merged.
 func (p *Planner) FormerOver() { p.formerOver = true }
