A start before its placement is stored must be announced first

While the store lost answers and carried writes out late, the owner started tasks 0.15 s after their placements were sent to the store but before they were in it; it was killed, or lost the pool; the next owner's own reads had never failed (store_quiet_for 19 s), so that it took the stored placements for complete and started tasks that ran on workers it couldn't reach (cut one way). Now an owner stores, once an epoch and under the epoch's row, that it may start before storing, and does so only after that; or when the store has been away on every way for 3 s, when another instance would have taken over and the workers would have told. The next owner then waits for silent workers' leases. TestNextOwnerKnowsThatPlacementsWereBypassed was seen failing without the check.

--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
 	"github.com/lentilwinch/lentilwinch/internal/planner"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
@@ -51,11 +52,17 @@
 
 // releaseOverdue sends the starts that waited long enough. While a former owner
 // may still store and acknowledge ends, only a stored placement tells that it
-// hasn't.
+// hasn't. The next owner must not take this one's placements for complete then.
 func (o *Owner) releaseOverdue(ctx context.Context, now time.Duration) {
-	if !o.formerOver {
+	if !o.formerOver || !slices.ContainsFunc(o.held, func(h heldStart) bool { return now-h.since >= recordWait }) {
 		return
 	}
+	if !o.bypassed {
+		o.announceBypass(ctx, now)
+		if o.deps.Outage() < outageSeenByAll {
+			return
+		}
+	}
 	o.releaseIf(ctx, func(h *heldStart) bool {
 		overdue := now-h.since >= recordWait
 		if overdue {
@@ -65,6 +72,39 @@
 	})
 }
 
+// announceBypass stores that this epoch's placements may be incomplete.
+func (o *Owner) announceBypass(ctx context.Context, now time.Duration) {
+	if o.announcing || now < o.announceAt {
+		return
+	}
+	value, err := work.Encode(o.epoch)
+	if err != nil {
+		o.log.Error("epoch can't be encoded", zap.Error(err))
+		return
+	}
+	o.announcing = true
+	o.tasks.Go(func() {
+		call, cancel := context.WithTimeout(ctx, commitTimeout)
+		defer cancel()
+		_, err := o.deps.Store.Commit(call, port.RowTxn{
+			Expect: map[port.RowKey]int64{o.epochKey(): o.epochVersion},
+			Puts:   map[port.RowKey][]byte{replica.PoolKey(o.pool, replica.BypassedKey): value},
+		})
+		o.send(ctx, event{kind: evAnnounced, err: err})
+	})
+}
+
+func (o *Owner) announced(err error) {
+	o.announcing = false
+	if err != nil {
+		o.announceAt = o.now() + storePause
+		o.log.Info("starts wait for their records, a bypass could not be announced", zap.Error(err))
+		return
+	}
+	o.bypassed = true
+	o.log.Info("starts may go before their placements are stored")
+}
+
 func (o *Owner) releaseIf(ctx context.Context, ready func(*heldStart) bool) {
 	if !o.mayStart(o.now()) {
 		return
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -44,6 +44,10 @@
 	// recordWait is how long a start waits for its placement to be stored; the
 	// store takes 12 ms at its usual speed. While it is slow or away, starts go on.
 	recordWait = 150 * time.Millisecond
+	// outageSeenByAll is how long an outage must have lasted for it to be one for
+	// all instances: another would have taken the pool over within 1.6 s, and the
+	// workers' answers would have told within another second.
+	outageSeenByAll = 3 * time.Second
 	// knownWithin is the age from which a job that becomes known may have been
 	// started by an earlier owner.
 	knownWithin = 2 * time.Second
@@ -85,6 +89,8 @@
 	Latency func() time.Duration
 	// DirectDown tells for how long the store has been reached through peers only.
 	DirectDown func() time.Duration
+	// Outage tells for how long calls to the store have failed on every way.
+	Outage func() time.Duration
 	// PartDown reports whether a part of the store failed lately.
 	PartDown func(part string) bool
 	// Config returns the configuration in force, nil where there is none.
@@ -117,6 +123,7 @@
 	evRemoved
 	evAdvised
 	evCaughtUp
+	evAnnounced
 )
 
 type event struct {
@@ -163,6 +170,9 @@
 	catchUpAt  time.Duration  // no such read before this
 	caughtUp   bool           // a former owner can't act, and the copy holds what it stored
 	formerOver bool           // a former owner has ended and what it stored is merged
+	announcing bool           // the announcement of a bypass is under way
+	announceAt time.Duration  // no announcement before this
+	bypassed   bool           // starts may go before their placements are stored
 	yielded    bool           // the pool is to be handed over while this process goes on
 	lost       sync.Once      // logs the end of the ownership
 	tasks      sync.WaitGroup // goroutines that end with the owner
@@ -401,6 +411,8 @@
 		o.changeWorkers(ctx, ev)
 	case evRemoved:
 		o.forget(ev.job)
+	case evAnnounced:
+		o.announced(ev.err)
 	case evCaughtUp:
 		o.caughtUpTo(ev.err)
 	case evAdvised:
--- a/internal/duty/pool/pool_test.go
+++ b/internal/duty/pool/pool_test.go
@@ -450,3 +450,27 @@
 		w.intact()
 	})
 }
+
+// The owner's writes of jobs are lost, so that it starts a task before its
+// placement is stored. The next owner, whose own reads never failed, doesn't reach
+// the worker that runs it.
+func TestNextOwnerKnowsThatPlacementsWereBypassed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		first := w.launch()
+		time.Sleep(time.Second)
+		second := w.launchWith(func(in *instance) { in.slowAt, in.slowHold = "w00", 20*time.Second })
+		time.Sleep(12 * time.Second)
+		w.profile("job", 8, 0)
+		first.muteJobs.Store(true)
+		w.submit("job", single(1, 8))
+		time.Sleep(time.Second)
+		must.EqOp(t, 1, w.pool.Running())
+		first.kill()
+		time.Sleep(4 * time.Second)
+		must.EqOp(t, second.name, w.owner())
+		w.intact()
+		w.await(40 * time.Second)
+		w.intact()
+	})
+}
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -54,8 +54,9 @@
 	if o.formerGone {
 		newcomersAt = o.startedAt
 	}
-	recorded := o.deps.Replica.QuietFor() > settledAfter && o.deps.Latency() < slowStore
-	o.log.Info("recovery begins", zap.Bool("placements_complete", recorded), zap.Duration("store_quiet_for", o.deps.Replica.QuietFor()))
+	bypassed := o.deps.Replica.Pool(o.pool).Bypassed >= o.epoch-1
+	recorded := !bypassed && o.deps.Replica.QuietFor() > settledAfter && o.deps.Latency() < slowStore
+	o.log.Info("recovery begins", zap.Bool("placements_complete", recorded), zap.Bool("bypassed", bypassed), zap.Duration("store_quiet_for", o.deps.Replica.QuietFor()))
 	o.planner.Recover(registryAt, newcomersAt, recorded)
 }
 
--- a/internal/duty/pool/world_test.go
+++ b/internal/duty/pool/world_test.go
@@ -55,11 +55,12 @@
 // instance is one process: its store and workers can be taken away, as a kill
 // does.
 type instance struct {
-	world  *world
-	name   string
-	gone   atomic.Bool
-	mute   atomic.Bool // its commits get no answer
-	turned atomic.Bool // the store turns it away, but not its peers
+	world    *world
+	name     string
+	gone     atomic.Bool
+	mute     atomic.Bool // its commits get no answer
+	muteJobs atomic.Bool // commits of job rows get no answer and no effect
+	turned   atomic.Bool // the store turns it away, but not its peers
 	// slowHold delays its holds at one worker.
 	slowHold time.Duration
 	slowAt   string
@@ -102,7 +103,7 @@
 	deps := Deps{
 		Store: store, Workers: &gatedWorkers{in, w.workers}, Registry: w.registry, Replica: rep,
 		Log: testLog().With(zap.String("in", in.name)), Now: w.now, Observer: NoObserver{}, Wall: in.wall, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.name,
-		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, RetainFor: 2 * time.Minute, Latency: store.Latency, DirectDown: store.DirectDown, PartDown: store.PartDown,
+		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, RetainFor: 2 * time.Minute, Latency: store.Latency, DirectDown: store.DirectDown, Outage: store.Outage, PartDown: store.PartDown,
 	}
 	in.replica = rep
 	in.done.Go(func() { rep.Run(ctx) })
@@ -205,6 +206,15 @@
 	}
 }
 
+func touchesJobs(txn port.RowTxn) bool {
+	for key := range txn.Puts {
+		if key.Part != testPool {
+			return true
+		}
+	}
+	return false
+}
+
 var errTurnedAway = fault.New(fault.Overloaded, "too many calls")
 
 // peers are the ways to the store through other instances.
@@ -236,7 +246,7 @@
 	if g.in.gone.Load() {
 		return 0, errGone
 	}
-	if g.in.mute.Load() {
+	if g.in.mute.Load() || g.in.muteJobs.Load() && touchesJobs(txn) {
 		<-ctx.Done()
 		return 0, fault.Wrap(fault.Uncertain, "no answer", ctx.Err())
 	}
--- a/internal/duty/replica/apply.go
+++ b/internal/duty/replica/apply.go
@@ -52,6 +52,8 @@
 		return decodeInto(row.Value, &p.Epoch)
 	case WorkersKey:
 		return decodeInto(row.Value, &p.Workers)
+	case BypassedKey:
+		return decodeInto(row.Value, &p.Bypassed)
 	case LoadKey:
 		return decodeInto(row.Value, &p.Load)
 	}
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -17,10 +17,13 @@
 // its jobs and their cancellations in parts of their own: a part takes one
 // transaction at a time, which a slow store makes a second each.
 const (
-	EpochKey     = "epoch"
-	BeatKey      = "beat"
-	LoadKey      = "load"
-	WorkersKey   = "workers"
+	EpochKey   = "epoch"
+	BeatKey    = "beat"
+	LoadKey    = "load"
+	WorkersKey = "workers"
+	// BypassedKey holds the number of the last epoch whose owner may have started
+	// tasks before their placements were stored.
+	BypassedKey  = "bypassed"
 	jobPrefix    = "job/"
 	cancelPrefix = "cancel/"
 	nodePrefix   = "node/"
@@ -78,6 +81,8 @@
 	Load         Load
 	// Workers are those that the owner used last.
 	Workers []string
+	// Bypassed is the last epoch whose stored placements may be incomplete.
+	Bypassed int64
 }
 
 // PoolKey returns the key of one of a pool's own rows.
