--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -64,11 +64,11 @@
 		}
 	}
 	each := turn
-	if e.deps.Latency() > slowStore {
+	if e.deps.Health.Latency() > slowStore {
 		each = slowTurn
 	}
 	delay := time.Duration(before) * each
-	if e.deps.DirectDown() > 0 {
+	if e.deps.Health.DirectDown() > 0 {
 		delay += indirectDelay
 	}
 	return delay
@@ -134,7 +134,7 @@
 	}
 	e.log.Info("ownership gained", zap.Int64("epoch", epoch.Number), zap.String("former", view.Epoch.Owner), zap.Int64("version", version))
 	o := newOwner(e.deps, e.pool, epoch.Number, version)
-	o.formerGone = view.Epoch.Owner == "" || view.Epoch.Owner == e.deps.Name
+	o.former.gone = view.Epoch.Owner == "" || view.Epoch.Owner == e.deps.Name
 	if err := o.run(ctx); err != nil {
 		e.log.Warn("takeover failed", zap.Error(err))
 	}
--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -21,6 +21,14 @@
 	since time.Duration
 }
 
+// bypass is the state of telling the next owner that starts may go before their
+// placements are stored.
+type bypass struct {
+	announcing bool
+	announceAt time.Duration // not before this
+	announced  bool
+}
+
 // takeOrders sends the stops at once and holds the starts.
 func (o *Owner) takeOrders(ctx context.Context, orders []planner.Order) {
 	if len(orders) == 0 {
@@ -54,12 +62,12 @@
 // may still store and acknowledge ends, only a stored placement tells that it
 // hasn't. The next owner must not take this one's placements for complete then.
 func (o *Owner) releaseOverdue(ctx context.Context, now time.Duration) {
-	if !o.formerOver || !slices.ContainsFunc(o.held, func(h heldStart) bool { return now-h.since >= recordWait }) {
+	if !o.former.over || !slices.ContainsFunc(o.held, func(h heldStart) bool { return now-h.since >= recordWait }) {
 		return
 	}
-	if !o.bypassed {
+	if !o.bypass.announced {
 		o.announceBypass(ctx, now)
-		if o.deps.Outage() < outageSeenByAll {
+		if o.deps.Health.Outage() < outageSeenByAll {
 			return
 		}
 	}
@@ -74,7 +82,7 @@
 
 // announceBypass stores that this epoch's placements may be incomplete.
 func (o *Owner) announceBypass(ctx context.Context, now time.Duration) {
-	if o.announcing || now < o.announceAt {
+	if o.bypass.announcing || now < o.bypass.announceAt {
 		return
 	}
 	value, err := work.Encode(o.epoch)
@@ -82,7 +90,7 @@
 		o.log.Error("epoch can't be encoded", zap.Error(err))
 		return
 	}
-	o.announcing = true
+	o.bypass.announcing = true
 	o.tasks.Go(func() {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
@@ -95,13 +103,13 @@
 }
 
 func (o *Owner) announced(err error) {
-	o.announcing = false
+	o.bypass.announcing = false
 	if err != nil {
-		o.announceAt = o.now() + storePause
+		o.bypass.announceAt = o.now() + storePause
 		o.log.Info("starts wait for their records, a bypass could not be announced", zap.Error(err))
 		return
 	}
-	o.bypassed = true
+	o.bypass.announced = true
 	o.log.Info("starts may go before their placements are stored")
 }
 
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -12,7 +12,6 @@
 
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
 	"github.com/lentilwinch/lentilwinch/internal/planner"
-	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -66,81 +65,12 @@
 	reportEvery = time.Second
 )
 
-// Deps are what an owner works with.
-type Deps struct {
-	Store    port.RowStore
-	Workers  port.WorkerCaller
-	Registry port.WorkerRegistry
-	// Advisor is the policy service, nil where there is none.
-	Advisor  port.Advisor
-	Replica  *replica.Replica
-	Log      *zap.Logger
-	Observer Observer
-	// Now is a steady clock that counts suspended time.
-	Now func() time.Duration
-	// Wall is this machine's time of day, since 1970.
-	Wall     func() time.Duration
-	Settings planner.Settings
-	// LongestLease is the longest lease that a worker grants.
-	LongestLease time.Duration
-	// RetainFor is how long callers may ask for an ended job.
-	RetainFor time.Duration
-	// Latency tells what the store's calls take at present.
-	Latency func() time.Duration
-	// DirectDown tells for how long the store has been reached through peers only.
-	DirectDown func() time.Duration
-	// Outage tells for how long calls to the store have failed on every way.
-	Outage func() time.Duration
-	// PartDown reports whether a part of the store failed lately.
-	PartDown func(part string) bool
-	// Config returns the configuration in force, nil where there is none.
-	Config func() *work.Config
-	// Cores is the processor that this instance may use.
-	Cores float64
-	// Name and Incarnation tell this instance from its peers and former lives.
-	Name        string
-	Incarnation string
-}
-
 // runKey names a run of a task.
 type runKey struct {
 	task work.TaskID
 	run  int64
 }
 
-type eventKind int
-
-const (
-	evReport eventKind = iota + 1
-	evReborn
-	evUnreachable
-	evTried
-	evStarted
-	evUnanswered
-	evStopped
-	evWorkers
-	evStored
-	evRemoved
-	evAdvised
-	evCaughtUp
-	evAnnounced
-)
-
-type event struct {
-	kind     eventKind
-	session  *session
-	sentAt   time.Duration
-	reply    port.HoldReply
-	order    planner.Order
-	rejected port.Rejection
-	workers  []port.WorkerChange
-	whole    bool // workers is the whole list
-	stored   storedResult
-	job      string
-	advice   adviceResult
-	err      error
-}
-
 // Owner runs one pool under one epoch.
 type Owner struct {
 	deps         Deps
@@ -149,33 +79,27 @@
 	epoch        int64
 	epochVersion int64
 	startedAt    time.Duration
-	formerGone   bool // the former owner can't act any more
 
-	planner    *planner.Planner
-	sessions   map[string]*session
-	starts     map[runKey]context.CancelFunc // starts that wait for an answer
-	events     chan event
-	deposed    context.CancelFunc
-	beatAt     atomic.Int64 // when the last confirmed beat was sent, on Now's clock
-	storing    storing
-	advice     advice
-	held       []heldStart
-	deferred   map[string]bool // jobs of which a row may be missing
-	plans      int64           // counts the plans, to order starts and records
-	lastLoop   time.Duration
-	confirm    time.Duration // a beat must be confirmed after this before starts go on
-	config     *work.Config
-	done       chan struct{}
-	catchingUp bool           // a read that catches up with a former owner is under way
-	catchUpAt  time.Duration  // no such read before this
-	caughtUp   bool           // a former owner can't act, and the copy holds what it stored
-	formerOver bool           // a former owner has ended and what it stored is merged
-	announcing bool           // the announcement of a bypass is under way
-	announceAt time.Duration  // no announcement before this
-	bypassed   bool           // starts may go before their placements are stored
-	yielded    bool           // the pool is to be handed over while this process goes on
-	lost       sync.Once      // logs the end of the ownership
-	tasks      sync.WaitGroup // goroutines that end with the owner
+	planner  *planner.Planner
+	sessions map[string]*session
+	starts   map[runKey]context.CancelFunc // starts that wait for an answer
+	events   chan event
+	deposed  context.CancelFunc
+	beatAt   atomic.Int64 // when the last confirmed beat was sent, on Now's clock
+	storing  storing
+	advice   advice
+	held     []heldStart
+	deferred map[string]bool // jobs of which a row may be missing
+	plans    int64           // counts the plans, to order starts and records
+	lastLoop time.Duration
+	confirm  time.Duration // a beat must be confirmed after this before starts go on
+	config   *work.Config
+	done     chan struct{}
+	former   former
+	bypass   bypass
+	yielded  bool           // the pool is to be handed over while this process goes on
+	lost     sync.Once      // logs the end of the ownership
+	tasks    sync.WaitGroup // goroutines that end with the owner
 }
 
 func newOwner(deps Deps, pool string, epoch, version int64) *Owner {
@@ -247,7 +171,7 @@
 // shouldYield reports whether another instance is likely to own the pool better:
 // this one reaches the store through peers only.
 func (o *Owner) shouldYield() bool {
-	down := o.deps.DirectDown()
+	down := o.deps.Health.DirectDown()
 	now := o.now()
 	if down < yieldAfter || now-o.startedAt < yieldSpacing || now-time.Duration(o.beatAt.Load()) > takeoverAfter {
 		return false
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -9,6 +9,19 @@
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
 )
 
+// former is what is known of the owner before this one.
+type former struct {
+	gone bool // it handed the pool over, or was this process's former life
+	// reading is set while a read that catches up with it is under way; the next
+	// one is not before readAt.
+	reading bool
+	readAt  time.Duration
+	// caughtUp says that it can't act and that the copy holds what it stored.
+	caughtUp bool
+	// over says that what it stored is merged.
+	over bool
+}
+
 // recover reads the jobs and the workers, and lets inherited jobs wait until
 // each worker was heard or its leases must have expired.
 func (o *Owner) recover(ctx context.Context) error {
@@ -51,11 +64,11 @@
 		}
 	}
 	newcomersAt := o.startedAt + formerLearns
-	if o.formerGone {
+	if o.former.gone {
 		newcomersAt = o.startedAt
 	}
 	bypassed := o.deps.Replica.Pool(o.pool).Bypassed >= o.epoch-1
-	recorded := !bypassed && o.deps.Replica.QuietFor() > settledAfter && o.deps.Latency() < slowStore
+	recorded := !bypassed && o.deps.Replica.QuietFor() > settledAfter && o.deps.Health.Latency() < slowStore
 	o.log.Info("recovery begins", zap.Bool("placements_complete", recorded), zap.Bool("bypassed", bypassed), zap.Duration("store_quiet_for", o.deps.Replica.QuietFor()))
 	o.planner.Recover(registryAt, newcomersAt, recorded)
 }
@@ -122,12 +135,12 @@
 // mergeFormer takes in, once, what a former owner stored between the takeover
 // and its own end.
 func (o *Owner) mergeFormer(ctx context.Context, now time.Duration) {
-	if o.formerOver {
+	if o.former.over {
 		return
 	}
-	alone := o.epoch == 1 || o.formerGone
+	alone := o.epoch == 1 || o.former.gone
 	learned := now >= o.startedAt+formerLearns && o.deps.Replica.Age() <= freshCopy
-	if !alone && !learned && !o.caughtUp {
+	if !alone && !learned && !o.former.caughtUp {
 		o.catchUp(ctx, now)
 		return
 	}
@@ -140,7 +153,7 @@
 			}
 		}
 	}
-	o.formerOver = true
+	o.former.over = true
 	o.planner.FormerOver()
 	o.log.Info("former owner over", zap.Int("records", merged))
 }
@@ -151,10 +164,10 @@
 // acknowledgement is in the copy: there is no need to wait until it learns of
 // the takeover.
 func (o *Owner) catchUp(ctx context.Context, now time.Duration) {
-	if o.catchingUp || now < o.catchUpAt || !o.planner.AllHeard(now) || !o.deps.Replica.Complete() {
+	if o.former.reading || now < o.former.readAt || !o.planner.AllHeard(now) || !o.deps.Replica.Complete() {
 		return
 	}
-	o.catchingUp = true
+	o.former.reading = true
 	o.tasks.Go(func() {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
@@ -167,11 +180,11 @@
 }
 
 func (o *Owner) caughtUpTo(err error) {
-	o.catchingUp = false
+	o.former.reading = false
 	if err != nil {
-		o.catchUpAt = o.now() + storePause
+		o.former.readAt = o.now() + storePause
 		o.log.Info("the copy has not caught up with a former owner yet", zap.Error(err))
 		return
 	}
-	o.caughtUp = true
+	o.former.caughtUp = true
 }
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -101,7 +101,7 @@
 // placeOf chooses the part that a job's record goes to: the usual one, unless it
 // is away.
 func (o *Owner) placeOf(id string) string {
-	return replica.Place(replica.JobKeys(o.pool, id), 0, o.deps.PartDown).Part
+	return replica.Place(replica.JobKeys(o.pool, id), 0, o.deps.Health.PartDown).Part
 }
 
 func (o *Owner) transaction(part string, records []work.Record) (port.RowTxn, error) {
@@ -160,7 +160,7 @@
 			}
 			_ = wait.For(ctx, storePause) // ends early only with ctx, which the loop checks
 		}
-		if known || o.deps.PartDown(result.part) {
+		if known || o.deps.Health.PartDown(result.part) {
 			result.version, result.err = version, err
 			o.send(ctx, event{kind: evStored, stored: result})
 			return
--- a/internal/duty/pool/suspended_test.go
+++ b/internal/duty/pool/suspended_test.go
@@ -36,7 +36,7 @@
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) + time.Duration(w.skipped.Load()) + time.Minute }
 	o := newOwner(Deps{Workers: w, Log: zap.NewNop(), Observer: NoObserver{}, Now: now}, testPool, 1, 1)
-	o.lastLoop, o.formerOver, o.bypassed = now(), true, true
+	o.lastLoop, o.former.over, o.bypass.announced = now(), true, true
 	return o
 }
 
--- a/internal/duty/pool/world_test.go
+++ b/internal/duty/pool/world_test.go
@@ -103,7 +103,7 @@
 	deps := Deps{
 		Store: store, Workers: &gatedWorkers{in, w.workers}, Registry: w.registry, Replica: rep,
 		Log: testLog().With(zap.String("in", in.name)), Now: w.now, Observer: NoObserver{}, Wall: in.wall, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.name,
-		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, RetainFor: 2 * time.Minute, Latency: store.Latency, DirectDown: store.DirectDown, Outage: store.Outage, PartDown: store.PartDown,
+		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, RetainFor: 2 * time.Minute, Health: store,
 	}
 	in.replica = rep
 	in.done.Go(func() { rep.Run(ctx) })
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -70,7 +70,7 @@
 			Store: store, Workers: s.workers, Registry: s.workers, Replica: rep, Log: log, Observer: pool.NoObserver{}, Now: now,
 			Wall:     func() time.Duration { return time.Duration(time.Now().UnixNano()) },
 			Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, LongestLease: 10 * time.Second, RetainFor: time.Minute,
-			Latency: store.Latency, DirectDown: store.DirectDown, Outage: store.Outage, PartDown: store.PartDown,
+			Health: store,
 			Config: s.intake.Config, Name: "north-1", Incarnation: "a",
 		}, "p").Run(ctx)
 	})
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -83,7 +83,7 @@
 			job: j, occurrence: occurrence, step: step, first: k * size, count: size,
 			nextRun: p.firstRun, runs: map[int]*run{},
 			failed: slices.Clone(progress.Failures[k*size]), saved: progress.Checkpoints[k*size],
-			placed: progress.Placed[k*size], inherited: inherited, newcomer: !inherited && p.recovering,
+			placed: progress.Placed[k*size], inherited: inherited, newcomer: !inherited && p.recovery.active,
 		}
 		if slices.Contains(progress.Done, u.first) {
 			u.phase = unitDone
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -213,26 +213,13 @@
 	jobs      map[string]*job
 	open      []*job // jobs that haven't ended, in order of arrival
 	guarantee map[string]int64
-	unheard   map[string]bool
-	// registryAt is when the registry can be trusted to name every worker.
-	registryAt time.Duration
-	recovering bool
-	// untried holds the workers that haven't answered or failed to answer once.
-	untried map[string]bool
+	recovery  recovery
 	// partial is set while some jobs may not be known.
 	partial bool
 	// orphans are ends of jobs that aren't known yet, by job.
-	orphans map[string][]orphanEnd
-	// recorded says that a former owner's placements are all on record, so that
-	// a unit waits for the workers of its own attempt only.
-	recorded bool
-	// formerOver is set once a former owner can't store or acknowledge anything
-	// any more, and what it did is known.
-	formerOver bool
-	// newcomersAt is when a former owner has surely heard of the takeover.
-	newcomersAt time.Duration
-	queueMean   map[string]*mean
-	urgent      demand
+	orphans   map[string][]orphanEnd
+	queueMean map[string]*mean
+	urgent    demand
 	// wallOffset is the wall clock, since 1970, less the planner's clock; it is
 	// unknown until told, and nothing scheduled starts before that.
 	wallOffset time.Duration
@@ -275,7 +262,8 @@
 		workers:   map[string]*worker{},
 		jobs:      map[string]*job{},
 		guarantee: map[string]int64{},
-		unheard:   map[string]bool{}, orphans: map[string][]orphanEnd{}, untried: map[string]bool{},
+		orphans:   map[string][]orphanEnd{},
+		recovery:  recovery{unheard: map[string]bool{}, untried: map[string]bool{}},
 		queueMean: map[string]*mean{},
 		waste:     map[string]float64{},
 		verdicts:  map[work.StepID]map[string]verdict{},
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -16,8 +16,8 @@
 		p.workers[info.ID] = w
 		i, _ := slices.BinarySearch(p.ids, info.ID)
 		p.ids = slices.Insert(p.ids, i, info.ID)
-		if p.recovering {
-			p.unheard[info.ID] = true
+		if p.recovery.active {
+			p.recovery.unheard[info.ID] = true
 		}
 		return
 	}
@@ -33,17 +33,6 @@
 	}
 }
 
-// Recover makes inherited jobs wait until every worker that is listed by
-// registryAt was heard or lost: a former owner's tasks may run there. Jobs that
-// arrive meanwhile wait until newcomersAt at most. With recorded, the stored
-// placements are complete, and jobs wait for the workers of their own attempts.
-func (p *Planner) Recover(registryAt, newcomersAt time.Duration, recorded bool) {
-	p.recovering, p.registryAt, p.newcomersAt, p.recorded = true, registryAt, newcomersAt, recorded
-	for id := range p.workers {
-		p.unheard[id], p.untried[id] = true, true
-	}
-}
-
 // SetPartial says whether some jobs may not be known, because a part of the
 // store is away. What runs for unknown jobs is left alone then.
 func (p *Planner) SetPartial(partial bool) {
@@ -53,19 +42,6 @@
 	}
 }
 
-// AllHeard reports whether every worker that is listed, or may be, has answered
-// this owner or lost its runs.
-func (p *Planner) AllHeard(now time.Duration) bool {
-	return !p.recovering || len(p.unheard) == 0 && now >= p.registryAt
-}
-
-// FormerOver says that a former owner has ended and all that it stored is
-// merged.
-func (p *Planner) FormerOver() { p.formerOver = true }
-
-// Tried says that the worker's first answer is missing.
-func (p *Planner) Tried(id string) { delete(p.untried, id) }
-
 // SetReachable says whether the worker answers.
 func (p *Planner) SetReachable(id string, reachable bool) {
 	if w := p.workers[id]; w != nil {
@@ -92,8 +68,8 @@
 		p.loseRun(r, now)
 	}
 	p.note(Note{Event: EventWorkerLost, Worker: id, Count: n, Detail: why})
-	delete(p.unheard, id)
-	delete(p.untried, id)
+	delete(p.recovery.unheard, id)
+	delete(p.recovery.untried, id)
 	w.health = health{}
 	if forget {
 		delete(p.workers, id)
@@ -149,8 +125,8 @@
 		p.ended(now, w, e)
 	}
 	p.observeRunning(now, sentAt, w, reply.Running)
-	delete(p.unheard, id)
-	delete(p.untried, id)
+	delete(p.recovery.unheard, id)
+	delete(p.recovery.untried, id)
 }
 
 // Acknowledgeable returns the highest end of a worker that may be forgotten:
@@ -277,49 +253,6 @@
 	return false
 }
 
-// awaited reports whether a former owner's attempt of the unit may run on a
-// worker that wasn't heard yet.
-func (p *Planner) awaited(u *unit, now time.Duration) bool {
-	if !p.recovering {
-		return false
-	}
-	if len(p.untried) > 0 && (u.inherited || u.newcomer) {
-		return true
-	}
-	if !p.recorded {
-		return u.inherited || (u.newcomer && now < p.newcomersAt)
-	}
-	for _, id := range u.placed {
-		if p.unheard[id] || (p.workers[id] == nil && now < p.registryAt) {
-			return true
-		}
-	}
-	return false
-}
-
-// finishRecovery, once no worker is left to hear, gives up gangs of which a
-// former owner's run is only partly there, and lets inherited units be placed.
-func (p *Planner) finishRecovery(now time.Duration) {
-	if !p.recovering || len(p.unheard) > 0 || now < p.registryAt {
-		return
-	}
-	if !p.recorded && !p.formerOver {
-		return
-	}
-	p.recovering = false
-	p.note(Note{Event: EventRecoveryFinished, Count: len(p.workers)})
-	for _, j := range p.open {
-		for _, u := range j.units {
-			u.inherited, u.newcomer, u.placed = false, false, nil
-			if u.phase == unitActive && len(u.runs) < u.count {
-				p.giveUp(u, now)
-				u.stopSent = true
-				p.stopUnit(u, now, "incomplete gang")
-			}
-		}
-	}
-}
-
 // Listed reports whether the registry names the worker.
 func (p *Planner) Listed(id string) bool {
 	w := p.workers[id]
@@ -330,7 +263,7 @@
 // tell which it has.
 func (p *Planner) Holds(id string) bool {
 	w := p.workers[id]
-	return w != nil && len(w.runs) > 0 || p.unheard[id]
+	return w != nil && len(w.runs) > 0 || p.recovery.unheard[id]
 }
 
 // Draining reports whether the worker is about to leave.
