--- a/internal/duty/relay/relay_test.go
+++ b/internal/duty/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,13 +17,21 @@
 // way is a path to the store that fails after a time, or never answers.
 type way struct {
 	port.RowStore
-	silent bool
+	silent atomic.Bool
 	fails  time.Duration
 }
 
+func hanging() *way {
+	w := &way{}
+	w.silent.Store(true)
+	return w
+}
+
+func failing() *way { return &way{fails: 800 * time.Millisecond} }
+
 func (w *way) Commit(ctx context.Context, txn port.RowTxn) (int64, error) {
 	switch {
-	case w.silent:
+	case w.silent.Load():
 		<-ctx.Done()
 		return 0, fault.Wrap(fault.Uncertain, "no answer", ctx.Err())
 	case w.fails > 0:
@@ -48,13 +57,12 @@
 // Two of three peers are cut off from the store, too: whether they fail or hang,
 // they cost their first calls only.
 func TestPeersThatDontReachTheStoreAreAskedLast(t *testing.T) {
-	for name, cut := range map[string]way{"hang": {silent: true}, "fail": {fails: 800 * time.Millisecond}} {
+	for name, cut := range map[string]func() *way{"hang": hanging, "fail": failing} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				rows := fake.NewRows()
-				one, two := cut, cut
-				peers := []port.RowStore{&one, &two, &way{RowStore: rows}}
-				s := New(&way{silent: true}, func() []port.RowStore { return peers })
+				peers := []port.RowStore{cut(), cut(), &way{RowStore: rows}}
+				s := New(hanging(), func() []port.RowStore { return peers })
 				for range 4 {
 					commitTook(t, s)
 				}
@@ -69,13 +77,14 @@
 func TestDirectWayIsTrustedAgainOnceItAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rows := fake.NewRows()
-		direct := &way{RowStore: rows, silent: true}
+		direct := hanging()
+		direct.RowStore = rows
 		s := New(direct, func() []port.RowStore { return []port.RowStore{&way{RowStore: rows}} })
 		must.EqOp(t, 0, s.DirectDown())
 		commitTook(t, s)
 		time.Sleep(time.Second)
 		must.GreaterEq(t, time.Second, s.DirectDown())
-		direct.silent = false
+		direct.silent.Store(false)
 		commitTook(t, s)
 		must.EqOp(t, 0, s.DirectDown())
 	})
