Answers of two lives of a worker are told apart; a bypass outlives several takeovers

Cause: a worker's answers overtake each other. A hold answered by a life that then ended was taken in after a start's answer had told of the next life; the planner kept the former life's last end number, passed over the new life's ends as known and acknowledged them without counting their success. A commit that ended between the two acknowledged likewise, and a former life's answer that came late counted as yet another life. Now reports and acknowledgements carry the life's number; a life is taken in once, before anything of it; an answer to a request that was sent before the present life was first heard, and that names another, is left out. Birth times aren't compared: the time of day may go back. Also: an owner that inherits incomplete placements announces that for its own epoch, and a bypass counts for three epochs.

--- a/internal/duty/pool/events.go
+++ b/internal/duty/pool/events.go
@@ -11,8 +11,8 @@
 
 // What the owner's loop is told, and the fields of an event that go with it.
 const (
-	evReport      eventKind = iota + 1 // session, sentAt, reply: a worker listed its runs and ends
-	evReborn                           // session: the worker began a new life
+	evReport      eventKind = iota + 1 // session, life, sentAt, reply: a worker listed its runs and ends
+	evReborn                           // session, life: the worker began a new life
 	evUnreachable                      // session: the worker fell silent
 	evTried                            // session: the worker's first answer is missing
 	evStarted                          // session, order, rejected: a start was answered
@@ -30,6 +30,7 @@
 type event struct {
 	kind     eventKind
 	session  *session
+	life     int // of the session's worker
 	sentAt   time.Duration
 	reply    port.HoldReply
 	order    planner.Order
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -306,6 +306,15 @@
 	}
 }
 
+// takeLife takes in a new life of a worker, once, before anything of it: its
+// ends are numbered anew.
+func (o *Owner) takeLife(now time.Duration, s *session, life int) {
+	if life > s.taken {
+		s.taken = life
+		o.planner.Reborn(now, s.target.ID)
+	}
+}
+
 func (o *Owner) apply(ctx context.Context, ev event) {
 	now := o.now()
 	id := ""
@@ -314,11 +323,15 @@
 	}
 	switch ev.kind {
 	case evReport:
+		o.takeLife(now, ev.session, ev.life)
+		if ev.life < ev.session.taken {
+			return // a former life's, overtaken by the news of the next
+		}
 		o.planner.Observe(now, ev.sentAt, id, ev.reply)
-		ev.session.acknowledge(o.planner.Acknowledgeable(id))
+		ev.session.acknowledge(ev.life, o.planner.Acknowledgeable(id))
 		o.logEnds(id, ev.reply.Ended)
 	case evReborn:
-		o.planner.Reborn(now, id)
+		o.takeLife(now, ev.session, ev.life)
 	case evTried:
 		o.planner.Tried(id)
 	case evUnreachable:
--- a/internal/duty/pool/pool_test.go
+++ b/internal/duty/pool/pool_test.go
@@ -474,3 +474,32 @@
 		w.intact()
 	})
 }
+
+// The next owner goes, too, before it has heard all workers: the one after it
+// knows as well.
+func TestOwnerAfterTheNextKnowsThatPlacementsWereBypassed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		first := w.launch()
+		time.Sleep(time.Second)
+		apart := func(in *instance) { in.slowAt, in.slowHold = "w00", 20*time.Second }
+		second, third := w.launchWith(apart), w.launchWith(apart)
+		time.Sleep(12 * time.Second)
+		w.profile("job", 8, 0)
+		first.muteJobs.Store(true)
+		w.submit("job", single(1, 8))
+		time.Sleep(time.Second)
+		must.EqOp(t, 1, w.pool.Running())
+		first.kill()
+		time.Sleep(1500 * time.Millisecond)
+		for _, in := range []*instance{second, third} {
+			if in.name == w.owner() {
+				in.kill()
+			}
+		}
+		time.Sleep(2 * time.Second)
+		w.intact()
+		w.await(40 * time.Second)
+		w.intact()
+	})
+}
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -9,6 +9,10 @@
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
 )
 
+// bypassReach is for how many epochs a bypass counts: owners that go before their
+// recovery ends, and before they have announced that, leave it to the next ones.
+const bypassReach = 3
+
 // former is what is known of the owner before this one.
 type former struct {
 	gone bool // it handed the pool over, or was this process's former life
@@ -40,7 +44,7 @@
 		}
 	}
 	if o.epoch > 1 {
-		o.beginRecovery()
+		o.beginRecovery(ctx)
 	}
 	o.applyConfig()
 	for i := range jobs {
@@ -55,7 +59,7 @@
 // beginRecovery holds inherited jobs until every worker was heard. Workers of
 // the former owner that the registry doesn't name may come back to it: entries
 // expire while the store is away.
-func (o *Owner) beginRecovery() {
+func (o *Owner) beginRecovery(ctx context.Context) {
 	registryAt := o.startedAt
 	for _, id := range o.deps.Replica.Pool(o.pool).Workers {
 		if o.sessions[id] == nil {
@@ -67,10 +71,15 @@
 	if o.former.gone {
 		newcomersAt = o.startedAt
 	}
-	bypassed := o.deps.Replica.Pool(o.pool).Bypassed >= o.epoch-1
+	last := o.deps.Replica.Pool(o.pool).Bypassed
+	bypassed := last > 0 && o.epoch-last <= bypassReach
 	recorded := !bypassed && o.deps.Replica.QuietFor() > settledAfter && o.deps.Health.Latency() < slowStore
 	o.log.Info("recovery begins", zap.Bool("placements_complete", recorded), zap.Bool("bypassed", bypassed), zap.Duration("store_quiet_for", o.deps.Replica.QuietFor()))
 	o.planner.Recover(registryAt, newcomersAt, recorded)
+	if !recorded {
+		// An owner after this one inherits what isn't known yet.
+		o.announceBypass(ctx, o.now())
+	}
 }
 
 func (o *Owner) addJob(v *replica.JobView, inherited bool) {
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -48,7 +48,9 @@
 	mu           sync.Mutex
 	clock        leaseClock
 	born         int64
-	acknowledged int64 // the highest end that the worker may forget
+	life         int           // counts the lives that were heard
+	lifeHeardAt  time.Duration // when the present life was first heard
+	acknowledged int64         // the highest end that the worker may forget
 	// sameLife is set while holds are answered without a gap. After one, the
 	// worker may live anew and number its ends from 1: nothing is acknowledged
 	// until it has told its life.
@@ -57,6 +59,9 @@
 	reachable  bool
 	tried      bool          // a call was answered or failed
 	progressed chan struct{} // signalled when acknowledged grows
+
+	// taken is the life that the owner's loop has taken in; only the loop uses it.
+	taken int
 }
 
 func newSession(o *Owner, target port.WorkerTarget) *session {
@@ -76,9 +81,12 @@
 			_ = wait.For(ctx, retryPause) // ends early only with ctx, which the loop checks
 			continue
 		}
-		s.heard(reply.Clock)
+		life, ok := s.heard(reply.Clock, sentAt)
+		if !ok {
+			continue
+		}
 		s.setSameLife(true)
-		s.owner.send(ctx, event{kind: evReport, session: s, sentAt: sentAt, reply: reply})
+		s.owner.send(ctx, event{kind: evReport, session: s, sentAt: sentAt, reply: reply, life: life})
 		if len(reply.Ended) > 0 {
 			s.awaitAcknowledged(ctx)
 		}
@@ -124,14 +132,23 @@
 	return s.owner.deps.Workers.Hold(ctx, s.target, req)
 }
 
-// heard takes in an answer's clock and detects a new life of the worker.
-func (s *session) heard(clock port.WorkerClock) {
+// heard takes in the clock of an answer to a request sent at sentAt, and detects
+// a new life of the worker. It returns the number of the answering life, and
+// false for the answer of a former life that others overtook.
+func (s *session) heard(clock port.WorkerClock, sentAt time.Duration) (int, bool) {
 	now := s.owner.now()
 	s.mu.Lock()
-	reborn := clock.Born != 0 && s.born != 0 && clock.Born != s.born
-	if reborn {
+	another := clock.Born != 0 && s.born != 0 && clock.Born != s.born
+	if another && sentAt < s.lifeHeardAt {
+		s.mu.Unlock()
+		s.owner.log.Info("answer of a former life left out", zap.String("worker", s.target.ID), zap.Int64("born", clock.Born))
+		return 0, false
+	}
+	if another {
 		s.clock.restart(now, s.owner.deps.LongestLease, clock)
 		s.acknowledged = 0
+		s.life++
+		s.lifeHeardAt = now
 	}
 	if clock.Born != 0 {
 		s.born = clock.Born
@@ -139,13 +156,15 @@
 	s.clock.read(now, clock)
 	regained := !s.reachable
 	s.reachable, s.lastHeard = true, now
+	life := s.life
 	s.mu.Unlock()
-	if reborn {
-		s.owner.post(event{kind: evReborn, session: s})
+	if another {
+		s.owner.post(event{kind: evReborn, session: s, life: life})
 	}
 	if regained {
 		s.owner.log.Info("worker answers", zap.String("worker", s.target.ID), zap.Int64("born", clock.Born))
 	}
+	return life, true
 }
 
 func (s *session) setSameLife(same bool) {
@@ -188,10 +207,11 @@
 	return now >= max(s.clock.lapsesAt, inherited)
 }
 
-// acknowledge lets the worker forget its ends up to sequence.
-func (s *session) acknowledge(sequence int64) {
+// acknowledge lets the worker forget the ends of a life up to sequence. Another
+// life numbers its ends anew.
+func (s *session) acknowledge(life int, sequence int64) {
 	s.mu.Lock()
-	grown := sequence > s.acknowledged
+	grown := life == s.life && sequence > s.acknowledged
 	if grown {
 		s.acknowledged = sequence
 	}
@@ -229,7 +249,10 @@
 		case ctx.Err() != nil:
 			return
 		case err == nil:
-			s.heard(clock)
+			if _, ok := s.heard(clock, now); !ok {
+				unanswered = true
+				continue
+			}
 			if rejected == port.RejectedFence {
 				s.owner.depose(reasonFenced)
 				return
@@ -255,11 +278,14 @@
 // stop sends a stop until it is confirmed.
 func (s *session) stop(ctx context.Context, o planner.Order) {
 	for ctx.Err() == nil {
+		sentAt := s.owner.now()
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		clock, err := s.owner.deps.Workers.Stop(call, s.target, o.Task, o.Run, s.owner.epoch)
 		cancel()
 		if err == nil {
-			s.heard(clock)
+			if _, ok := s.heard(clock, sentAt); !ok {
+				continue
+			}
 			s.owner.send(ctx, event{kind: evStopped, session: s, order: o})
 			return
 		}
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -193,7 +193,7 @@
 	}
 	o.release(ctx, r.records, r.plan)
 	for id, s := range o.sessions {
-		s.acknowledge(o.planner.Acknowledgeable(id))
+		s.acknowledge(s.taken, o.planner.Acknowledgeable(id))
 	}
 }
 
