--- a/internal/adapter/metrics/pool.go
+++ b/internal/adapter/metrics/pool.go
@@ -23,6 +23,8 @@
 type Pool struct {
 	// ConfigVersion is the configuration in force.
 	ConfigVersion tally.Gauge
+	// ConfigAge is for how long it has been in force, in seconds.
+	ConfigAge tally.Gauge
 	// FeedAge is the age of the copy of the store, in seconds.
 	FeedAge tally.Gauge
 	// StoreAway is for how long the store has not answered, in seconds.
@@ -69,6 +71,7 @@
 	}, poolReportInterval)
 	return &Pool{
 		ConfigVersion:   scope.Gauge("config_version"),
+		ConfigAge:       scope.Gauge("config_age_seconds"),
 		FeedAge:         scope.Gauge("feed_age_seconds"),
 		StoreAway:       scope.Gauge("store_away_seconds"),
 		StoreDirectDown: scope.Gauge("store_direct_down_seconds"),
--- a/internal/explain/history.go
+++ b/internal/explain/history.go
@@ -27,7 +27,7 @@
 // workerEvents concern all jobs on a worker.
 var workerEvents = []string{
 	"worker silent", "worker answers", "worker draining", "worker no longer listed",
-	planner.EventWorkerLost, planner.EventWorkerRestarted, planner.EventWorkerQuarantined,
+	planner.EventWorkerLost, planner.EventWorkerRestarted, planner.EventWorkerQuarantined, planner.EventWorkerTrusted,
 }
 
 // Entry is one line of a history, or several that are alike.
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -19,5 +19,6 @@
 	EventWorkerRestarted   = "worker restarted"   // count: its runs
 	EventRecoveryFinished  = "recovery finished"  // count: workers
 	EventAdvised           = "advised"            // count: workers that may run a step, of those asked about
+	EventWorkerTrusted     = "worker trusted"     // first success after a quarantine
 	EventWorkerQuarantined = "worker quarantined" // detail: why; age: how long it is left out
 )
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -24,9 +24,13 @@
 
 func (h *health) quarantined(now time.Duration) bool { return now < h.until }
 
-func (h *health) succeeded() {
+// succeeded reports whether the worker had been quarantined since its last
+// success.
+func (h *health) succeeded() bool {
+	was := h.lastLength > 0
 	h.failedJobs = nil
 	h.lastLength = 0
+	return was
 }
 
 // failed counts a failed run and reports whether that quarantines the worker.
--- a/internal/planner/kinds_test.go
+++ b/internal/planner/kinds_test.go
@@ -245,3 +245,25 @@
 	must.SliceLen(t, 1, starts)
 	must.EqOp(t, "t-w00", starts[0].Ticket)
 }
+
+func TestWorkerIsTrustedAgainWithItsFirstSuccess(t *testing.T) {
+	r := newRig(t, 1, 1)
+	for _, id := range []string{"a", "b", "c"} {
+		r.add(r.job(id, 0, step(1, 8, 1)))
+		kind := port.EndFailed
+		if id == "c" {
+			kind = port.EndSucceeded
+			r.now += firstQuarantine
+		}
+		r.pass(100 * time.Millisecond)
+		r.end(work.TaskID{Job: id}, kind)
+		r.p.Cancel(id, r.now)
+	}
+	var told []string
+	for _, n := range r.p.TakeNotes() {
+		if n.Event == EventWorkerQuarantined || n.Event == EventWorkerTrusted {
+			told = append(told, n.Event)
+		}
+	}
+	must.Eq(t, []string{EventWorkerQuarantined, EventWorkerTrusted}, told)
+}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -218,7 +218,9 @@
 	}
 	switch e.Kind {
 	case port.EndSucceeded:
-		w.health.succeeded()
+		if w.health.succeeded() {
+			p.note(Note{Event: EventWorkerTrusted, Worker: w.info.ID})
+		}
 		if u.spec().LongLived {
 			p.restartLater(u, r, now)
 			break
