A commit admitted before the owner halts isn't a late one (test of duty/gangs)

Cause, in the test: a commit that passed the gate before another goroutine's call halted the owner was counted as late when it returned after it, at the same virtual instant and before any takeover. A commit counts now when it was halted itself and accepted after the resume; that is what the test is about, and as strict: the takeover comes 2 s and more after the halt, and the table is immediate.

--- a/internal/duty/gangs/owner_test.go
+++ b/internal/duty/gangs/owner_test.go
@@ -147,6 +147,13 @@
 }
 
 func (s *steps) step() error {
+	_, err := s.admit()
+	return err
+}
+
+// admit halts the call if it comes at the step at which the owner stops, or
+// later, and reports whether it did.
+func (s *steps) admit() (bool, error) {
 	s.mu.Lock()
 	s.n++
 	hit := s.n == s.at
@@ -156,23 +163,24 @@
 		s.stop()
 	}
 	if !halted {
-		return nil
+		return false, nil
 	}
 	if s.resume == nil {
-		return context.Canceled
+		return true, context.Canceled
 	}
 	<-s.resume
-	return nil
+	return true, nil
 }
 
 func (s *steps) Commit(ctx context.Context, txn port.Txn) (int64, error) {
-	if err := s.step(); err != nil {
+	halted, err := s.admit()
+	if err != nil {
 		return 0, err
 	}
 	revision, err := s.Table.Commit(ctx, txn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil && s.at > 0 && s.n >= s.at {
+	if err == nil && halted {
 		s.late++
 	}
 	return revision, err
