One piece of code for what stood twice: failures lately, pacing, stops of attempts

Transactions under the epoch's row (beat, workers, announcement) come from underEpoch. A suspension is noticed where events are applied and steps begin, by the time that is read there anyway, not in three branches by a reading of its own. - planner: stopAttempt for the five places that ended an attempt and stopped its runs; AllHeard is what finishRecovery asks; a ticket's validity and a step's shape are told in one place each. - metrics: Pool kept maps of counters and histograms that tally keeps itself; its scope and tags are made as Metrics makes them. Ruled out: a type for the three verdicts of explain, which differ.

--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -43,12 +43,7 @@
 
 // New returns metrics with a registry of their own.
 func New() *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "lentilwinch",
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
-	}, reportInterval)
+	scope, handler := newScope(prometheus.Options{}, reportInterval)
 	return &Metrics{
 		ConfigNumber:      scope.Gauge("config_number"),
 		Ready:             scope.Gauge("ready"),
@@ -60,7 +55,7 @@
 		scope:             scope,
 		stopped:           scope.Counter("gang_attempts_stopped"),
 		renewals:          scope.Counter("lease_renewals_failed"),
-		handler:           reporter.HTTPHandler(),
+		handler:           handler,
 	}
 }
 
@@ -71,7 +66,7 @@
 
 // GangStarted implements gangs.Observer.
 func (m *Metrics) GangStarted(class structs.Class, waited time.Duration) {
-	m.tagged("class", string(class)).Histogram("gang_wait_seconds", waits).RecordDuration(waited)
+	record(tagged(m.scope, "class", string(class)), "gang_wait_seconds", waited)
 }
 
 // AttemptStopped implements gangs.Observer.
@@ -81,7 +76,7 @@
 
 // JobEnded implements gangs.Observer.
 func (m *Metrics) JobEnded(state structs.JobState) {
-	m.tagged("state", string(state)).Counter("jobs_ended").Inc(1)
+	tagged(m.scope, "state", string(state)).Counter("jobs_ended").Inc(1)
 }
 
 // LeaseRenewalFailed implements gangs.Observer.
@@ -91,9 +86,34 @@
 
 // GuaranteesUnheld implements gangs.Observer.
 func (m *Metrics) GuaranteesUnheld(domain string, gangs int) {
-	m.tagged("domain", domain).Gauge("guarantees_unheld_gangs").Update(float64(gangs))
+	tagged(m.scope, "domain", domain).Gauge("guarantees_unheld_gangs").Update(float64(gangs))
+}
+
+// newScope returns a scope and the handler that serves what is reported there.
+func newScope(options prometheus.Options, interval time.Duration) (tally.Scope, http.Handler) {
+	reporter := prometheus.NewReporter(options)
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "lentilwinch",
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, interval)
+	return scope, reporter.HTTPHandler()
+}
+
+// tagged returns the scope with tags, which come as names and values by turns.
+func tagged(scope tally.Scope, pairs ...string) tally.Scope {
+	tags := make(map[string]string, len(pairs)/2)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		tags[pairs[i]] = pairs[i+1]
+	}
+	return scope.Tagged(tags)
+}
+
+func record(scope tally.Scope, name string, took time.Duration) {
+	scope.Histogram(name, waits).RecordDuration(took)
 }
 
-func (m *Metrics) tagged(name, value string) tally.Scope {
-	return m.scope.Tagged(map[string]string{name: value})
+// noteCall times a call of a store by its result.
+func noteCall(scope tally.Scope, name, call string, began time.Time, err error) {
+	record(tagged(scope, "call", call, "result", resultOf(err)), name, time.Since(began))
 }
--- a/internal/adapter/metrics/pool.go
+++ b/internal/adapter/metrics/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
@@ -39,36 +38,12 @@
 
 	scope   tally.Scope
 	handler http.Handler
-
-	mu         sync.Mutex
-	counters   map[series]tally.Counter
-	gauges     map[series]tally.Gauge
-	histograms map[series]tally.Histogram
-}
-
-// series names one metric with the values of its tags.
-type series struct{ name, tag, value, tag2, value2 string }
-
-func (s series) tags() map[string]string {
-	tags := map[string]string{}
-	if s.tag != "" {
-		tags[s.tag] = s.value
-	}
-	if s.tag2 != "" {
-		tags[s.tag2] = s.value2
-	}
-	return tags
 }
 
 // NewPool returns metrics with a registry of their own.
 func NewPool() *Pool {
 	registry := prom.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "lentilwinch",
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
-	}, poolReportInterval)
+	scope, handler := newScope(prometheus.Options{Registerer: registry, Gatherer: registry}, poolReportInterval)
 	return &Pool{
 		ConfigVersion:   scope.Gauge("config_version"),
 		ConfigAge:       scope.Gauge("config_age_seconds"),
@@ -78,49 +53,20 @@
 		LogLinesDropped: scope.Gauge("log_lines_dropped"),
 		LogLinesLeftOut: scope.Gauge("log_lines_left_out"),
 		scope:           scope,
-		handler:         reporter.HTTPHandler(),
-		counters:        map[series]tally.Counter{},
-		gauges:          map[series]tally.Gauge{},
-		histograms:      map[series]tally.Histogram{},
+		handler:         handler,
 	}
 }
 
 // Handler serves the registry in the Prometheus text format.
 func (p *Pool) Handler() http.Handler { return p.handler }
 
-// of returns the metric of a series, which is made when it is first needed.
-func of[M any](p *Pool, known map[series]M, s series, create func(tally.Scope, string) M) M {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m, ok := known[s]
-	if !ok {
-		m = create(p.scope.Tagged(s.tags()), s.name)
-		known[s] = m
-	}
-	return m
-}
-
-func (p *Pool) count(s series) {
-	of(p, p.counters, s, tally.Scope.Counter).Inc(1)
-}
-
-func (p *Pool) gauge(s series, value float64) {
-	of(p, p.gauges, s, tally.Scope.Gauge).Update(value)
-}
-
-func (p *Pool) record(s series, took time.Duration) {
-	of(p, p.histograms, s, func(scope tally.Scope, name string) tally.Histogram {
-		return scope.Histogram(name, waits)
-	}).RecordDuration(took)
-}
-
 // Calls returns a handler whose calls are counted and timed by method and status.
 func (p *Pool) Calls(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		began := time.Now()
 		sw := &statusWriter{w, http.StatusOK}
 		next.ServeHTTP(sw, r)
-		p.record(series{"call_seconds", "method", methodTag(r.Method), "status", strconv.Itoa(sw.status)}, time.Since(began))
+		record(tagged(p.scope, "method", methodTag(r.Method), "status", strconv.Itoa(sw.status)), "call_seconds", time.Since(began))
 	})
 }
 
@@ -147,34 +93,34 @@
 
 // Decided implements pool.Observer.
 func (p *Pool) Decided(event string) {
-	p.count(series{name: "pool_events", tag: "event", value: event})
+	tagged(p.scope, "event", event).Counter("pool_events").Inc(1)
 }
 
 // JobStarted implements pool.Observer.
 func (p *Pool) JobStarted(priority int, waited time.Duration) {
-	p.record(series{name: "job_wait_seconds", tag: "priority", value: strconv.Itoa(priority)}, waited)
+	record(tagged(p.scope, "priority", strconv.Itoa(priority)), "job_wait_seconds", waited)
 }
 
 // JobEnded implements pool.Observer.
 func (p *Pool) JobEnded(priority int, state string, took time.Duration) {
-	p.record(series{"job_seconds", "priority", strconv.Itoa(priority), "state", state}, took)
+	record(tagged(p.scope, "priority", strconv.Itoa(priority), "state", state), "job_seconds", took)
 }
 
 // RunEnded implements pool.Observer.
-func (p *Pool) RunEnded(how string) { p.count(series{name: "runs_ended", tag: "how", value: how}) }
+func (p *Pool) RunEnded(how string) { tagged(p.scope, "how", how).Counter("runs_ended").Inc(1) }
 
 // WorkLost implements pool.Observer.
 func (p *Pool) WorkLost(cause string, coreSeconds float64) {
-	of(p, p.counters, series{name: "core_seconds_lost", tag: "cause", value: cause}, tally.Scope.Counter).Inc(int64(coreSeconds + 0.5))
+	tagged(p.scope, "cause", cause).Counter("core_seconds_lost").Inc(int64(coreSeconds + 0.5))
 }
 
 // LeaseMargin implements pool.Observer.
 func (p *Pool) LeaseMargin(left time.Duration) {
-	p.record(series{name: "lease_margin_seconds"}, max(left, 0))
+	record(p.scope, "lease_margin_seconds", max(left, 0))
 }
 
 // TakenOver implements pool.Observer.
-func (p *Pool) TakenOver(took time.Duration) { p.record(series{name: "takeover_seconds"}, took) }
+func (p *Pool) TakenOver(took time.Duration) { record(p.scope, "takeover_seconds", took) }
 
 // Owning implements pool.Observer.
 func (p *Pool) Owning(pool string, owns bool, waiting, running int) {
@@ -182,9 +128,10 @@
 	if owns {
 		owned = 1
 	}
-	p.gauge(series{name: "pools_owned", tag: "pool", value: pool}, owned)
-	p.gauge(series{name: "jobs_waiting", tag: "pool", value: pool}, float64(waiting))
-	p.gauge(series{name: "jobs_running", tag: "pool", value: pool}, float64(running))
+	scope := tagged(p.scope, "pool", pool)
+	scope.Gauge("pools_owned").Update(owned)
+	scope.Gauge("jobs_waiting").Update(float64(waiting))
+	scope.Gauge("jobs_running").Update(float64(running))
 }
 
 // RowStore returns a store whose calls are counted and timed by their result.
@@ -196,7 +143,7 @@
 }
 
 func (r *rowStore) note(call string, began time.Time, err error) {
-	r.metrics.record(series{"store_call_seconds", "call", call, "result", resultOf(err)}, time.Since(began))
+	noteCall(r.metrics.scope, "store_call_seconds", call, began, err)
 }
 
 // Commit implements port.RowStore.
--- a/internal/adapter/metrics/wrap.go
+++ b/internal/adapter/metrics/wrap.go
@@ -46,8 +46,7 @@
 }
 
 func (t *table) note(call string, start time.Time, err error) {
-	tags := map[string]string{"call": call, "result": resultOf(err)}
-	t.metrics.scope.Tagged(tags).Histogram("table_call_seconds", waits).RecordDuration(time.Since(start))
+	noteCall(t.metrics.scope, "table_call_seconds", call, start, err)
 }
 
 func resultOf(err error) string {
@@ -75,7 +74,6 @@
 	if err != nil {
 		outcome = "not_accepted"
 	}
-	scope := r.metrics.scope.Tagged(map[string]string{"outcome": outcome})
-	scope.Histogram("request_seconds", waits).RecordDuration(time.Since(start))
+	record(tagged(r.metrics.scope, "outcome", outcome), "request_seconds", time.Since(start))
 	return res, err
 }
--- a/internal/duty/pool/advice.go
+++ b/internal/duty/pool/advice.go
@@ -22,9 +22,8 @@
 
 // advice is the state of asking the policy service, one question at a time.
 type advice struct {
-	asking  bool
-	pause   *backoff.ExponentialBackOff
-	resumes time.Duration // no question before this
+	paced
+	pause *backoff.ExponentialBackOff
 }
 
 type adviceResult struct {
@@ -41,14 +40,14 @@
 
 // askAdvice sends the next question, unless one is under way.
 func (o *Owner) askAdvice(ctx context.Context, now time.Duration) {
-	if o.advice.asking || now < o.advice.resumes || o.deps.Advisor == nil {
+	if !o.advice.may(now) || o.deps.Advisor == nil {
 		return
 	}
 	q, ok := o.planner.Question(now)
 	if !ok {
 		return
 	}
-	o.advice.asking = true
+	o.advice.busy = true
 	o.tasks.Go(func() {
 		call, cancel := context.WithTimeout(ctx, adviceTimeout)
 		defer cancel()
@@ -58,7 +57,7 @@
 }
 
 func (o *Owner) advised(now time.Duration, r adviceResult) {
-	o.advice.asking = false
+	o.advice.busy = false
 	if r.err != nil {
 		o.advice.resumes = now + o.advice.pause.NextBackOff()
 		o.log.Warn("no advice", zap.String("job", r.question.Step.Job), zap.Int("step", r.question.Step.Step),
--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -24,9 +24,8 @@
 // bypass is the state of telling the next owner that starts may go before their
 // placements are stored.
 type bypass struct {
-	announcing bool
-	announceAt time.Duration // not before this
-	announced  bool
+	paced
+	announced bool
 }
 
 // takeOrders sends the stops at once and holds the starts.
@@ -62,7 +61,8 @@
 // may still store and acknowledge ends, only a stored placement tells that it
 // hasn't. The next owner must not take this one's placements for complete then.
 func (o *Owner) releaseOverdue(ctx context.Context, now time.Duration) {
-	if !o.former.over || !slices.ContainsFunc(o.held, func(h heldStart) bool { return now-h.since >= recordWait }) {
+	overdue := func(h heldStart) bool { return now-h.since >= recordWait }
+	if !o.former.over || !slices.ContainsFunc(o.held, overdue) {
 		return
 	}
 	if !o.bypass.announced {
@@ -72,17 +72,17 @@
 		}
 	}
 	o.releaseIf(ctx, func(h *heldStart) bool {
-		overdue := now-h.since >= recordWait
-		if overdue {
-			o.log.Info("start before its placement is stored", zap.String("job", h.order.Task.Job), zap.Int64("run", h.order.Run))
+		if !overdue(*h) {
+			return false
 		}
-		return overdue
+		o.log.Info("start before its placement is stored", zap.String("job", h.order.Task.Job), zap.Int64("run", h.order.Run))
+		return true
 	})
 }
 
 // announceBypass stores that this epoch's placements may be incomplete.
 func (o *Owner) announceBypass(ctx context.Context, now time.Duration) {
-	if o.bypass.announcing || now < o.bypass.announceAt {
+	if !o.bypass.may(now) {
 		return
 	}
 	value, err := work.Encode(o.epoch)
@@ -90,22 +90,21 @@
 		o.log.Error("epoch can't be encoded", zap.Error(err))
 		return
 	}
-	o.bypass.announcing = true
+	o.bypass.busy = true
 	o.tasks.Go(func() {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
-		_, err := o.deps.Store.Commit(call, port.RowTxn{
-			Expect: map[port.RowKey]int64{o.epochKey(): o.epochVersion},
-			Puts:   map[port.RowKey][]byte{replica.PoolKey(o.pool, replica.BypassedKey): value},
-		})
+		_, err := o.deps.Store.Commit(call, o.underEpoch(map[port.RowKey][]byte{
+			replica.PoolKey(o.pool, replica.BypassedKey): value,
+		}))
 		o.send(ctx, event{kind: evAnnounced, err: err})
 	})
 }
 
 func (o *Owner) announced(err error) {
-	o.bypass.announcing = false
+	o.bypass.busy = false
 	if err != nil {
-		o.bypass.announceAt = o.now() + storePause
+		o.bypass.resumes = o.now() + storePause
 		o.log.Info("starts wait for their records, a bypass could not be announced", zap.Error(err))
 		return
 	}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -206,13 +206,10 @@
 	for {
 		select {
 		case ev := <-o.events:
-			o.noticeSuspension()
 			o.apply(ctx, ev)
 			o.drain(ctx)
 		case <-sub.C():
-			o.noticeSuspension()
 		case <-tick.C:
-			o.noticeSuspension()
 		case <-report.C:
 			waiting, running := o.planner.Counts()
 			o.deps.Observer.Owning(o.pool, true, waiting, running)
@@ -244,6 +241,7 @@
 // step plans, sends the orders and stores what changed.
 func (o *Owner) step(ctx context.Context) {
 	now := o.now()
+	o.noticeSuspension(now)
 	o.applyConfig()
 	o.planner.SetWallClock(now, o.wall())
 	o.mergeFormer(ctx, now)
@@ -261,8 +259,7 @@
 // noticeSuspension makes starts wait for a confirmed beat when this process was
 // suspended: another instance may own the pool by now, and a worker that was
 // restarted meanwhile would know of no higher fencing token.
-func (o *Owner) noticeSuspension() {
-	now := o.now()
+func (o *Owner) noticeSuspension(now time.Duration) {
 	if now-o.lastLoop > staleAfter {
 		o.log.Warn("suspended, confirming ownership first", zap.Duration("gap", now-o.lastLoop))
 		o.confirm = now
@@ -317,6 +314,7 @@
 
 func (o *Owner) apply(ctx context.Context, ev event) {
 	now := o.now()
+	o.noticeSuspension(now)
 	id := ""
 	if ev.session != nil {
 		id = ev.session.target.ID
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -16,10 +16,8 @@
 // former is what is known of the owner before this one.
 type former struct {
 	gone bool // it handed the pool over, or was this process's former life
-	// reading is set while a read that catches up with it is under way; the next
-	// one is not before readAt.
-	reading bool
-	readAt  time.Duration
+	// catchingUp is the read that catches up with it.
+	catchingUp paced
 	// caughtUp says that it can't act and that the copy holds what it stored.
 	caughtUp bool
 	// over says that what it stored is merged.
@@ -173,10 +171,10 @@
 // acknowledgement is in the copy: there is no need to wait until it learns of
 // the takeover.
 func (o *Owner) catchUp(ctx context.Context, now time.Duration) {
-	if o.former.reading || now < o.former.readAt || !o.planner.AllHeard(now) || !o.deps.Replica.Complete() {
+	if !o.former.catchingUp.may(now) || !o.planner.AllHeard(now) || !o.deps.Replica.Complete() {
 		return
 	}
-	o.former.reading = true
+	o.former.catchingUp.busy = true
 	o.tasks.Go(func() {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
@@ -189,9 +187,9 @@
 }
 
 func (o *Owner) caughtUpTo(err error) {
-	o.former.reading = false
+	o.former.catchingUp.busy = false
 	if err != nil {
-		o.former.readAt = o.now() + storePause
+		o.former.catchingUp.resumes = o.now() + storePause
 		o.log.Info("the copy has not caught up with a former owner yet", zap.Error(err))
 		return
 	}
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -239,7 +239,7 @@
 		s.mu.Lock()
 		order := port.StartOrder{
 			Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
-			Fence: s.owner.epoch, LeaseUntil: s.clock.extend(s.owner.now(), leaseLength),
+			Fence: s.owner.epoch, LeaseUntil: s.clock.extend(now, leaseLength),
 		}
 		s.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -135,13 +135,17 @@
 		return
 	}
 	o.storing.workersChanged = false
-	o.begin(ctx, o.pool, nil, port.RowTxn{
-		Expect: map[port.RowKey]int64{o.epochKey(): o.epochVersion},
-		Puts: map[port.RowKey][]byte{
-			replica.PoolKey(o.pool, replica.WorkersKey): value,
-			replica.PoolKey(o.pool, replica.LoadKey):    room,
-		},
-	})
+	o.begin(ctx, o.pool, nil, o.underEpoch(map[port.RowKey][]byte{
+		replica.PoolKey(o.pool,
+			replica.WorkersKey): value,
+		replica.PoolKey(o.pool, replica.LoadKey): room,
+	}))
+}
+
+// underEpoch returns a transaction on the pool's own rows that fails once another
+// owner holds the pool.
+func (o *Owner) underEpoch(puts map[port.RowKey][]byte) port.RowTxn {
+	return port.RowTxn{Expect: map[port.RowKey]int64{o.epochKey(): o.epochVersion}, Puts: puts}
 }
 
 func (o *Owner) epochKey() port.RowKey { return replica.PoolKey(o.pool, replica.EpochKey) }
@@ -247,15 +251,11 @@
 
 // beat shows the others that this owner lives, until ctx ends.
 func (o *Owner) beat(ctx context.Context) {
-	key := replica.PoolKey(o.pool, replica.BeatKey)
-	value := []byte(o.deps.Name)
+	txn := o.underEpoch(map[port.RowKey][]byte{replica.PoolKey(o.pool, replica.BeatKey): []byte(o.deps.Name)})
 	for ctx.Err() == nil {
 		sentAt := o.now()
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
-		_, err := o.deps.Store.Commit(call, port.RowTxn{
-			Expect: map[port.RowKey]int64{o.epochKey(): o.epochVersion},
-			Puts:   map[port.RowKey][]byte{key: value},
-		})
+		_, err := o.deps.Store.Commit(call, txn)
 		cancel()
 		switch {
 		case err == nil:
--- a/internal/duty/pool/suspended_test.go
+++ b/internal/duty/pool/suspended_test.go
@@ -65,7 +65,7 @@
 		order := planner.Order{Kind: planner.OrderStart, Worker: "w", Task: work.TaskID{Job: "a"}, Run: 1}
 		o.takeOrders(t.Context(), []planner.Order{order})
 		w.skipped.Add(int64(5 * time.Second))
-		o.noticeSuspension()
+		o.noticeSuspension(o.now())
 		o.releaseOverdue(t.Context(), o.now())
 		o.release(t.Context(), []work.Record{{Job: work.Job{ID: "a"}}}, o.plans)
 		o.tasks.Wait()
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -32,6 +32,11 @@
 	// failed, so that it shows when it works again; it takes 12 ms at its usual
 	// speed.
 	headStart = 30 * time.Millisecond
+	// partRetry is how long a failed part is passed over before it is tried again.
+	partRetry = 700 * time.Millisecond
+	// wayRetry is how long a peer that failed to reach the store is asked only
+	// after the others. The partitions that make peers necessary last 2 to 12 s.
+	wayRetry = 5 * time.Second
 )
 
 // Store is a RowStore that falls back to peers. It is safe for concurrent use.
@@ -45,8 +50,8 @@
 	downSince atomic.Int64
 	// latency is a moving mean of what reads and commits take, in nanoseconds.
 	latency atomic.Int64
-	parts   partHealth
-	ways    wayHealth
+	parts   failures[string]
+	ways    failures[port.RowStore]
 	turn    atomic.Uint64
 }
 
@@ -80,7 +85,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ways := []port.RowStore{s.direct}
-	ways = append(ways, s.ways.choose(s.peers(), int(s.turn.Add(1)), peersAsked)...)
+	ways = append(ways, s.choose(s.peers(), int(s.turn.Add(1)), peersAsked)...)
 	answers := make(chan answer[T], len(ways))
 	launched, pending := 0, 0
 	askedAt := make([]time.Time, len(ways)) // zero once answered
@@ -154,6 +159,9 @@
 // with an empty name the store as a whole.
 type scope string
 
+// whole is the scope of calls that concern no single part.
+const whole = scope("")
+
 func (s *Store) down(what scope) {
 	if what == whole {
 		s.downSince.CompareAndSwap(0, time.Now().UnixNano())
@@ -171,7 +179,10 @@
 
 // PartDown reports whether a part failed lately while the store as a whole may
 // serve.
-func (s *Store) PartDown(part string) bool { return s.parts.isDown(part) }
+func (s *Store) PartDown(part string) bool {
+	_, down := s.parts.within(part, partRetry)
+	return down
+}
 
 // Outage returns for how long calls have failed on every way, 0 where the last
 // one was answered.
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -44,8 +44,19 @@
 	if !u.job.rec.Job.Advised {
 		return "", true
 	}
+	v, ok := p.verdict(u, w)
+	return v.ticket, ok && v.valid(now)
+}
+
+// verdict returns what was said about the present life of the worker.
+func (p *Planner) verdict(u *unit, w *worker) (verdict, bool) {
 	v, ok := p.verdicts[u.stepID()][w.info.ID]
-	return v.ticket, ok && v.life == w.life && v.ticket != "" && now < v.until-ticketMargin
+	return v, ok && v.life == w.life
+}
+
+// valid reports whether there is a ticket that a start can still carry.
+func (v *verdict) valid(now time.Duration) bool {
+	return v.ticket != "" && now < v.until-ticketMargin
 }
 
 // ticketed reports whether there are tickets for a whole placement.
@@ -61,8 +72,8 @@
 // settled reports whether asking about the worker again would be in vain: it
 // may not run the step, or its ticket is still valid.
 func (p *Planner) settled(u *unit, w *worker, now time.Duration) bool {
-	v, ok := p.verdicts[u.stepID()][w.info.ID]
-	return ok && v.life == w.life && (v.ticket == "" || now < v.until-ticketMargin)
+	v, ok := p.verdict(u, w)
+	return ok && (v.ticket == "" || v.valid(now))
 }
 
 // Question returns what to ask next, for the most urgent unit that found no
@@ -76,7 +87,8 @@
 	v := p.newView(now)
 	type candidate struct{ i, slots int }
 	var all []candidate
-	enough := p.ticketsFor(u, v) >= askAbout(u, v)
+	most := askAbout(u, v)
+	enough := p.ticketsFor(u, v) >= most
 	for i, w := range v.workers {
 		slots := v.slots(u, i, v.free[i])
 		if p.settled(u, w, now) || !v.suits(u, i) || enough && slots == 0 {
@@ -86,7 +98,7 @@
 	}
 	slices.SortStableFunc(all, func(a, b candidate) int { return b.slots - a.slots })
 	q := Question{Step: u.stepID()}
-	for _, c := range all[:min(len(all), askAbout(u, v))] {
+	for _, c := range all[:min(len(all), most)] {
 		q.Workers = append(q.Workers, v.workers[c.i].info.ID)
 		q.lives = append(q.lives, v.workers[c.i].life)
 	}
--- a/internal/planner/filler.go
+++ b/internal/planner/filler.go
@@ -41,8 +41,6 @@
 		}
 	}
 	for _, u := range fillers {
-		p.giveUp(u, now)
-		u.stopSent = true
-		p.stopUnit(u, now, "gives way to a serving task")
+		p.stopAttempt(u, now, "gives way to a serving task")
 	}
 }
--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -87,7 +87,7 @@
 func (w *worker) tasksOf(u *unit) int {
 	n := 0
 	for _, r := range w.runs {
-		if r.unit != nil && r.unit.job == u.job && r.unit.occurrence == u.occurrence && r.unit.step == u.step {
+		if r.unit != nil && r.unit.shape() == u.shape() {
 			n++
 		}
 	}
@@ -176,7 +176,7 @@
 	var cands []candidate
 	total := 0
 	until := v.now + u.estimate()
-	if s := u.spec(); s.LongLived {
+	if u.spec().LongLived {
 		until = v.now + forever
 	}
 	for _, i := range members {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -159,9 +159,7 @@
 		}
 		u.avoid[r.worker.info.ID] = true
 	}
-	p.giveUp(u, now)
-	u.stopSent = true
-	p.stopUnit(u, now, "stalled")
+	p.stopAttempt(u, now, "stalled")
 }
 
 // LargestRoom returns the room of the largest worker in each respect.
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -41,9 +41,7 @@
 	}
 	for _, victim := range best.victims {
 		p.note(Note{Event: EventPreempted, Job: victim.job.rec.Job.ID, Detail: "for " + u.job.rec.Job.ID, Count: len(victim.runs)})
-		p.giveUp(victim, v.now)
-		victim.stopSent = true
-		p.stopUnit(victim, v.now, "preempted")
+		p.stopAttempt(victim, v.now, "preempted")
 	}
 	u.claim, u.claimedAt = best.placements, v.now
 	v.take(u, u.claim)
--- a/internal/planner/recovery.go
+++ b/internal/planner/recovery.go
@@ -28,7 +28,7 @@
 	r := &p.recovery
 	r.active, r.registryAt, r.newcomersAt, r.recorded = true, registryAt, newcomersAt, recorded
 	for id := range p.workers {
-		p.recovery.unheard[id], p.recovery.untried[id] = true, true
+		r.unheard[id], r.untried[id] = true, true
 	}
 }
 
@@ -68,10 +68,7 @@
 // finishRecovery, once no worker is left to hear, gives up gangs of which a
 // former owner's run is only partly there, and lets inherited units be placed.
 func (p *Planner) finishRecovery(now time.Duration) {
-	if !p.recovery.active || len(p.recovery.unheard) > 0 || now < p.recovery.registryAt {
-		return
-	}
-	if !p.recovery.recorded && !p.recovery.formerOver {
+	if !p.recovery.active || !p.AllHeard(now) || !p.recovery.recorded && !p.recovery.formerOver {
 		return
 	}
 	p.recovery.active = false
@@ -80,9 +77,7 @@
 		for _, u := range j.units {
 			u.inherited, u.newcomer, u.placed = false, false, nil
 			if u.phase == unitActive && len(u.runs) < u.count {
-				p.giveUp(u, now)
-				u.stopSent = true
-				p.stopUnit(u, now, "incomplete gang")
+				p.stopAttempt(u, now, "incomplete gang")
 			}
 		}
 	}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// stopAttempt ends the unit's attempt and stops all its runs at once.
+func (p *Planner) stopAttempt(u *unit, now time.Duration, why string) {
+	p.giveUp(u, now)
+	u.stopSent = true
+	p.stopUnit(u, now, why)
+}
+
 // finishClearing tells members that outlive their gang's attempt to stop.
 func (p *Planner) finishClearing(now time.Duration) {
 	for _, j := range p.open {
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -229,8 +229,7 @@
 		return
 	}
 	if u.phase == unitActive { // a gang of which another attempt is partly there
-		p.giveUp(u, now)
-		p.stopUnit(u, now, "incomplete gang")
+		p.stopAttempt(u, now, "incomplete gang")
 	}
 	r.unit = u
 	u.runs[r.task.Index] = r
