A start confirmed by a new life of a worker is that life's

Now every answer carries the life that gave it, and a life is taken in before anything of it, in one place. TestStartConfirmedByANewLifeIsNotLostWithTheFormerOne was seen failing.

--- a/internal/duty/pool/events.go
+++ b/internal/duty/pool/events.go
@@ -15,9 +15,9 @@
 	evReborn                           // session, life: the worker began a new life
 	evUnreachable                      // session: the worker fell silent
 	evTried                            // session: the worker's first answer is missing
-	evStarted                          // session, order, rejected: a start was answered
+	evStarted                          // session, life, order, rejected: a start was answered
 	evUnanswered                       // session, order: a start got no answer
-	evStopped                          // session, order: a stop was confirmed
+	evStopped                          // session, life, order: a stop was confirmed
 	evWorkers                          // workers, whole: the registry
 	evStored                           // stored: a transaction ended
 	evRemoved                          // job: an ended job's rows were removed
@@ -30,7 +30,7 @@
 type event struct {
 	kind     eventKind
 	session  *session
-	life     int // of the session's worker
+	life     int // of the session's worker, as heard; 0 where no answer tells
 	sentAt   time.Duration
 	reply    port.HoldReply
 	order    planner.Order
--- a/internal/duty/pool/lives_test.go
+++ b/internal/duty/pool/lives_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lentilwinch/lentilwinch/internal/planner"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
@@ -72,3 +73,31 @@
 		must.EqOp(t, 0, s.acknowledged)
 	})
 }
+
+// A start is confirmed by a life of which the news comes later: the run is that
+// life's, and its task runs nowhere else until its stop is confirmed (seed 5 of
+// the fault tests).
+func TestStartConfirmedByANewLifeIsNotLostWithTheFormerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, s := ownerOfOne()
+		o.planner.PutWorker(work.Worker{ID: "other", Room: work.Resources{CPU: 1000}})
+		for _, id := range []string{"w", "other"} {
+			o.planner.Observe(o.now(), o.now(), id, port.HoldReply{})
+		}
+		steps := []work.Step{{Count: 1, Need: work.Resources{CPU: 1000}, Estimate: time.Second}}
+		o.planner.AddJob(o.now(), 0, work.Record{State: work.Queued, Job: work.Job{ID: "a", MaxAttempts: 4, Steps: steps}}, false)
+		start := o.planner.Plan(o.now())[0]
+		if start.Worker != "w" {
+			s = newSession(o, port.WorkerTarget{ID: start.Worker})
+			o.sessions[start.Worker] = s
+		}
+		s.life = 1
+		o.apply(t.Context(), event{kind: evStarted, session: s, life: 1, order: start})
+		o.apply(t.Context(), event{kind: evReborn, session: s, life: 1})
+		time.Sleep(time.Second)
+		orders := o.planner.Plan(o.now())
+		must.Len(t, 1, orders)
+		must.EqOp(t, planner.OrderStop, orders[0].Kind)
+		must.EqOp(t, start.Worker, orders[0].Worker)
+	})
+}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -304,7 +304,7 @@
 }
 
 // takeLife takes in a new life of a worker, once, before anything of it: its
-// ends are numbered anew.
+// ends are numbered anew, and a start that it confirmed isn't one of the former's.
 func (o *Owner) takeLife(now time.Duration, s *session, life int) {
 	if life > s.taken {
 		s.taken = life
@@ -318,18 +318,17 @@
 	id := ""
 	if ev.session != nil {
 		id = ev.session.target.ID
+		o.takeLife(now, ev.session, ev.life)
 	}
 	switch ev.kind {
 	case evReport:
-		o.takeLife(now, ev.session, ev.life)
 		if ev.life < ev.session.taken {
 			return // a former life's, overtaken by the news of the next
 		}
 		o.planner.Observe(now, ev.sentAt, id, ev.reply)
 		ev.session.acknowledge(ev.life, o.planner.Acknowledgeable(id))
 		o.logEnds(id, ev.reply.Ended)
-	case evReborn:
-		o.takeLife(now, ev.session, ev.life)
+	case evReborn: // taken in above
 	case evTried:
 		o.planner.Tried(id)
 	case evUnreachable:
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -249,7 +249,8 @@
 		case ctx.Err() != nil:
 			return
 		case err == nil:
-			if _, ok := s.heard(clock, now); !ok {
+			life, ok := s.heard(clock, now)
+			if !ok {
 				unanswered = true
 				continue
 			}
@@ -265,7 +266,7 @@
 				s.owner.send(ctx, event{kind: evUnanswered, session: s, order: o})
 				return
 			}
-			s.owner.send(ctx, event{kind: evStarted, session: s, order: o, rejected: rejected})
+			s.owner.send(ctx, event{kind: evStarted, session: s, life: life, order: o, rejected: rejected})
 			return
 		}
 		unanswered = unanswered || !fault.Is(err, fault.Unavailable)
@@ -283,10 +284,11 @@
 		clock, err := s.owner.deps.Workers.Stop(call, s.target, o.Task, o.Run, s.owner.epoch)
 		cancel()
 		if err == nil {
-			if _, ok := s.heard(clock, sentAt); !ok {
+			life, ok := s.heard(clock, sentAt)
+			if !ok {
 				continue
 			}
-			s.owner.send(ctx, event{kind: evStopped, session: s, order: o})
+			s.owner.send(ctx, event{kind: evStopped, session: s, life: life, order: o})
 			return
 		}
 		if fault.Is(err, fault.Fenced) {
