Leases of a former owner are waited for from the first hold, not from the claim

The former owner had gone on renewing and starting until the store was back, as no worker could have told it. The time now counts from when this owner begins to hold the workers, also for what waits on the registry and on the former owner's learning of the takeover. TestLeasesAreWaitedForFromTheFirstHold was seen failing.

--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -78,7 +78,10 @@
 	pool         string
 	epoch        int64
 	epochVersion int64
-	startedAt    time.Duration
+	startedAt    time.Duration // when the epoch was claimed
+	// holdingSince is when this owner began to tell the workers of itself. Until
+	// then a former owner may go on, for as long as the store is away.
+	holdingSince time.Duration
 
 	planner  *planner.Planner
 	sessions map[string]*session
--- a/internal/duty/pool/pool_test.go
+++ b/internal/duty/pool/pool_test.go
@@ -503,3 +503,37 @@
 		w.intact()
 	})
 }
+
+// slowRegistry answers late, as one does whose store is away for a while.
+type slowRegistry struct {
+	port.WorkerRegistry
+	after time.Duration
+}
+
+func (r *slowRegistry) Workers(ctx context.Context) ([]work.Worker, int64, error) {
+	time.Sleep(r.after)
+	return r.WorkerRegistry.Workers(ctx)
+}
+
+// Between the takeover and the next owner's first hold lie seven seconds, for
+// which the store is away: the former owner goes on renewing and starting all the
+// while, as no worker knows better (seed 31 of the fault tests).
+func TestLeasesAreWaitedForFromTheFirstHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		first := w.launch()
+		time.Sleep(time.Second)
+		w.registry = &slowRegistry{w.pool, 7 * time.Second}
+		second := w.launchWith(func(in *instance) { in.slowAt, in.slowHold = "w00", 100*time.Millisecond })
+		time.Sleep(time.Second)
+		w.profile("long", 30, 0)
+		w.submit("long", single(20, 30))
+		time.Sleep(time.Second)
+		must.EqOp(t, 20, w.pool.Running())
+		first.mute.Store(true)
+		time.Sleep(12 * time.Second)
+		must.EqOp(t, second.name, w.owner())
+		w.intact()
+		must.EqOp(t, 20, w.pool.Starts())
+	})
+}
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return err
 	}
+	o.holdingSince = o.now()
 	for i := range workers {
 		if w := workers[i]; w.Pool == o.pool {
 			o.putWorker(ctx, w)
@@ -58,16 +59,16 @@
 // the former owner that the registry doesn't name may come back to it: entries
 // expire while the store is away.
 func (o *Owner) beginRecovery(ctx context.Context) {
-	registryAt := o.startedAt
+	registryAt := o.holdingSince
 	for _, id := range o.deps.Replica.Pool(o.pool).Workers {
 		if o.sessions[id] == nil {
-			registryAt = o.startedAt + registrySettles
+			registryAt = o.holdingSince + registrySettles
 			o.log.Info("former owner's worker not listed", zap.String("worker", id))
 		}
 	}
-	newcomersAt := o.startedAt + formerLearns
+	newcomersAt := o.holdingSince + formerLearns
 	if o.former.gone {
-		newcomersAt = o.startedAt
+		newcomersAt = o.holdingSince
 	}
 	last := o.deps.Replica.Pool(o.pool).Bypassed
 	bypassed := last > 0 && o.epoch-last <= bypassReach
@@ -146,7 +147,7 @@
 		return
 	}
 	alone := o.epoch == 1 || o.former.gone
-	learned := now >= o.startedAt+formerLearns && o.deps.Replica.Age() <= freshCopy
+	learned := now >= o.holdingSince+formerLearns && o.deps.Replica.Age() <= freshCopy
 	if !alone && !learned && !o.former.caughtUp {
 		o.catchUp(ctx, now)
 		return
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -110,7 +110,7 @@
 func (o *Owner) expire(now time.Duration) {
 	inherited := time.Duration(0)
 	if o.epoch > 1 {
-		inherited = o.startedAt + formerRenews + time.Duration(float64(leaseLength)*(1+clockSlowness)) + lapseMargin
+		inherited = o.holdingSince + formerRenews + time.Duration(float64(leaseLength)*(1+clockSlowness)) + lapseMargin
 	}
 	for id, s := range o.sessions {
 		if !s.lapsed(now, inherited) {
