An end is logged and counted when it is new

The planner knows which ones are new; it returns them now. TestEndListedAgainIsTakenInOnce was seen failing.

--- a/internal/duty/pool/lives_test.go
+++ b/internal/duty/pool/lives_test.go
@@ -101,3 +101,23 @@
 		must.EqOp(t, start.Worker, orders[0].Worker)
 	})
 }
+
+// A worker lists an end until it is acknowledged; it is counted once.
+func TestEndListedAgainIsTakenInOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, s := ownerOfOne()
+		ends := &endCounter{}
+		o.deps.Observer = ends
+		for range 3 {
+			o.apply(t.Context(), report(s, 0, 1))
+		}
+		must.EqOp(t, 1, ends.n)
+	})
+}
+
+type endCounter struct {
+	NoObserver
+	n int
+}
+
+func (c *endCounter) RunEnded(string) { c.n++ }
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -328,9 +328,9 @@
 		if ev.life < ev.session.taken {
 			return // a former life's, overtaken by the news of the next
 		}
-		o.planner.Observe(now, ev.sentAt, id, ev.reply)
+		ends := o.planner.Observe(now, ev.sentAt, id, ev.reply)
 		ev.session.acknowledge(ev.life, o.planner.Acknowledgeable(id))
-		o.logEnds(id, ev.reply.Ended)
+		o.logEnds(id, ends)
 	case evReborn: // taken in above
 	case evTried:
 		o.planner.Tried(id)
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -104,19 +104,21 @@
 	w.health = health{}
 }
 
-// Observe takes in what a worker runs and what ended there. sentAt is when the
-// question was sent.
-func (p *Planner) Observe(now, sentAt time.Duration, id string, reply port.HoldReply) {
+// Observe takes in what a worker runs and what ended there, and returns the ends
+// that it hadn't listed before. sentAt is when the question was sent.
+func (p *Planner) Observe(now, sentAt time.Duration, id string, reply port.HoldReply) []port.RunEnd {
 	w := p.workers[id]
 	if w == nil {
-		return
+		return nil
 	}
+	var fresh []port.RunEnd
 	w.heard, w.reachable = true, true
 	for _, e := range reply.Ended {
 		if e.Sequence <= w.lastEnd {
 			continue // listed again until it is acknowledged
 		}
 		w.lastEnd = e.Sequence
+		fresh = append(fresh, e)
 		w.unacked = append(w.unacked, listedEnd{e.Sequence, e.Task.Job})
 		if id := e.Task.Job; p.partial && p.jobs[id] == nil {
 			p.orphans[id] = append(p.orphans[id], orphanEnd{w, e})
@@ -127,6 +129,7 @@
 	p.observeRunning(now, sentAt, w, reply.Running)
 	delete(p.recovery.unheard, id)
 	delete(p.recovery.untried, id)
+	return fresh
 }
 
 // Acknowledgeable returns the highest end of a worker that may be forgotten:
