--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -32,21 +32,10 @@
 	workers *fake.Pool
 	intake  *intake.Intake
 	queues  []work.Queue
-	out     lockedBuffer
+	out     bytes.Buffer
 	close   func()
 }
 
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
 func newSite(t *testing.T) *site {
 	s := &site{t: t, rows: fake.NewRows(), workers: fake.NewPool()}
 	s.queues = []work.Queue{
@@ -94,7 +83,7 @@
 	s.t.Helper()
 	s.close()
 	var log explain.Log
-	must.NoError(s.t, log.Read(&s.out.buf))
+	must.NoError(s.t, log.Read(&s.out))
 	must.EqOp(s.t, 0, log.Unread)
 	h := log.Explain(id)
 	must.NotEqOp(s.t, 0, len(h.Entries))
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -78,16 +77,10 @@
 func newWorld(t *testing.T, program string, machines, runners int) *world {
 	w := &world{t: t, program: program, site: standin.NewSite(), logs: &lockedBuffer{}, startedAt: time.Now()}
 	t.Cleanup(w.site.Close)
-	must.NoError(t, w.site.Configure(map[string]any{
-		"version": 1,
-		"routes": []map[string]any{
-			{"host": "h.example", "prefix": "/urgent/", "backend": "triage", "maxAttempts": 6, "stretch": 3},
-			{"host": "h.example", "prefix": "/batch/", "backend": "triage", "priority": 1, "maxAttempts": 6, "stretch": 3},
-		},
-		"backends": []map[string]any{{"name": "triage"}},
-		"tenants":  []map[string]any{{"name": "team", "apiKeys": []string{"key"}, "guaranteed": map[string]int{"gpu": 16}}},
-		"limits":   map[string]any{"maxBodyBytes": 100000},
-	}))
+	must.NoError(t, w.site.Configure(standin.NewManifest(1, standin.Key, "triage", 16,
+		standin.Route{Prefix: "/urgent/", MaxAttempts: 6, Stretch: 3},
+		standin.Route{Prefix: "/batch/", Priority: 1, MaxAttempts: 6, Stretch: 3},
+	)))
 	for i := range runners {
 		w.addRunner(i)
 	}
@@ -119,12 +112,10 @@
 func (w *world) addMachine(i int) {
 	m := &machine{world: w, name: fmt.Sprintf("n%d", i), front: freeAddress(w.t), store: newProxy(w.t, w.site.StoreAddress())}
 	m.settings = filepath.Join(w.t.TempDir(), "settings.conf")
-	text := strings.Join([]string{
-		"node=" + m.name, "ip=127.0.0.1", "listen.front=" + m.front, "listen.ready=" + freeAddress(w.t), "listen.control=" + freeAddress(w.t),
-		"platform.address=" + m.store.address(), fmt.Sprintf("bounds.graceS=%v", grace.Seconds()), "bounds.reclaimMs=2900",
-		"bounds.holdMaxMs=10000", "bounds.status_s=120",
-	}, "\n")
-	must.NoError(w.t, os.WriteFile(m.settings, []byte(text), 0o600))
+	file := standin.Settings{
+		Node: m.name, Front: m.front, Ready: freeAddress(w.t), Control: freeAddress(w.t), Store: m.store.address(), Grace: grace,
+	}
+	must.NoError(w.t, os.WriteFile(m.settings, []byte(file.Text()), 0o600))
 	w.machines = append(w.machines, m)
 	m.start()
 	w.t.Cleanup(func() { m.signal(syscall.SIGCONT); m.kill() })
@@ -138,7 +129,7 @@
 		return
 	}
 	cmd := exec.Command(m.world.program)
-	cmd.Env = append(os.Environ(), "LENTILWINCH_BOOT="+m.settings)
+	cmd.Env = append(os.Environ(), standin.BootVariable+"="+m.settings)
 	cmd.Stdout, cmd.Stderr = m.world.logs, m.world.logs
 	must.NoError(m.world.t, cmd.Start())
 	m.process, m.paused, m.ended = cmd, false, make(chan struct{})
@@ -180,23 +171,14 @@
 	}
 }
 
-// call sends a caller's request to a machine.
+// call sends a caller's request to a machine. Without a whole answer, the outcome
+// isn't known and the status is 0.
 func (m *machine) call(client *http.Client, method, path, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+m.front+path, strings.NewReader(body))
-	must.NoError(m.world.t, err)
-	req.Host = "h.example"
-	req.Header.Set("X-Api-Key", "key")
-	req.Header.Set("Deadline-Ms", "3000")
-	resp, err := client.Do(req)
+	got, err := standin.Call(ctx, client, m.front, method, path, body)
 	if err != nil {
-		return 0, "" // no answer: the outcome isn't known
-	}
-	defer resp.Body.Close()
-	var text bytes.Buffer
-	if _, err := text.ReadFrom(resp.Body); err != nil {
 		return 0, ""
 	}
-	return resp.StatusCode, text.String()
+	return got.Status, got.Body
 }
