Refuse keys that the configuration no longer confirms in time

Cause: an instance that had lost the store went on accepting every key of the last configuration that it had read; bounds.strictRevoke and bounds.revokeMs were read nowhere. One configuration that couldn't be decoded failed the watch for ever.

Change: each reading of the configuration is a lease on its keys (internal/keylease, pure), from the time the reading was sent. Calls with a key are verified on arrival, before each write and before success is told; a refusal is 503 with Retry-After, a write under way ends as uncertain. Anonymous queues go on, readiness follows. Undecodable or removed configurations are passed over and end the lease. Without strictRevoke nothing changes.

--- a/internal/adapter/metrics/pool.go
+++ b/internal/adapter/metrics/pool.go
@@ -25,6 +25,9 @@
 	// ConfigAge is the time since this instance applied the configuration, in
 	// seconds.
 	ConfigAge tally.Gauge
+	// ConfigReadAge is the time since the configuration was last known to be the
+	// newest one, in seconds.
+	ConfigReadAge tally.Gauge
 	// ReplicaAge is the age of the local replica of the store, in seconds.
 	ReplicaAge tally.Gauge
 	// StoreUnavailable is the time for which the store has been unavailable, in
@@ -51,6 +54,7 @@
 	return &Pool{
 		ConfigVersion:      scope.Gauge("config_version"),
 		ConfigAge:          scope.Gauge("config_age_seconds"),
+		ConfigReadAge:      scope.Gauge("config_read_age_seconds"),
 		ReplicaAge:         scope.Gauge("feed_age_seconds"),
 		StoreUnavailable:   scope.Gauge("store_away_seconds"),
 		StoreDirectFailing: scope.Gauge("store_direct_down_seconds"),
--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -5,8 +5,8 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +14,7 @@
 
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
 	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/keylease"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/wait"
 	"github.com/lentilwinch/lentilwinch/internal/work"
@@ -39,13 +40,29 @@
 	EventCancelled   = "cancellation stored"
 )
 
+// Deps are the dependencies of an intake.
+type Deps struct {
+	Store   port.RowStore
+	Health  Health
+	Replica *replica.Replica
+	Log     *zap.Logger
+	// Now is a monotonic clock that includes time spent suspended.
+	Now func() time.Duration
+	// KeyPolicy returns the policy in force for the callers' keys.
+	KeyPolicy func() keylease.Policy
+}
+
 // Intake serves callers. It is safe for concurrent use.
 type Intake struct {
+	deps    Deps
 	store   port.RowStore
 	replica *replica.Replica
 	log     *zap.Logger
-	config  atomic.Pointer[work.Config]
 	health  Health
+
+	applying    sync.Mutex // serializes ApplyReading
+	inForce     atomic.Pointer[inForce]
+	keysRefused atomic.Bool // whether the last check refused keys, to log changes
 }
 
 // Health reports the state of the store as this instance observes it.
@@ -61,32 +78,15 @@
 }
 
 // New returns an intake without a configuration.
-func New(store port.RowStore, health Health, rep *replica.Replica, log *zap.Logger) *Intake {
-	return &Intake{store: store, health: health, replica: rep, log: log}
-}
-
-// SetConfig applies a configuration unless its version or a later one is already in
-// force. It reports whether it did.
-func (in *Intake) SetConfig(c *work.Config) bool {
-	for {
-		old := in.config.Load()
-		if old != nil && old.Version >= c.Version {
-			return false
-		}
-		if in.config.CompareAndSwap(old, c) {
-			return true
-		}
-	}
+func New(deps Deps) *Intake {
+	return &Intake{deps: deps, store: deps.Store, health: deps.Health, replica: deps.Replica, log: deps.Log}
 }
 
-// Config returns the configuration in force, nil if there is none yet.
-func (in *Intake) Config() *work.Config { return in.config.Load() }
-
 // Route returns the queue for a host and a path, by the longest matching prefix, and
 // the rest of the path after that prefix. It fails with fault.NotReady if there is
 // no configuration yet, or with fault.NotFound.
 func (in *Intake) Route(host, path string) (*work.Queue, string, error) {
-	c := in.config.Load()
+	c := in.Config()
 	if c == nil {
 		return nil, "", fault.New(fault.NotReady, "no configuration yet")
 	}
@@ -103,27 +103,10 @@
 	return longestMatch, path[len(longestMatch.Prefix):], nil
 }
 
-// Authorize returns the workspace of a key. For an unknown key or none it returns
-// "" if the queue allows anonymous access, and otherwise fails with
-// fault.Unauthenticated. A configuration must be in force.
-func (in *Intake) Authorize(q *work.Queue, key string) (string, error) {
-	if key != "" {
-		for _, w := range in.config.Load().Workspaces {
-			if slices.Contains(w.Keys, key) {
-				return w.Name, nil
-			}
-		}
-	}
-	if q.AllowAnonymous {
-		return "", nil
-	}
-	return "", fault.New(fault.Unauthenticated, "unknown key")
-}
-
 // MaxBodyBytes returns the size of the largest submission accepted, in bytes.
 func (in *Intake) MaxBodyBytes() int64 {
 	const fallback = 1 << 20 // used if the configuration sets no limit
-	if c := in.config.Load(); c != nil && c.MaxBodyBytes > 0 {
+	if c := in.Config(); c != nil && c.MaxBodyBytes > 0 {
 		return c.MaxBodyBytes
 	}
 	return fallback
@@ -132,11 +115,13 @@
 // Submit stores a job. Submitting the same ID again succeeds, even with other
 // content. It fails with fault.Invalid, with fault.Unavailable if the job is
 // certainly not stored, and with fault.Uncertain if it may be. During a store outage
-// it fails at once, with a *fault.RetryError of code fault.Unavailable. A
-// configuration must be in force.
-func (in *Intake) Submit(ctx context.Context, q *work.Queue, workspace, id string, sub work.Submission) error {
+// it fails at once, with a *fault.RetryError of code fault.Unavailable. The caller's
+// key is verified again before each write and before success is reported, with the
+// errors of Authorize if nothing was stored. A configuration must be in force.
+func (in *Intake) Submit(ctx context.Context, caller Caller, id string, sub work.Submission) error {
+	q := caller.Queue
 	job := work.Job{
-		ID: id, Pool: q.Pool, Queue: q.Name, Workspace: workspace, Priority: q.Priority,
+		ID: id, Pool: q.Pool, Queue: q.Name, Workspace: caller.Workspace, Priority: q.Priority,
 		MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target, Spec: sub.Spec, Steps: sub.Steps, Schedule: sub.Schedule, PolicyControlled: q.PolicyControlled,
 		SubmittedAt: in.store.Now(),
 	}
@@ -152,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	version, err := in.commit(ctx, replica.JobKeys(q.Pool, id), func(key port.RowKey) port.RowTxn {
+	version, err := in.commit(ctx, caller, replica.JobKeys(q.Pool, id), func(key port.RowKey) port.RowTxn {
 		return port.RowTxn{
 			ExpectedVersions: map[port.RowKey]int64{key: 0},
 			Puts:             map[port.RowKey][]byte{key: value},
@@ -160,16 +145,16 @@
 	})
 	if fault.Is(err, fault.Conflict) {
 		in.log.Info("job known already", zap.String("job", id), zap.String("queue", q.Name))
-		return nil
+		return in.verifyDone(caller)
 	}
 	if err != nil {
 		in.log.Warn(EventNotAccepted, zap.String("job", id), zap.String("queue", q.Name), zap.Error(err))
 		return err
 	}
-	in.log.Info(EventAccepted, zap.String("job", id), zap.String("queue", q.Name), zap.String("workspace", workspace),
+	in.log.Info(EventAccepted, zap.String("job", id), zap.String("queue", q.Name), zap.String("workspace", caller.Workspace),
 		zap.Int("priority", q.Priority), zap.Int("steps", len(sub.Steps)), zap.Int("occurrences", job.Occurrences()), zap.Float64("core_seconds", job.Weight()),
-		zap.Duration("objective", job.Objective()), zap.Int64("version", version), zap.Int64("config", in.config.Load().Version))
-	return nil
+		zap.Duration("objective", job.Objective()), zap.Int64("version", version), zap.Int64("config", in.Config().Version))
+	return in.verifyDone(caller)
 }
 
 // errStoreUnavailable rejects a job before any write was sent.
@@ -179,10 +164,18 @@
 // uses the next key whose partition hasn't failed recently. Rows under several keys
 // are merged into one job. commit fails with *port.RowConflictError or, once ctx has
 // ended, with fault.Unavailable if nothing was stored and with fault.Uncertain if it
-// may have been.
-func (in *Intake) commit(ctx context.Context, keys []port.RowKey, txn func(port.RowKey) port.RowTxn) (int64, error) {
+// may have been. It verifies the caller before each attempt and fails with the
+// errors of verify, or of verifyDone after an attempt that may have taken effect.
+func (in *Intake) commit(ctx context.Context, caller Caller, keys []port.RowKey, txn func(port.RowKey) port.RowTxn) (int64, error) {
 	uncertain := false
 	for try := 0; ; try++ {
+		verify := in.verify
+		if uncertain {
+			verify = in.verifyDone
+		}
+		if err := verify(caller); err != nil {
+			return 0, err
+		}
 		key := replica.ChooseKey(keys, try, in.health.PartitionDown)
 		call, cancel := context.WithTimeout(ctx, min(commitTimeout, 2*in.health.HedgeDelay()))
 		version, err := in.store.Commit(call, txn(key))
@@ -229,13 +222,17 @@
 }
 
 // State returns a job's state. A job with a stored cancellation counts as cancelled
-// unless it has ended. It fails with fault.NotFound, with the store's error, or with
-// fault.Invalid if the row can't be decoded.
-func (in *Intake) State(ctx context.Context, q *work.Queue, id string) (work.State, error) {
-	v, err := in.find(ctx, q, id)
+// unless it has ended. It fails with fault.NotFound, with the store's error, with
+// fault.Invalid if the row can't be decoded, or with the errors of Authorize if the
+// caller's key is no longer accepted.
+func (in *Intake) State(ctx context.Context, caller Caller, id string) (work.State, error) {
+	v, err := in.find(ctx, caller.Queue, id)
 	if err != nil {
 		return "", err
 	}
+	if err := in.verify(caller); err != nil {
+		return "", err
+	}
 	if v.Cancelled && !v.Record.State.Ended() {
 		return work.Cancelled, nil
 	}
@@ -246,15 +243,16 @@
 // ended or is already cancelled. It fails with fault.NotFound, with the store's
 // error or fault.Invalid if the job can't be looked up, with fault.Unavailable if
 // the cancellation is certainly not stored, and with fault.Uncertain if it may be.
-func (in *Intake) Cancel(ctx context.Context, q *work.Queue, id string) error {
-	v, err := in.find(ctx, q, id)
+// It verifies the caller's key like Submit.
+func (in *Intake) Cancel(ctx context.Context, caller Caller, id string) error {
+	v, err := in.find(ctx, caller.Queue, id)
 	if err != nil {
 		return err
 	}
 	if v.Cancelled || v.Record.State.Ended() {
-		return nil
+		return in.verify(caller)
 	}
-	version, err := in.commit(ctx, replica.CancelKeys(v.Record.Job.Pool, id), func(key port.RowKey) port.RowTxn {
+	version, err := in.commit(ctx, caller, replica.CancelKeys(v.Record.Job.Pool, id), func(key port.RowKey) port.RowTxn {
 		return port.RowTxn{Puts: map[port.RowKey][]byte{key: {1}}}
 	})
 	if err != nil {
@@ -262,7 +260,7 @@
 		return err
 	}
 	in.log.Info(EventCancelled, zap.String("job", id), zap.Int64("version", version))
-	return nil
+	return in.verifyDone(caller)
 }
 
 // Waiting returns the number of the queue's jobs without a started task. Cancelled
--- a/internal/duty/intake/intake_test.go
+++ b/internal/duty/intake/intake_test.go
@@ -14,6 +14,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
 	"github.com/lentilwinch/lentilwinch/internal/fake"
 	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/keylease"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
@@ -22,6 +23,31 @@
 	rows   *fake.Rows
 	intake *Intake
 	queue  *work.Queue
+	policy keylease.Policy
+	// store is between the intake and rows.
+	store *delayedReplies
+	now   func() time.Duration
+}
+
+// delayedReplies delays the replies of commits, also after the caller's context has
+// ended.
+type delayedReplies struct {
+	port.RowStore
+	delay time.Duration
+}
+
+func (d *delayedReplies) Commit(ctx context.Context, txn port.RowTxn) (int64, error) {
+	version, err := d.RowStore.Commit(ctx, txn)
+	time.Sleep(d.delay)
+	return version, err
+}
+
+// testConfig has a queue for callers with a key, one for anonymous callers, and the
+// workspace of the key.
+func testConfig(version int64, workspace string, keys ...string) *work.Config {
+	return &work.Config{Version: version, Queues: []work.Queue{
+		{Name: "q", Host: "h", Prefix: "/a/", Pool: "p"}, {Name: "deep", Host: "h", Prefix: "/a/b/", Pool: "p", AllowAnonymous: true},
+	}, Workspaces: []work.Workspace{{Name: workspace, Keys: keys}}}
 }
 
 func newTestEnv(t *testing.T) *testEnv {
@@ -33,23 +59,30 @@
 	done := make(chan struct{})
 	go func() { defer close(done); rep.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	in := New(store, store, rep, zap.NewNop())
-	in.SetConfig(&work.Config{Version: 1, Queues: []work.Queue{
-		{Name: "q", Host: "h", Prefix: "/a/", Pool: "p"}, {Name: "deep", Host: "h", Prefix: "/a/b/", Pool: "p", AllowAnonymous: true},
-	}, Workspaces: []work.Workspace{{Name: "ws", Keys: []string{"key"}}}})
+	env := &testEnv{rows: rows, store: &delayedReplies{RowStore: store}, now: func() time.Duration { return time.Since(began) }}
+	in := New(Deps{
+		Store: env.store, Health: store, Replica: rep, Log: zap.NewNop(), Now: env.now, KeyPolicy: func() keylease.Policy { return env.policy },
+	})
+	env.read(in, testConfig(1, "ws", "key"))
 	q, _, err := in.Route("h", "/a/x")
 	must.NoError(t, err)
 	time.Sleep(time.Second)
-	return &testEnv{rows, in, q}
+	env.intake, env.queue = in, q
+	return env
 }
 
+// read applies a reading that was sent just now.
+func (env *testEnv) read(in *Intake, c *work.Config) { in.ApplyReading(port.ConfigReading{Config: c}, env.now()) }
+
+func (env *testEnv) caller() Caller { return Caller{Queue: env.queue, Workspace: "ws", key: "key"} }
+
 var oneTask = []work.Step{{Count: 1, Estimate: time.Second}}
 
 // submit submits a job with a caller's timeout of three seconds.
 func (env *testEnv) submit(id string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	return env.intake.Submit(ctx, env.queue, "ws", id, work.Submission{Steps: oneTask})
+	return env.intake.Submit(ctx, env.caller(), id, work.Submission{Steps: oneTask})
 }
 
 func TestLongestPrefixSelectsQueue(t *testing.T) {
@@ -69,9 +102,9 @@
 		env := newTestEnv(t)
 		_, err := env.intake.Authorize(env.queue, "nobody's")
 		must.True(t, fault.Is(err, fault.Unauthenticated))
-		ws, err := env.intake.Authorize(env.queue, "key")
+		caller, err := env.intake.Authorize(env.queue, "key")
 		must.NoError(t, err)
-		must.EqOp(t, "ws", ws)
+		must.EqOp(t, "ws", caller.Workspace)
 		_, err = env.intake.Authorize(&work.Queue{AllowAnonymous: true}, "")
 		must.NoError(t, err)
 	})
@@ -93,7 +126,7 @@
 		env.rows.SetFaults(fake.Faults{LoseReplies: true})
 		time.AfterFunc(500*time.Millisecond, func() { env.rows.SetFaults(fake.Faults{}) })
 		must.NoError(t, env.submit("a"))
-		state, err := env.intake.State(t.Context(), env.queue, "a")
+		state, err := env.intake.State(t.Context(), env.caller(), "a")
 		must.NoError(t, err)
 		must.EqOp(t, work.Queued, state)
 	})
@@ -122,11 +155,11 @@
 func TestCancelOfUnknownJobIsNotFound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t)
-		must.True(t, fault.Is(env.intake.Cancel(t.Context(), env.queue, "none"), fault.NotFound))
+		must.True(t, fault.Is(env.intake.Cancel(t.Context(), env.caller(), "none"), fault.NotFound))
 		must.NoError(t, env.submit("a"))
-		must.NoError(t, env.intake.Cancel(t.Context(), env.queue, "a"))
+		must.NoError(t, env.intake.Cancel(t.Context(), env.caller(), "a"))
 		time.Sleep(time.Second)
-		state, err := env.intake.State(t.Context(), env.queue, "a")
+		state, err := env.intake.State(t.Context(), env.caller(), "a")
 		must.NoError(t, err)
 		must.EqOp(t, work.Cancelled, state)
 	})
@@ -135,7 +168,7 @@
 func TestInvalidJobIsRejectedWithAllProblems(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t)
-		err := env.intake.Submit(t.Context(), env.queue, "ws", "a", work.Submission{Steps: []work.Step{{Count: 0, After: []int{0}}}})
+		err := env.intake.Submit(t.Context(), env.caller(), "a", work.Submission{Steps: []work.Step{{Count: 0, After: []int{0}}}})
 		var f *fault.Error
 		must.True(t, errors.As(err, &f))
 		must.Len(t, 2, f.Problems)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -19,6 +19,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/explain"
 	"github.com/lentilwinch/lentilwinch/internal/fake"
 	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/keylease"
 	"github.com/lentilwinch/lentilwinch/internal/logsink"
 	"github.com/lentilwinch/lentilwinch/internal/planner"
 	"github.com/lentilwinch/lentilwinch/internal/port"
@@ -50,8 +51,10 @@
 	now := func() time.Duration { return time.Since(startedAt) }
 	store := relay.New(s.rows, func() []port.RowStore { return nil })
 	rep := replica.New(store, log, now)
-	s.intake = intake.New(store, store, rep, log)
-	s.intake.SetConfig(&work.Config{Version: 1, Queues: s.queues})
+	s.intake = intake.New(intake.Deps{
+		Store: store, Health: store, Replica: rep, Log: log, Now: now, KeyPolicy: func() keylease.Policy { return keylease.Policy{} },
+	})
+	s.intake.ApplyReading(port.ConfigReading{Config: &work.Config{Version: 1, Queues: s.queues}}, now())
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Go(func() { rep.Run(ctx) })
@@ -76,7 +79,7 @@
 	defer cancel()
 	estimate := time.Duration(seconds * float64(time.Second))
 	steps := []work.Step{{Count: count, Need: work.Resources{CPU: 1000, MemMB: 100, Accel: 8}, Estimate: estimate}}
-	return f.intake.Submit(ctx, &f.queues[queue], "ws", id, work.Submission{Spec: id, Steps: steps})
+	return f.intake.Submit(ctx, intake.Caller{Queue: &f.queues[queue], Workspace: "ws"}, id, work.Submission{Spec: id, Steps: steps})
 }
 
 // explain stops the instance and returns the history of a job from its log.
--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -25,14 +25,23 @@
 	WatchWorkers(ctx context.Context, after int64, wait time.Duration) ([]WorkerChange, int64, error)
 }
 
-// ConfigSource provides the configuration in force.
+// ConfigReading is a reading of the operator's configuration.
+type ConfigReading struct {
+	// Config is the newest usable configuration among those read, nil if there is
+	// none or, for WatchConfig, no new one.
+	Config *work.Config
+	// Unusable is set if the newest configuration read was removed or can't be
+	// decoded.
+	Unusable bool
+	// Version is the store's version from which to watch.
+	Version int64
+}
+
+// ConfigSource provides the operator's configuration.
 type ConfigSource interface {
-	// Config returns the latest configuration, or nil if there is none yet, and
-	// the version from which to watch. It fails with the errors of RowStore.Scan,
-	// or with fault.Invalid when the configuration can't be decoded.
-	Config(ctx context.Context) (*work.Config, int64, error)
-	// WatchConfig waits for a configuration newer than a version, with the
-	// errors of RowStore.Watch and of Config. It returns the configuration, or nil
-	// if there is none, and the version from which to continue.
-	WatchConfig(ctx context.Context, after int64, wait time.Duration) (*work.Config, int64, error)
+	// Config reads the configuration, with the errors of RowStore.Scan.
+	Config(ctx context.Context) (ConfigReading, error)
+	// WatchConfig waits for a change of the configuration after a version, with the
+	// errors of RowStore.Watch.
+	WatchConfig(ctx context.Context, after int64, wait time.Duration) (ConfigReading, error)
 }
