Wait for orders that a restarted worker may still carry out

Cause: an order that carries a lease end by the clock of a worker's previous incarnation, sent before the restart was noticed, can be carried out seconds later by the new one, which limits the lease only to maxLease from then. The owner took leases for expired maxLease after it noticed the restart; when the worker then fell silent, its tasks were started again while they ran. Ruled out: the fake (its lease was 30.305 s where the owner had 28.079 s), a second owner.

Change: a session tracks orders with a lease that have no answer; after a restart those sent since the new incarnation began extend the bound by up to 12 s.

--- a/internal/duty/pool/lease.go
+++ b/internal/duty/pool/lease.go
@@ -59,10 +59,16 @@
 	c.localExpiry = c.readAt + time.Duration(float64(left)*(1+maxClockSlowness)) + expiryMargin
 }
 
-// restart applies the first answer of a new incarnation of the worker. An order
-// meant for the previous incarnation may have set a lease end by that
-// incarnation's clock, and the worker limits such a lease only to maxLease.
-func (c *leaseClock) restart(now, maxLease time.Duration, clock port.WorkerClock) {
+// restart applies the first answer of a new incarnation of the worker, received at
+// now. Orders meant for the previous incarnation set lease ends by that
+// incarnation's clock, and the new one limits these only to maxLease from when it
+// carries them out. unanswered tells which orders may still be carried out: only
+// those that were sent after the new incarnation began, by which its clock counts.
+func (c *leaseClock) restart(now, maxLease time.Duration, clock port.WorkerClock, unanswered *unansweredOrders) {
 	*c = leaseClock{hasReading: true, workerNow: clock.Now, readAt: now, workerLeaseEnd: clock.Now + maxLease}
+	beganAt := now - time.Duration(float64(clock.Now)*(1+maxClockSlowness)) - expiryMargin
+	if sentAt, ok := unanswered.latest(); ok && sentAt >= beganAt {
+		c.workerLeaseEnd += max(sentAt+maxOrderDelay-now, 0)
+	}
 	c.updateExpiry()
 }
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -49,6 +49,7 @@
 
 	mu            sync.Mutex
 	clock         leaseClock
+	unanswered    unansweredOrders
 	incarnationID int64 // as the worker states it, 0 if not known yet
 	// incarnation numbers the worker's incarnations from 0. incarnationSince is
 	// when the current one was first seen.
@@ -130,6 +131,7 @@
 	if s.clock.hasReading && s.reachable {
 		req.Wait = holdWait
 	}
+	orderID := s.unanswered.sent(now)
 	s.mu.Unlock()
 	grace := holdGrace
 	if req.Wait == 0 {
@@ -137,7 +139,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, req.Wait+grace)
 	defer cancel()
-	return s.owner.deps.Workers.Hold(ctx, s.target, req)
+	reply, err := s.owner.deps.Workers.Hold(ctx, s.target, req)
+	s.orderDone(orderID, err)
+	return reply, err
+}
+
+func (s *session) orderDone(id int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered.done(id, err)
 }
 
 // recordContact applies the clock of an answer to a request sent at sentAt, and
@@ -153,7 +163,7 @@
 		return 0, false
 	}
 	if restarted {
-		s.clock.restart(now, s.owner.deps.MaxLease, clock)
+		s.clock.restart(now, s.owner.deps.MaxLease, clock, &s.unanswered)
 		s.acknowledged = 0
 		s.incarnation++
 		s.incarnationSince = now
@@ -252,10 +262,12 @@
 			Task: order.Task, Run: order.Run, Spec: order.Spec, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
 			FencingToken: s.owner.epoch, LeaseEnd: s.clock.extend(now, leaseDuration),
 		}
+		orderID := s.unanswered.sent(now)
 		s.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		clock, rejected, err := s.owner.deps.Workers.Start(call, s.target, startOrder)
 		cancel()
+		s.orderDone(orderID, err)
 		switch {
 		case ctx.Err() != nil:
 			return
--- /dev/null
+++ b/internal/duty/pool/unanswered.go
@@ -0,0 +1,52 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+)
+
+// maxOrderDelay bounds how long after it was sent a worker may carry out an order
+// that it left without an answer. The platform states "seconds"; its days delay
+// orders by 2 to 12 s.
+const maxOrderDelay = 12 * time.Second
+
+// unansweredOrders tracks the orders to one worker that request a lease and may
+// still be carried out. The zero value is ready to use.
+type unansweredOrders struct {
+	nextID int
+	open   map[int]time.Duration // when each order was sent that waits for its answer
+	// uncertainAt is when the latest order was sent whose answer was lost.
+	uncertainAt time.Duration
+	uncertain   bool // an answer was lost
+}
+
+// sent records an order and returns its ID.
+func (u *unansweredOrders) sent(now time.Duration) int {
+	if u.open == nil {
+		u.open = map[int]time.Duration{}
+	}
+	u.nextID++
+	u.open[u.nextID] = now
+	return u.nextID
+}
+
+// done records the end of an order's call. An order that failed may be carried out
+// later, unless err says that it had no effect.
+func (u *unansweredOrders) done(id int, err error) {
+	sentAt := u.open[id]
+	delete(u.open, id)
+	if err != nil && !fault.NoEffect(err) {
+		u.uncertainAt, u.uncertain = max(u.uncertainAt, sentAt), true
+	}
+}
+
+// latest returns when the latest order was sent that may still be carried out, and
+// false if there is none.
+func (u *unansweredOrders) latest() (time.Duration, bool) {
+	at, found := u.uncertainAt, u.uncertain
+	for _, sentAt := range u.open {
+		at, found = max(at, sentAt), true
+	}
+	return at, found
+}
