Carry out the calls of a large pool's owner through other instances

Cause: on 1,100 workers the owner's calls (renewals, starts, results: some thousands a second, each its own HTTP exchange) and its planning passes, one for each event, took more than its 0.8 core.

--- a/internal/duty/intake/intake_test.go
+++ b/internal/duty/intake/intake_test.go
@@ -72,7 +72,9 @@
 }
 
 // read applies a reading that was sent just now.
-func (env *testEnv) read(in *Intake, c *work.Config) { in.ApplyReading(port.ConfigReading{Config: c}, env.now()) }
+func (env *testEnv) read(in *Intake, c *work.Config) {
+	in.ApplyReading(port.ConfigReading{Config: c}, env.now())
+}
 
 func (env *testEnv) caller() Caller { return Caller{Queue: env.queue, Workspace: "ws", key: "key"} }
 
--- a/internal/duty/pool/deps.go
+++ b/internal/duty/pool/deps.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,9 +14,12 @@
 
 // Deps are the dependencies of an owner.
 type Deps struct {
-	Store    port.RowStore
-	Workers  port.WorkerClient
-	Registry port.WorkerRegistry
+	Store   port.RowStore
+	Workers port.WorkerClient
+	// Delegates lets other instances carry out the calls of Workers while this
+	// instance owns the pool; nil if there are none.
+	Delegates Delegates
+	Registry  port.WorkerRegistry
 	// PolicyClient is nil if no policy service is configured.
 	PolicyClient port.PolicyClient
 	Replica      *replica.Replica
@@ -41,6 +45,13 @@
 	Incarnation string
 }
 
+// Delegates are other instances that may carry out calls to workers.
+type Delegates interface {
+	// Begin starts to use delegates until ctx ends. workers returns the pool's current
+	// number of workers. The returned function waits until none is used.
+	Begin(ctx context.Context, workers func() int) (wait func())
+}
+
 // StoreHealth reports the state of the store as this instance observes it.
 type StoreHealth interface {
 	// Latency returns the moving mean of the duration of reads and commits, 0
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -91,6 +91,7 @@
 
 	planner      *planner.Planner
 	sessions     map[string]*session
+	workerCount  atomic.Int64                  // the number of sessions
 	cancelStarts map[runKey]context.CancelFunc // cancel starts that wait for an answer
 	events       chan event
 	cancel       context.CancelFunc
@@ -100,6 +101,8 @@
 	held         []heldStart
 	deferred     map[string]bool // jobs with a row that may be in an unread partition
 	planSequence int64           // number of the last plan with orders; matches held starts with stored records
+	pacer        planPacer
+	nextPlan     *time.Timer // fires when a delayed planning pass may run
 	lastActiveAt time.Duration
 	confirmAfter time.Duration // a heartbeat sent at or after this must be confirmed before starts are sent
 	config       *work.Config
@@ -122,6 +125,7 @@
 		events:       make(chan event, eventQueueSize),
 		startedAt:    deps.Now(),
 		done:         make(chan struct{}),
+		nextPlan:     time.NewTimer(planInterval),
 	}
 	o.heartbeatAt.Store(int64(o.startedAt))
 	o.writer.init()
@@ -223,6 +227,7 @@
 			o.applyQueued(ctx)
 		case <-sub.C():
 		case <-tick.C:
+		case <-o.nextPlan.C:
 		case <-report.C:
 			waiting, running := o.planner.Counts()
 			o.deps.Observer.ReportOwnership(o.pool, true, waiting, running)
@@ -259,9 +264,12 @@
 	o.planner.SetWallClock(now, o.wallClock())
 	o.mergePrevious(ctx, now)
 	o.expireWorkers(now)
-	if o.mayStart(now) {
+	if pause := o.pacer.pause(now); pause > 0 {
+		o.nextPlan.Reset(pause)
+	} else if o.mayStart(now) {
 		o.handleOrders(ctx, o.planner.Plan(now))
 		o.queryPolicy(ctx, now)
+		o.pacer.passed(now, o.now())
 	}
 	o.writeLogEntries()
 	o.writeChanged(ctx)
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
+	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
 // announcementValidEpochs is the number of epochs for which an announcement of
@@ -38,6 +39,7 @@
 	if err != nil {
 		return err
 	}
+	o.useDelegates(ctx, workers)
 	o.firstHoldAt = o.now()
 	for i := range workers {
 		if w := workers[i]; w.Pool == o.pool {
@@ -57,6 +59,19 @@
 	return nil
 }
 
+// useDelegates lets other instances carry out the calls to the pool's workers for as
+// long as this instance owns it.
+func (o *Owner) useDelegates(ctx context.Context, workers []work.Worker) {
+	for i := range workers {
+		if workers[i].Pool == o.pool {
+			o.workerCount.Add(1)
+		}
+	}
+	if o.deps.Delegates != nil {
+		o.wg.Go(o.deps.Delegates.Begin(ctx, func() int { return int(o.workerCount.Load()) }))
+	}
+}
+
 // beginRecovery delays inherited jobs until every worker has been contacted.
 // Workers of the previous owner that the registry does not list may reappear:
 // their entries expire while the store is unavailable.
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -93,9 +93,10 @@
 		return
 	}
 	o.log.Info("worker listed", zap.String("worker", w.ID), zap.String("rack", w.Rack), zap.Bool("draining", w.Draining))
-	s = newSession(o, port.WorkerTarget{ID: w.ID, Address: w.Address})
+	s = newSession(o, port.WorkerTarget{ID: w.ID, Address: w.Address, Domain: w.Zone})
 	ctx, s.cancel = context.WithCancel(ctx)
 	o.sessions[w.ID] = s
+	o.workerCount.Store(int64(len(o.sessions)))
 	o.writer.workersChanged = true
 	o.wg.Go(func() { s.run(ctx) })
 }
@@ -103,6 +104,7 @@
 func (o *Owner) endSession(s *session, why string) {
 	s.cancel()
 	delete(o.sessions, s.target.ID)
+	o.workerCount.Store(int64(len(o.sessions)))
 	o.writer.workersChanged = true
 	o.planner.WorkerLost(o.now(), s.target.ID, true, why)
 }
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -52,6 +52,8 @@
 	// WallOffset is the instance's wall clock, as the time since the Unix epoch,
 	// minus the store's clock.
 	WallOffset time.Duration `cbor:"4,keyasint,omitempty"`
+	// Domain is the instance's failure domain.
+	Domain string `cbor:"5,keyasint,omitempty"`
 }
 
 // PoolCapacity is the capacity that an owner publishes for the admission checks of
--- a/internal/port/rows.go
+++ b/internal/port/rows.go
@@ -121,9 +121,9 @@
 	Checkpoint string
 }
 
-// WorkerTarget identifies a worker and its address.
+// WorkerTarget identifies a worker, its address and its failure domain.
 type WorkerTarget struct {
-	ID, Address string
+	ID, Address, Domain string
 }
 
 // StartOrder is an order to a worker to start a run of a task.
