--- a/internal/adapter/delegate/delegate_test.go
+++ b/internal/adapter/delegate/delegate_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -196,7 +195,9 @@
 	e.delegates[lost].server.Listener.Close()
 	e.delegates[lost].server.CloseClientConnections()
 	route.conn.ws.CloseNow()
+	closedAt := time.Now()
 	must.True(t, fault.Is(<-result, fault.Uncertain))
+	must.Less(t, 500*time.Millisecond, time.Since(closedAt))
 	e.awaitLinks(1)
 	_, err := e.hold(0)
 	must.NoError(t, err)
@@ -218,20 +219,56 @@
 	must.EqOp(t, 1, e.direct.calls.Load())
 }
 
+// scriptedDelegate accepts links, sends the given frames and then says nothing.
+func (e *env) scriptedDelegate(frames ...frame) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return // the client has given up
+		}
+		defer ws.CloseNow()
+		for i := range frames {
+			data, err := encodeFrame(&frames[i])
+			must.NoError(e.t, err)
+			if ws.Write(r.Context(), websocket.MessageBinary, data) != nil {
+				return // the client has closed the link
+			}
+		}
+		for {
+			if _, _, err := ws.Read(r.Context()); err != nil {
+				return
+			}
+		}
+	}))
+	e.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	e.instances = []delegation.Instance{{Name: "scripted", Domain: target.Domain, Address: strings.TrimPrefix(server.URL, "http://"), Cores: 1}}
+}
+
 // A delegate that falls silent on an open link is dropped before its workers count
-// as unreachable.
+// as unreachable, and the calls that it holds fail with the link.
 func TestLinkThatFallsSilentIsReplaced(t *testing.T) {
-	e := newEnv(t, 1)
-	l := e.client.links["d0"]
-	var stall sync.Mutex
-	stall.Lock()
-	e.delegates[0].server.Config.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { stall.Lock() })
-	defer stall.Unlock()
+	e := newEnv(t, 0)
+	e.scriptedDelegate(frame{Replies: []reply{{ID: greetingID}}})
+	e.begin()
+	e.awaitLinks(1)
 	began := time.Now()
-	// The delegate's frames are no longer read, as if they never arrived.
-	l.conn.ws.CloseRead(t.Context())
-	e.awaitLinks(0)
+	_, err := e.hold(2 * time.Second)
+	must.True(t, fault.Is(err, fault.Uncertain))
 	must.Less(t, 900*time.Millisecond, time.Since(began))
+	must.EqOp(t, 0, e.direct.calls.Load())
+}
+
+// A delegate that sends heartbeats may not have read anything yet.
+func TestDelegateThatHasNotAnsweredTheFirstFrameGetsNoCalls(t *testing.T) {
+	e := newEnv(t, 0)
+	e.scriptedDelegate(frame{}, frame{}, frame{})
+	e.begin()
+	_, err := e.hold(0)
+	must.NoError(t, err)
+	must.EqOp(t, 1, e.direct.calls.Load())
 }
 
 // The delegate was suspended between the arrival of a call and its execution, by
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -72,12 +72,23 @@
 		seeds = append(seeds, s)
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, 0) })
 	}
 }
 
-func runSoak(t *testing.T, seed uint64) {
-	c := newCluster(t, programPath, *instanceCount, *workerCount)
+// delegatingShare is a share of a core so small that an owner of eight workers calls
+// them through all other instances.
+const delegatingShare = 0.02
+
+// The same faults where the owner calls its workers through other instances.
+func TestSoakWithDelegates(t *testing.T) {
+	for s := *firstSeed; s < *firstSeed+*seedCount; s++ {
+		t.Run(fmt.Sprint(s), func(t *testing.T) { runSoak(t, s, delegatingShare) })
+	}
+}
+
+func runSoak(t *testing.T, seed uint64, cpuShare float64) {
+	c := newCluster(t, programPath, *instanceCount, *workerCount, cpuShare)
 	t.Cleanup(func() {
 		if t.Failed() && *logDir != "" {
 			path := filepath.Join(*logDir, fmt.Sprintf("soak-%d.log", seed))
@@ -107,6 +118,7 @@
 	for _, violation := range c.site.Pool.Violations() {
 		t.Error(violation)
 	}
+	must.EqOp(t, cpuShare > 0, strings.Contains(c.logs.String(), "delegate linked"))
 }
 
 // randomProxyMode returns a fault mode with probability 3/4 and forward otherwise.
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -34,6 +34,7 @@
 	workers   []*worker
 	logs      *syncBuffer
 	startedAt time.Time
+	cpuShare  float64 // that the instances' settings state, 0 for a whole core
 }
 
 // instance is an instance of lentilwinch-poold. Its process may stop and start
@@ -77,8 +78,8 @@
 	return b.buf.String()
 }
 
-func newCluster(t *testing.T, program string, instances, workers int) *cluster {
-	c := &cluster{t: t, program: program, site: standin.NewSite(), logs: &syncBuffer{}, startedAt: time.Now()}
+func newCluster(t *testing.T, program string, instances, workers int, cpuShare float64) *cluster {
+	c := &cluster{t: t, program: program, site: standin.NewSite(), logs: &syncBuffer{}, startedAt: time.Now(), cpuShare: cpuShare}
 	t.Cleanup(c.site.Close)
 	must.NoError(t, c.site.Configure(standin.NewManifest(1, standin.Key, "triage", 16,
 		standin.Route{Prefix: "/urgent/", MaxAttempts: 6, Stretch: 3},
@@ -117,6 +118,7 @@
 	in.settingsPath = filepath.Join(c.t.TempDir(), "settings.conf")
 	settings := standin.Settings{
 		Node: in.name, Front: in.frontAddress, Ready: freeAddress(c.t), Control: freeAddress(c.t), Store: in.storeProxy.address(), Grace: drainGrace,
+		CPUShare: c.cpuShare,
 	}
 	must.NoError(c.t, os.WriteFile(in.settingsPath, []byte(settings.Text()), 0o600))
 	c.instances = append(c.instances, in)
