--- a/internal/duty/intake/config.go
+++ b/internal/duty/intake/config.go
@@ -32,7 +32,7 @@
 		if r.Config == nil || r.Unusable {
 			return false
 		}
-		old = &inForce{config: &work.Config{Version: math.MinInt64}, readAt: readAt}
+		old = &inForce{config: &work.Config{Version: math.MinInt64}, readAt: readAt} // any version is newer
 	}
 	if r.Config != nil && r.Config.Version < old.config.Version {
 		in.log.Warn("older configuration ignored", zap.Int64("version", r.Config.Version), zap.Int64("in_force", old.config.Version))
