Decode only the state of jobs on instances that own no pool

An election computes its delay only when the heartbeat stands still. Deleting a row no longer changes a slice that views share.

Tests: TestRecordsAreCompleteFromTheSubscriptionOn, TestRowThatCantBeDecodedIsDroppedAtTheSubscription; those of pool and intake pass.

--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -96,19 +96,28 @@
 		if view.HeartbeatVersion != seen.HeartbeatVersion || view.EpochVersion != seen.EpochVersion {
 			seen, changedAt = view, now
 		}
-		vacant := view.Epoch.Owner == ""
-		delay := e.claimDelay()
-		stale := now-changedAt > heartbeatTimeout+delay && e.confirmStale(ctx, &seen, now-changedAt)
-		if view.Epoch.Owner == e.deps.Name && view.Epoch.Incarnation != e.deps.Incarnation {
-			stale = true // a previous incarnation of this instance
-		}
-		if (vacant && now-changedAt >= delay) || stale {
+		if e.mayClaim(ctx, &seen, now-changedAt) {
 			e.takeOver(ctx, view)
 			changedAt = e.deps.Now()
 		}
 	}
 }
 
+// mayClaim reports whether this instance should take the pool over: it is vacant, its
+// owner's heartbeat has stopped, or its owner is a previous incarnation of this
+// instance. unchangedFor is the time since seen last changed.
+func (e *Election) mayClaim(ctx context.Context, seen *replica.PoolView, unchangedFor time.Duration) bool {
+	switch {
+	case seen.Epoch.Owner == e.deps.Name && seen.Epoch.Incarnation != e.deps.Incarnation:
+		return true
+	case seen.Epoch.Owner == "":
+		return unchangedFor >= e.claimDelay()
+	case unchangedFor <= heartbeatTimeout:
+		return false // claimDelay looks at every instance
+	}
+	return unchangedFor > heartbeatTimeout+e.claimDelay() && e.confirmStale(ctx, seen, unchangedFor)
+}
+
 // confirmStale reads the heartbeat from the store itself. It reports false if the
 // read fails, if the heartbeat has advanced, or if the store is slow and
 // slowHeartbeatTimeout hasn't passed.
--- a/internal/duty/replica/apply.go
+++ b/internal/duty/replica/apply.go
@@ -101,15 +101,15 @@
 	v := r.jobs[id]
 	if row.Deleted {
 		if v != nil {
-			v.Rows = slices.DeleteFunc(v.Rows, func(o JobRow) bool { return o.Partition == row.Partition })
+			v.Rows = slices.DeleteFunc(slices.Clone(v.Rows), func(o JobRow) bool { return o.Partition == row.Partition })
 			if len(v.Rows) == 0 {
 				delete(r.jobs, id)
 			}
 		}
 		return nil
 	}
-	fresh := JobRow{Partition: row.Partition, Version: row.Version}
-	if err := work.Decode(row.Value, &fresh.Record); err != nil {
+	fresh := JobRow{Partition: row.Partition, Version: row.Version, encoded: row.Value}
+	if err := fresh.decode(len(r.subs) > 0); err != nil {
 		return err
 	}
 	if v == nil {
@@ -129,6 +129,53 @@
 	return nil
 }
 
+// decode decodes the row's record, whole or its summary.
+func (row *JobRow) decode(whole bool) error {
+	if !whole {
+		record, err := work.DecodeSummary(row.encoded)
+		row.Record = record
+		return err
+	}
+	row.Record = work.Record{}
+	err := work.Decode(row.encoded, &row.Record)
+	if err == nil {
+		row.encoded = nil
+	}
+	return err
+}
+
+// decodeAll completes the records of all jobs and drops the rows that can't be
+// decoded. The replica's lock must be held.
+func (r *Replica) decodeAll() {
+	for id, v := range r.jobs {
+		var rows []JobRow // not in place, as views share the rows
+		for _, row := range v.Rows {
+			if row.encoded != nil {
+				if err := row.decode(true); err != nil {
+					r.log.Error("row ignored", zap.String("part", row.Partition), zap.String("job", id), zap.Error(err))
+					continue
+				}
+			}
+			rows = append(rows, row)
+		}
+		if len(rows) == 0 {
+			delete(r.jobs, id)
+			continue
+		}
+		v.Rows = rows
+		v.chooseRecord()
+	}
+}
+
+// chooseRecord sets the record to the row's that supersedes the others.
+func (v *JobView) chooseRecord() {
+	for i := range v.Rows {
+		if i == 0 || v.Rows[i].Record.Supersedes(&v.Record) {
+			v.Record = v.Rows[i].Record
+		}
+	}
+}
+
 // putRow adds a row unless its partition's row is as new or newer, and reports
 // whether it did. It copies the rows, since views share them.
 func (v *JobView) putRow(row JobRow) bool {
--- a/internal/duty/replica/replica_test.go
+++ b/internal/duty/replica/replica_test.go
@@ -107,3 +107,69 @@
 		must.EqOp(t, 1, r.Waiting("q"))
 	})
 }
+
+// putRecord stores a running job with a placement, in the partition of its key with
+// an index.
+func putRecord(t *testing.T, store *fake.Rows, id string, key int, sequence int64) {
+	t.Helper()
+	record := work.Record{Job: work.Job{ID: id, Pool: testPool, Queue: "q", Steps: []work.Step{{Count: 1}}}, State: work.Running,
+		Steps: []work.StepProgress{{Placed: map[int][]string{0: {"w"}}}}, Sequence: sequence}
+	value, err := work.Encode(record)
+	must.NoError(t, err)
+	_, err = store.Commit(t.Context(), port.RowTxn{Puts: map[port.RowKey][]byte{JobKeys(testPool, id)[key]: value}})
+	must.NoError(t, err)
+}
+
+// An instance that owns no pool knows the states only; from its subscription on it
+// knows all that was stored before and after.
+func TestRecordsAreCompleteFromTheSubscriptionOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := fake.NewRows()
+		r := startReplica(t, store)
+		putRecord(t, store, "a", 0, 1)
+		putRecord(t, store, "a", 1, 7)
+		putRecord(t, store, "a", 2, 3)
+		time.Sleep(time.Second)
+		before, ok := r.Job("a")
+		must.True(t, ok)
+		must.EqOp(t, work.Running, before.Record.State)
+		must.EqOp(t, 7, before.Record.Sequence)
+		must.EqOp(t, "q", before.Record.Job.Queue)
+		must.Len(t, 0, before.Record.Steps)
+
+		sub := r.Subscribe(testPool)
+		defer sub.Close()
+		putRecord(t, store, "b", 0, 1)
+		time.Sleep(time.Second)
+		for _, id := range []string{"a", "b"} {
+			v, ok := r.Job(id)
+			must.True(t, ok)
+			must.Eq(t, map[int][]string{0: {"w"}}, v.Record.Steps[0].Placed)
+			for _, row := range v.Rows {
+				must.Len(t, 1, row.Record.Job.Steps)
+			}
+		}
+		after, _ := r.Job("a")
+		must.EqOp(t, 7, after.Record.Sequence)
+		must.Len(t, 0, before.Rows[0].Record.Steps) // the view from before is unchanged
+	})
+}
+
+// A row whose summary can be decoded and whose rest can't doesn't reach an owner.
+func TestRowThatCantBeDecodedIsDroppedAtTheSubscription(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := fake.NewRows()
+		r := startReplica(t, store)
+		value, err := work.Encode(map[int]any{1: map[int]any{1: "a", 2: testPool, 10: "no steps"}, 2: "running"})
+		must.NoError(t, err)
+		_, err = store.Commit(t.Context(), port.RowTxn{Puts: map[port.RowKey][]byte{JobKeys(testPool, "a")[0]: value}})
+		must.NoError(t, err)
+		putRecord(t, store, "b", 0, 1)
+		time.Sleep(time.Second)
+		sub := r.Subscribe(testPool)
+		defer sub.Close()
+		jobs := r.Jobs(testPool)
+		must.Len(t, 1, jobs)
+		must.EqOp(t, "b", jobs[0].Record.Job.ID)
+	})
+}
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -64,7 +64,9 @@
 }
 
 // JobView is a job in the replica. A job has more than one row if the partition
-// of its first row was unavailable.
+// of its first row was unavailable. Its records are complete while there is a
+// subscription; otherwise they are those of work.DecodeSummary, as an instance that
+// owns no pool only tells callers a job's state.
 type JobView struct {
 	// Record is the record that supersedes those of the other rows.
 	Record work.Record
@@ -78,6 +80,7 @@
 	Partition string
 	Version   int64
 	Record    work.Record
+	encoded   []byte // the record as stored, nil if Record is complete
 }
 
 // PoolView is the state of a pool in the replica.
--- a/internal/duty/replica/subscribe.go
+++ b/internal/duty/replica/subscribe.go
@@ -15,6 +15,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.subs[s] = struct{}{}
+	r.decodeAll()
 	return s
 }
 
