End a delegate link's calls with the link; one delay for both refusals

The server kept a second context beside the link's own and cancelled it only after the reader had returned: a reader that waits to queue a reply behind a writer that has failed would have waited for ever. Frames are now handled under the link's context, and the second one is gone. unconfirmedRetryAfter said the same as outageRetryAfter. Tests of both packages pass with -race, unchanged.

--- a/internal/adapter/delegate/conn.go
+++ b/internal/adapter/delegate/conn.go
@@ -31,8 +31,9 @@
 }
 
 // run reads frames into handle and writes the outgoing items, until either fails or
-// ctx ends, and returns the cause. It closes the connection.
-func (c *conn[T]) run(ctx context.Context, handle func(*frame)) error {
+// ctx ends, and returns the cause. It closes the connection. The context of handle
+// ends with run.
+func (c *conn[T]) run(ctx context.Context, handle func(context.Context, *frame)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { cancel(c.write(ctx)) })
@@ -44,7 +45,7 @@
 }
 
 // read reads frames until it fails. Frames are due at least every linkTimeout.
-func (c *conn[T]) read(ctx context.Context, handle func(*frame)) error {
+func (c *conn[T]) read(ctx context.Context, handle func(context.Context, *frame)) error {
 	for {
 		readCtx, cancel := context.WithTimeout(ctx, linkTimeout)
 		kind, data, err := c.ws.Read(readCtx)
@@ -59,7 +60,7 @@
 		if err != nil {
 			return err
 		}
-		handle(f)
+		handle(ctx, f)
 	}
 }
 
--- a/internal/adapter/delegate/link.go
+++ b/internal/adapter/delegate/link.go
@@ -80,7 +80,7 @@
 	c := newConn(ws, "calls to "+l.instance.Name, callQueueSize, callBatchDelay, l.client.cfg.Now, l.fill)
 	c.greets = true
 	greeted := false
-	err := c.run(ctx, func(f *frame) {
+	err := c.run(ctx, func(_ context.Context, f *frame) {
 		if !greeted && isGreeting(f) {
 			greeted = true
 			l.open(c)
--- a/internal/adapter/delegate/server.go
+++ b/internal/adapter/delegate/server.go
@@ -48,10 +48,8 @@
 	}
 	l := &serverLink{server: s, slots: make(chan struct{}, maxCallsInFlight)}
 	l.conn = newConn(ws, "replies to "+r.RemoteAddr, 2*maxCallsInFlight, replyBatchDelay, s.now, func(f *frame, batch []reply) { f.Replies = batch })
-	ctx, cancel := context.WithCancel(r.Context())
 	s.log.Info("link of an owner opened", zap.String("peer", r.RemoteAddr))
-	err = l.conn.run(ctx, func(f *frame) { l.handle(ctx, f) })
-	cancel()
+	err = l.conn.run(r.Context(), l.handle)
 	l.calls.Wait()
 	s.log.Info("link of an owner closed", zap.String("peer", r.RemoteAddr), zap.Error(err))
 }
--- a/internal/duty/intake/caller.go
+++ b/internal/duty/intake/caller.go
@@ -2,17 +2,11 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
-// unconfirmedRetryAfter is the delay after which a caller may retry when its key
-// can't be confirmed. The Retry-After header counts whole seconds, and callers wait
-// for three seconds in all.
-const unconfirmedRetryAfter = time.Second
-
 // Caller is a caller that may use a queue.
 type Caller struct {
 	Queue *work.Queue
@@ -22,9 +16,9 @@
 }
 
 var (
-	errKeysUnconfirmed = &fault.RetryError{RetryAfter: unconfirmedRetryAfter,
+	errKeysUnconfirmed = &fault.RetryError{RetryAfter: outageRetryAfter,
 		Err: fault.New(fault.Unavailable, "keys can't be confirmed, nothing was done")}
-	errKeyReassigned = &fault.RetryError{RetryAfter: unconfirmedRetryAfter,
+	errKeyReassigned = &fault.RetryError{RetryAfter: outageRetryAfter,
 		Err: fault.New(fault.Unavailable, "the key has been given to another workspace, nothing was done")}
 )
 
--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -27,8 +27,8 @@
 	// commitRetryDelay is the delay between attempts of an unanswered commit.
 	commitRetryDelay = 60 * time.Millisecond
 	// outageRetryAfter is the delay after which a caller may retry during a store
-	// outage. The Retry-After header counts whole seconds, and callers wait for
-	// three seconds in all.
+	// outage, or while its key can't be confirmed. The Retry-After header counts
+	// whole seconds, and callers wait for three seconds in all.
 	outageRetryAfter = time.Second
 )
 
