Review case 5: one job whose counts overflow takes the owner down

The sum of the counts overflows, so that the job is accepted; each owner runs out of memory on it in turn.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -7,4 +7,4 @@
   echo 'run the build of deploy/system.toml and review/build.sh first' >&2
   exit 2
 fi
-exec "$harness" partitions "$root" "$folder"
+exec "$harness" overflow "$root" "$folder"
