--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -120,16 +120,17 @@
 // errors of Authorize if nothing was stored. A configuration must be in force.
 func (in *Intake) Submit(ctx context.Context, caller Caller, id string, sub work.Submission) error {
 	q := caller.Queue
+	storeNow, clockKnown := in.store.Now()
 	job := work.Job{
 		ID: id, Pool: q.Pool, Queue: q.Name, Workspace: caller.Workspace, Priority: q.Priority,
 		MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target, Spec: sub.Spec, Steps: sub.Steps, Schedule: sub.Schedule, PolicyControlled: q.PolicyControlled,
-		SubmittedAt: in.store.Now(),
+		SubmittedAt: storeNow,
 	}
 	if err := in.validate(&job); err != nil {
 		in.log.Info(EventRejected, zap.String("job", id), zap.String("queue", q.Name), zap.Error(err))
 		return err
 	}
-	if unavailableFor := in.health.UnavailableFor(); unavailableFor > 0 {
+	if unavailableFor := in.health.UnavailableFor(); unavailableFor > 0 || !clockKnown {
 		in.log.Info(EventRejected, zap.String("job", id), zap.String("queue", q.Name), zap.String("why", "the store is away"), zap.Duration("away", unavailableFor))
 		return errStoreUnavailable
 	}
--- a/internal/duty/intake/intake_test.go
+++ b/internal/duty/intake/intake_test.go
@@ -176,3 +176,24 @@
 		must.Len(t, 2, f.Problems)
 	})
 }
+
+// noClock is a store that hasn't stated its clock yet.
+type noClock struct{ port.RowStore }
+
+func (noClock) Now() (time.Duration, bool) { return 0, false }
+
+// Guards against jobs that are stored with a time of this instance's own clock.
+func TestSubmitBeforeTheStoresClockIsKnownStoresNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		env.store.RowStore = noClock{env.store.RowStore}
+		caller, err := env.intake.Authorize(env.queue, "key")
+		must.NoError(t, err)
+		err = env.intake.Submit(t.Context(), caller, "5c0e7a21d94b36f8", work.Submission{Spec: "s", Steps: []work.Step{{Count: 1}}})
+		var retry *fault.RetryError
+		must.True(t, errors.As(err, &retry))
+		must.True(t, fault.Is(err, fault.Unavailable))
+		_, stored := env.intake.replica.Job("5c0e7a21d94b36f8")
+		must.False(t, stored)
+	})
+}
--- a/internal/duty/pool/advice_test.go
+++ b/internal/duty/pool/advice_test.go
@@ -77,7 +77,7 @@
 		c.setDuration("a", 3, 0)
 		job := work.Job{
 			ID: "a", Pool: testPool, Queue: "q", Spec: "a", Steps: []work.Step{single(2, 3)}, MaxAttempts: 4, Stretch: 3,
-			SubmittedAt: c.store.Now(), PolicyControlled: true,
+			SubmittedAt: c.storeNow(), PolicyControlled: true,
 		}
 		value, err := work.Encode(work.Record{Job: job, State: work.Queued})
 		must.NoError(t, err)
--- a/internal/duty/pool/cluster_test.go
+++ b/internal/duty/pool/cluster_test.go
@@ -91,6 +91,12 @@
 
 func (c *cluster) now() time.Duration { return time.Since(c.began) }
 
+func (c *cluster) storeNow() time.Duration {
+	now, ok := c.store.Now()
+	must.True(c.t, ok)
+	return now
+}
+
 func (c *cluster) launch() *instance { return c.launchWith(func(*instance) {}) }
 
 func (c *cluster) launchWith(change func(*instance)) *instance {
@@ -135,7 +141,7 @@
 
 func (c *cluster) submitJob(id string, priority int, schedule work.Schedule, steps []work.Step) {
 	c.t.Helper()
-	job := work.Job{Schedule: schedule, ID: id, Pool: testPool, Priority: priority, Queue: "q", Spec: id, Steps: steps, MaxAttempts: 4, Stretch: 3, SubmittedAt: c.store.Now()}
+	job := work.Job{Schedule: schedule, ID: id, Pool: testPool, Priority: priority, Queue: "q", Spec: id, Steps: steps, MaxAttempts: 4, Stretch: 3, SubmittedAt: c.storeNow()}
 	value, err := work.Encode(work.Record{Job: job, State: work.Queued})
 	must.NoError(c.t, err)
 	_, err = c.store.Commit(context.Background(), port.RowTxn{Puts: map[port.RowKey][]byte{replica.JobKeys(testPool, id)[0]: value}})
@@ -312,6 +318,6 @@
 func (in *instance) register() {
 	in.cluster.t.Helper()
 	must.NoError(in.cluster.t, in.replica.Register(context.Background(), replica.Instance{
-		Name: in.name, Address: in.name, WallOffset: in.wallClock() - in.cluster.store.Now(),
+		Name: in.name, Address: in.name, WallOffset: in.wallClock() - in.cluster.storeNow(),
 	}))
 }
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -200,10 +200,14 @@
 }
 
 // wallClock returns the wall clock agreed by the instances, as the time since the
-// Unix epoch.
-func (o *Owner) wallClock() time.Duration {
-	store := o.deps.Store.Now()
-	return store + o.deps.Replica.WallOffset(o.deps.Name, o.deps.WallClock()-store)
+// Unix epoch. It reports false while the store's clock, on which it is based, isn't
+// known.
+func (o *Owner) wallClock() (time.Duration, bool) {
+	store, ok := o.deps.Store.Now()
+	if !ok {
+		return 0, false
+	}
+	return store + o.deps.Replica.WallOffset(o.deps.Name, o.deps.WallClock()-store), true
 }
 
 func (o *Owner) applyConfig() {
@@ -261,7 +265,9 @@
 	now := o.now()
 	o.detectSuspension(now)
 	o.applyConfig()
-	o.planner.SetWallClock(now, o.wallClock())
+	if wall, ok := o.wallClock(); ok {
+		o.planner.SetWallClock(now, wall)
+	}
 	o.mergePrevious(ctx, now)
 	o.expireWorkers(now)
 	if pause := o.pacer.pause(now); pause > 0 {
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -114,10 +114,13 @@
 	for _, row := range v.Rows {
 		o.writer.versions[jobRowKey{row.Partition, id}] = row.Version
 	}
-	age := max(o.deps.Store.Now()-v.Record.Job.SubmittedAt, 0)
+	age, ageKnown := time.Duration(0), false
+	if storeNow, ok := o.deps.Store.Now(); ok {
+		age, ageKnown = max(storeNow-v.Record.Job.SubmittedAt, 0), true
+	}
 	o.planner.AddJob(now, age, v.Record, inherited)
 	o.log.Info("job queued", zap.String("job", id), zap.Duration("age", age), zap.Int64("sequence", v.Record.Sequence), zap.Bool("inherited", inherited))
-	if !inherited && (v.Record.Sequence > 0 || age > maxUnstartedAge) {
+	if !inherited && (v.Record.Sequence > 0 || !ageKnown || age > maxUnstartedAge) {
 		o.planner.DelayPlacement(id, now)
 	}
 	for i := range v.Rows {
--- a/internal/duty/pool/retain.go
+++ b/internal/duty/pool/retain.go
@@ -26,7 +26,10 @@
 // ends.
 func (o *Owner) removeEndedJobs(ctx context.Context) {
 	for wait.For(ctx, retentionInterval) == nil {
-		now := o.deps.Store.Now()
+		now, ok := o.deps.Store.Now()
+		if !ok {
+			continue
+		}
 		removed := 0
 		for _, v := range o.deps.Replica.Jobs(o.pool) {
 			if removed == maxRemovalsPerRound || ctx.Err() != nil {
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -62,9 +62,13 @@
 
 func (o *Owner) writeChanged(ctx context.Context) {
 	w := &o.writer
+	storeNow, ok := o.deps.Store.Now()
+	if !ok {
+		return // nothing can be stored, and EndedAt isn't known
+	}
 	for _, rec := range o.planner.TakeChanged() {
 		if rec.State.Ended() {
-			rec.EndedAt = o.deps.Store.Now()
+			rec.EndedAt = storeNow
 		}
 		w.sequence++
 		rec.Sequence = o.epoch<<32 | w.sequence
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -68,7 +68,7 @@
 }
 
 // Now implements port.RowStore.
-func (s *Store) Now() time.Duration { return s.direct.Now() }
+func (s *Store) Now() (time.Duration, bool) { return s.direct.Now() }
 
 // retryable reports whether the call may succeed on another route.
 func retryable(err error) bool {
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -50,7 +50,7 @@
 	// Cores is the number of processor cores that the instance may use.
 	Cores float64 `cbor:"3,keyasint,omitempty"`
 	// WallOffset is the instance's wall clock, as the time since the Unix epoch,
-	// minus the store's clock.
+	// minus the store's clock; 0 if that is not known yet.
 	WallOffset time.Duration `cbor:"4,keyasint,omitempty"`
 	// Domain is the instance's failure domain.
 	Domain string `cbor:"5,keyasint,omitempty"`
--- a/internal/fake/rows.go
+++ b/internal/fake/rows.go
@@ -46,7 +46,7 @@
 }
 
 // Now implements port.RowStore.
-func (r *Rows) Now() time.Duration { return time.Since(r.createdAt) }
+func (r *Rows) Now() (time.Duration, bool) { return time.Since(r.createdAt), true }
 
 // Commit implements port.RowStore. A conflict lists the current rows of all keys
 // with an expected version, also of those whose version is the expected one.
--- a/internal/port/rows.go
+++ b/internal/port/rows.go
@@ -78,8 +78,9 @@
 	// continue. It fails with fault.NotFound when the store no longer has the
 	// history since the version.
 	Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]VersionedRow, int64, error)
-	// Now returns an estimate of the store's monotonic clock.
-	Now() time.Duration
+	// Now returns an estimate of the store's monotonic clock. It reports false until
+	// the store has answered a call.
+	Now() (time.Duration, bool)
 }
 
 // RunState is the state of a run in progress on a worker.
