Keep workers that an owner waits for in the stored list of workers

Cause: the owner between the two restarts stored the workers that it had seen itself, in place of the longer list that it had read and was still waiting for. The next owner didn't know of the others and didn't wait. Evidence: the row of workers had 12 IDs before and 8 after that owner; the second "previous owner's worker not listed" is missing in the log of the last one.

Change: the stored list keeps them until the registry is complete; an outage meanwhile begins that wait anew, up to the end of all inherited leases. Same cause: draining workers were left out of the list at once, so that one whose entry expired ran its tasks twice after a takeover; they stay until they have left. The stored largest capacity was lowered in the same way, which rejected jobs.

--- a/internal/duty/pool/cluster_test.go
+++ b/internal/duty/pool/cluster_test.go
@@ -57,6 +57,7 @@
 type instance struct {
 	cluster        *cluster
 	name           string
+	incarnation    string
 	killed         atomic.Bool
 	dropCommits    atomic.Bool  // its commits are dropped and not answered
 	dropJobCommits atomic.Bool  // its commits of job rows are dropped and not answered
@@ -100,7 +101,7 @@
 func (c *cluster) launch() *instance { return c.launchWith(func(*instance) {}) }
 
 func (c *cluster) launchWith(change func(*instance)) *instance {
-	in := &instance{cluster: c, name: fmt.Sprintf("instance-%d", len(c.instances))}
+	in := &instance{cluster: c, name: fmt.Sprintf("instance-%d", len(c.instances)), incarnation: fmt.Sprint(len(c.instances))}
 	change(in)
 	c.instances = append(c.instances, in)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -109,7 +110,7 @@
 	rep := replica.New(store, zap.NewNop(), c.now)
 	deps := Deps{
 		Store: store, Workers: &faultyWorkerClient{in, c.workers}, Registry: c.registry, Replica: rep,
-		Log: testLog().With(zap.String("in", in.name)), Now: c.now, Observer: NoObserver{}, WallClock: in.wallClock, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.name,
+		Log: testLog().With(zap.String("in", in.name)), Now: c.now, Observer: NoObserver{}, WallClock: in.wallClock, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.incarnation,
 		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, MaxLease: 10 * time.Second, Retention: 2 * time.Minute, StoreHealth: store,
 	}
 	in.replica = rep
@@ -127,6 +128,11 @@
 	in.stop()
 }
 
+// restart starts the next incarnation of a killed instance.
+func (in *instance) restart() *instance {
+	return in.cluster.launchWith(func(next *instance) { next.name = in.name })
+}
+
 func (in *instance) stop() {
 	in.cancel()
 	in.done.Wait()
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -109,9 +109,13 @@
 	done         chan struct{}
 	previous     previousOwner
 	announcement earlyStartAnnouncement
-	yielded      bool           // the owner ended to hand the pool over, though its process keeps running
-	logLoss      sync.Once      // limits the log to one loss of ownership
-	wg           sync.WaitGroup // goroutines that end with the owner
+	// unlisted holds the stored workers of the previous owner that the registry
+	// hasn't listed yet. They are given up at registryCompleteAt.
+	unlisted           map[string]bool
+	registryCompleteAt time.Duration
+	yielded            bool           // the owner ended to hand the pool over, though its process keeps running
+	logLoss            sync.Once      // limits the log to one loss of ownership
+	wg                 sync.WaitGroup // goroutines that end with the owner
 }
 
 func newOwner(deps Deps, pool string, epoch, version int64) *Owner {
@@ -122,6 +126,7 @@
 		sessions:     map[string]*session{},
 		cancelStarts: map[runKey]context.CancelFunc{},
 		deferred:     map[string]bool{},
+		unlisted:     map[string]bool{},
 		events:       make(chan event, eventQueueSize),
 		startedAt:    deps.Now(),
 		done:         make(chan struct{}),
@@ -270,6 +275,7 @@
 	}
 	o.mergePrevious(ctx, now)
 	o.expireWorkers(now)
+	o.giveUpUnlisted(now)
 	if pause := o.pacer.pause(now); pause > 0 {
 		o.nextPlan.Reset(pause)
 	} else if o.mayStart(now) {
@@ -361,6 +367,7 @@
 		o.planner.ContactFailed(id)
 	case evUnreachable:
 		o.planner.SetReachable(id, false)
+		o.updateLeft(id)
 	case evStartAnswered:
 		o.cancelStart(runKey{ev.order.Task, ev.order.Run})
 		o.planner.StartAnswered(now, id, ev.order.Task, ev.order.Run, ev.rejected)
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -76,10 +76,11 @@
 // Workers of the previous owner that the registry does not list may reappear:
 // their entries expire while the store is unavailable.
 func (o *Owner) beginRecovery(ctx context.Context) {
-	registryCompleteAt := o.firstHoldAt
+	o.registryCompleteAt = o.firstHoldAt
 	for _, id := range o.deps.Replica.Pool(o.pool).Workers {
 		if o.sessions[id] == nil {
-			registryCompleteAt = o.firstHoldAt + registryRecoveryTime
+			o.unlisted[id] = true
+			o.registryCompleteAt = o.firstHoldAt + registryRecoveryTime
 			o.log.Info("previous owner's worker not listed", zap.String("worker", id))
 		}
 	}
@@ -91,7 +92,7 @@
 	mayHaveEarlyStarts := earlyStartEpoch > 0 && o.epoch-earlyStartEpoch <= announcementValidEpochs
 	placementsComplete := !mayHaveEarlyStarts && o.deps.Replica.StableFor() > storeStableAfter && o.deps.StoreHealth.Latency() < slowReadThreshold
 	o.log.Info("recovery begins", zap.Bool("placements_complete", placementsComplete), zap.Bool("bypassed", mayHaveEarlyStarts), zap.Duration("store_quiet_for", o.deps.Replica.StableFor()))
-	o.planner.Recover(registryCompleteAt, takeoverNoticedBy, placementsComplete)
+	o.planner.Recover(o.registryCompleteAt, takeoverNoticedBy, placementsComplete)
 	if !placementsComplete {
 		// If this owner stops before it knows all placements, the next owner must
 		// not take the stored ones for complete either.
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -123,19 +123,36 @@
 	return txn, nil
 }
 
+// storedWorkers returns the IDs of the workers that may run tasks, in ascending
+// order. It contains those that the registry doesn't list yet, so that the next owner
+// waits for them too. Workers that have left are not in it, and the next owner doesn't
+// wait for them.
+func (o *Owner) storedWorkers() []string {
+	ids := slices.AppendSeq(slices.Collect(maps.Keys(o.sessions)), maps.Keys(o.unlisted))
+	ids = slices.DeleteFunc(ids, o.planner.HasLeft)
+	slices.Sort(ids)
+	return ids
+}
+
+// largestCapacity returns the largest capacity of any worker. While workers are
+// unlisted it isn't lower than the stored one, as one of them may be the largest.
+func (o *Owner) largestCapacity() work.Resources {
+	largest := o.planner.MaxCapacity()
+	if len(o.unlisted) > 0 {
+		largest = largest.Max(o.deps.Replica.Pool(o.pool).Capacity.MaxCapacity)
+	}
+	return largest
+}
+
 // writeWorkers stores the list of workers in use for the next owner, and the
 // largest worker capacity for admission checks.
 func (o *Owner) writeWorkers(ctx context.Context) {
-	ids := slices.Sorted(maps.Keys(o.sessions))
-	// Draining workers are left out: one that is no longer listed has left, and the
-	// next owner doesn't wait for it.
-	ids = slices.DeleteFunc(ids, o.planner.Draining)
-	value, err := work.Encode(ids)
+	value, err := work.Encode(o.storedWorkers())
 	if err != nil {
 		o.log.Error("workers can't be encoded", zap.Error(err))
 		return
 	}
-	capacity, err := work.Encode(replica.PoolCapacity{MaxCapacity: o.planner.MaxCapacity()})
+	capacity, err := work.Encode(replica.PoolCapacity{MaxCapacity: o.largestCapacity()})
 	if err != nil {
 		o.log.Error("capacity can't be encoded", zap.Error(err))
 		return
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -75,9 +77,36 @@
 	if s := o.sessions[id]; s != nil {
 		o.planner.WorkerUnlisted(id)
 		o.log.Info("worker no longer listed", zap.String("worker", id))
+		o.updateLeft(id)
 	}
 }
 
+// updateLeft has the list of workers stored again if the worker has left.
+func (o *Owner) updateLeft(id string) {
+	if o.planner.HasLeft(id) {
+		o.writer.workersChanged = true
+	}
+}
+
+// giveUpUnlisted gives up the workers that the registry still doesn't list once it is
+// complete. An outage of the store begins the wait for it anew, but at the latest the
+// leases of these workers must have expired.
+func (o *Owner) giveUpUnlisted(now time.Duration) {
+	if len(o.unlisted) == 0 {
+		return
+	}
+	if o.deps.StoreHealth.UnavailableFor() > 0 {
+		o.registryCompleteAt = max(o.registryCompleteAt, min(now+registryRecoveryTime, o.inheritedLeasesExpireAt()))
+		o.planner.SetRegistryCompleteAt(o.registryCompleteAt)
+	}
+	if now < o.registryCompleteAt {
+		return
+	}
+	o.log.Info("previous owner's workers given up, the registry doesn't list them", zap.Strings("workers", slices.Sorted(maps.Keys(o.unlisted))))
+	clear(o.unlisted)
+	o.writer.workersChanged = true
+}
+
 func (o *Owner) putWorker(ctx context.Context, w work.Worker) {
 	s := o.sessions[w.ID]
 	if s != nil && s.target.Address != w.Address {
@@ -86,12 +115,12 @@
 	}
 	if w.Draining && !o.planner.Draining(w.ID) {
 		o.log.Info("worker draining", zap.String("worker", w.ID))
-		o.writer.workersChanged = true
 	}
 	o.planner.PutWorker(w)
 	if s != nil {
 		return
 	}
+	delete(o.unlisted, w.ID)
 	o.log.Info("worker listed", zap.String("worker", w.ID), zap.String("rack", w.Rack), zap.Bool("draining", w.Draining))
 	s = newSession(o, port.WorkerTarget{ID: w.ID, Address: w.Address, Domain: w.Zone})
 	ctx, s.cancel = context.WithCancel(ctx)
@@ -109,13 +138,19 @@
 	o.planner.WorkerLost(o.now(), s.target.ID, true, why)
 }
 
+// inheritedLeasesExpireAt returns when all leases granted by previous owners must have
+// expired, 0 if there were none.
+func (o *Owner) inheritedLeasesExpireAt() time.Duration {
+	if o.epoch == 1 {
+		return 0
+	}
+	return o.firstHoldAt + previousOwnerRenewTime + time.Duration(float64(leaseDuration)*(1+maxClockSlowness)) + expiryMargin
+}
+
 // expireWorkers marks the runs of unreachable workers as lost once their leases
 // must have expired. It ends the sessions of those that are no longer listed.
 func (o *Owner) expireWorkers(now time.Duration) {
-	inheritedUntil := time.Duration(0)
-	if o.epoch > 1 {
-		inheritedUntil = o.firstHoldAt + previousOwnerRenewTime + time.Duration(float64(leaseDuration)*(1+maxClockSlowness)) + expiryMargin
-	}
+	inheritedUntil := o.inheritedLeasesExpireAt()
 	for id, s := range o.sessions {
 		if !s.leasesExpired(now, inheritedUntil) {
 			continue
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -172,9 +172,7 @@
 func (p *Planner) MaxCapacity() work.Resources {
 	var capacity work.Resources
 	for _, w := range p.workers {
-		capacity.CPU = max(capacity.CPU, w.info.Capacity.CPU)
-		capacity.MemMB = max(capacity.MemMB, w.info.Capacity.MemMB)
-		capacity.Accel = max(capacity.Accel, w.info.Capacity.Accel)
+		capacity = capacity.Max(w.info.Capacity)
 	}
 	return capacity
 }
--- a/internal/planner/recovery.go
+++ b/internal/planner/recovery.go
@@ -39,6 +39,10 @@
 	}
 }
 
+// SetRegistryCompleteAt sets the time from which the registry is known to list every
+// worker.
+func (p *Planner) SetRegistryCompleteAt(at time.Duration) { p.recovery.registryCompleteAt = at }
+
 // AllWorkersReported reports whether every worker that is or may be listed has
 // reported to this owner or lost its runs.
 func (p *Planner) AllWorkersReported(now time.Duration) bool {
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -24,6 +24,11 @@
 	return Resources{r.CPU - o.CPU, r.MemMB - o.MemMB, r.Accel - o.Accel}
 }
 
+// Max returns the larger amount of r and o for each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPU, o.CPU), max(r.MemMB, o.MemMB), max(r.Accel, o.Accel)}
+}
+
 // Fits reports whether need fits into r.
 func (r Resources) Fits(need Resources) bool {
 	return need.CPU <= r.CPU && need.MemMB <= r.MemMB && need.Accel <= r.Accel
