Compute a job's critical paths in one walk, and count what is left of a job

No task of any job started any more, and the accepting instance didn't answer the POST.

Cause: the critical path of a step followed every path of the graph by recursion, 6 to the power of 11 from the first stage, for the objective, for each waiting task of each pass and for a log field. The owner kept its heartbeat, so nobody took over.

Change: all critical paths of a job come from one walk from the last step to the first, once when the job is added. Same cause: each ended task made the planner look at every dependency of every step and at every task of the job; what is left of each step is counted now, and only the dependents of a completed step are looked at.

--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -154,7 +154,7 @@
 	}
 	in.log.Info(EventAccepted, zap.String("job", id), zap.String("queue", q.Name), zap.String("workspace", caller.Workspace),
 		zap.Int("priority", q.Priority), zap.Int("steps", len(sub.Steps)), zap.Int("occurrences", job.Occurrences()), zap.Float64("core_seconds", job.Weight()),
-		zap.Duration("objective", job.Objective()), zap.Int64("version", version), zap.Int64("config", in.Config().Version))
+		zap.Duration("objective", job.Objective(job.CriticalPaths())), zap.Int64("version", version), zap.Int64("config", in.Config().Version))
 	return in.verifyDone(caller)
 }
 
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -22,14 +22,23 @@
 	if p.jobs[rec.Job.ID] != nil || rec.State.Ended() {
 		return
 	}
+	criticalPaths := rec.Job.CriticalPaths()
 	j := &job{
-		rec:       rec,
-		arrivedAt: now - age,
-		objective: rec.Job.Objective(),
-		weight:    rec.Job.Weight(),
-		started:   rec.State == work.Running,
+		rec:           rec,
+		arrivedAt:     now - age,
+		criticalPaths: criticalPaths,
+		objective:     rec.Job.Objective(criticalPaths),
+		weight:        rec.Job.Weight(),
+		started:       rec.State == work.Running,
+		dependents:    make([][]int, len(rec.Job.Steps)),
+	}
+	for i := range rec.Job.Steps {
+		for _, dep := range rec.Job.Steps[i].After {
+			j.dependents[dep] = append(j.dependents[dep], i)
+		}
 	}
 	j.perStep = make([][]*unit, rec.Job.Occurrences()*len(rec.Job.Steps))
+	j.unitsLeft = make([]int, len(j.perStep))
 	for i := range j.perStep {
 		p.addUnits(j, i, inherited)
 	}
@@ -44,7 +53,12 @@
 	if rec.Job.Priority == 0 && !inherited && rec.Job.Schedule.Count == 0 {
 		p.urgentDemand.add(now, j.initialCores())
 	}
-	p.unblock(j, now)
+	for i := range j.perStep {
+		j.unblock(i)
+	}
+	if slices.ContainsFunc(j.units, func(u *unit) bool { return u.phase == unitAbandoned }) {
+		p.finish(j, work.Failed, now)
+	}
 	p.checkCompletion(j, now)
 	for _, o := range p.orphanResults[rec.Job.ID] {
 		p.handleResult(now, o.worker, o.result)
@@ -91,6 +105,10 @@
 		} else if u.attemptsExhausted() {
 			u.phase = unitAbandoned
 		}
+		if u.phase != unitDone {
+			j.unitsLeft[index]++
+			j.left++
+		}
 		j.perStep[index] = append(j.perStep[index], u)
 		j.units = append(j.units, u)
 	}
@@ -107,28 +125,41 @@
 	return sum
 }
 
-// unblock makes the units ready whose dependencies have all succeeded.
-func (p *Planner) unblock(j *job, now time.Duration) {
-	for _, units := range j.perStep {
-		if len(units) == 0 || !j.depsDone(units[0]) {
-			continue
-		}
-		for _, u := range units {
-			if u.phase == unitBlocked {
-				u.phase = unitReady
-			}
+// unblock makes the units of a step ready if its dependencies have all succeeded. index
+// is that of the step in perStep.
+func (j *job) unblock(index int) {
+	units := j.perStep[index]
+	if len(units) == 0 || !j.depsDone(units[0]) {
+		return
+	}
+	for _, u := range units {
+		if u.phase == unitBlocked {
+			u.phase = unitReady
 		}
 	}
 }
 
+// unitDone counts a unit that has succeeded, and unblocks the steps that waited for
+// it.
+func (j *job) unitDone(u *unit) {
+	first := u.occurrence * len(j.rec.Job.Steps)
+	j.left--
+	j.unitsLeft[first+u.step]--
+	if j.unitsLeft[first+u.step] > 0 {
+		return
+	}
+	for _, step := range j.dependents[u.step] {
+		j.unblock(first + step)
+	}
+}
+
 // depsDone reports whether the steps that the unit depends on have succeeded
 // within its occurrence.
 func (j *job) depsDone(u *unit) bool {
+	first := u.occurrence * len(j.rec.Job.Steps)
 	for _, dep := range u.spec().After {
-		for _, other := range j.unitsOf(u.occurrence, dep) {
-			if other.phase != unitDone {
-				return false
-			}
+		if j.unitsLeft[first+dep] > 0 {
+			return false
 		}
 	}
 	return true
@@ -139,21 +170,9 @@
 	return j.perStep[occurrence*len(j.rec.Job.Steps)+step]
 }
 
-// checkCompletion finishes the job when all units are done or one has no attempts
-// left.
+// checkCompletion finishes the job when all units are done.
 func (p *Planner) checkCompletion(j *job, now time.Duration) {
-	if !j.open() {
-		return
-	}
-	allDone := true
-	for _, u := range j.units {
-		if u.phase == unitAbandoned {
-			p.finish(j, work.Failed, now)
-			return
-		}
-		allDone = allDone && u.phase == unitDone
-	}
-	if allDone {
+	if j.open() && j.left == 0 {
 		p.finish(j, work.Completed, now)
 	}
 }
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -60,7 +60,7 @@
 func (p *Planner) score(u *unit, now time.Duration) float64 {
 	j := u.job
 	age := p.waited(u, now)
-	remaining := j.rec.Job.CriticalPath(u.step)
+	remaining := j.criticalPaths[u.step]
 	if u.checkpoint != "" {
 		remaining -= u.spec().Estimate - u.estimate()
 	}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -111,7 +111,9 @@
 	if u.attemptsExhausted() {
 		u.phase = unitAbandoned
 		p.markChanged(j)
-		p.checkCompletion(j, now)
+		if j.open() {
+			p.finish(j, work.Failed, now)
+		}
 		return
 	}
 	u.phase = unitReady
@@ -299,7 +301,7 @@
 	}
 	u.phase = unitDone
 	p.markChanged(u.job)
-	p.unblock(u.job, now)
+	u.job.unitDone(u)
 	p.checkCompletion(u.job, now)
 }
 
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -202,14 +202,23 @@
 	units []*unit
 	// perStep holds the units of all steps of occurrence 0, then of occurrence 1
 	// and so on.
-	perStep   [][]*unit
-	arrivedAt time.Duration // on the planner's clock; may be negative
-	objective time.Duration // latency objective, counted from acceptance
-	weight    float64
-	cancelled bool
-	started   bool
-	changed   bool // is in Planner.changed
-	unstored  bool // changed since its record was last confirmed to be stored
+	perStep [][]*unit
+	// unitsLeft counts the units that aren't done, by step as in perStep. left is
+	// their sum.
+	unitsLeft []int
+	left      int
+	// dependents lists the steps that depend on a step, by the number of that step.
+	dependents [][]int
+	// criticalPaths holds the longest estimated chain of dependent steps that starts
+	// with a step, by the number of that step.
+	criticalPaths []time.Duration
+	arrivedAt     time.Duration // on the planner's clock; may be negative
+	objective     time.Duration // latency objective, counted from acceptance
+	weight        float64
+	cancelled     bool
+	started       bool
+	changed       bool // is in Planner.changed
+	unstored      bool // changed since its record was last confirmed to be stored
 }
 
 func (j *job) open() bool { return !j.rec.State.Ended() && !j.cancelled }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -155,25 +155,26 @@
 	return sum
 }
 
-// CriticalPath returns the estimated duration of the longest chain of dependent
-// steps that starts with step from.
-func (j *Job) CriticalPath(from int) time.Duration {
-	longest := time.Duration(0)
-	for i := from + 1; i < len(j.Steps); i++ {
+// CriticalPaths returns, for each step, the estimated duration of the longest chain of
+// dependent steps that starts with it. Its time is linear in the number of steps and
+// dependencies.
+func (j *Job) CriticalPaths() []time.Duration {
+	paths := make([]time.Duration, len(j.Steps)) // of a step's dependents, until the step is reached
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		paths[i] += j.Steps[i].Estimate
 		for _, dep := range j.Steps[i].After {
-			if dep == from {
-				longest = max(longest, j.CriticalPath(i))
-			}
+			paths[dep] = max(paths[dep], paths[i])
 		}
 	}
-	return j.Steps[from].Estimate + longest
+	return paths
 }
 
 // Objective returns the job's latency objective, counted from its acceptance.
-func (j *Job) Objective() time.Duration {
+// criticalPaths are those of CriticalPaths.
+func (j *Job) Objective(criticalPaths []time.Duration) time.Duration {
 	longest := time.Duration(0)
-	for i := range j.Steps {
-		longest = max(longest, j.CriticalPath(i))
+	for _, path := range criticalPaths {
+		longest = max(longest, path)
 	}
 	return time.Duration(j.Stretch*float64(longest)) + j.Target
 }
