Reject jobs whose counts, amounts or times exceed limits before adding them up

The sum of the counts is negative, so it was below the limit, and the planner created a unit for each task until the process was killed. Each later owner read the stored job and met the same end.

Change: a count is compared with what is left of the limit before it is added. Amounts, estimates, intervals and due times have limits too, so that no sum over a job overflows; objectives and critical paths end at a year. An owner checks stored jobs before it creates anything for them, and ends those beyond the limits as failed.

--- a/internal/duty/intake/intake_test.go
+++ b/internal/duty/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -197,3 +198,46 @@
 		must.False(t, stored)
 	})
 }
+
+// Guards against sums and products over a job that overflow: a job whose counts did was
+// accepted and took the pool's owner down again and again. An accepted job must be
+// within the limits of work.Job.
+func TestJobBeyondLimitsIsRejectedAtOnce(t *testing.T) {
+	one := []work.Step{{Count: 1}}
+	for name, sub := range map[string]work.Submission{
+		"sum of counts":        {Steps: []work.Step{{Count: 1 << 62}, {Count: 1 << 62}}},
+		"count and a negative": {Steps: []work.Step{{Count: 1 << 62}, {Count: -1 << 62}}},
+		"too many tasks":       {Steps: []work.Step{{Count: work.MaxTasks + 1}}},
+		"tasks of occurrences": {Steps: []work.Step{{Count: 3}}, Schedule: work.Schedule{Count: 1 << 62, Every: 1}},
+		"amount":               {Steps: []work.Step{{Count: 1, Need: work.Resources{Accel: 1 << 62}}}},
+		"estimate":             {Steps: []work.Step{{Count: 1, Estimate: 1 << 62}}},
+		"negative estimate":    {Steps: []work.Step{{Count: 1, Estimate: -1}}},
+		"first due time":       {Steps: one, Schedule: work.Schedule{Count: 1, First: math.MaxInt64}},
+		"last due time":        {Steps: one, Schedule: work.Schedule{Count: work.MaxTasks, First: work.MaxDue - time.Hour, Every: time.Minute}},
+		"interval":             {Steps: one, Schedule: work.Schedule{Count: 3, Every: math.MaxInt64}},
+		"negative limit":       {Steps: []work.Step{{Count: 1, MaxUnavailable: -1}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t)
+				before := time.Now()
+				err := env.intake.Submit(t.Context(), env.caller(), "a", sub)
+				must.True(t, fault.Is(err, fault.Invalid), must.Sprint(err))
+				must.EqOp(t, 0, time.Since(before))
+				time.Sleep(time.Second)
+				_, stored := env.intake.replica.Job("a")
+				must.False(t, stored)
+			})
+		})
+	}
+}
+
+func TestLargestJobIsAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		must.NoError(t, env.intake.Submit(t.Context(), env.caller(), "a", work.Submission{
+			Steps:    []work.Step{{Count: work.MaxTasks / 4, Estimate: work.MaxDuration, Need: work.Resources{CPU: work.MaxAmount}}},
+			Schedule: work.Schedule{Count: 4, First: work.MaxDue - 3*work.MaxDuration, Every: work.MaxDuration},
+		}))
+	})
+}
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -16,12 +16,16 @@
 }
 
 // AddJob adds a job that was accepted age ago. It has no effect if the job is
-// known or its record is in a final state. Jobs that a previous owner may have
+// known or its record is in a final state. A job that can't be planned fails. Jobs that a previous owner may have
 // started are inherited: during a recovery they wait as Recover describes.
 func (p *Planner) AddJob(now, age time.Duration, rec work.Record, inherited bool) {
 	if p.jobs[rec.Job.ID] != nil || rec.State.Ended() {
 		return
 	}
+	if !rec.Job.Plannable() {
+		p.failUnplannable(now, age, rec)
+		return
+	}
 	criticalPaths := rec.Job.CriticalPaths()
 	j := &job{
 		rec:           rec,
@@ -66,6 +70,15 @@
 	delete(p.orphanResults, rec.Job.ID)
 }
 
+// failUnplannable adds a job that was stored without the checks of work.Job.Check as
+// failed, since its tasks may exceed this process's memory.
+func (p *Planner) failUnplannable(now, age time.Duration, rec work.Record) {
+	j := &job{rec: rec, arrivedAt: now - age}
+	p.jobs[rec.Job.ID] = j
+	p.jobsByArrival = append(p.jobsByArrival, j)
+	p.finish(j, work.Failed, now)
+}
+
 // adoptionDelay is how long a job that a previous owner held waits for workers to
 // report its runs. It covers a long poll and its timeout.
 const adoptionDelay = 1700 * time.Millisecond
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -84,7 +84,7 @@
 // a job without weight.
 func (p *Planner) sizeFactor(j *job) float64 {
 	m := p.queueMeanWeight[j.rec.Job.Queue]
-	if m == nil || m.n == 0 || j.weight <= 0 {
+	if m == nil || m.sum <= 0 || j.weight <= 0 {
 		return 1
 	}
 	size := j.weight * m.n / m.sum
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -2,7 +2,13 @@
 // configuration as plain data for the planner and its callers.
 package work
 
-import "time"
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+)
 
 // Resources is an amount of a worker's capacity.
 type Resources struct {
@@ -138,6 +144,103 @@
 	PolicyControlled bool `cbor:"13,keyasint,omitempty"`
 }
 
+// Limits of a job. They bound the memory and time that one job costs the owner of its
+// pool, and keep sums over its tasks far from overflowing.
+const (
+	// MaxTasks limits the tasks of all occurrences of a job.
+	MaxTasks = 20000
+	// MaxAmount limits each resource that a task needs, in the unit of Resources.
+	MaxAmount = 1 << 32
+	// MaxDuration limits each time in a job that isn't a date.
+	MaxDuration = 365 * 24 * time.Hour
+	// MaxDue limits the due time of each occurrence, as the time since the Unix epoch.
+	MaxDue = 200 * MaxDuration
+)
+
+// Tasks returns the number of tasks of all occurrences. It reports false if there are
+// more than MaxTasks.
+func (j *Job) Tasks() (int, bool) {
+	tasks, occurrences := 0, j.Occurrences()
+	for i := range j.Steps {
+		// Compared before it is added, so that the sum can't overflow.
+		count := max(j.Steps[i].Count, 0)
+		if count > MaxTasks/occurrences-tasks {
+			return 0, false
+		}
+		tasks += count
+	}
+	return tasks * occurrences, true
+}
+
+// Plannable reports whether a job can be planned within bounded time and memory. Every
+// job without problems can.
+func (j *Job) Plannable() bool {
+	for i := range j.Steps {
+		for _, dep := range j.Steps[i].After {
+			if dep < 0 || dep >= i {
+				return false
+			}
+		}
+	}
+	_, ok := j.Tasks()
+	return ok
+}
+
+// Check returns the problems of a job that no pool can run, none if there are none.
+func (j *Job) Check() []fault.Problem {
+	var problems []fault.Problem
+	add := func(path string, value any, allowed string) {
+		problems = append(problems, fault.Problem{Path: path, Value: fmt.Sprint(value), Allowed: allowed})
+	}
+	duration := func(path string, d time.Duration) {
+		if d < 0 || d > MaxDuration {
+			add(path, d, fmt.Sprintf("0 to %v", MaxDuration))
+		}
+	}
+	if len(j.Steps) == 0 {
+		add("steps", "none", "at least one")
+	}
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		path := fmt.Sprintf("steps[%d]", i)
+		if s.Count < 1 {
+			add(path+".count", s.Count, "at least 1")
+		}
+		largest := Resources{MaxAmount, MaxAmount, MaxAmount}
+		if s.Need.CPU < 0 || s.Need.MemMB < 0 || s.Need.Accel < 0 || !largest.Fits(s.Need) {
+			add(path+".need", s.Need, fmt.Sprintf("amounts from 0 to %d", int64(MaxAmount)))
+		}
+		for _, n := range []struct {
+			name  string
+			value int64
+		}{{"best_effort_cpu", s.BestEffortCPU}, {"max_per_worker", int64(s.MaxPerWorker)}, {"max_unavailable", int64(s.MaxUnavailable)}} {
+			if n.value < 0 || n.value > MaxAmount {
+				add(path+"."+n.name, n.value, fmt.Sprintf("0 to %d", int64(MaxAmount)))
+			}
+		}
+		duration(path+".estimate", s.Estimate)
+		duration(path+".tail_latency_target", s.TailLatencyTarget)
+		for _, dep := range s.After {
+			if dep < 0 || dep >= i {
+				add(path+".after", dep, "an earlier step")
+			}
+		}
+	}
+	schedule := &j.Schedule
+	if schedule.Count < 0 {
+		add("schedule.count", schedule.Count, "no negative value")
+	}
+	duration("schedule.every", schedule.Every)
+	// Written as a division, which can't overflow.
+	if schedule.First < 0 || schedule.First > MaxDue || schedule.Every > 0 && time.Duration(max(schedule.Count-1, 0)) > (MaxDue-schedule.First)/schedule.Every {
+		add("schedule", fmt.Sprintf("%d times from %v, every %v", schedule.Count, schedule.First, schedule.Every), fmt.Sprintf("from 1970 to %v later", MaxDue))
+	}
+	if _, ok := j.Tasks(); !ok {
+		add("steps", fmt.Sprintf("%d times", j.Occurrences()), fmt.Sprintf("up to %d tasks in all", MaxTasks))
+	}
+	return problems
+}
+
 // Occurrences returns how many times the job's steps run, at least 1.
 func (j *Job) Occurrences() int { return max(j.Schedule.Count, 1) }
 
@@ -156,12 +259,12 @@
 }
 
 // CriticalPaths returns, for each step, the estimated duration of the longest chain of
-// dependent steps that starts with it. Its time is linear in the number of steps and
+// dependent steps that starts with it, at most MaxDuration. Its time is linear in the number of steps and
 // dependencies.
 func (j *Job) CriticalPaths() []time.Duration {
 	paths := make([]time.Duration, len(j.Steps)) // of a step's dependents, until the step is reached
 	for i := len(j.Steps) - 1; i >= 0; i-- {
-		paths[i] += j.Steps[i].Estimate
+		paths[i] = min(paths[i]+j.Steps[i].Estimate, MaxDuration)
 		for _, dep := range j.Steps[i].After {
 			paths[dep] = max(paths[dep], paths[i])
 		}
@@ -169,14 +272,14 @@
 	return paths
 }
 
-// Objective returns the job's latency objective, counted from its acceptance.
-// criticalPaths are those of CriticalPaths.
+// Objective returns the job's latency objective, counted from its acceptance, at most
+// MaxDuration. criticalPaths are those of CriticalPaths.
 func (j *Job) Objective(criticalPaths []time.Duration) time.Duration {
 	longest := time.Duration(0)
 	for _, path := range criticalPaths {
 		longest = max(longest, path)
 	}
-	return time.Duration(j.Stretch*float64(longest)) + j.Target
+	return time.Duration(math.Min(j.Stretch*float64(longest)+float64(j.Target), float64(MaxDuration)))
 }
 
 // State is the state of a job as reported to its caller.
