Log why a job waits

Once a second an owner examines up to ten jobs of which nothing runs though a task's turn has come for 2 s, and logs "job waiting" with the cause and its figures: recovery, retry delay, claimed capacity, outranked, reserved for which jobs, no room, or no rack with room though several have it. A cause that doesn't change is repeated after 10 s. Test: TestWaitingJobIsReportedWithItsCause.

--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -240,6 +240,7 @@
 		case <-report.C:
 			waiting, running := o.planner.Counts()
 			o.deps.Observer.ReportOwnership(o.pool, true, waiting, running)
+			o.planner.ReportWaiting(o.now())
 			continue
 		case <-ctx.Done():
 			return
--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -144,7 +144,7 @@
 			}
 		}
 	}
-	if !s.Gang || !s.SameRack || u.count == 1 || spread {
+	if !s.PrefersOneRack() || spread {
 		return v.placeOn(u, v.allWorkers(), avoid)
 	}
 	var best []placement
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -34,7 +34,7 @@
 	p.finishRecovery(now)
 	p.stopRemainingRuns(now)
 	p.stopStalled(now)
-	p.awaitingTickets = nil
+	p.awaitingTickets, p.reservations = nil, nil
 	v := p.newView(now)
 	p.placeClaims(v)
 	reservations := 0
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -293,3 +293,27 @@
 	must.EqOp(t, 0, starts(r.plan()))
 	must.EqOp(t, work.Completed, r.p.TakeChanged()[0].State)
 }
+
+// Guards against a job that waits without a line that tells why.
+func TestWaitingJobIsReportedWithItsCause(t *testing.T) {
+	r := newHarness(t, 2, 2)
+	r.add(r.job("large", 1, gangOf(5, 8, 60)))
+	r.advance(100 * time.Millisecond)
+	r.p.TakeLogEntries()
+	report := func() []string {
+		r.p.ReportWaiting(r.now)
+		var out []string
+		for _, entry := range r.p.TakeLogEntries() {
+			out = append(out, entry.Event+" "+entry.Job+" "+entry.Detail)
+		}
+		return out
+	}
+	must.SliceEmpty(t, report())
+	r.now += reportWaitingAfter
+	must.Eq(t, []string{"job waiting large no room: 4 of 5 tasks fit, 2 on one rack; 4 workers usable"}, report())
+	r.now += time.Second
+	must.SliceEmpty(t, report())
+	r.p.SetReachable("w00", false)
+	r.now += reportWaitingAgainAfter
+	must.Eq(t, []string{"job waiting large no room: 3 of 5 tasks fit, 2 on one rack; 3 workers usable, 1 silent"}, report())
+}
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -27,7 +27,7 @@
 // the guarantee, if stopping it costs more than the unit's own work.
 func (p *Planner) reclaim(u *unit, v *view, withinGuarantee, spread bool) bool {
 	groups := [][]int{v.allWorkers()}
-	if u.spec().Gang && u.spec().SameRack && u.count > 1 && !spread {
+	if u.spec().PrefersOneRack() && !spread {
 		groups = v.racks
 	}
 	var best *eviction
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -12,7 +12,7 @@
 // indefinitely.
 func (v *view) reserve(u *unit) {
 	groups := [][]int{v.allWorkers()}
-	if u.spec().Gang && u.spec().SameRack && u.count > 1 {
+	if u.spec().PrefersOneRack() {
 		groups = v.racks
 	}
 	var best []int
@@ -23,11 +23,25 @@
 			best, bestAt = chosen, at
 		}
 	}
+	if len(best) == 0 {
+		return
+	}
+	r := reservation{unit: u, from: bestAt, workers: map[string]bool{}}
 	for _, i := range best {
 		if v.reservedFrom[i] == 0 || v.reservedFrom[i] > bestAt {
 			v.reservedFrom[i] = bestAt
+			r.workers[v.workers[i].info.ID] = true
 		}
 	}
+	v.planner.reservations = append(v.planner.reservations, r)
+}
+
+// reservation is the workers that a pass reserved for a waiting unit, and when it is
+// estimated to fit on them.
+type reservation struct {
+	unit    *unit
+	from    time.Duration
+	workers map[string]bool
 }
 
 // firstFit returns the time at which the unit is estimated to fit on the given
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -193,9 +193,7 @@
 	job      string
 }
 
-func (w *worker) usable(now time.Duration) bool {
-	return w.contacted && w.reachable && w.listed && !w.info.Draining && !w.health.excluded(now)
-}
+func (w *worker) usable(now time.Duration) bool { return w.unusableCause(now) == "" }
 
 type job struct {
 	rec   work.Record
@@ -217,6 +215,7 @@
 	weight        float64
 	cancelled     bool
 	started       bool
+	reported      waitingReport
 	changed       bool // is in Planner.changed
 	unstored      bool // changed since its record was last confirmed to be stored
 }
@@ -241,6 +240,7 @@
 	orphanResults   map[string][]orphanResult
 	queueMeanWeight map[string]*mean // mean weight of the jobs, by queue
 	urgentDemand    demand
+	nextWaiting     int // index in jobsByArrival of the job that ReportWaiting examined last
 	// wallOffset is the wall clock, as the time since the Unix epoch, minus the
 	// planner's clock. Scheduled occurrences don't start before it is set.
 	wallOffset   time.Duration
@@ -251,6 +251,7 @@
 	// couldn't place. NextPolicyQuery takes it.
 	awaitingTickets *unit
 	orders          []Order
+	reservations    []reservation // of the last pass
 	// changed lists the jobs that changed since the last call of TakeChanged.
 	changed    []*job
 	discarded  map[string]float64 // core-seconds, by cause
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -93,6 +93,10 @@
 	Image string `cbor:"17,keyasint,omitempty"`
 }
 
+// PrefersOneRack reports whether the step's tasks slow each other down when they run on
+// more than one rack.
+func (s *Step) PrefersOneRack() bool { return s.Gang && s.SameRack && s.Count > 1 }
+
 // Schedule repeats a job's steps. Occurrences may overlap.
 type Schedule struct {
 	// Count is the number of occurrences; 0 for a job that runs once,
