--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -32,6 +32,11 @@
 	profiles    map[string]Profile
 	starts      int
 	startedJobs map[string]bool // jobs of which a run has started
+	succeeded   map[work.TaskID]bool
+	failedRuns  map[work.TaskID]map[int64]bool // numbers of the failed runs
+	// needs returns what a task needs; nil while the workers don't guard their
+	// capacity.
+	needs func(work.TaskID) work.Resources
 }
 
 // Profile describes how a job's tasks run.
@@ -40,6 +45,9 @@
 	// Fails makes each run fail after RunTime.
 	Fails    bool
 	GangSize int // members that must run together; 0 for single tasks
+	// RackSlowdown is the factor by which a gang runs slower on more than one rack; 0
+	// for none.
+	RackSlowdown float64
 }
 
 // PoolWorker is one worker of a Pool. Pool.mu guards its fields.
@@ -102,7 +110,7 @@
 // NewPool returns a pool without workers.
 func NewPool() *Pool {
 	return &Pool{GangTimeout: 3 * time.Second, StopDuration: 400 * time.Millisecond, workers: map[string]*PoolWorker{},
-		finished: map[work.TaskID]bool{}, profiles: map[string]Profile{}, startedJobs: map[string]bool{}}
+		finished: map[work.TaskID]bool{}, succeeded: map[work.TaskID]bool{}, failedRuns: map[work.TaskID]map[int64]bool{}, profiles: map[string]Profile{}, startedJobs: map[string]bool{}}
 }
 
 // Add starts a worker at info.Address.
@@ -121,6 +129,69 @@
 	p.profiles[spec] = profile
 }
 
+// GuardCapacity makes the workers reject starts that exceed their free capacity. needs
+// returns what a task needs.
+func (p *Pool) GuardCapacity(needs func(work.TaskID) work.Resources) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.needs = needs
+}
+
+// Remove ends the worker at an address for good. Calls to it are not answered.
+func (p *Pool) Remove(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.workers, address)
+}
+
+// WorkerUsage is what one worker runs.
+type WorkerUsage struct {
+	Worker work.Worker
+	Free   work.Resources // 0 needs are assumed unless the capacity is guarded
+	Runs   []work.TaskID
+}
+
+// Usage returns the usage of all workers, in no particular order.
+func (p *Pool) Usage() []WorkerUsage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]WorkerUsage, 0, len(p.workers))
+	for _, w := range p.workers {
+		w.advance(time.Now())
+		u := WorkerUsage{Worker: w.info, Free: w.free()}
+		for task := range w.runs {
+			u.Runs = append(u.Runs, task)
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
+// Succeeded reports whether a run of the task has ended with success, acknowledged or
+// not.
+func (p *Pool) Succeeded(task work.TaskID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.succeeded[task]
+}
+
+// FailedRuns returns the numbers of a task's runs that have failed.
+func (p *Pool) FailedRuns(task work.TaskID) []int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.failedRuns[task]))
+}
+
+func (w *PoolWorker) free() work.Resources {
+	free := w.info.Capacity
+	if w.pool.needs != nil {
+		for task := range w.runs {
+			free = free.Sub(w.pool.needs(task))
+		}
+	}
+	return free
+}
+
 // SetFaults replaces the faults of the worker at an address, which must exist.
 func (p *Pool) SetFaults(address string, f PoolFaults) {
 	p.mu.Lock()
@@ -276,7 +347,7 @@
 		return port.RejectedStaleRun
 	case !w.at(o.LeaseEnd).After(now):
 		return port.RejectedLeaseExpired
-	case w.runs[o.Task] != nil:
+	case w.runs[o.Task] != nil, w.pool.needs != nil && !w.free().Fits(w.pool.needs(o.Task)):
 		return port.RejectedCapacity
 	}
 	w.pool.checkStart(w, o.Task)
@@ -404,6 +475,15 @@
 	delete(w.runs, r.task)
 	w.lastEnded[r.task] = max(w.lastEnded[r.task], r.number)
 	w.lastSequence++
+	switch kind {
+	case port.ResultSucceeded:
+		w.pool.succeeded[r.task] = true
+	case port.ResultFailed:
+		if w.pool.failedRuns[r.task] == nil {
+			w.pool.failedRuns[r.task] = map[int64]bool{}
+		}
+		w.pool.failedRuns[r.task][r.number] = true
+	}
 	w.results = append(w.results, poolResult{RunResult: port.RunResult{Sequence: w.lastSequence, Task: r.task, Run: r.number, Kind: kind}})
 }
 
@@ -421,7 +501,7 @@
 		gang := r.profile.GangSize > 0
 		complete := !gang || w.pool.runningMembers(r) >= r.profile.GangSize
 		if complete && !w.faults.StallRuns {
-			r.completed += now.Sub(r.lastAdvance)
+			r.completed += w.pool.progress(r, now.Sub(r.lastAdvance))
 		}
 		r.lastAdvance = now
 		switch {
@@ -441,6 +521,25 @@
 	}
 }
 
+// progress returns the run time that a run completes in elapsed.
+func (p *Pool) progress(r *poolRun, elapsed time.Duration) time.Duration {
+	if r.profile.RackSlowdown <= 1 || r.profile.GangSize < 2 {
+		return elapsed
+	}
+	racks := map[string]bool{}
+	for _, w := range p.workers {
+		for _, other := range w.runs {
+			if sameGang(other, r) {
+				racks[w.info.Rack] = true
+			}
+		}
+	}
+	if len(racks) > 1 {
+		return time.Duration(float64(elapsed) / r.profile.RackSlowdown)
+	}
+	return elapsed
+}
+
 // succeed ends a run and the other runs of its gang with success.
 func (w *PoolWorker) succeed(r *poolRun) {
 	w.endRun(r, port.ResultSucceeded)
