Keep transactions and rows within the store's limits

Cause: a transaction took up to 80 job rows, which are 160 entries, and the store takes 100. Its rejection was handled like an outage, so the same transaction was repeated for ever and its partition took nothing else.

Change: RowStore states its limits, and transactions are filled up to them, by entries and by bytes. A rejected transaction is split; a row that is rejected alone doesn't hold up the others. A job that could never be stored is rejected at submission; before, its caller waited for the deadline.

--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -134,8 +134,9 @@
 		in.log.Info(EventRejected, zap.String("job", id), zap.String("queue", q.Name), zap.String("why", "the store is away"), zap.Duration("away", unavailableFor))
 		return errStoreUnavailable
 	}
-	value, err := work.Encode(work.Record{Job: job, State: work.Queued})
+	value, err := in.encode(&job)
 	if err != nil {
+		in.log.Info(EventRejected, zap.String("job", id), zap.String("queue", q.Name), zap.Error(err))
 		return err
 	}
 	version, err := in.commit(ctx, caller, replica.JobKeys(q.Pool, id), func(key port.RowKey) port.RowTxn {
--- a/internal/duty/intake/intake_test.go
+++ b/internal/duty/intake/intake_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -241,3 +243,49 @@
 		}))
 	})
 }
+
+// Guards against a submission that the store rejects each time: the caller waited until its
+// deadline and wasn't told why.
+func TestJobTooLargeForTheStoreIsRejectedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		rng := rand.New(rand.NewPCG(1, 1))
+		var steps []work.Step
+		for range 4000 {
+			steps = append(steps, work.Step{Count: 1, RequiredLabel: fmt.Sprintf("%016x%016x%016x", rng.Uint64(), rng.Uint64(), rng.Uint64())})
+		}
+		before := time.Now()
+		err := env.intake.Submit(t.Context(), env.caller(), "a", work.Submission{Steps: steps})
+		must.True(t, fault.Is(err, fault.Invalid), must.Sprint(err))
+		must.EqOp(t, 0, time.Since(before))
+	})
+}
+
+// An accepted job must be storable in every state of its progress that can't be left out.
+func TestLargestAcceptedJobIsStorableWithItsProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		rng := rand.New(rand.NewPCG(1, 1))
+		spec := make([]byte, maxSpecBytes)
+		for i := range spec {
+			spec[i] = byte('!' + rng.IntN(90))
+		}
+		job := work.Job{ID: "5c0e7a21d94b36f8", Pool: "p", Queue: "q", Spec: string(spec), Steps: []work.Step{{Count: work.MaxTasks}}}
+		_, err := env.intake.encode(&job)
+		must.NoError(t, err)
+		for _, share := range []float64{0.1, 0.5, 0.9, 1} {
+			rec := work.Record{Job: job, State: work.Running, Steps: make([]work.StepProgress, 1)}
+			for i := range work.MaxTasks {
+				if rng.Float64() < share {
+					rec.Steps[0].Done = append(rec.Steps[0].Done, i)
+				}
+			}
+			value, err := work.Encode(&rec)
+			must.NoError(t, err)
+			must.LessEq(t, env.rows.Limits().ValueBytes, len(value))
+			var back work.Record
+			must.NoError(t, work.Decode(value, &back))
+			must.Eq(t, rec.Steps, back.Steps)
+		}
+	})
+}
--- a/internal/duty/pool/cluster_test.go
+++ b/internal/duty/pool/cluster_test.go
@@ -68,6 +68,8 @@
 	slowAt   string
 	// wallAhead is how far its wall clock is ahead.
 	wallAhead time.Duration
+	// wrapStore, if set, changes its direct route to the store.
+	wrapStore func(port.RowStore) port.RowStore
 	replica   *replica.Replica
 	cancel    context.CancelFunc
 	done      sync.WaitGroup
@@ -106,7 +108,11 @@
 	c.instances = append(c.instances, in)
 	ctx, cancel := context.WithCancel(context.Background())
 	in.cancel = cancel
-	store := relay.New(&faultyStore{in, c.store}, in.peers)
+	var direct port.RowStore = &faultyStore{in, c.store}
+	if in.wrapStore != nil {
+		direct = in.wrapStore(direct)
+	}
+	store := relay.New(direct, in.peers)
 	rep := replica.New(store, zap.NewNop(), c.now)
 	deps := Deps{
 		Store: store, Workers: &faultyWorkerClient{in, c.workers}, Registry: c.registry, Replica: rep,
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -21,9 +21,9 @@
 	heartbeatInterval = 200 * time.Millisecond
 	// commitTimeout allows for a store that is a hundred times slower than usual.
 	commitTimeout = 2500 * time.Millisecond
-	// rowsPerCommit is the largest number of job rows per transaction. The platform
-	// allows 100 entries.
-	rowsPerCommit = 80
+	// entriesPerRow is the number of entries that a job row takes in a transaction: its
+	// expected version and its value.
+	entriesPerRow = 2
 	// storeRetryDelay is the delay between commits while the store fails.
 	storeRetryDelay = 200 * time.Millisecond
 )
@@ -37,6 +37,8 @@
 	latest   map[string]int64 // sequence of each job's last record
 	pending  map[string]work.Record
 	inFlight map[string]bool // partitions with a transaction in flight
+	// maxRows limits the rows of a transaction in partitions that rejected a larger one.
+	maxRows map[string]int
 	// workersChanged is set while the stored list of workers is out of date.
 	workersChanged bool
 }
@@ -58,6 +60,7 @@
 	w.latest = map[string]int64{}
 	w.pending = map[string]work.Record{}
 	w.inFlight = map[string]bool{}
+	w.maxRows = map[string]int{}
 }
 
 func (o *Owner) writeChanged(ctx context.Context) {
@@ -75,21 +78,32 @@
 		w.latest[rec.Job.ID] = rec.Sequence
 		w.pending[rec.Job.ID] = rec
 	}
-	byPartition := map[string][]work.Record{}
+	batches := map[string]*batch{}
 	for id, rec := range w.pending {
 		partition := o.partitionFor(id)
-		if !w.inFlight[partition] && len(byPartition[partition]) < rowsPerCommit {
-			byPartition[partition] = append(byPartition[partition], rec)
+		if w.inFlight[partition] {
+			continue
+		}
+		if batches[partition] == nil {
+			batches[partition] = o.newBatch(partition)
+		}
+		b := batches[partition]
+		if b.full() {
+			continue
+		}
+		value, err := o.encodeWithinLimits(ctx, &rec)
+		switch {
+		case err != nil:
+			o.log.Error("record can't be stored", zap.String("job", id), zap.Error(err))
+			delete(w.pending, id) // the job's next change tries again
+		case value != nil && b.add(rec, o.writer.versions[jobRowKey{partition, id}], value):
 			delete(w.pending, id)
 		}
 	}
-	for partition, records := range byPartition {
-		txn, err := o.jobTxn(partition, records)
-		if err != nil {
-			o.log.Error("records can't be encoded", zap.Error(err))
-			continue
+	for partition, b := range batches {
+		if len(b.records) > 0 {
+			o.startCommit(ctx, partition, b.records, b.txn)
 		}
-		o.startCommit(ctx, partition, records, txn)
 	}
 	if w.workersChanged && !w.inFlight[o.pool] {
 		o.writeWorkers(ctx)
@@ -108,21 +122,6 @@
 	return replica.ChooseKey(replica.JobKeys(o.pool, id), 0, o.deps.StoreHealth.PartitionDown).Partition
 }
 
-func (o *Owner) jobTxn(partition string, records []work.Record) (port.RowTxn, error) {
-	txn := port.RowTxn{ExpectedVersions: map[port.RowKey]int64{}, Puts: map[port.RowKey][]byte{}}
-	for i := range records {
-		id := records[i].Job.ID
-		value, err := work.Encode(&records[i])
-		if err != nil {
-			return txn, err
-		}
-		key := replica.JobKeyIn(partition, id)
-		txn.ExpectedVersions[key] = o.writer.versions[jobRowKey{partition, id}]
-		txn.Puts[key] = value
-	}
-	return txn, nil
-}
-
 // storedWorkers returns the IDs of the workers that may run tasks, in ascending
 // order. It contains those that the registry doesn't list yet, so that the next owner
 // waits for them too. Workers that have left are not in it, and the next owner doesn't
@@ -172,15 +171,16 @@
 
 func (o *Owner) epochKey() port.RowKey { return replica.PoolKey(o.pool, replica.EpochKey) }
 
-// commit retries a transaction until its outcome is known or its partition is
-// unavailable.
+// commit retries a transaction until its outcome is known, the store rejects it for good
+// or its partition is unavailable.
 func (o *Owner) commit(ctx context.Context, result commitResult, txn port.RowTxn) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
 		version, err := o.deps.Store.Commit(call, txn)
 		cancel()
 		var conflict *port.RowConflictError
-		resolved := err == nil || errors.As(err, &conflict)
+		// The store rejects an invalid transaction each time.
+		resolved := err == nil || errors.As(err, &conflict) || fault.Is(err, fault.Invalid)
 		if !resolved {
 			if ctx.Err() == nil {
 				o.log.Warn("jobs not stored, retrying", zap.String("part", result.partition), zap.Int("jobs", len(result.records)), zap.Error(err))
@@ -206,10 +206,14 @@
 	case errors.As(r.err, &conflict):
 		o.mergeConflict(r, conflict)
 		return
+	case fault.Is(r.err, fault.Invalid):
+		o.commitRejected(r)
+		return
 	case r.err != nil:
 		o.retryElsewhere(r)
 		return
 	}
+	delete(w.maxRows, r.partition)
 	for i := range r.records {
 		rec := &r.records[i]
 		w.versions[jobRowKey{r.partition, rec.Job.ID}] = r.version
@@ -224,6 +228,20 @@
 	}
 }
 
+// commitRejected requeues the records of a transaction that the store will never accept,
+// for smaller ones. A record that is rejected alone is given up until the job's next
+// change, so that the partition's other jobs are stored.
+func (o *Owner) commitRejected(r commitResult) {
+	o.log.Error("transaction rejected by the store", zap.String("part", r.partition), zap.Int("jobs", len(r.records)), zap.Error(r.err))
+	if len(r.records) < 2 {
+		return
+	}
+	o.writer.maxRows[r.partition] = len(r.records) / 2
+	for i := range r.records {
+		o.writer.requeue(&r.records[i])
+	}
+}
+
 // retryElsewhere requeues the records of an unavailable partition. Their next
 // transaction goes to another of their partitions.
 func (o *Owner) retryElsewhere(r commitResult) {
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -70,6 +70,9 @@
 // Now implements port.RowStore.
 func (s *Store) Now() (time.Duration, bool) { return s.direct.Now() }
 
+// Limits implements port.RowStore.
+func (s *Store) Limits() port.RowLimits { return s.direct.Limits() }
+
 // retryable reports whether the call may succeed on another route.
 func retryable(err error) bool {
 	switch fault.CodeOf(err) {
--- a/internal/fake/rows.go
+++ b/internal/fake/rows.go
@@ -48,6 +48,30 @@
 // Now implements port.RowStore.
 func (r *Rows) Now() (time.Duration, bool) { return time.Since(r.createdAt), true }
 
+// Limits implements port.RowStore.
+func (r *Rows) Limits() port.RowLimits {
+	return port.RowLimits{Entries: 100, TxnBytes: 700_000, ValueBytes: 65536}
+}
+
+// checkLimits fails with fault.Invalid for a transaction beyond the limits.
+func (r *Rows) checkLimits(txn *port.RowTxn) error {
+	limits := r.Limits()
+	if len(txn.ExpectedVersions)+len(txn.Puts)+len(txn.Deletes) > limits.Entries {
+		return fault.New(fault.Invalid, "the transaction has too many entries")
+	}
+	sum := 0
+	for _, value := range txn.Puts {
+		sum += len(value)
+		if len(value) > limits.ValueBytes {
+			return fault.New(fault.Invalid, "a value of the transaction is too large")
+		}
+	}
+	if sum > limits.TxnBytes {
+		return fault.New(fault.Invalid, "the transaction is too large")
+	}
+	return nil
+}
+
 // Commit implements port.RowStore. A conflict lists the current rows of all keys
 // with an expected version, also of those whose version is the expected one.
 func (r *Rows) Commit(ctx context.Context, txn port.RowTxn) (int64, error) {
@@ -55,6 +79,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := r.checkLimits(&txn); err != nil {
+		return 0, err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var conflict port.RowConflictError
--- a/internal/port/rows.go
+++ b/internal/port/rows.go
@@ -31,6 +31,15 @@
 	Deletes          []RowKey
 }
 
+// RowLimits are a store's limits. It rejects calls beyond them with fault.Invalid,
+// however often they are repeated.
+type RowLimits struct {
+	// Entries limits the expected versions, puts and deletes of a transaction together.
+	Entries int
+	// TxnBytes limits the values of a transaction together, and ValueBytes each.
+	TxnBytes, ValueBytes int
+}
+
 // RowConflictError reports a transaction that was rejected because rows didn't have
 // their expected versions.
 type RowConflictError struct {
@@ -78,6 +87,8 @@
 	// continue. It fails with fault.NotFound when the store no longer has the
 	// history since the version.
 	Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]VersionedRow, int64, error)
+	// Limits returns the store's limits, which don't change.
+	Limits() RowLimits
 	// Now returns an estimate of the store's monotonic clock. It reports false until
 	// the store has answered a call.
 	Now() (time.Duration, bool)
--- a/internal/work/codec.go
+++ b/internal/work/codec.go
@@ -1,6 +1,9 @@
 package work
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -8,15 +11,42 @@
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 )
 
+const (
+	// compressAbove is the size above which a row is compressed, in bytes. Smaller rows
+	// can be read by earlier builds.
+	compressAbove = 60 << 10
+	// compressedMark is the first byte of a compressed row. CBOR items don't begin with
+	// it.
+	compressedMark = 0xff
+	// maxDecodedBytes limits the size of a row after decompression.
+	maxDecodedBytes = 32 << 20
+)
+
 // Encode returns the stored form of a row. It fails with fault.Internal.
 func Encode(v any) ([]byte, error) {
 	b, err := cbor.Marshal(v)
+	if err == nil && len(b) > compressAbove {
+		b, err = compress(b)
+	}
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, "encode row", err)
 	}
 	return b, nil
 }
 
+func compress(b []byte) ([]byte, error) {
+	out := bytes.NewBuffer([]byte{compressedMark})
+	w, err := flate.NewWriter(out, flate.DefaultCompression)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(b); err != nil {
+		return nil, err
+	}
+	err = w.Close()
+	return out.Bytes(), err
+}
+
 // recordSummary are the fields of a Record that tell a job's state without its
 // progress. It has the keys of Record and Job.
 type recordSummary struct {
@@ -45,6 +75,13 @@
 
 // Decode parses a stored row into v. It fails with fault.Invalid.
 func Decode(b []byte, v any) error {
+	if len(b) > 0 && b[0] == compressedMark {
+		inflated, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b[1:])), maxDecodedBytes))
+		if err != nil {
+			return fault.Wrap(fault.Invalid, "decompress row", err)
+		}
+		b = inflated
+	}
 	if err := cbor.Unmarshal(b, v); err != nil {
 		return fault.Wrap(fault.Invalid, "decode row", err)
 	}
