Tell the planner of missing jobs before the first worker reports

Cause: the planner keeps results of unknown jobs only while it knows that jobs may be missing. It was told at the end of the first turn of the owner's loop, after the reports that had arrived by then; their results were dropped and acknowledged. Evidence: TestTakeoverKeepsResultsOfJobsInUnreadPartitions: without the change the success of a job that isn't read yet may be acknowledged.

Change: the owner tells the planner before it calls the first worker.

--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -34,6 +34,8 @@
 	if err := o.deps.Replica.Await(ctx, o.epochVersion); err != nil {
 		return err
 	}
+	// Before any worker reports: results of jobs that aren't read yet must be kept.
+	o.planner.SetJobsIncomplete(!o.deps.Replica.Complete())
 	jobs := o.deps.Replica.Jobs(o.pool)
 	workers, _, err := o.deps.Registry.Workers(ctx)
 	if err != nil {
