Measure the length of a store's outage by the monotonic clock

Found while looking for clocks that are read wrongly: the relay kept the begin of an outage as a Unix time.

The relay is given the instance's monotonic clock. Seen only by reading; the test, TestLengthOfAnOutageFollowsTheGivenClock, drives the given clock.

--- a/internal/duty/intake/intake_test.go
+++ b/internal/duty/intake/intake_test.go
@@ -56,13 +56,14 @@
 func newTestEnv(t *testing.T) *testEnv {
 	began := time.Now()
 	rows := fake.NewRows()
-	store := relay.New(rows, func() []port.RowStore { return nil })
-	rep := replica.New(store, zap.NewNop(), func() time.Duration { return time.Since(began) })
+	now := func() time.Duration { return time.Since(began) }
+	store := relay.New(rows, func() []port.RowStore { return nil }, now)
+	rep := replica.New(store, zap.NewNop(), now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); rep.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	env := &testEnv{rows: rows, store: &delayedReplies{RowStore: store}, now: func() time.Duration { return time.Since(began) }}
+	env := &testEnv{rows: rows, store: &delayedReplies{RowStore: store}, now: now}
 	in := New(Deps{
 		Store: env.store, Health: store, Replica: rep, Log: zap.NewNop(), Now: env.now, KeyPolicy: func() keylease.Policy { return env.policy },
 	})
--- a/internal/duty/pool/cluster_test.go
+++ b/internal/duty/pool/cluster_test.go
@@ -112,7 +112,7 @@
 	if in.wrapStore != nil {
 		direct = in.wrapStore(direct)
 	}
-	store := relay.New(direct, in.peers)
+	store := relay.New(direct, in.peers, c.now)
 	rep := replica.New(store, zap.NewNop(), c.now)
 	deps := Deps{
 		Store: store, Workers: &faultyWorkerClient{in, c.workers}, Registry: c.registry, Replica: rep,
--- a/internal/duty/pool/partition_test.go
+++ b/internal/duty/pool/partition_test.go
@@ -62,7 +62,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var down atomic.Bool
 		down.Store(true)
-		store := relay.New(&unreadableStore{c.store, unreadable, &down}, func() []port.RowStore { return nil })
+		store := relay.New(&unreadableStore{c.store, unreadable, &down}, func() []port.RowStore { return nil }, c.now)
 		rep := replica.New(store, testLog(), c.now)
 		election := NewElection(Deps{
 			Store: store, Workers: c.workers, Registry: c.registry, Replica: rep, Log: testLog(), Now: c.now, Observer: NoObserver{},
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -46,9 +46,10 @@
 type Store struct {
 	direct port.RowStore
 	peers  func() []port.RowStore
+	now    func() time.Duration // a monotonic clock
 	// directFailingSince is when the direct route began to fail or to take longer than
 	// the hedge delay, 0 if it works. While it is set, a peer is called soon after the
-	// direct route. Like unavailableSince, it is in nanoseconds since the Unix epoch.
+	// direct route. Like unavailableSince, it is in nanoseconds by now.
 	directFailingSince atomic.Int64
 	// unavailableSince is when calls with the scope wholeStore began to fail on all
 	// routes or to stay without an answer, 0 if the store answers.
@@ -62,9 +63,9 @@
 }
 
 // New returns a store that calls direct first. peers returns the current routes
-// through other instances.
-func New(direct port.RowStore, peers func() []port.RowStore) *Store {
-	return &Store{direct: direct, peers: peers}
+// through other instances. now is a monotonic clock.
+func New(direct port.RowStore, peers func() []port.RowStore, now func() time.Duration) *Store {
+	return &Store{direct: direct, peers: peers, now: now}
 }
 
 // Now implements port.RowStore.
@@ -176,7 +177,7 @@
 
 func (s *Store) markUnavailable(scope scope) {
 	if scope == wholeStore {
-		s.unavailableSince.CompareAndSwap(0, time.Now().UnixNano())
+		s.unavailableSince.CompareAndSwap(0, int64(max(s.now(), 1)))
 		return
 	}
 	s.partitionFailures.record(string(scope))
@@ -199,7 +200,7 @@
 // UnavailableFor returns how long calls that aren't limited to one partition have
 // failed on all routes or stayed without an answer, 0 once any call is answered.
 func (s *Store) UnavailableFor() time.Duration {
-	return elapsedSince(&s.unavailableSince)
+	return s.elapsedSince(&s.unavailableSince)
 }
 
 // recordResult records whether a route worked.
@@ -220,21 +221,21 @@
 		s.directFailingSince.Store(0)
 		return
 	}
-	s.directFailingSince.CompareAndSwap(0, time.Now().UnixNano())
+	s.directFailingSince.CompareAndSwap(0, int64(max(s.now(), 1)))
 }
 
 // DirectFailingFor returns how long the direct route has failed or taken longer than
 // the hedge delay, 0 if its last call was answered.
-func (s *Store) DirectFailingFor() time.Duration { return elapsedSince(&s.directFailingSince) }
+func (s *Store) DirectFailingFor() time.Duration { return s.elapsedSince(&s.directFailingSince) }
 
-// elapsedSince returns the time since start, which is in nanoseconds since the Unix
-// epoch. It returns 0 if start isn't set, and at least 1 ns otherwise.
-func elapsedSince(start *atomic.Int64) time.Duration {
+// elapsedSince returns the time since start, which is in nanoseconds by now. It returns 0
+// if start isn't set, and at least 1 ns otherwise.
+func (s *Store) elapsedSince(start *atomic.Int64) time.Duration {
 	at := start.Load()
 	if at == 0 {
 		return 0
 	}
-	return max(time.Since(time.Unix(0, at)), 1)
+	return max(s.now()-time.Duration(at), 1)
 }
 
 // Commit implements port.RowStore. A conflict with rows that already hold the
--- a/internal/duty/relay/relay_test.go
+++ b/internal/duty/relay/relay_test.go
@@ -63,7 +63,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				rows := fake.NewRows()
 				peers := []port.RowStore{newPeer(), newPeer(), &route{RowStore: rows}}
-				s := New(hanging(), func() []port.RowStore { return peers })
+				s := New(hanging(), func() []port.RowStore { return peers }, monotonicClock())
 				for range 4 {
 					commitDuration(t, s)
 				}
@@ -80,7 +80,7 @@
 		rows := fake.NewRows()
 		direct := hanging()
 		direct.RowStore = rows
-		s := New(direct, func() []port.RowStore { return []port.RowStore{&route{RowStore: rows}} })
+		s := New(direct, func() []port.RowStore { return []port.RowStore{&route{RowStore: rows}} }, monotonicClock())
 		must.EqOp(t, 0, s.DirectFailingFor())
 		commitDuration(t, s)
 		time.Sleep(time.Second)
@@ -90,3 +90,23 @@
 		must.EqOp(t, 0, s.DirectFailingFor())
 	})
 }
+
+func monotonicClock() func() time.Duration {
+	startedAt := time.Now()
+	return func() time.Duration { return time.Since(startedAt) }
+}
+
+// Guards against outages whose length is measured by the wall clock: after it has jumped
+// forward, an owner would take a failure of moments for an outage that affects everyone, and
+// start tasks without telling the next owner.
+func TestLengthOfAnOutageFollowsTheGivenClock(t *testing.T) {
+	var now time.Duration
+	rows := fake.NewRows()
+	rows.SetFaults(fake.Faults{Down: true})
+	s := New(rows, func() []port.RowStore { return nil }, func() time.Duration { return now })
+	_, err := s.Partitions(t.Context(), "t")
+	must.Error(t, err)
+	now = time.Second
+	must.Between(t, time.Second-2, s.UnavailableFor(), time.Second)
+	must.Between(t, time.Second-2, s.DirectFailingFor(), time.Second)
+}
