Let waiting jobs use capacity that is kept idle for others

"job waiting" of real processes under our load tool names two causes beside plain lack of room: gangs for one rack while several racks have room (up to 24 s; 12 of 7 tasks fit, 5 on one rack), and workers reserved for other jobs "in 99 ms", again and again for up to 22 s.

Cause: a gang for one rack waited for its rack without limit. A run that exceeded its estimate was expected to end within 100 ms for as long as it ran, so that the workers reserved for a gang that waited for it stayed idle all the while.

Change: while less than half of each resource is in use, a unit that has waited for 2 s and fits twice over may use reserved workers, headroom and several racks. The remaining time of a run follows from its progress.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -29,10 +29,12 @@
 	// urgentOnly marks workers reserved for jobs of priority 0.
 	urgentOnly []bool
 	index      map[*worker]int
+	// mostlyIdle is that of Planner.mostlyIdle at the beginning of the pass.
+	mostlyIdle bool
 }
 
 func (p *Planner) newView(now time.Duration) *view {
-	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.workerIDs))}
+	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.workerIDs)), mostlyIdle: p.mostlyIdle()}
 	rackIndex := map[string]int{}
 	for _, id := range p.workerIDs {
 		w := p.workers[id]
--- /dev/null
+++ b/internal/planner/idle.go
@@ -0,0 +1,46 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+// idleStartAfter is how long a unit waits before it may use idle capacity that is kept for
+// others or that is on several racks. The platform allows a job to have nothing running for
+// 3 s while there is room for it.
+const idleStartAfter = 2 * time.Second
+
+// mostlyIdle reports whether less than half of each resource of the listed workers is in
+// use.
+func (p *Planner) mostlyIdle() bool {
+	var free, capacity work.Resources
+	for _, w := range p.workers {
+		if w.listed {
+			free, capacity = free.Add(w.free), capacity.Add(w.info.Capacity)
+		}
+	}
+	return 2*free.CPU > capacity.CPU && 2*free.MemMB > capacity.MemMB && 2*free.Accel > capacity.Accel
+}
+
+// placeOnIdle returns a placement of a unit that has waited for idleStartAfter while most
+// of the capacity is idle and the unit fits twice over. It ignores reservations, headroom
+// and racks: these are worth a wait only while capacity is scarce. Otherwise it returns
+// nil.
+func (v *view) placeOnIdle(u *unit) []placement {
+	if !v.mostlyIdle || v.planner.waited(u, v.now) < idleStartAfter {
+		return nil
+	}
+	open := *v
+	open.reservedFrom, open.urgentOnly = make([]time.Duration, len(v.workers)), make([]bool, len(v.workers))
+	room := 0
+	for i := range open.workers {
+		if open.allowed(u, i, false) {
+			room += open.slots(u, i, open.free[i])
+		}
+	}
+	if room < 2*u.count {
+		return nil
+	}
+	return open.place(u, true)
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -45,12 +45,22 @@
 		if len(unplaceable) >= maxUnplaceable {
 			break
 		}
-		if u.claim != nil || unplaceable[key] {
+		if unplaceable[key] {
 			continue
 		}
 		spread := p.maySpread(u, now)
-		if placements := v.place(u, spread); placements != nil {
-			p.start(u, v, placements, "fits")
+		if u.claim == nil {
+			if placements := v.place(u, spread); placements != nil {
+				p.start(u, v, placements, "fits")
+				continue
+			}
+		}
+		if placements := v.placeOnIdle(u); placements != nil {
+			u.claim = nil
+			p.start(u, v, placements, "most capacity is idle")
+			continue
+		}
+		if u.claim != nil {
 			continue
 		}
 		unplaceable[key] = true
@@ -117,6 +127,9 @@
 		}
 		for range pl.count {
 			r := p.addRun(u, index, pl.worker, number, runStarting, v.now)
+			if u.checkpoint != "" {
+				r.basePercent = u.checkpointPercent
+			}
 			ticket, _ := p.ticket(u, pl.worker, v.now) // the placement has checked for a ticket
 			p.orders = append(p.orders, Order{
 				Kind: OrderStart, Worker: pl.worker.info.ID, Task: r.task, Run: number,
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -142,13 +142,17 @@
 	startedAt       time.Duration
 	confirmedAt     time.Duration
 	percent         int
+	basePercent     int           // progress of the checkpoint from which the run started
 	progressAt      time.Duration // time of the last increase of percent, at first of the order or start
 	stopConfirmedAt time.Duration // 0 until the stop is confirmed
 	stopReason      string
 }
 
-// remaining estimates the time until the run completes. It is 0 for a run without
-// a unit and forever for a long-lived task.
+// reportDelay covers the time until a worker reports the first progress of a run.
+const reportDelay = time.Second
+
+// remaining estimates the time until the run completes, from its progress once there is
+// some. It is 0 for a run without a unit and forever for a long-lived task.
 func (r *run) remaining(now time.Duration) time.Duration {
 	if r.unit == nil {
 		return 0
@@ -160,8 +164,16 @@
 	if r.phase == runStarting {
 		return r.unit.estimate()
 	}
-	remaining := est * time.Duration(100-r.percent) / 100
-	return max(remaining-(now-r.progressAt), 100*time.Millisecond)
+	if gained := r.percent - r.basePercent; gained > 0 {
+		perPercent := (r.progressAt - r.startedAt) / time.Duration(gained)
+		remaining := perPercent * time.Duration(100-r.percent)
+		return max(remaining-(now-r.progressAt), 100*time.Millisecond)
+	}
+	// After a time without a percent of progress, the whole takes at least a hundred times
+	// as long.
+	elapsed := now - r.startedAt
+	remaining := est * time.Duration(100-r.basePercent) / 100
+	return max(remaining-elapsed, time.Duration(100-r.basePercent)*(elapsed-reportDelay), 100*time.Millisecond)
 }
 
 type worker struct {
