Retry a task where it failed if the other eligible workers are few

A job with a required label that had failed once on each worker with that label was never started again, though it had attempts left, and stayed as it was for its caller.

Cause: workers on which a unit failed are used again only if they are at least half of the usable workers, whether these may run the unit or not. Evidence: TestJobIsRetriedWhereItFailedIfNoOtherWorkerIsEligible: no start within a minute before.

Change: only the eligible workers count.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -122,12 +122,22 @@
 
 // place returns a placement of the whole unit, or nil if there isn't enough free
 // capacity. Workers on which the unit failed or stalled before are used only if
-// they are at least half as many as the usable workers and the others don't suffice.
+// they are at least half of the usable workers that are eligible, and the others don't
+// suffice.
 func (v *view) place(u *unit, spread bool) []placement {
 	if out := v.placeAvoiding(u, spread, true); out != nil || len(u.avoid) == 0 {
 		return out
 	}
-	if len(u.avoid)*2 < len(v.workers) {
+	eligible, avoided := 0, 0
+	for i, w := range v.workers {
+		if v.eligible(u, i) {
+			eligible++
+			if u.avoid[w.info.ID] {
+				avoided++
+			}
+		}
+	}
+	if 2*avoided < eligible {
 		return nil
 	}
 	return v.placeAvoiding(u, spread, false)
--- a/internal/planner/idle_test.go
+++ b/internal/planner/idle_test.go
@@ -110,3 +110,21 @@
 	h.now += 5 * time.Second
 	must.Between(t, 75*time.Second, r.remaining(h.now), 90*time.Second)
 }
+
+// Guards against a job that never runs again once it has failed on each of the few workers
+// with its label, though it has attempts left.
+func TestJobIsRetriedWhereItFailedIfNoOtherWorkerIsEligible(t *testing.T) {
+	h := newHarness(t, 2, 6)
+	for _, id := range []string{"w00", "w01"} {
+		h.p.PutWorker(work.Worker{ID: id, Rack: "r0", Labels: []string{"fast"}, Capacity: work.Resources{CPU: 64000, MemMB: 128000, Accel: 8}})
+	}
+	labelled := step(1, 8, 5)
+	labelled.RequiredLabel = "fast"
+	h.add(h.job("a", 1, labelled))
+	for range 2 {
+		must.SliceLen(t, 1, h.plan())
+		h.endRun(work.TaskID{Job: "a"}, port.ResultFailed)
+		h.now += 100 * time.Millisecond
+	}
+	must.LessEq(t, maxIdleWait, h.startDelay("a", slowly))
+}
