Tell slow runs from stalled ones

A task with more than 2.5 s for each percent of its progress (over 250 s of work, or a gang that runs three times slower on several racks) was taken for stalled, stopped and started elsewhere, again and again, and its healthy worker was put into quarantine.

Change: the time without progress after which a run counts as stalled is at least that of three percents at its own speed, and doubles with each stall of its task.

--- a/internal/planner/idle_test.go
+++ b/internal/planner/idle_test.go
@@ -128,3 +128,30 @@
 	}
 	must.LessEq(t, maxIdleWait, h.startDelay("a", slowly))
 }
+
+// Guards against a slow task that is taken for stalled, and stopped, again and again: tasks
+// report whole percents, which are 4 s apart here.
+func TestSlowTaskIsNotStoppedAgainAndAgain(t *testing.T) {
+	h := newHarness(t, 2, 6)
+	h.add(h.job("slow", 1, step(1, 8, 5)))
+	startedAt, stops := h.now, 0
+	for range 600 {
+		h.now += 100 * time.Millisecond
+		for _, id := range h.p.workerIDs {
+			running := h.running(id)
+			for i := range running {
+				running[i].ProgressPercent = int((h.now - startedAt) / (4 * time.Second))
+			}
+			h.p.HandleReport(h.now, h.now, id, port.HoldReply{Running: running})
+		}
+		for _, o := range h.plan() {
+			if o.Kind == OrderStop {
+				stops++
+				h.endRun(o.Task, port.ResultStopped)
+			} else {
+				startedAt = h.now
+			}
+		}
+	}
+	must.LessEq(t, 2, stops)
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -13,12 +13,27 @@
 	// maxUnplaceable limits the waiting steps that one pass fails to place. It
 	// bounds the time of a pass over a long queue.
 	maxUnplaceable = 120
-	// stalledAfter is the time without progress after which a run counts as
-	// stalled. Tasks report whole percents, and the slowest known tasks run for
-	// 75 s, which is 750 ms per percent.
+	// stalledAfter is the least time without progress after which a run counts as
+	// stalled. Tasks report whole percents, and most run for less than 75 s, which is
+	// 750 ms per percent.
 	stalledAfter = 2500 * time.Millisecond
+	// stalledPercents is the number of percents that a slower run must have missed.
+	stalledPercents = 3
+	// maxStallDoublings limits how often the time is doubled for a unit that has
+	// stalled before. A task that is only slow then runs to its end.
+	maxStallDoublings = 5
 )
 
+// stallTimeout returns how long the run may go without progress before it counts as
+// stalled.
+func (r *run) stallTimeout() time.Duration {
+	timeout := stalledAfter
+	if gained := r.percent - r.basePercent; gained > 0 {
+		timeout = max(timeout, stalledPercents*(r.progressAt-r.startedAt)/time.Duration(gained))
+	}
+	return timeout << min(r.unit.stalls, maxStallDoublings)
+}
+
 // stepKey identifies a step of one occurrence inside the planner; work.StepID does
 // so for callers.
 type stepKey struct {
@@ -160,7 +175,7 @@
 		if r.phase != runRunning {
 			return
 		}
-		if r.percent < 99 && r.worker.reachable && now-max(r.progressAt, r.startedAt) > stalledAfter {
+		if r.percent < 99 && r.worker.reachable && now-max(r.progressAt, r.startedAt) > r.stallTimeout() {
 			stalled = append(stalled, r)
 		}
 	}
@@ -177,6 +192,7 @@
 		}
 		u.avoid[r.worker.info.ID] = true
 	}
+	u.stalls++
 	p.stopAttempt(u, now, "stalled")
 }
 
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -83,6 +83,7 @@
 	notBefore      time.Duration
 	attemptEndedAt time.Duration
 	stopSent       bool // the runs of the ended attempt have been ordered to stop
+	stalls         int  // attempts that were stopped as stalled
 	restarts       int  // of a long-lived task since its last run of at least restartResetAfter
 	// inherited units may run on workers that haven't reported to this owner.
 	inherited bool
