--- a/cmd/lentilwinch-load/main.go
+++ b/cmd/lentilwinch-load/main.go
@@ -26,6 +26,8 @@
 	flags.IntVar(&o.Instances, "instances", 6, "number of instances")
 	flags.IntVar(&o.Workers, "workers", 48, "number of workers")
 	flags.Float64Var(&o.Rate, "rate", 1, "factor of the rate of submissions")
+	flags.Float64Var(&o.Stretch, "stretch", 1, "factor by which run times are longer and submissions rarer")
+	flags.Float64Var(&o.Tail, "tail", 0.03, "share of the jobs that run several times as long as usual")
 	flags.DurationVar(&o.Traffic, "traffic", 34*time.Second, "how long jobs are submitted")
 	flags.DurationVar(&o.Troubles, "troubles", 34*time.Second, "how long troubles begin, 0 for none")
 	flags.DurationVar(&o.Settle, "settle", 20*time.Second, "calm time before the last check")
