--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -129,69 +129,6 @@
 	p.profiles[spec] = profile
 }
 
-// GuardCapacity makes the workers reject starts that exceed their free capacity. needs
-// returns what a task needs.
-func (p *Pool) GuardCapacity(needs func(work.TaskID) work.Resources) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.needs = needs
-}
-
-// Remove ends the worker at an address for good. Calls to it are not answered.
-func (p *Pool) Remove(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.workers, address)
-}
-
-// WorkerUsage is what one worker runs.
-type WorkerUsage struct {
-	Worker work.Worker
-	Free   work.Resources // 0 needs are assumed unless the capacity is guarded
-	Runs   []work.TaskID
-}
-
-// Usage returns the usage of all workers, in no particular order.
-func (p *Pool) Usage() []WorkerUsage {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := make([]WorkerUsage, 0, len(p.workers))
-	for _, w := range p.workers {
-		w.advance(time.Now())
-		u := WorkerUsage{Worker: w.info, Free: w.free()}
-		for task := range w.runs {
-			u.Runs = append(u.Runs, task)
-		}
-		out = append(out, u)
-	}
-	return out
-}
-
-// Succeeded reports whether a run of the task has ended with success, acknowledged or
-// not.
-func (p *Pool) Succeeded(task work.TaskID) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.succeeded[task]
-}
-
-// FailedRuns returns the numbers of a task's runs that have failed.
-func (p *Pool) FailedRuns(task work.TaskID) []int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.Sorted(maps.Keys(p.failedRuns[task]))
-}
-
-func (w *PoolWorker) free() work.Resources {
-	free := w.info.Capacity
-	if w.pool.needs != nil {
-		for task := range w.runs {
-			free = free.Sub(w.pool.needs(task))
-		}
-	}
-	return free
-}
-
 // SetFaults replaces the faults of the worker at an address, which must exist.
 func (p *Pool) SetFaults(address string, f PoolFaults) {
 	p.mu.Lock()
@@ -242,27 +179,6 @@
 	return n
 }
 
-// Workers implements port.WorkerRegistry.
-func (p *Pool) Workers(context.Context) ([]work.Worker, int64, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []work.Worker
-	for _, address := range slices.Sorted(maps.Keys(p.workers)) {
-		out = append(out, p.workers[address].info)
-	}
-	return out, 1, nil
-}
-
-// WatchWorkers implements port.WorkerRegistry. It never reports a change.
-func (p *Pool) WatchWorkers(ctx context.Context, after int64, wait time.Duration) ([]port.WorkerChange, int64, error) {
-	select {
-	case <-time.After(wait):
-		return nil, after, nil
-	case <-ctx.Done():
-		return nil, 0, fault.Wrap(fault.Unavailable, "watch", ctx.Err())
-	}
-}
-
 // beforeCall returns the target worker of a call after a delay of one millisecond.
 // If the worker is unknown or its calls are dropped, it blocks until ctx ends and
 // fails with fault.Uncertain.
--- a/internal/planner/idle.go
+++ b/internal/planner/idle.go
@@ -20,7 +20,8 @@
 			free, capacity = free.Add(w.free), capacity.Add(w.info.Capacity)
 		}
 	}
-	return 2*free.CPU > capacity.CPU && 2*free.MemMB > capacity.MemMB && 2*free.Accel > capacity.Accel
+	idle := func(free, capacity int64) bool { return 2*free > capacity || capacity == 0 }
+	return idle(free.CPU, capacity.CPU) && idle(free.MemMB, capacity.MemMB) && idle(free.Accel, capacity.Accel)
 }
 
 // placeOnIdle returns a placement of a unit that has waited for idleStartAfter while most
--- a/internal/planner/idle_test.go
+++ b/internal/planner/idle_test.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// Workers without accelerators have none in use.
+func TestPoolWithoutAcceleratorsCanBeMostlyIdle(t *testing.T) {
+	p := New(Settings{}, 1)
+	p.PutWorker(work.Worker{ID: "w", Capacity: work.Resources{CPU: 1000, MemMB: 1000}})
+	must.True(t, p.mostlyIdle())
+}
+
 // A rack that is free at once is still preferred, and so is waiting while the capacity is
 // in use.
 func TestGangForOneRackWaitsWhileCapacityIsInUse(t *testing.T) {
