Read-through: one check of dependencies, less state for reservations

A pass kept a set of workers for each reservation of which only the size is logged; it counts them now. Job.Plannable and Job.Check ask the same function whether a dependency is an earlier step. Long comment lines are wrapped.

--- a/internal/duty/pool/unlisted_test.go
+++ b/internal/duty/pool/unlisted_test.go
@@ -115,22 +115,30 @@
 	}
 }
 
+// runLongJob returns a cluster of two instances, of which owner owns the pool, and four
+// workers on which 24 tasks run for the given time, in seconds.
+func runLongJob(t *testing.T, seconds float64) (c *cluster, registry *editableRegistry, owner *instance) {
+	t.Helper()
+	c = newCluster(t, 4)
+	registry = newEditableRegistry(c.pool)
+	c.registry = registry
+	owner = c.launch()
+	time.Sleep(time.Second)
+	c.launch()
+	time.Sleep(time.Second)
+	c.setDuration("long", seconds, 0)
+	c.submit("long", single(24, seconds))
+	time.Sleep(2 * time.Second)
+	must.EqOp(t, 24, c.pool.Running())
+	return c, registry, owner
+}
+
 // Guards against running tasks that are started again after two restarts of the owner
 // at the return of the store: the incarnation between the two sees only some of the
 // workers whose entries expired, and the last one must still wait for the others.
 func TestSecondTakeoverAwaitsWorkersWhoseEntriesExpired(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 4)
-		registry := newEditableRegistry(c.pool)
-		c.registry = registry
-		owner := c.launch()
-		time.Sleep(time.Second)
-		c.launch()
-		time.Sleep(time.Second)
-		c.setDuration("long", 40, 0)
-		c.submit("long", single(24, 40))
-		time.Sleep(2 * time.Second)
-		must.EqOp(t, 24, c.pool.Running())
+		c, registry, owner := runLongJob(t, 40)
 		_, version := c.storedList()
 		c.store.SetFaults(fake.Faults{Down: true})
 		time.Sleep(4500 * time.Millisecond)
@@ -155,24 +163,14 @@
 // entry has expired though it goes on, is missing from the stored list.
 func TestTakeoverAwaitsDrainingWorkerWhoseEntryExpired(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 4)
-		registry := newEditableRegistry(c.pool)
-		c.registry = registry
-		for range 2 {
-			c.launch()
-			time.Sleep(time.Second)
-		}
-		c.setDuration("long", 30, 0)
-		c.submit("long", single(24, 30))
-		time.Sleep(2 * time.Second)
-		must.EqOp(t, 24, c.pool.Running())
+		c, registry, owner := runLongJob(t, 30)
 		registry.drain("w00")
 		time.Sleep(2 * time.Second)
 		c.store.SetFaults(fake.Faults{Down: true})
 		time.Sleep(4500 * time.Millisecond)
 		registry.remove("w00")
 		time.Sleep(time.Second)
-		c.instances[0].kill()
+		owner.kill()
 		c.store.SetFaults(fake.Faults{})
 		time.AfterFunc(1900*time.Millisecond, func() { registry.restore("w00") })
 		time.Sleep(12 * time.Second)
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -16,8 +16,9 @@
 }
 
 // AddJob adds a job that was accepted age ago. It has no effect if the job is
-// known or its record is in a final state. A job that can't be planned fails. Jobs that a previous owner may have
-// started are inherited: during a recovery they wait as Recover describes.
+// known or its record is in a final state. A job that can't be planned fails. Jobs that
+// a previous owner may have started are inherited: during a recovery they wait as
+// Recover describes.
 func (p *Planner) AddJob(now, age time.Duration, rec work.Record, inherited bool) {
 	if p.jobs[rec.Job.ID] != nil || rec.State.Ended() {
 		return
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -26,22 +26,22 @@
 	if len(best) == 0 {
 		return
 	}
-	r := reservation{unit: u, from: bestAt, workers: map[string]bool{}}
+	r := reservation{unit: u, from: bestAt}
 	for _, i := range best {
 		if v.reservedFrom[i] == 0 || v.reservedFrom[i] > bestAt {
 			v.reservedFrom[i] = bestAt
-			r.workers[v.workers[i].info.ID] = true
+			r.workers++
 		}
 	}
 	v.planner.reservations = append(v.planner.reservations, r)
 }
 
-// reservation is the workers that a pass reserved for a waiting unit, and when it is
-// estimated to fit on them.
+// reservation is the number of workers that a pass reserved for a waiting unit, and when
+// it is estimated to fit on them.
 type reservation struct {
 	unit    *unit
 	from    time.Duration
-	workers map[string]bool
+	workers int
 }
 
 // firstFit returns the time at which the unit is estimated to fit on the given
--- a/internal/planner/waiting.go
+++ b/internal/planner/waiting.go
@@ -106,7 +106,7 @@
 	var parts []string
 	for i := range p.reservations {
 		if r := &p.reservations[i]; r.unit != u {
-			parts = append(parts, fmt.Sprintf("%d workers for job %s in %v", len(r.workers), r.unit.job.rec.Job.ID, r.from-now))
+			parts = append(parts, fmt.Sprintf("%d workers for job %s in %v", r.workers, r.unit.job.rec.Job.ID, r.from-now))
 		}
 	}
 	return strings.Join(parts, ", ")
@@ -148,7 +148,7 @@
 			out += fmt.Sprintf(", %d %s", n, cause)
 		}
 	}
-	return strings.TrimSpace(out)
+	return out
 }
 
 // unusableCause returns why no unit may be placed on the worker, empty if it is usable.
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
@@ -180,16 +181,17 @@
 // job without problems can.
 func (j *Job) Plannable() bool {
 	for i := range j.Steps {
-		for _, dep := range j.Steps[i].After {
-			if dep < 0 || dep >= i {
-				return false
-			}
+		if slices.ContainsFunc(j.Steps[i].After, func(dep int) bool { return !earlier(dep, i) }) {
+			return false
 		}
 	}
 	_, ok := j.Tasks()
 	return ok
 }
 
+// earlier reports whether dep is a step before step.
+func earlier(dep, step int) bool { return dep >= 0 && dep < step }
+
 // Check returns the problems of a job that no pool can run, none if there are none.
 func (j *Job) Check() []fault.Problem {
 	var problems []fault.Problem
@@ -225,7 +227,7 @@
 		duration(path+".estimate", s.Estimate)
 		duration(path+".tail_latency_target", s.TailLatencyTarget)
 		for _, dep := range s.After {
-			if dep < 0 || dep >= i {
+			if !earlier(dep, i) {
 				add(path+".after", dep, "an earlier step")
 			}
 		}
@@ -263,8 +265,8 @@
 }
 
 // CriticalPaths returns, for each step, the estimated duration of the longest chain of
-// dependent steps that starts with it, at most MaxDuration. Its time is linear in the number of steps and
-// dependencies.
+// dependent steps that starts with it, at most MaxDuration. Its time is linear in the
+// number of steps and dependencies.
 func (j *Job) CriticalPaths() []time.Duration {
 	paths := make([]time.Duration, len(j.Steps)) // of a step's dependents, until the step is reached
 	for i := len(j.Steps) - 1; i >= 0; i-- {
