--- a/internal/duty/ownership/ownership_test.go
+++ b/internal/duty/ownership/ownership_test.go
@@ -195,7 +195,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(1, 1)
 		defer c.close()
-		time.Sleep(warmUp)
+		time.Sleep(warmUp + time.Millisecond) // between two renewals, which would store the session again
 		p := c.procs[0]
 		c.allowExpiry(p)
 		key := store.SessionKey(p.session.Incarnation())
