Fake pool: starts after a success acknowledged later, or after completion

The fake pool counted a start after an acknowledged success and two runs at once. It now also keeps the starts that follow a success which isn't acknowledged yet, and reports them when it is, unless the worker's lease has lapsed in between; and it reports a start over a second after the job was shown as completed. One success stands for a gang. Each violation names the time, the task, both runs and workers, and the former run's lease.

--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -16,8 +16,9 @@
 
 // Pool is a pool of workers that run tasks under leases and fencing tokens, for
 // tests in virtual time. It checks the invariants that hold for any scheduler: a
-// task never has two concurrent runs and never runs again after an acknowledged
-// success. It is safe for concurrent use.
+// task never has two concurrent runs, and never runs again after a success that is
+// acknowledged before or later, or after its job was shown as completed. It is safe
+// for concurrent use.
 type Pool struct {
 	// GangTimeout bounds the time that a gang member waits for the other
 	// members.
@@ -28,7 +29,8 @@
 	mu          sync.Mutex
 	workers     map[string]*PoolWorker
 	violations  []string
-	finished    map[work.TaskID]bool // tasks whose success was acknowledged
+	successes   map[work.TaskID][]*success // of a gang's members under the first one
+	completedAt map[string]time.Time       // when a job was first shown as completed
 	profiles    map[string]Profile
 	starts      int
 	startedJobs map[string]bool // jobs of which a run has started
@@ -90,7 +92,8 @@
 // count.
 type poolResult struct {
 	port.RunResult
-	void bool
+	void    bool
+	success *success // nil for other results
 }
 
 type poolRun struct {
@@ -110,7 +113,7 @@
 // NewPool returns a pool without workers.
 func NewPool() *Pool {
 	return &Pool{GangTimeout: 3 * time.Second, StopDuration: 400 * time.Millisecond, workers: map[string]*PoolWorker{},
-		finished: map[work.TaskID]bool{}, succeeded: map[work.TaskID]bool{}, failedRuns: map[work.TaskID]map[int64]bool{}, profiles: map[string]Profile{}, startedJobs: map[string]bool{}}
+		successes: map[work.TaskID][]*success{}, completedAt: map[string]time.Time{}, succeeded: map[work.TaskID]bool{}, failedRuns: map[work.TaskID]map[int64]bool{}, profiles: map[string]Profile{}, startedJobs: map[string]bool{}}
 }
 
 // Add starts a worker at info.Address.
@@ -266,28 +269,13 @@
 	case w.runs[o.Task] != nil, w.pool.needs != nil && !w.free().Fits(w.pool.needs(o.Task)):
 		return port.RejectedCapacity
 	}
-	w.pool.checkStart(w, o.Task)
+	w.pool.checkStart(w, o.Task, o.Run, &profile)
 	w.pool.starts++
 	w.pool.startedJobs[o.Task.Job] = true
 	w.runs[o.Task] = &poolRun{task: o.Task, number: o.Run, required: profile.RunTime, lastAdvance: now, started: now, profile: profile}
 	return port.NotRejected
 }
 
-// checkStart records a violation if the task has an acknowledged success or
-// another run.
-func (p *Pool) checkStart(w *PoolWorker, task work.TaskID) {
-	now := time.Now().Format("05.000")
-	if p.finished[task] {
-		p.violations = append(p.violations, fmt.Sprintf("%s: %v starts on %s after an acknowledged success", now, task, w.info.ID))
-	}
-	for _, other := range p.workers {
-		other.advance(time.Now())
-		if other.runs[task] != nil {
-			p.violations = append(p.violations, fmt.Sprintf("%s: %v starts on %s while it runs on %s", now, task, w.info.ID, other.info.ID))
-		}
-	}
-}
-
 func (w *PoolWorker) extendLease(until time.Duration) {
 	t := w.at(until)
 	if latest := time.Now().Add(maxLease); t.After(latest) {
@@ -361,8 +349,8 @@
 
 func (w *PoolWorker) acknowledge(upTo int64) {
 	for len(w.results) > 0 && w.results[0].Sequence <= upTo {
-		if w.results[0].Kind == port.ResultSucceeded && !w.results[0].void {
-			w.pool.finished[w.results[0].Task] = true
+		if r := &w.results[0]; r.success != nil && !r.void {
+			w.pool.acknowledgeSuccess(r.success)
 		}
 		w.results = w.results[1:]
 	}
@@ -391,16 +379,18 @@
 	delete(w.runs, r.task)
 	w.lastEnded[r.task] = max(w.lastEnded[r.task], r.number)
 	w.lastSequence++
+	result := poolResult{RunResult: port.RunResult{Sequence: w.lastSequence, Task: r.task, Run: r.number, Kind: kind}}
 	switch kind {
 	case port.ResultSucceeded:
 		w.pool.succeeded[r.task] = true
+		result.success = w.pool.addSuccess(w, r)
 	case port.ResultFailed:
 		if w.pool.failedRuns[r.task] == nil {
 			w.pool.failedRuns[r.task] = map[int64]bool{}
 		}
 		w.pool.failedRuns[r.task][r.number] = true
 	}
-	w.results = append(w.results, poolResult{RunResult: port.RunResult{Sequence: w.lastSequence, Task: r.task, Run: r.number, Kind: kind}})
+	w.results = append(w.results, result)
 }
 
 // advance updates the worker's runs to now. The caller holds Pool.mu.
