Load tool: a state holds while any trouble asks for it; no process outlives the run

The end of one trouble ended another of the same kind that still lasted, and a restart in turn started the process of an instance that had been replaced, which wasn't behind a gate of the run and outlived it.

--- a/cmd/lentilwinch-load/main.go
+++ b/cmd/lentilwinch-load/main.go
@@ -4,10 +4,13 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
@@ -43,7 +46,9 @@
 		o.Folder = folder
 	}
 	o.Log = os.Stderr
-	report, err := load.Run(o)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := load.Run(ctx, o)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -68,6 +68,7 @@
 	lastSequence int64
 	lastEnded    map[work.TaskID]int64 // highest run number that ended or was stopped
 	faults       PoolFaults
+	held         Held[PoolFaults]
 }
 
 // PoolFaults configures the faults of a worker. The zero value is healthy.
@@ -139,16 +140,55 @@
 	p.workers[address].faults = f
 }
 
-// Restart ends all runs of the worker at an address, which must exist, and starts
-// a new incarnation with the same ID.
+// HoldFaults adds faults to the worker at an address, if it exists, until release is
+// called. The worker has all the faults that are held or set.
+func (p *Pool) HoldFaults(address string, f PoolFaults) (release func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.workers[address]; w != nil {
+		return w.held.Hold(f)
+	}
+	return func() {}
+}
+
+// currentFaults returns the faults that are set, and those that are held. The caller
+// holds Pool.mu.
+func (w *PoolWorker) currentFaults() PoolFaults {
+	f := w.faults
+	for _, held := range w.held.Values() {
+		f.DropCalls = f.DropCalls || held.DropCalls
+		f.DropReplies = f.DropReplies || held.DropReplies
+		f.StallRuns = f.StallRuns || held.StallRuns
+		f.FailRuns = f.FailRuns || held.FailRuns
+		f.StartDelay = max(f.StartDelay, held.StartDelay)
+	}
+	return f
+}
+
+// Restart ends all runs of the worker at an address, if it exists, and starts a new
+// incarnation with the same ID.
 func (p *Pool) Restart(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := p.workers[address]
+	if w == nil {
+		return
+	}
 	w.incarnation, w.started, w.fencingToken, w.leaseExpiry = time.Now().UnixMilli(), time.Now(), 0, time.Time{}
 	w.runs, w.lastEnded, w.results, w.lastSequence = map[work.TaskID]*poolRun{}, map[work.TaskID]int64{}, nil, 0
 }
 
+// Incarnation returns the start time of the current incarnation of the worker at an
+// address in Unix milliseconds, or 0 if there is none.
+func (p *Pool) Incarnation(address string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.workers[address]; w != nil {
+		return w.incarnation
+	}
+	return 0
+}
+
 // Violations returns the violations of the pool's invariants.
 func (p *Pool) Violations() []string {
 	p.mu.Lock()
@@ -188,7 +228,7 @@
 func (p *Pool) beforeCall(ctx context.Context, target port.WorkerTarget) (*PoolWorker, error) {
 	p.mu.Lock()
 	w := p.workers[target.Address]
-	dropped := w == nil || w.faults.DropCalls
+	dropped := w == nil || w.currentFaults().DropCalls
 	p.mu.Unlock()
 	if dropped {
 		<-ctx.Done()
@@ -210,7 +250,7 @@
 // they are, it blocks until ctx ends and fails with fault.Uncertain.
 func (w *PoolWorker) applyReplyFaults(ctx context.Context) error {
 	w.pool.mu.Lock()
-	dropped := w.faults.DropReplies
+	dropped := w.currentFaults().DropReplies
 	w.pool.mu.Unlock()
 	if !dropped {
 		return nil
@@ -226,7 +266,7 @@
 		return port.WorkerClock{}, port.NotRejected, err
 	}
 	p.mu.Lock()
-	delay, incarnation := w.faults.StartDelay, w.incarnation
+	delay, incarnation := w.currentFaults().StartDelay, w.incarnation
 	p.mu.Unlock()
 	if delay > 0 {
 		time.AfterFunc(delay, func() {
@@ -403,17 +443,18 @@
 			w.endRun(r, port.ResultLeaseExpired)
 		}
 	}
+	faults := w.currentFaults()
 	for _, r := range w.sortedRuns() {
 		gang := r.profile.GangSize > 0
 		complete := !gang || w.pool.runningMembers(r) >= r.profile.GangSize
-		if complete && !w.faults.StallRuns {
+		if complete && !faults.StallRuns {
 			r.completed += w.pool.progress(r, now.Sub(r.lastAdvance))
 		}
 		r.lastAdvance = now
 		switch {
 		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
 			w.endRun(r, port.ResultStopped)
-		case w.faults.FailRuns && now.Sub(r.started) > 100*time.Millisecond:
+		case faults.FailRuns && now.Sub(r.started) > 100*time.Millisecond:
 			w.endRun(r, port.ResultFailed)
 		case gang && !complete && r.completed == 0 && now.Sub(r.started) > w.pool.GangTimeout:
 			w.endRun(r, port.ResultGangIncomplete)
--- a/internal/fake/pool_test.go
+++ b/internal/fake/pool_test.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,14 +83,14 @@
 	withPool(t, func(p *poolTest) {
 		p.start("a", "single", 0, 1)
 		time.Sleep(2 * time.Second)
-		must.Len(t, 1, p.hold("a", 0).Results)
+		must.Len(p.t, 1, p.hold("a", 0).Results)
 		p.start("b", "single", 0, 2)
-		must.SliceEmpty(t, p.Violations(), must.Sprint("the success may still become void"))
+		must.SliceEmpty(p.t, p.Violations(), must.Sprint("the success may still become void"))
 		time.Sleep(2 * time.Second)
 		p.hold("a", 1)
 		p.violated("run 2 starts on b", "acknowledged later", "run 1", "on a ended at")
 		p.hold("b", 1)
-		must.Len(t, 1, p.Violations(), must.Sprint("the second success comes after the start"))
+		must.Len(p.t, 1, p.Violations(), must.Sprint("the second success comes after the start"))
 	})
 }
 
@@ -97,12 +98,12 @@
 	withPool(t, func(p *poolTest) {
 		p.start("a", "single", 0, 1)
 		time.Sleep(2 * time.Second)
-		must.Len(t, 1, p.hold("a", 0).Results)
+		must.Len(p.t, 1, p.hold("a", 0).Results)
 		p.start("b", "single", 0, 2)
 		time.Sleep(poolLease + time.Second)
 		p.hold("a", 1)
 		p.start("a", "single", 0, 3)
-		must.SliceEmpty(t, p.Violations())
+		must.SliceEmpty(p.t, p.Violations())
 	})
 }
 
@@ -111,7 +112,7 @@
 		p.start("a", "gang", 0, 1)
 		p.start("b", "gang", 1, 1)
 		time.Sleep(2 * time.Second)
-		must.Len(t, 1, p.hold("a", 0).Results)
+		must.Len(p.t, 1, p.hold("a", 0).Results)
 		p.Restart("b")
 		p.start("a", "gang", 1, 2)
 		p.hold("a", 1)
@@ -124,10 +125,29 @@
 		p.Completed("j")
 		time.Sleep(900 * time.Millisecond)
 		p.start("a", "single", 0, 1)
-		must.SliceEmpty(t, p.Violations())
+		must.SliceEmpty(p.t, p.Violations())
 		p.Completed("j")
 		time.Sleep(200 * time.Millisecond)
 		p.start("b", "single", 1, 1)
 		p.violated("run 1 starts on b", "shown as completed at")
 	})
 }
+
+func TestPoolFaultsHoldUntilAllAreReleased(t *testing.T) {
+	withPool(t, func(p *poolTest) {
+		dropped := func() bool {
+			ctx, cancel := context.WithTimeout(p.t.Context(), time.Second)
+			defer cancel()
+			_, err := p.Hold(ctx, port.WorkerTarget{Address: "a"}, port.HoldRequest{FencingToken: 1})
+			return err != nil
+		}
+		first := p.HoldFaults("a", PoolFaults{DropCalls: true})
+		second := p.HoldFaults("a", PoolFaults{DropCalls: true, StallRuns: true})
+		must.True(p.t, dropped())
+		second()
+		must.True(p.t, dropped(), must.Sprint("the first request for the fault still holds"))
+		first()
+		must.False(p.t, dropped())
+		p.HoldFaults("unknown", PoolFaults{})()
+	})
+}
