--- a/internal/fake/pool_test.go
+++ b/internal/fake/pool_test.go
@@ -128,6 +128,9 @@
 		must.SliceEmpty(p.t, p.Violations())
 		p.Completed("j")
 		time.Sleep(200 * time.Millisecond)
+		_, _, err := p.Start(PerformLate(p.t.Context()), port.WorkerTarget{Address: "a"}, port.StartOrder{Task: work.TaskID{Job: "j", Index: 2}, Run: 1, FencingToken: 1, LeaseEnd: p.leaseEnd()})
+		must.NoError(p.t, err)
+		must.SliceEmpty(p.t, p.Violations(), must.Sprint("the order was sent before"))
 		p.start("b", "single", 1, 1)
 		p.violated("run 1 starts on b", "shown as completed at")
 	})
@@ -151,3 +154,15 @@
 		p.HoldFaults("unknown", PoolFaults{})()
 	})
 }
+
+func TestPoolLeaseIsMeasuredOnTheWorkersClock(t *testing.T) {
+	withPool(t, func(p *poolTest) {
+		p.SetProfile("single", Profile{RunTime: time.Minute})
+		p.SetClockRate("a", 0.5)
+		p.start("a", "single", 0, 1) // the lease ends at 5 s of the clock, which began at 1 s
+		time.Sleep(7900 * time.Millisecond)
+		must.EqOp(p.t, 1, p.Running())
+		time.Sleep(200 * time.Millisecond)
+		must.EqOp(p.t, 0, p.Running())
+	})
+}
