Takeover: a worker without a registry entry is called, and its leases awaited

Cause: a new owner gave up a worker that the registry didn't list 2.5 s after its first hold. Leases of the previous owner run for up to 4.5 s after their last renewal, and longer if nothing stops it at once. The wait grew only if the new owner itself saw the store as unavailable. And such a worker was never called, as only IDs were stored.

The list is now stored with the workers' targets, in a new field of the capacity row, which goes in the same transaction and which earlier builds skip. A new owner calls unlisted workers as it calls listed ones, adopts what they report and renews their leases, and places nothing new there until they are listed. One that doesn't answer is lost when its inherited leases must have expired, by the rule for listed workers. For a row without targets it waits until then as well. Capacity for admission checks is dropped after 2.5 s as before.

--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -110,8 +110,11 @@
 	previous     previousOwner
 	announcement earlyStartAnnouncement
 	// unlisted holds the stored workers of the previous owner that the registry
-	// hasn't listed yet. They are given up at registryCompleteAt.
-	unlisted           map[string]bool
+	// hasn't listed yet. Those whose targets are stored have sessions.
+	unlisted map[string]bool
+	// registryComplete is set from registryCompleteAt on, when the registry lists
+	// every worker that reaches the store.
+	registryComplete   bool
 	registryCompleteAt time.Duration
 	yielded            bool           // the owner ended to hand the pool over, though its process keeps running
 	logLoss            sync.Once      // limits the log to one loss of ownership
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
+	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -49,6 +50,7 @@
 		}
 	}
 	if o.epoch > 1 {
+		o.inheritWorkers(ctx)
 		o.beginRecovery(ctx)
 	}
 	o.applyConfig()
@@ -74,16 +76,37 @@
 	}
 }
 
-// beginRecovery delays inherited jobs until every worker has been contacted.
-// Workers of the previous owner that the registry does not list may reappear:
-// their entries expire while the store is unavailable.
+// inheritWorkers calls the workers of the previous owner that the registry doesn't
+// list. They may go on running tasks: an entry expires while its worker can't reach
+// the store.
+func (o *Owner) inheritWorkers(ctx context.Context) {
+	view := o.deps.Replica.Pool(o.pool)
+	stored := make(map[string]*replica.StoredWorker, len(view.Capacity.Workers))
+	for i := range view.Capacity.Workers {
+		stored[view.Capacity.Workers[i].ID] = &view.Capacity.Workers[i]
+	}
+	for _, id := range view.Workers {
+		if o.sessions[id] != nil {
+			continue
+		}
+		o.unlisted[id] = true
+		o.registryCompleteAt = o.firstHoldAt + registryRecoveryTime
+		w := stored[id]
+		o.log.Info("previous owner's worker not listed", zap.String("worker", id), zap.Bool("called", w != nil))
+		if w != nil {
+			o.planner.InheritWorker(work.Worker{ID: id, Pool: o.pool, Address: w.Address, Zone: w.Domain, Rack: w.Rack, Capacity: w.Capacity})
+			o.startSession(ctx, port.WorkerTarget{ID: id, Address: w.Address, Domain: w.Domain})
+		}
+	}
+}
+
+// beginRecovery delays inherited jobs until every worker has been contacted or its
+// leases must have expired.
 func (o *Owner) beginRecovery(ctx context.Context) {
-	o.registryCompleteAt = o.firstHoldAt
-	for _, id := range o.deps.Replica.Pool(o.pool).Workers {
+	unknownLeasesEndAt := o.firstHoldAt
+	for id := range o.unlisted {
 		if o.sessions[id] == nil {
-			o.unlisted[id] = true
-			o.registryCompleteAt = o.firstHoldAt + registryRecoveryTime
-			o.log.Info("previous owner's worker not listed", zap.String("worker", id))
+			unknownLeasesEndAt = o.inheritedLeasesExpireAt()
 		}
 	}
 	takeoverNoticedBy := o.firstHoldAt + previousOwnerStopTime
@@ -94,7 +117,7 @@
 	mayHaveEarlyStarts := earlyStartEpoch > 0 && o.epoch-earlyStartEpoch <= announcementValidEpochs
 	placementsComplete := !mayHaveEarlyStarts && o.deps.Replica.StableFor() > storeStableAfter && o.deps.StoreHealth.Latency() < slowReadThreshold
 	o.log.Info("recovery begins", zap.Bool("placements_complete", placementsComplete), zap.Bool("bypassed", mayHaveEarlyStarts), zap.Duration("store_quiet_for", o.deps.Replica.StableFor()))
-	o.planner.Recover(o.registryCompleteAt, takeoverNoticedBy, placementsComplete)
+	o.planner.Recover(unknownLeasesEndAt, takeoverNoticedBy, placementsComplete)
 	if !placementsComplete {
 		// If this owner stops before it knows all placements, the next owner must
 		// not take the stored ones for complete either.
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -130,14 +130,27 @@
 	ids := slices.AppendSeq(slices.Collect(maps.Keys(o.sessions)), maps.Keys(o.unlisted))
 	ids = slices.DeleteFunc(ids, o.planner.HasLeft)
 	slices.Sort(ids)
-	return ids
+	return slices.Compact(ids)
+}
+
+// storedTargets returns how the workers with the given IDs are called, leaving out
+// those for which this isn't known.
+func (o *Owner) storedTargets(ids []string) []replica.StoredWorker {
+	out := make([]replica.StoredWorker, 0, len(ids))
+	for _, id := range ids {
+		if w, ok := o.planner.Worker(id); ok {
+			out = append(out, replica.StoredWorker{ID: id, Address: w.Address, Domain: w.Zone, Rack: w.Rack, Capacity: w.Capacity})
+		}
+	}
+	return out
 }
 
 // largestCapacity returns the largest capacity of any worker. While workers are
-// unlisted it isn't lower than the stored one, as one of them may be the largest.
+// unlisted and the registry may be incomplete, it isn't lower than the stored one, as
+// one of them may be the largest.
 func (o *Owner) largestCapacity() work.Resources {
 	largest := o.planner.MaxCapacity()
-	if len(o.unlisted) > 0 {
+	if len(o.unlisted) > 0 && !o.registryComplete {
 		largest = largest.Max(o.deps.Replica.Pool(o.pool).Capacity.MaxCapacity)
 	}
 	return largest
@@ -146,12 +159,13 @@
 // writeWorkers stores the list of workers in use for the next owner, and the
 // largest worker capacity for admission checks.
 func (o *Owner) writeWorkers(ctx context.Context) {
-	value, err := work.Encode(o.storedWorkers())
+	ids := o.storedWorkers()
+	value, err := work.Encode(ids)
 	if err != nil {
 		o.log.Error("workers can't be encoded", zap.Error(err))
 		return
 	}
-	capacity, err := work.Encode(replica.PoolCapacity{MaxCapacity: o.largestCapacity()})
+	capacity, err := work.Encode(replica.PoolCapacity{MaxCapacity: o.largestCapacity(), Workers: o.storedTargets(ids)})
 	if err != nil {
 		o.log.Error("capacity can't be encoded", zap.Error(err))
 		return
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -74,11 +73,14 @@
 }
 
 func (o *Owner) handleUnlisted(id string) {
-	if s := o.sessions[id]; s != nil {
+	if o.sessions[id] == nil {
+		return
+	}
+	if o.planner.Listed(id) {
 		o.planner.WorkerUnlisted(id)
 		o.log.Info("worker no longer listed", zap.String("worker", id))
-		o.updateLeft(id)
 	}
+	o.updateLeft(id)
 }
 
 // updateLeft has the list of workers stored again if the worker has left.
@@ -88,23 +90,37 @@
 	}
 }
 
-// giveUpUnlisted gives up the workers that the registry still doesn't list once it is
-// complete. An outage of the store begins the wait for it anew, but at the latest the
-// leases of these workers must have expired.
+// giveUpUnlisted has the capacity of unlisted workers no longer counted once the
+// registry is complete. An outage of the store begins the wait for it anew, but at the
+// latest the leases of these workers must have expired. Then those that can't be called
+// are given up.
 func (o *Owner) giveUpUnlisted(now time.Duration) {
 	if len(o.unlisted) == 0 {
 		return
 	}
+	leasesExpireAt := o.inheritedLeasesExpireAt()
 	if o.deps.StoreHealth.UnavailableFor() > 0 {
-		o.registryCompleteAt = max(o.registryCompleteAt, min(now+registryRecoveryTime, o.inheritedLeasesExpireAt()))
-		o.planner.SetRegistryCompleteAt(o.registryCompleteAt)
+		o.registryCompleteAt = max(o.registryCompleteAt, min(now+registryRecoveryTime, leasesExpireAt))
+	}
+	if complete := now >= o.registryCompleteAt; complete != o.registryComplete {
+		o.registryComplete = complete
+		o.writer.workersChanged = true
 	}
-	if now < o.registryCompleteAt {
+	if now < leasesExpireAt {
 		return
 	}
-	o.log.Info("previous owner's workers given up, the registry doesn't list them", zap.Strings("workers", slices.Sorted(maps.Keys(o.unlisted))))
-	clear(o.unlisted)
-	o.writer.workersChanged = true
+	var givenUp []string
+	for id := range o.unlisted {
+		if o.sessions[id] == nil {
+			givenUp = append(givenUp, id)
+			delete(o.unlisted, id)
+			o.writer.workersChanged = true
+		}
+	}
+	if len(givenUp) > 0 {
+		slices.Sort(givenUp)
+		o.log.Info("previous owner's workers given up, their leases have expired", zap.Strings("workers", givenUp))
+	}
 }
 
 func (o *Owner) putWorker(ctx context.Context, w work.Worker) {
@@ -117,14 +133,21 @@
 		o.log.Info("worker draining", zap.String("worker", w.ID))
 	}
 	o.planner.PutWorker(w)
-	if s != nil {
+	if s != nil && !o.unlisted[w.ID] {
 		return
 	}
 	delete(o.unlisted, w.ID)
+	o.writer.workersChanged = true
 	o.log.Info("worker listed", zap.String("worker", w.ID), zap.String("rack", w.Rack), zap.Bool("draining", w.Draining))
-	s = newSession(o, port.WorkerTarget{ID: w.ID, Address: w.Address, Domain: w.Zone})
+	if s == nil {
+		o.startSession(ctx, port.WorkerTarget{ID: w.ID, Address: w.Address, Domain: w.Zone})
+	}
+}
+
+func (o *Owner) startSession(ctx context.Context, target port.WorkerTarget) {
+	s := newSession(o, target)
 	ctx, s.cancel = context.WithCancel(ctx)
-	o.sessions[w.ID] = s
+	o.sessions[target.ID] = s
 	o.workerCount.Store(int64(len(o.sessions)))
 	o.writer.workersChanged = true
 	o.wg.Go(func() { s.run(ctx) })
@@ -133,6 +156,7 @@
 func (o *Owner) endSession(s *session, why string) {
 	s.cancel()
 	delete(o.sessions, s.target.ID)
+	delete(o.unlisted, s.target.ID)
 	o.workerCount.Store(int64(len(o.sessions)))
 	o.writer.workersChanged = true
 	o.planner.WorkerLost(o.now(), s.target.ID, true, why)
--- a/internal/duty/replica/old_data_test.go
+++ b/internal/duty/replica/old_data_test.go
@@ -48,3 +48,22 @@
 	must.EqOp(t, "cancel/aaaa", CancelKeys("p", "aaaa")[0].Key)
 	must.EqOp(t, port.RowKey{Table: "lentilwinch", Partition: "p", Key: "beat"}, PoolKey("p", HeartbeatKey))
 }
+
+// Instances of two builds share the rows for a while. An earlier build must still read
+// the capacity that this one stores, with fields that it doesn't know.
+func TestEarlierBuildsDecodeCapacityWithTargets(t *testing.T) {
+	stored := PoolCapacity{
+		MaxCapacity: work.Resources{CPU: 8000, MemMB: 4096, Accel: 8},
+		Workers:     []StoredWorker{{ID: "w1", Address: "10.0.0.9:1", Domain: "north", Rack: "r1", Capacity: work.Resources{CPU: 8000}}},
+	}
+	raw, err := work.Encode(stored)
+	must.NoError(t, err)
+	var earlier struct {
+		MaxCapacity work.Resources `cbor:"2,keyasint"`
+	}
+	must.NoError(t, work.Decode(raw, &earlier))
+	must.Eq(t, stored.MaxCapacity, earlier.MaxCapacity)
+	var decoded PoolCapacity
+	must.NoError(t, work.Decode(raw, &decoded))
+	must.Eq(t, stored, decoded)
+}
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -57,10 +57,23 @@
 }
 
 // PoolCapacity is the capacity that an owner publishes for the admission checks of
-// all instances.
+// all instances, with the workers that it is made of.
 type PoolCapacity struct {
 	// MaxCapacity is the largest capacity of any worker, for each resource.
 	MaxCapacity work.Resources `cbor:"2,keyasint"`
+	// Workers holds the workers of PoolView.Workers, in the same order. It is empty
+	// in rows of earlier builds.
+	Workers []StoredWorker `cbor:"3,keyasint,omitempty"`
+}
+
+// StoredWorker is a worker as its owner last called it. The next owner calls it there
+// if the registry doesn't list it.
+type StoredWorker struct {
+	ID       string         `cbor:"1,keyasint"`
+	Address  string         `cbor:"2,keyasint"`
+	Domain   string         `cbor:"3,keyasint,omitempty"`
+	Rack     string         `cbor:"4,keyasint,omitempty"`
+	Capacity work.Resources `cbor:"5,keyasint"`
 }
 
 // JobView is a job in the replica. A job has more than one row if the partition
--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -179,6 +179,16 @@
 	return n
 }
 
+// RunningOn returns the number of current runs of the worker at an address, which
+// must exist.
+func (p *Pool) RunningOn(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.workers[address]
+	w.advance(time.Now())
+	return len(w.runs)
+}
+
 // beforeCall returns the target worker of a call after a delay of one millisecond.
 // If the worker is unknown or its calls are dropped, it blocks until ctx ends and
 // fails with fault.Uncertain.
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -196,12 +196,14 @@
 	p.stopAttempt(u, now, "stalled")
 }
 
-// MaxCapacity returns the maximum capacity of any worker, separately for each
-// resource.
+// MaxCapacity returns the maximum capacity of any worker that this owner has seen
+// listed, separately for each resource.
 func (p *Planner) MaxCapacity() work.Resources {
 	var capacity work.Resources
 	for _, w := range p.workers {
-		capacity = capacity.Max(w.info.Capacity)
+		if w.listedBefore {
+			capacity = capacity.Max(w.info.Capacity)
+		}
 	}
 	return capacity
 }
--- a/internal/planner/recovery.go
+++ b/internal/planner/recovery.go
@@ -10,9 +10,9 @@
 	// pendingContact holds the workers listed when the recovery began whose first
 	// call has neither been answered nor failed.
 	uncontacted, pendingContact map[string]bool
-	// registryCompleteAt is the time from which the registry is known to list
-	// every worker.
-	registryCompleteAt time.Duration
+	// unknownLeasesEndAt is the time from which no lease is left at a worker that
+	// this owner doesn't know.
+	unknownLeasesEndAt time.Duration
 	// placementsComplete is set if all placements of the previous owner are
 	// stored, so that a unit waits only for the workers of its own attempt.
 	placementsComplete bool
@@ -24,29 +24,26 @@
 	takeoverNoticedBy time.Duration
 }
 
-// Recover makes inherited jobs wait until every worker listed by
-// registryCompleteAt has reported or been lost, because tasks of a previous owner
-// may run there, and until SetPreviousOwnerStopped is called. Jobs that arrive
+// Recover makes inherited jobs wait until every worker has reported or been lost,
+// because tasks of a previous owner may run there, until unknownLeasesEndAt, the time
+// from which no lease is left at workers that aren't known to the planner, and until
+// SetPreviousOwnerStopped is called. Jobs that arrive
 // during the recovery wait until it ends or until takeoverNoticedBy. If
 // placementsComplete is set, jobs wait only for the workers of their own stored
 // attempts. In either case they wait until the first call to each worker known now
 // is answered or has failed.
-func (p *Planner) Recover(registryCompleteAt, takeoverNoticedBy time.Duration, placementsComplete bool) {
+func (p *Planner) Recover(unknownLeasesEndAt, takeoverNoticedBy time.Duration, placementsComplete bool) {
 	r := &p.recovery
-	r.active, r.registryCompleteAt, r.takeoverNoticedBy, r.placementsComplete = true, registryCompleteAt, takeoverNoticedBy, placementsComplete
+	r.active, r.unknownLeasesEndAt, r.takeoverNoticedBy, r.placementsComplete = true, unknownLeasesEndAt, takeoverNoticedBy, placementsComplete
 	for id := range p.workers {
 		r.uncontacted[id], r.pendingContact[id] = true, true
 	}
 }
 
-// SetRegistryCompleteAt sets the time from which the registry is known to list every
-// worker.
-func (p *Planner) SetRegistryCompleteAt(at time.Duration) { p.recovery.registryCompleteAt = at }
-
-// AllWorkersReported reports whether every worker that is or may be listed has
-// reported to this owner or lost its runs.
+// AllWorkersReported reports whether every worker of a previous owner has reported to
+// this owner or lost its runs.
 func (p *Planner) AllWorkersReported(now time.Duration) bool {
-	return !p.recovery.active || len(p.recovery.uncontacted) == 0 && now >= p.recovery.registryCompleteAt
+	return !p.recovery.active || len(p.recovery.uncontacted) == 0 && now >= p.recovery.unknownLeasesEndAt
 }
 
 // SetPreviousOwnerStopped records that the previous owner has stopped and that
@@ -69,7 +66,7 @@
 		return u.inherited || (u.arrivedInRecovery && now < p.recovery.takeoverNoticedBy)
 	}
 	for _, id := range u.previousWorkers {
-		if p.recovery.uncontacted[id] || (p.workers[id] == nil && now < p.recovery.registryCompleteAt) {
+		if p.recovery.uncontacted[id] || (p.workers[id] == nil && now < p.recovery.unknownLeasesEndAt) {
 			return true
 		}
 	}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -182,10 +182,12 @@
 	runs map[work.TaskID]*run
 	free work.Resources
 	// contacted is set once the worker has received this owner's fencing token.
-	contacted   bool
-	reachable   bool
-	listed      bool
-	incarnation int // counts the observed restarts
+	contacted bool
+	reachable bool
+	listed    bool
+	// listedBefore is set once this owner has seen the worker listed.
+	listedBefore bool
+	incarnation  int // counts the observed restarts
 	// lastResult is the sequence of the last result handled.
 	// acknowledgeable is the sequence of the last result that may be
 	// acknowledged; unacked holds the results after it.
--- a/internal/planner/waiting.go
+++ b/internal/planner/waiting.go
@@ -79,8 +79,8 @@
 func (p *Planner) waitingCause(u *unit, v *view) (cause, detail string) {
 	switch {
 	case p.awaitsRecovery(u, v.now):
-		return "recovery", fmt.Sprintf("%d workers not heard, %d first calls open, registry complete in %v, previous owner stopped %t, previous workers %v",
-			len(p.recovery.uncontacted), len(p.recovery.pendingContact), p.recovery.registryCompleteAt-v.now, p.recovery.previousOwnerStopped, u.previousWorkers)
+		return "recovery", fmt.Sprintf("%d workers not heard, %d first calls open, unknown leases end in %v, previous owner stopped %t, previous workers %v",
+			len(p.recovery.uncontacted), len(p.recovery.pendingContact), p.recovery.unknownLeasesEndAt-v.now, p.recovery.previousOwnerStopped, u.previousWorkers)
 	case v.now < u.notBefore:
 		return "retry delay", (u.notBefore - v.now).String()
 	case u.claim != nil:
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -12,17 +12,33 @@
 func (p *Planner) PutWorker(info work.Worker) {
 	w := p.workers[info.ID]
 	if w == nil {
-		w = &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Capacity, listed: true}
-		p.workers[info.ID] = w
-		i, _ := slices.BinarySearch(p.workerIDs, info.ID)
-		p.workerIDs = slices.Insert(p.workerIDs, i, info.ID)
-		if p.recovery.active {
-			p.recovery.uncontacted[info.ID] = true
-		}
-		return
+		w = p.addWorker(info)
 	}
 	w.free = w.free.Add(info.Capacity.Sub(w.info.Capacity))
-	w.info, w.listed = info, true
+	w.info, w.listed, w.listedBefore = info, true, true
+}
+
+// InheritWorker adds a worker of a previous owner that the registry doesn't list. It
+// gets no new tasks until PutWorker is called for it.
+func (p *Planner) InheritWorker(info work.Worker) { p.addWorker(info) }
+
+func (p *Planner) addWorker(info work.Worker) *worker {
+	w := &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Capacity}
+	p.workers[info.ID] = w
+	i, _ := slices.BinarySearch(p.workerIDs, info.ID)
+	p.workerIDs = slices.Insert(p.workerIDs, i, info.ID)
+	if p.recovery.active {
+		p.recovery.uncontacted[info.ID] = true
+	}
+	return w
+}
+
+// Worker returns a worker as it was last put or inherited.
+func (p *Planner) Worker(id string) (work.Worker, bool) {
+	if w := p.workers[id]; w != nil {
+		return w.info, true
+	}
+	return work.Worker{}, false
 }
 
 // WorkerUnlisted records that the registry no longer lists the worker. Its runs
