Takeover: an epoch of the own name isn't proof that nobody else acts

Cause: an owner took all owners before it for stopped if the previous epoch was its own or vacant. That epoch's owner may never have called a worker: its claim was performed without an answer, it was killed between claim and first hold, or it handed over before that. Nothing had stopped the owner before it, which went on storing and acknowledging successes, while the new one took its records for final and sent starts before their placements were stored.

An owner's heartbeat now says whether all owners before it have stopped, at no further write. The next one takes them for stopped only then. Heartbeats of earlier builds hold the plain name and don't say so; earlier builds don't read the value.

Cost: none where the last owner had settled.

--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -148,7 +148,7 @@
 	}
 	e.log.Info("ownership gained", zap.Int64("epoch", epoch.Number), zap.String("former", view.Epoch.Owner), zap.Int64("version", version))
 	o := newOwner(e.deps, e.pool, epoch.Number, version)
-	o.previous.stopped = view.Epoch.Owner == "" || view.Epoch.Owner == e.deps.Name
+	o.previous.stopped = e.hasStopped(&view)
 	if err := o.run(ctx); err != nil {
 		e.log.Warn("takeover failed", zap.Error(err))
 	}
@@ -157,6 +157,15 @@
 	}
 }
 
+// hasStopped reports whether no owner up to the view's epoch can act any more. That
+// the owner of this epoch was another run of this instance, or handed the pool over,
+// says nothing of the owners before it: it may have ended before it had called the
+// workers, or never known that its claim was performed.
+func (e *Election) hasStopped(view *replica.PoolView) bool {
+	lastStopped := view.Epoch.Owner == "" || view.Epoch.Owner == e.deps.Name
+	return lastStopped && view.SettledEpoch == view.Epoch.Number
+}
+
 func (e *Election) writeEpoch(ctx context.Context, expectedVersion int64, epoch replica.Epoch) (int64, error) {
 	value, err := work.Encode(epoch)
 	if err != nil {
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -96,6 +96,7 @@
 	events       chan event
 	cancel       context.CancelFunc
 	heartbeatAt  atomic.Int64 // when the last confirmed heartbeat was sent, on Now's clock
+	settled      atomic.Bool  // no previous owner can act any more
 	writer       recordWriter
 	policy       policyCalls
 	held         []heldStart
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -18,7 +18,7 @@
 
 // previousOwner is the state of the previous owner as far as it is known.
 type previousOwner struct {
-	stopped bool // it handed the pool over, or was this instance, in this or a previous incarnation
+	stopped bool // it and all owners before it had stopped before this owner's claim
 	// catchUp guards the read of the store's current version.
 	catchUp retryGate
 	// caughtUp is set once the previous owner can no longer act and the replica
@@ -210,6 +210,7 @@
 		}
 	}
 	o.previous.merged = true
+	o.settled.Store(true)
 	o.planner.SetPreviousOwnerStopped()
 	o.log.Info("former owner over", zap.Int("records", merged))
 }
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -308,12 +308,9 @@
 // heartbeat writes this owner's heartbeat until ctx ends. If another owner holds
 // the pool, it resigns.
 func (o *Owner) heartbeat(ctx context.Context) {
-	txn := o.epochTxn(map[port.RowKey][]byte{replica.PoolKey(o.pool, replica.HeartbeatKey): []byte(o.deps.Name)})
 	for ctx.Err() == nil {
 		sentAt := o.now()
-		call, cancel := context.WithTimeout(ctx, commitTimeout)
-		_, err := o.deps.Store.Commit(call, txn)
-		cancel()
+		err := o.writeHeartbeat(ctx)
 		switch {
 		case err == nil:
 			o.heartbeatAt.Store(int64(sentAt))
@@ -326,3 +323,18 @@
 		_ = wait.For(ctx, heartbeatInterval) // ends early only with ctx, which the loop checks
 	}
 }
+
+func (o *Owner) writeHeartbeat(ctx context.Context) error {
+	heartbeat := replica.Heartbeat{Owner: o.deps.Name}
+	if o.settled.Load() {
+		heartbeat.SettledEpoch = o.epoch
+	}
+	value, err := work.Encode(heartbeat)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	_, err = o.deps.Store.Commit(ctx, o.epochTxn(map[port.RowKey][]byte{replica.PoolKey(o.pool, replica.HeartbeatKey): value}))
+	return err
+}
--- a/internal/duty/replica/apply.go
+++ b/internal/duty/replica/apply.go
@@ -48,6 +48,10 @@
 	switch row.Key {
 	case HeartbeatKey:
 		p.HeartbeatVersion = row.Version
+		var heartbeat Heartbeat
+		if work.Decode(row.Value, &heartbeat) == nil { // else it is an earlier build's
+			p.SettledEpoch = heartbeat.SettledEpoch
+		}
 		return nil
 	case EpochKey:
 		p.EpochVersion = row.Version
--- a/internal/duty/replica/old_data_test.go
+++ b/internal/duty/replica/old_data_test.go
@@ -67,3 +67,16 @@
 	must.NoError(t, work.Decode(raw, &decoded))
 	must.Eq(t, stored, decoded)
 }
+
+// An earlier build's heartbeat is the owner's name as plain text. It says nothing of
+// the owners before it.
+func TestHeartbeatOfEarlierBuildsIsNotSettled(t *testing.T) {
+	r := New(nil, zap.NewNop(), func() time.Duration { return 0 })
+	settled, err := work.Encode(Heartbeat{Owner: "north-1", SettledEpoch: 6})
+	must.NoError(t, err)
+	for version, value := range [][]byte{settled, []byte("north-1")} {
+		row := port.VersionedRow{RowKey: port.RowKey{Partition: "p", Key: "beat"}, Value: value, Version: int64(version + 1)}
+		must.NoError(t, r.applyRow(&row))
+		must.Eq(t, &PoolView{HeartbeatVersion: int64(version + 1), SettledEpoch: 6}, r.pools["p"])
+	}
+}
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -43,6 +43,15 @@
 	Incarnation string `cbor:"3,keyasint,omitempty"`
 }
 
+// Heartbeat is the value of an owner's heartbeat row. Earlier builds store the owner's
+// name as plain text.
+type Heartbeat struct {
+	Owner string `cbor:"1,keyasint"`
+	// SettledEpoch is the owner's epoch once no owner of an earlier epoch can act any
+	// more, 0 before.
+	SettledEpoch int64 `cbor:"2,keyasint,omitempty"`
+}
+
 // Instance is a registered instance, through which peers can reach the store.
 type Instance struct {
 	Name    string `cbor:"1,keyasint"`
@@ -101,7 +110,9 @@
 	Epoch            Epoch
 	EpochVersion     int64
 	HeartbeatVersion int64
-	Capacity         PoolCapacity
+	// SettledEpoch is the newest epoch known to have outlasted the owners before it.
+	SettledEpoch int64
+	Capacity     PoolCapacity
 	// Workers lists the IDs of the workers that the owner last used. It is shared
 	// with other views and must not be modified.
 	Workers []string
