Takeover: a draining worker stays in the stored list while it has runs

Cause: a draining worker without an entry that doesn't answer was dropped from the stored list at once, though its leases ran on. The next owner didn't know it and started its tasks again.

It is dropped now only once nothing is on record there. One that has been dropped is stored again when it answers or is listed; before, only a new session did that.

TestWorkerThatHasLeftIsNotInStoredList is unchanged.

Cost: an owner that takes over within a lease's length of a worker's leaving with tasks on it waits for their leases, as the owner before it did.

--- a/internal/duty/pool/absent_test.go
+++ b/internal/duty/pool/absent_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
+	"github.com/lentilwinch/lentilwinch/internal/fake"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
@@ -82,3 +83,21 @@
 	must.NoError(c.t, err)
 	time.Sleep(500 * time.Millisecond) // until the replicas hold it
 }
+
+// Guards against running tasks that are started again because their worker was dropped
+// from the stored list while its leases ran on: it was draining, without an entry and
+// silent, as if it had left.
+func TestTakeoverAwaitsSilentDrainingWorkerWithRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, registry, owner := runLongJob(t, 30)
+		registry.drain("w00")
+		time.Sleep(time.Second)
+		c.pool.SetFaults("10.0.0.0:1", fake.PoolFaults{DropCalls: true})
+		registry.remove("w00")
+		time.Sleep(1800 * time.Millisecond)
+		owner.kill()
+		time.Sleep(15 * time.Second)
+		c.checkInvariants()
+		must.EqOp(t, 32, c.pool.StartCount())
+	})
+}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -113,6 +113,8 @@
 	// unlisted holds the stored workers of the previous owner that the registry
 	// hasn't listed yet. Those whose targets are stored have sessions.
 	unlisted map[string]bool
+	// left holds the workers that have left and whose sessions haven't ended yet.
+	left map[string]bool
 	// registryComplete is set from registryCompleteAt on, when the registry lists
 	// every worker that reaches the store.
 	registryComplete   bool
@@ -131,6 +133,7 @@
 		cancelStarts: map[runKey]context.CancelFunc{},
 		deferred:     map[string]bool{},
 		unlisted:     map[string]bool{},
+		left:         map[string]bool{},
 		events:       make(chan event, eventQueueSize),
 		startedAt:    deps.Now(),
 		done:         make(chan struct{}),
@@ -367,6 +370,7 @@
 		results := o.planner.HandleReport(now, ev.sentAt, id, ev.reply)
 		ev.session.acknowledge(ev.incarnation, o.planner.AcknowledgeableResult(id))
 		o.logResults(id, results)
+		o.updateLeft(id)
 	case evRestarted: // already applied above
 	case evFirstFailure:
 		o.planner.ContactFailed(id)
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -128,7 +128,7 @@
 // wait for them.
 func (o *Owner) storedWorkers() []string {
 	ids := slices.AppendSeq(slices.Collect(maps.Keys(o.sessions)), maps.Keys(o.unlisted))
-	ids = slices.DeleteFunc(ids, o.planner.HasLeft)
+	ids = slices.DeleteFunc(ids, func(id string) bool { return o.left[id] })
 	slices.Sort(ids)
 	return slices.Compact(ids)
 }
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -83,11 +83,18 @@
 	o.updateLeft(id)
 }
 
-// updateLeft has the list of workers stored again if the worker has left.
+// updateLeft has the list of workers stored again if the worker has left, or is back.
 func (o *Owner) updateLeft(id string) {
-	if o.planner.HasLeft(id) {
-		o.writer.workersChanged = true
+	left := o.planner.HasLeft(id)
+	switch {
+	case left == o.left[id]:
+		return
+	case left:
+		o.left[id] = true
+	default:
+		delete(o.left, id)
 	}
+	o.writer.workersChanged = true
 }
 
 // giveUpUnlisted has the capacity of unlisted workers no longer counted once the
@@ -134,6 +141,7 @@
 	}
 	o.planner.PutWorker(w)
 	if s != nil && !o.unlisted[w.ID] {
+		o.updateLeft(w.ID)
 		return
 	}
 	delete(o.unlisted, w.ID)
@@ -157,6 +165,7 @@
 	s.cancel()
 	delete(o.sessions, s.target.ID)
 	delete(o.unlisted, s.target.ID)
+	delete(o.left, s.target.ID)
 	o.workerCount.Store(int64(len(o.sessions)))
 	o.writer.workersChanged = true
 	o.planner.WorkerLost(o.now(), s.target.ID, true, why)
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -290,12 +290,13 @@
 	return w != nil && len(w.runs) > 0 || p.recovery.uncontacted[id]
 }
 
-// HasLeft reports whether the worker has left as planned: it was draining, the
-// registry no longer lists it, and it doesn't answer. The entry of a worker that
-// answers may have expired in an outage of the registry.
+// HasLeft reports whether the worker has left as planned: it was draining, has no runs,
+// the registry no longer lists it, and it doesn't answer. The entry of a worker that
+// answers may have expired in an outage of the registry, and one that doesn't may go on
+// with its runs until its leases end.
 func (p *Planner) HasLeft(id string) bool {
 	w := p.workers[id]
-	return w != nil && w.info.Draining && !w.listed && !w.reachable
+	return w != nil && w.info.Draining && !w.listed && !w.reachable && !p.MayHaveRuns(id)
 }
 
 // Draining reports whether the worker is draining.
