--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -12,17 +12,33 @@
 func (p *Planner) PutWorker(info work.Worker) {
 	w := p.workers[info.ID]
 	if w == nil {
-		w = &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Capacity, listed: true}
-		p.workers[info.ID] = w
-		i, _ := slices.BinarySearch(p.workerIDs, info.ID)
-		p.workerIDs = slices.Insert(p.workerIDs, i, info.ID)
-		if p.recovery.active {
-			p.recovery.uncontacted[info.ID] = true
-		}
-		return
+		w = p.addWorker(info)
 	}
 	w.free = w.free.Add(info.Capacity.Sub(w.info.Capacity))
-	w.info, w.listed = info, true
+	w.info, w.listed, w.listedBefore = info, true, true
+}
+
+// InheritWorker adds a worker of a previous owner that the registry doesn't list. It
+// gets no new tasks until PutWorker is called for it.
+func (p *Planner) InheritWorker(info work.Worker) { p.addWorker(info) }
+
+func (p *Planner) addWorker(info work.Worker) *worker {
+	w := &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Capacity}
+	p.workers[info.ID] = w
+	i, _ := slices.BinarySearch(p.workerIDs, info.ID)
+	p.workerIDs = slices.Insert(p.workerIDs, i, info.ID)
+	if p.recovery.active {
+		p.recovery.uncontacted[info.ID] = true
+	}
+	return w
+}
+
+// Worker returns a worker as it was last put or inherited.
+func (p *Planner) Worker(id string) (work.Worker, bool) {
+	if w := p.workers[id]; w != nil {
+		return w.info, true
+	}
+	return work.Worker{}, false
 }
 
 // WorkerUnlisted records that the registry no longer lists the worker. Its runs
@@ -274,12 +290,13 @@
 	return w != nil && len(w.runs) > 0 || p.recovery.uncontacted[id]
 }
 
-// HasLeft reports whether the worker has left as planned: it was draining, the
-// registry no longer lists it, and it doesn't answer. The entry of a worker that
-// answers may have expired in an outage of the registry.
+// HasLeft reports whether the worker has left as planned: it was draining, has no runs,
+// the registry no longer lists it, and it doesn't answer. The entry of a worker that
+// answers may have expired in an outage of the registry, and one that doesn't may go on
+// with its runs until its leases end.
 func (p *Planner) HasLeft(id string) bool {
 	w := p.workers[id]
-	return w != nil && w.info.Draining && !w.listed && !w.reachable
+	return w != nil && w.info.Draining && !w.listed && !w.reachable && !p.MayHaveRuns(id)
 }
 
 // Draining reports whether the worker is draining.
