Pool: runs and results of unknown jobs are kept until the job is read

Cause: an owner took a job that it didn't know for one that doesn't exist, unless a partition was unread. A former owner that hasn't noticed the takeover starts jobs that are stored after the claim, and the new owner's feed may lag (an unanswered watch, a slow store, history read anew). The new owner acknowledged their results and dropped them, and forgot or stopped their runs without a unit, so that nothing kept the tasks from being placed once the job arrived. The same held for runs reported while a partition was unread, if their worker became unreachable before the job was read.

Fix: a job is stored before any of its tasks is started. What workers report of an unknown job is kept, unacknowledged and not stopped, until a version of the store that was read after the report is in the replica, with every partition; then a job that is still unknown doesn't exist. Jobs that the replica shows as ended, or that this owner has had, are dropped at once. When the job is added, its runs are adopted and its results count. This replaces the switch for unread partitions. A worker with a run of unknown need gets no starts, as its free capacity isn't known; before, such runs counted nothing.

Cost: one read of a row when unknown jobs are reported, which is at takeovers.

Tests that changed: TestResultsOfUnknownJobsWaitForTheirJob no longer sets the switch, which is gone, and asserts the same. TestIncarnationsAreAppliedInOrder counted on results of an unknown job being acknowledged at once, which is the fault; it now drops the job first, and asserts the same.

--- a/internal/duty/pool/incarnation_test.go
+++ b/internal/duty/pool/incarnation_test.go
@@ -49,6 +49,14 @@
 	})
 }
 
+// dropUnknownJobs drops the jobs of the reported results, which then may be acknowledged.
+func dropUnknownJobs(o *Owner) {
+	for id := range o.planner.UnknownJobs() {
+		o.planner.DropUnknownJob(id)
+	}
+	o.acknowledgeResults()
+}
+
 // A restarted worker numbers its results from 1. If a report of the previous
 // incarnation is applied after the restart, results of the new one are taken for
 // known ones and acknowledged without being counted (seed 5 of the fault tests).
@@ -58,12 +66,14 @@
 		s.incarnation = 1
 		o.apply(t.Context(), event{kind: evRestarted, session: s, incarnation: 1})
 		o.apply(t.Context(), report(s, 0, 23))
+		dropUnknownJobs(o)
 		must.EqOp(t, 0, o.planner.AcknowledgeableResult("w"))
 		must.EqOp(t, 0, s.acknowledged)
 
 		s.incarnation = 2 // its report arrives before the restart event
 		o.apply(t.Context(), report(s, 2, 1))
 		o.apply(t.Context(), event{kind: evRestarted, session: s, incarnation: 2})
+		dropUnknownJobs(o)
 		must.EqOp(t, 1, o.planner.AcknowledgeableResult("w"))
 		must.EqOp(t, 1, s.acknowledged)
 
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -108,6 +108,7 @@
 	config       *work.Config
 	done         chan struct{}
 	previous     previousOwner
+	unknown      unknownJobs
 	announcement earlyStartAnnouncement
 	// unlisted holds the stored workers of the previous owner that the registry
 	// hasn't listed yet. They are given up at registryCompleteAt.
@@ -249,7 +250,7 @@
 			o.yielded = true
 			return
 		}
-		o.addChangedJobs(sub)
+		o.addChangedJobs(ctx, sub)
 		o.step(ctx)
 	}
 }
@@ -385,6 +386,8 @@
 		o.earlyStartsAnnounced(ev.err)
 	case evCaughtUp:
 		o.catchUpDone(ev.err)
+	case evJobsRead:
+		o.jobsRead(ev)
 	case evPolicyAnswered:
 		o.policyAnswered(now, ev.policy)
 	case evCommitDone:
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -34,8 +34,6 @@
 	if err := o.deps.Replica.Await(ctx, o.epochVersion); err != nil {
 		return err
 	}
-	// Before any worker reports: results of jobs that aren't read yet must be kept.
-	o.planner.SetJobsIncomplete(!o.deps.Replica.Complete())
 	jobs := o.deps.Replica.Jobs(o.pool)
 	workers, _, err := o.deps.Registry.Workers(ctx)
 	if err != nil {
@@ -139,7 +137,7 @@
 // addChangedJobs adds the jobs that changed in the replica since the last call. It
 // first reads whether the replica is complete: if so, the changes include all jobs
 // that were missing before.
-func (o *Owner) addChangedJobs(sub *replica.Subscription) {
+func (o *Owner) addChangedJobs(ctx context.Context, sub *replica.Subscription) {
 	complete := o.deps.Replica.Complete()
 	for _, v := range sub.Take() {
 		o.addJob(&v, false)
@@ -148,7 +146,7 @@
 		}
 	}
 	o.addDeferredJobs()
-	o.planner.SetJobsIncomplete(!complete)
+	o.resolveUnknownJobs(ctx, complete)
 }
 
 // addDeferredJobs adds the deferred jobs whose rows can be read by now. Their
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -223,6 +223,11 @@
 		o.log.Info("job stored", zap.String("job", rec.Job.ID), zap.String("state", string(rec.State)), zap.Int64("version", r.version))
 	}
 	o.releaseStored(ctx, r.records, r.plan)
+	o.acknowledgeResults()
+}
+
+// acknowledgeResults lets the workers drop the results that may be acknowledged.
+func (o *Owner) acknowledgeResults() {
 	for id, s := range o.sessions {
 		s.acknowledge(s.appliedIncarnation, o.planner.AcknowledgeableResult(id))
 	}
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -65,10 +65,7 @@
 		p.finish(j, work.Failed, now)
 	}
 	p.checkCompletion(j, now)
-	for _, o := range p.orphanResults[rec.Job.ID] {
-		p.handleResult(now, o.worker, o.result)
-	}
-	delete(p.orphanResults, rec.Job.ID)
+	p.takeUnknown(j, now)
 }
 
 // failUnplannable adds a job that was stored without the checks of work.Job.Check as
@@ -78,6 +75,7 @@
 	p.jobs[rec.Job.ID] = j
 	p.jobsByArrival = append(p.jobsByArrival, j)
 	p.finish(j, work.Failed, now)
+	p.takeUnknown(j, now)
 }
 
 // adoptionDelay is how long a job that a previous owner held waits for workers to
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -237,11 +237,10 @@
 	must.EqOp(t, work.Running, r.p.TakeChanged()[0].State)
 }
 
-// While a partition of the store is unavailable, results of jobs that it may hold
-// are kept for later. Results of the other jobs count at once.
-func TestResultsOfUnknownJobsWaitWhileJobsAreIncomplete(t *testing.T) {
+// Results of jobs that aren't known are kept for later. Results of the other jobs count
+// at once.
+func TestResultsOfUnknownJobsWaitForTheirJob(t *testing.T) {
 	r := newRecoveringHarness(t, 1)
-	r.p.SetJobsIncomplete(true)
 	r.p.AddJob(r.now, 0, r.job("known", 1, step(1, 1, 9)), true)
 	r.p.HandleReport(r.now, r.now, "w00", port.HoldReply{Results: []port.RunResult{
 		{Sequence: 1, Task: work.TaskID{Job: "later"}, Run: 1, Kind: port.ResultSucceeded},
@@ -250,7 +249,6 @@
 	must.EqOp(t, 0, starts(r.plan()))
 	must.EqOp(t, 0, r.p.AcknowledgeableResult("w00"))
 	r.p.AddJob(r.now, 0, r.job("later", 1, step(1, 1, 9)), false)
-	r.p.SetJobsIncomplete(false)
 	must.EqOp(t, 0, starts(r.plan()))
 	must.Len(t, 2, r.p.TakeChanged())
 	r.p.RecordStored("known")
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -32,6 +32,9 @@
 	if r.worker.runs[r.task] == r {
 		delete(r.worker.runs, r.task)
 		r.worker.free = r.worker.free.Add(r.need)
+		if r.needUnknown {
+			r.worker.unknownNeeds--
+		}
 	}
 	if r.unit != nil && r.unit.runs[r.task.Index] == r {
 		delete(r.unit.runs, r.task.Index)
@@ -341,7 +344,7 @@
 // task.
 func (j *job) unitOf(t work.TaskID) *unit {
 	job := &j.rec.Job
-	if t.Step < 0 || t.Step >= len(job.Steps) || t.Index < 0 || t.Occurrence < 0 || t.Occurrence >= job.Occurrences() {
+	if len(j.perStep) == 0 || t.Step < 0 || t.Step >= len(job.Steps) || t.Index < 0 || t.Occurrence < 0 || t.Occurrence >= job.Occurrences() {
 		return nil
 	}
 	units := j.unitsOf(t.Occurrence, t.Step)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -129,7 +128,7 @@
 )
 
 // run is one start of a task on a worker. A run without a unit is orphaned and is
-// being stopped.
+// being stopped, or its job isn't known yet.
 type run struct {
 	unit   *unit
 	task   work.TaskID
@@ -147,6 +146,10 @@
 	progressAt      time.Duration // time of the last increase of percent, at first of the order or start
 	stopConfirmedAt time.Duration // 0 until the stop is confirmed
 	stopReason      string
+	// checkpoint is the last one of a run without a unit.
+	checkpoint string
+	// needUnknown is set for a run without a unit whose need isn't known.
+	needUnknown bool
 }
 
 // reportDelay covers the time until a worker reports the first progress of a run.
@@ -181,6 +184,8 @@
 	info work.Worker
 	runs map[work.TaskID]*run
 	free work.Resources
+	// unknownNeeds counts the runs whose need isn't known and not taken off free.
+	unknownNeeds int
 	// contacted is set once the worker has received this owner's fencing token.
 	contacted   bool
 	reachable   bool
@@ -194,12 +199,6 @@
 	health                      health
 }
 
-// orphanResult is a result of a job that isn't known yet.
-type orphanResult struct {
-	worker *worker
-	result port.RunResult
-}
-
 // unackedResult is a result that isn't acknowledged before its job is stored.
 type unackedResult struct {
 	sequence int64
@@ -238,19 +237,15 @@
 // Planner holds the state of one pool under one owner. It is not safe for
 // concurrent use.
 type Planner struct {
-	settings      Settings
-	firstRun      int64 // first run number of the owner's epoch
-	workers       map[string]*worker
-	workerIDs     []string // the keys of workers, in ascending order
-	jobs          map[string]*job
-	jobsByArrival []*job           // all of jobs, in order of arrival
-	guarantee     map[string]int64 // in accelerators, by workspace
-	recovery      recovery
-	// jobsIncomplete is set while jobs may be missing because a partition of the
-	// store is unavailable.
-	jobsIncomplete bool
-	// orphanResults holds the results of jobs that aren't known yet, by job.
-	orphanResults   map[string][]orphanResult
+	settings        Settings
+	firstRun        int64 // first run number of the owner's epoch
+	workers         map[string]*worker
+	workerIDs       []string // the keys of workers, in ascending order
+	jobs            map[string]*job
+	jobsByArrival   []*job           // all of jobs, in order of arrival
+	guarantee       map[string]int64 // in accelerators, by workspace
+	recovery        recovery
+	unknownJobs     map[string]*unknownJob
 	queueMeanWeight map[string]*mean // mean weight of the jobs, by queue
 	urgentDemand    demand
 	nextWaiting     int // index in jobsByArrival of the job that ReportWaiting examined last
@@ -301,7 +296,7 @@
 		workers:         map[string]*worker{},
 		jobs:            map[string]*job{},
 		guarantee:       map[string]int64{},
-		orphanResults:   map[string][]orphanResult{},
+		unknownJobs:     map[string]*unknownJob{},
 		recovery:        recovery{uncontacted: map[string]bool{}, pendingContact: map[string]bool{}},
 		queueMeanWeight: map[string]*mean{},
 		discarded:       map[string]float64{},
--- a/internal/planner/waiting.go
+++ b/internal/planner/waiting.go
@@ -143,7 +143,7 @@
 		bestRack = max(bestRack, onRack)
 	}
 	out := fmt.Sprintf("%d of %d tasks fit, %d on one rack; %d workers usable", fit, u.count, bestRack, len(v.workers))
-	for _, cause := range []string{"not heard", "silent", "not listed", "draining", "quarantined", "label or neighbours", "no ticket", "headroom", "failed or stalled there"} {
+	for _, cause := range []string{"not heard", "silent", "not listed", "draining", "quarantined", "unknown runs", "label or neighbours", "no ticket", "headroom", "failed or stalled there"} {
 		if n := excluded[cause]; n > 0 {
 			out += fmt.Sprintf(", %d %s", n, cause)
 		}
@@ -164,6 +164,8 @@
 		return "draining"
 	case w.health.excluded(now):
 		return "quarantined"
+	case w.unknownNeeds > 0:
+		return "unknown runs"
 	}
 	return ""
 }
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -33,16 +33,6 @@
 	}
 }
 
-// SetJobsIncomplete sets whether jobs may be missing because a partition of the
-// store is unavailable. While it is set, runs of unknown jobs aren't stopped and
-// their results are kept until the job is added.
-func (p *Planner) SetJobsIncomplete(incomplete bool) {
-	p.jobsIncomplete = incomplete
-	if !incomplete {
-		clear(p.orphanResults)
-	}
-}
-
 // SetReachable sets whether the worker answers calls.
 func (p *Planner) SetReachable(id string, reachable bool) {
 	if w := p.workers[id]; w != nil {
@@ -107,7 +97,8 @@
 }
 
 // HandleReport handles a worker's report of its active runs and of run results, and
-// returns the results that are new. sentAt is when the request was sent.
+// returns the results that are new. sentAt is when the request was sent. Runs and results
+// of unknown jobs are kept until AddJob or DropUnknownJob.
 func (p *Planner) HandleReport(now, sentAt time.Duration, id string, reply port.HoldReply) []port.RunResult {
 	w := p.workers[id]
 	if w == nil {
@@ -122,11 +113,9 @@
 		w.lastResult = result.Sequence
 		newResults = append(newResults, result)
 		w.unacked = append(w.unacked, unackedResult{result.Sequence, result.Task.Job})
-		if id := result.Task.Job; p.jobsIncomplete && p.jobs[id] == nil {
-			p.orphanResults[id] = append(p.orphanResults[id], orphanResult{w, result})
-			continue
+		if !p.keepResult(now, w, result) {
+			p.handleResult(now, w, result)
 		}
-		p.handleResult(now, w, result)
 	}
 	p.handleReportedRuns(now, sentAt, w, reply.Running)
 	delete(p.recovery.uncontacted, id)
@@ -144,7 +133,7 @@
 	}
 	for len(w.unacked) > 0 {
 		id := w.unacked[0].job
-		if j := p.jobs[id]; j != nil && j.unstored || p.orphanResults[id] != nil {
+		if j := p.jobs[id]; j != nil && j.unstored || p.unknownJobs[id] != nil {
 			break
 		}
 		w.acknowledgeable = w.unacked[0].sequence
@@ -188,20 +177,21 @@
 	if s.ProgressPercent > r.percent {
 		r.percent, r.progressAt = s.ProgressPercent, now
 	}
+	if r.unit == nil {
+		r.checkpoint = s.Checkpoint
+	}
 	if s.Checkpoint != "" && r.unit != nil && r.unit.spec().Checkpointable && s.ProgressPercent >= r.unit.checkpointPercent {
 		r.unit.checkpoint, r.unit.checkpointPercent = s.Checkpoint, s.ProgressPercent
 	}
 }
 
-// adopt takes over a run that this owner didn't start, or stops it.
+// adopt takes over a run that this owner didn't start, or stops it. It keeps the run of
+// an unknown job.
 func (p *Planner) adopt(now time.Duration, w *worker, s *port.RunState) {
 	if old := w.runs[s.Task]; old != nil {
 		return // another run of the task is on record and must end first
 	}
 	j := p.jobs[s.Task.Job]
-	if j == nil && p.jobsIncomplete {
-		return // the job may be read later
-	}
 	var u *unit
 	if j != nil {
 		u = j.unitOf(s.Task)
@@ -218,15 +208,25 @@
 		p.log(LogEntry{Event: EventRunAdopted, Job: s.Task.Job, Worker: w.info.ID, Task: s.Task, Run: s.Run})
 		return
 	}
-	r := &run{task: s.Task, number: s.Run, worker: w, phase: runRunning, startedAt: now, confirmedAt: now}
+	r := &run{task: s.Task, number: s.Run, worker: w, phase: runRunning, startedAt: now, confirmedAt: now, percent: s.ProgressPercent, checkpoint: s.Checkpoint, needUnknown: true}
+	w.runs[s.Task] = r
+	w.unknownNeeds++
+	p.setNeed(r, u)
+	if j == nil {
+		p.noteUnknown(s.Task.Job, now)
+		p.log(LogEntry{Event: EventUnknownRun, Job: s.Task.Job, Worker: w.info.ID, Task: s.Task, Run: s.Run})
+		return
+	}
 	if u != nil {
-		r.need = u.spec().Need
 		u.nextRun = max(u.nextRun, s.Run+1)
 		p.blockUntilStopped(u, r, now)
 	}
-	w.runs[s.Task] = r
-	w.free = w.free.Sub(r.need)
-	p.log(LogEntry{Event: EventOrphanedRun, Job: s.Task.Job, Worker: w.info.ID, Task: s.Task, Run: s.Run})
+	p.stopOrphan(r)
+}
+
+// stopOrphan stops a run that belongs to no current attempt.
+func (p *Planner) stopOrphan(r *run) {
+	p.log(LogEntry{Event: EventOrphanedRun, Job: r.task.Job, Worker: r.worker.info.ID, Task: r.task, Run: r.number})
 	p.stopRun(r, "stray")
 }
 
