--- a/internal/duty/replica/replica_test.go
+++ b/internal/duty/replica/replica_test.go
@@ -100,10 +100,10 @@
 		time.Sleep(time.Second)
 		putJob(t, store, "a")
 		putJob(t, store, "b")
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(followerMinWatchInterval + time.Millisecond)
 		must.EqOp(t, 2, r.Waiting("q"))
 		cancelJob(t, store, "b")
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(followerMinWatchInterval + time.Millisecond)
 		must.EqOp(t, 1, r.Waiting("q"))
 	})
 }
