Pool: a takeover's first starts wait for results in the jobs' other partitions

Cause: a new owner sends a start once its placement is stored, and takes that for proof that the former owner stored nothing since. The condition covers one of the three partitions that may hold the job. A former owner that hasn't noticed the takeover, and to which the first partition was unavailable, stores a result in another one and acknowledges it; the new owner's feed doesn't show it yet, its placement is stored without a conflict, and the task starts again.

Fix: until the former owner's records are merged, a start is released only when the replica holds the version of its placement, and with it all that was stored before in any partition. Records of other owners are merged first, as after a conflict, and drop the job's held starts. What the former owner acknowledged was stored before the new owner's first hold at that worker, hence before the placement.

Cost: first starts after a takeover wait for the feed.

--- a/internal/duty/pool/events.go
+++ b/internal/duty/pool/events.go
@@ -23,6 +23,7 @@
 	evJobRemoved                                // job: the rows of an ended job were removed
 	evPolicyAnswered                            // policy: the policy service answered or failed
 	evCaughtUp                                  // err: the replica holds what the previous owner stored, or catching up failed
+	evRecordsRead                               // commit: the replica holds a transaction with placements
 	evJobsRead                                  // sentAt, err: the replica holds all jobs that were stored by then, or reading failed
 	evEarlyStartsAnnounced                      // err: early starts were announced, or the write failed
 )
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -386,6 +386,8 @@
 		o.earlyStartsAnnounced(ev.err)
 	case evCaughtUp:
 		o.catchUpDone(ev.err)
+	case evRecordsRead:
+		o.recordsRead(ctx, ev.commit)
 	case evJobsRead:
 		o.jobsRead(ev)
 	case evPolicyAnswered:
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -222,7 +222,11 @@
 		}
 		o.log.Info("job stored", zap.String("job", rec.Job.ID), zap.String("state", string(rec.State)), zap.Int64("version", r.version))
 	}
-	o.releaseStored(ctx, r.records, r.plan)
+	if o.previous.merged {
+		o.releaseStored(ctx, r.records, r.plan)
+	} else {
+		o.awaitRecords(ctx, r)
+	}
 	o.acknowledgeResults()
 }
 
@@ -288,11 +292,7 @@
 			o.log.Error("job row can't be decoded", zap.String("job", rec.Job.ID), zap.Error(err))
 			continue
 		}
-		if other.Sequence > 0 {
-			o.dropHeldStarts(rec.Job.ID)
-		}
-		o.log.Info("job row of another owner merged", zap.String("job", rec.Job.ID), zap.Int64("version", row.Version))
-		o.planner.Merge(o.now(), other)
+		o.mergeRecord(other, row.Version)
 	}
 }
 
--- a/internal/duty/pool/unknown_test.go
+++ b/internal/duty/pool/unknown_test.go
@@ -180,3 +180,41 @@
 		c.checkInvariants()
 	})
 }
+
+// Guards against a start after a success that the former owner stored in another partition
+// than the one in which the new owner stores the placement.
+func TestTakeoverFindsResultsThatAreStoredInAnotherPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		unconfirmed, feed := &unconfirmedStore{}, &stuckFeedStore{}
+		var rejected atomic.Bool
+		c.launchWith(func(in *instance) {
+			in.wrapStore = func(direct port.RowStore) port.RowStore {
+				unconfirmed.RowStore = &unreadableStore{direct, map[string]bool{replica.JobKeys(testPool, "job")[0].Partition: true}, &rejected}
+				return unconfirmed
+			}
+		})
+		time.Sleep(time.Second)
+		c.registry = &slowRegistry{c.pool, 2 * time.Second}
+		second := c.launchWith(func(in *instance) {
+			in.wrapStore = func(direct port.RowStore) port.RowStore { feed.RowStore = direct; return feed }
+		})
+		time.Sleep(storeStableAfter + 2*time.Second)
+		c.setDuration("job", 3, 0)
+		c.submit("job", single(8, 3))
+		time.Sleep(time.Second)
+		must.EqOp(t, 8, c.pool.Running())
+		rejected.Store(true)
+		unconfirmed.set.Store(true)
+		for c.owner() != second.name || second.replica.Pool(testPool).Epoch.Owner != second.name {
+			time.Sleep(time.Millisecond)
+		}
+		must.EqOp(t, 8, c.pool.Running())
+		feed.stuck.Store(true)
+		time.Sleep(3 * time.Second)
+		c.checkInvariants()
+		feed.stuck.Store(false)
+		c.await(20 * time.Second)
+		c.checkInvariants()
+	})
+}
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -50,6 +50,9 @@
 	cancelled map[string]bool
 	instances map[string]Instance
 	subs      map[*Subscription]struct{}
+	// subscribed is signaled by new subscriptions, as a takeover waits for the next
+	// watch.
+	subscribed chan struct{}
 	// missingPartitions holds the partitions that couldn't be read yet.
 	missingPartitions []string
 	ready             bool
@@ -63,7 +66,7 @@
 
 // New returns an empty replica, which Run fills. now is a monotonic clock.
 func New(store port.RowStore, log *zap.Logger, now func() time.Duration) *Replica {
-	r := &Replica{store: store, log: log, now: now, subs: map[*Subscription]struct{}{}, failedAt: now(), advanced: make(chan struct{})}
+	r := &Replica{store: store, log: log, now: now, subs: map[*Subscription]struct{}{}, failedAt: now(), advanced: make(chan struct{}), subscribed: make(chan struct{}, 1)}
 	r.reset()
 	return r
 }
@@ -76,7 +79,7 @@
 // Run follows the store's changes until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	follow.Run(ctx, r.log, follow.Source{
-		Name: "jobs", MinWatchInterval: r.minWatchInterval,
+		Name: "jobs", MinWatchInterval: r.minWatchInterval, Hurry: r.subscribed,
 		List:  func(ctx context.Context) (int64, error) { return r.recordFailure(r.list(ctx)) },
 		Watch: func(ctx context.Context, after int64) (int64, error) { return r.recordFailure(r.watch(ctx, after)) },
 	})
--- a/internal/duty/replica/subscribe.go
+++ b/internal/duty/replica/subscribe.go
@@ -16,6 +16,10 @@
 	defer r.mu.Unlock()
 	r.subs[s] = struct{}{}
 	r.decodeAll()
+	select {
+	case r.subscribed <- struct{}{}:
+	default: // a signal is already pending
+	}
 	return s
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -34,6 +34,8 @@
 	// MinWatchInterval returns the delay between a successful call of List or Watch
 	// and the next call. It bounds the wake-ups while changes are frequent.
 	MinWatchInterval func() time.Duration
+	// Hurry, if set, ends the delay of MinWatchInterval when it is signaled.
+	Hurry <-chan struct{}
 }
 
 // ConstantInterval returns a MinWatchInterval function that always returns d.
@@ -66,7 +68,7 @@
 			}
 			failing = false
 			retry.Reset()
-			_ = wait.For(ctx, src.MinWatchInterval()) // ends early only with ctx, which the loop checks
+			src.delay(ctx)
 			continue
 		}
 		if fault.Is(err, fault.NotFound) {
@@ -79,3 +81,14 @@
 		_ = wait.For(ctx, retry.NextBackOff()) // ends early only with ctx, which the loop checks
 	}
 }
+
+// delay waits for MinWatchInterval, Hurry or the end of ctx.
+func (src *Source) delay(ctx context.Context) {
+	timer := time.NewTimer(src.MinWatchInterval())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-src.Hurry:
+	case <-ctx.Done():
+	}
+}
