A restart frees no task whose run the new incarnation may hold

A worker's incarnation is stated only in the answer to a hold (born, "of its lists of runs"). The answers to starts and stops carry the clock alone. The stand-in and the fake pool stated it everywhere, so no test met this.

What follows on the code before: a start that a restarted worker confirmed before its first hold was answered counted as a run of the previous incarnation. When the hold told of the restart, all such runs were dropped as lost and their tasks placed elsewhere at once, while they ran. In the same way a stop that the previous incarnation had confirmed freed the task of a start that the new one could still carry out, and a late answer of the previous incarnation set the clock by which the new one's lease was counted.

Now only a report ties a run to an incarnation. At a restart, runs that no report has listed are stopped at the new incarnation and keep their tasks until that is confirmed; confirmations by the previous one don't count. An answer that states no incarnation counts as none if its request was sent before the restart was noticed, or if its clock is below what the known incarnation's can read; in the second case the worker's leases count as lasting for MaxLease.

Cost: after a restart, tasks whose runs no report had listed wait for a stop and one more report.

--- a/internal/duty/pool/incarnation_test.go
+++ b/internal/duty/pool/incarnation_test.go
@@ -20,6 +20,25 @@
 	return o, s
 }
 
+// ownerOfStart returns an owner of two workers that has ordered a start, and the session
+// of the start's worker.
+func ownerOfStart(t *testing.T) (*Owner, *session, planner.Order) {
+	t.Helper()
+	o, s := ownerOfOneWorker()
+	o.planner.PutWorker(work.Worker{ID: "other", Capacity: work.Resources{CPU: 1000}})
+	for _, id := range []string{"w", "other"} {
+		o.planner.HandleReport(o.now(), o.now(), id, port.HoldReply{})
+	}
+	steps := []work.Step{{Count: 1, Need: work.Resources{CPU: 1000}, Estimate: time.Second}}
+	o.planner.AddJob(o.now(), 0, work.Record{State: work.Queued, Job: work.Job{ID: "a", MaxAttempts: 4, Steps: steps}}, false)
+	start := o.planner.Plan(o.now())[0]
+	if start.Worker != "w" {
+		s = newSession(o, port.WorkerTarget{ID: start.Worker})
+		o.sessions[start.Worker] = s
+	}
+	return o, s, start
+}
+
 // report returns a worker's report of one result with the given sequence.
 func report(s *session, incarnation int, sequence int64) event {
 	result := port.RunResult{Sequence: sequence, Task: work.TaskID{Job: "gone"}, Run: 1, Kind: port.ResultSucceeded}
@@ -79,18 +98,7 @@
 // until its stop is confirmed (seed 5 of the fault tests).
 func TestStartConfirmedByNewIncarnationIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o, s := ownerOfOneWorker()
-		o.planner.PutWorker(work.Worker{ID: "other", Capacity: work.Resources{CPU: 1000}})
-		for _, id := range []string{"w", "other"} {
-			o.planner.HandleReport(o.now(), o.now(), id, port.HoldReply{})
-		}
-		steps := []work.Step{{Count: 1, Need: work.Resources{CPU: 1000}, Estimate: time.Second}}
-		o.planner.AddJob(o.now(), 0, work.Record{State: work.Queued, Job: work.Job{ID: "a", MaxAttempts: 4, Steps: steps}}, false)
-		start := o.planner.Plan(o.now())[0]
-		if start.Worker != "w" {
-			s = newSession(o, port.WorkerTarget{ID: start.Worker})
-			o.sessions[start.Worker] = s
-		}
+		o, s, start := ownerOfStart(t)
 		s.incarnation = 1
 		o.apply(t.Context(), event{kind: evStartAnswered, session: s, incarnation: 1, order: start})
 		o.apply(t.Context(), event{kind: evRestarted, session: s, incarnation: 1})
@@ -121,3 +129,76 @@
 }
 
 func (c *resultCounter) RunEnded(string) { c.n++ }
+
+// The answer to a start doesn't identify the worker's incarnation. If it came from one
+// that isn't known yet, the restart must not free the task at once (issue 31).
+func TestStartConfirmedBeforeRestartIsNoticedIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, s, start := ownerOfStart(t)
+		o.apply(t.Context(), event{kind: evStartAnswered, session: s, order: start})
+		s.incarnation = 1
+		o.apply(t.Context(), event{kind: evRestarted, session: s, incarnation: 1})
+		time.Sleep(time.Second)
+		orders := o.planner.Plan(o.now())
+		must.Len(t, 1, orders)
+		must.EqOp(t, planner.OrderStop, orders[0].Kind)
+		must.EqOp(t, start.Worker, orders[0].Worker)
+	})
+}
+
+// The stop of an unanswered start was confirmed by the previous incarnation. The new
+// one doesn't know of it and may still carry out the start (issue 31).
+func TestStopIsRepeatedAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, s, start := ownerOfStart(t)
+		o.apply(t.Context(), event{kind: evStartUnanswered, session: s, order: start})
+		stop := o.planner.Plan(o.now())[0]
+		must.EqOp(t, planner.OrderStop, stop.Kind)
+		time.Sleep(time.Millisecond)
+		o.apply(t.Context(), event{kind: evStopConfirmed, session: s, order: stop})
+		time.Sleep(time.Millisecond)
+		s.incarnation = 1
+		o.apply(t.Context(), event{kind: evRestarted, session: s, incarnation: 1})
+		o.apply(t.Context(), event{kind: evReport, session: s, incarnation: 1, sentAt: o.now()})
+		time.Sleep(time.Second)
+		orders := o.planner.Plan(o.now())
+		must.Len(t, 1, orders)
+		must.EqOp(t, planner.OrderStop, orders[0].Kind)
+		must.EqOp(t, start.Worker, orders[0].Worker)
+	})
+}
+
+// An answer that doesn't identify its incarnation arrives after a restart was noticed.
+// Taken for the new incarnation's, its clock would hide how long the lease is there.
+func TestUnidentifiedAnswerOfPreviousIncarnationIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, s := ownerOfOneWorker()
+		s.recordContact(port.WorkerClock{Now: time.Hour, Incarnation: 7}, o.now())
+		early := o.now()
+		time.Sleep(time.Second)
+		s.recordContact(port.WorkerClock{Now: time.Second, Incarnation: 8}, o.now())
+		_, ok := s.recordContact(port.WorkerClock{Now: time.Hour}, early)
+		must.False(t, ok)
+		must.EqOp(t, time.Second, s.clock.workerNow)
+	})
+}
+
+// A new incarnation answers a start before its first hold. Its clock reads less than the
+// previous one's can, and the lease that the start asked for by that clock lasts for
+// MaxLease.
+func TestAnswerByRestartedClockCountsAsUnanswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, s := ownerOfOneWorker()
+		o.deps.MaxLease = testMaxLease
+		s.recordContact(port.WorkerClock{Now: time.Hour, Incarnation: 7}, o.now())
+		time.Sleep(time.Second)
+		s.clock.extend(o.now(), leaseDuration)
+		_, ok := s.recordContact(port.WorkerClock{Now: time.Hour + 981*time.Millisecond}, o.now()) // 2% slow
+		must.True(t, ok)
+		_, ok = s.recordContact(port.WorkerClock{Now: time.Second}, o.now())
+		must.False(t, ok)
+		must.GreaterEq(t, o.now()+testMaxLease, s.clock.localExpiry)
+		_, ok = s.recordContact(port.WorkerClock{Now: time.Hour}, o.now()-time.Second) // overtaken
+		must.True(t, ok)
+	})
+}
--- a/internal/duty/pool/lease.go
+++ b/internal/duty/pool/lease.go
@@ -12,6 +12,9 @@
 // expiryMargin is added to the time by which a lease must have expired.
 const expiryMargin = 150 * time.Millisecond
 
+// clockRounding is the resolution of a worker's clock in its answers.
+const clockRounding = time.Millisecond
+
 // leaseClock relates a worker's clock to this process's monotonic clock. The zero
 // value has no reading of the worker's clock.
 type leaseClock struct {
@@ -23,6 +26,9 @@
 	// must have expired.
 	workerLeaseEnd time.Duration
 	localExpiry    time.Duration
+	// suspectedUntil is when the leases that an unknown incarnation of the worker may
+	// have granted have expired, on the local clock.
+	suspectedUntil time.Duration
 }
 
 // update applies the clock of an answer that arrived at now.
@@ -56,7 +62,24 @@
 		return
 	}
 	left := max(c.workerLeaseEnd-c.workerNow, 0)
-	c.localExpiry = c.readAt + time.Duration(float64(left)*(1+maxClockSlowness)) + expiryMargin
+	c.localExpiry = max(c.readAt+time.Duration(float64(left)*(1+maxClockSlowness))+expiryMargin, c.suspectedUntil)
+}
+
+// restartedBefore reports whether the worker's clock, as read for an order sent at
+// sentAt, is below what the clock of the known incarnation can read by then.
+func (c *leaseClock) restartedBefore(clock, sentAt time.Duration) bool {
+	elapsed := sentAt - c.readAt
+	if elapsed > 0 {
+		elapsed = time.Duration(float64(elapsed) * (1 - maxClockSlowness))
+	}
+	return c.hasReading && clock < c.workerNow+elapsed-clockRounding
+}
+
+// suspectRestart records that an unknown incarnation has carried out an order by now.
+// It limits a lease that was requested by the clock of the known one only to maxLease.
+func (c *leaseClock) suspectRestart(now, maxLease time.Duration) {
+	c.suspectedUntil = now + time.Duration(float64(maxLease)*(1+maxClockSlowness)) + expiryMargin
+	c.updateExpiry()
 }
 
 // restart applies the first answer of a new incarnation of the worker, received at
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -376,6 +376,9 @@
 		o.cancelStart(runKey{ev.order.Task, ev.order.Run})
 		o.planner.StartUnanswered(now, id, ev.order.Task, ev.order.Run)
 	case evStopConfirmed:
+		if ev.incarnation < ev.session.appliedIncarnation {
+			return // the new incarnation doesn't know of the stop
+		}
 		o.planner.StopConfirmed(now, id, ev.order.Task, ev.order.Run)
 	case evWorkersListed:
 		o.applyWorkers(ctx, ev)
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -167,14 +167,23 @@
 
 // recordContact applies the clock of an answer to a request sent at sentAt, and
 // detects a restart of the worker. It returns the number of the answering
-// incarnation, and false for an overdue answer of a previous incarnation.
+// incarnation. It returns false, and the answer counts as none, if that may be a
+// previous incarnation or one that no answer has identified yet.
 func (s *session) recordContact(clock port.WorkerClock, sentAt time.Duration) (int, bool) {
 	now := s.owner.now()
 	s.mu.Lock()
 	restarted := clock.Incarnation != 0 && s.incarnationID != 0 && clock.Incarnation != s.incarnationID
-	if restarted && sentAt < s.incarnationSince {
+	ignored := ""
+	switch {
+	case clock.Incarnation == 0 && sentAt < s.incarnationSince, restarted && sentAt < s.incarnationSince:
+		ignored = "answer of a previous incarnation ignored"
+	case clock.Incarnation == 0 && s.clock.restartedBefore(clock.Now, sentAt):
+		s.clock.suspectRestart(now, s.owner.deps.MaxLease)
+		ignored = "answer of an unknown incarnation ignored"
+	}
+	if ignored != "" {
 		s.mu.Unlock()
-		s.owner.log.Info("answer of a previous incarnation ignored", zap.String("worker", s.target.ID), zap.Int64("born", clock.Incarnation))
+		s.owner.log.Info(ignored, zap.String("worker", s.target.ID), zap.Int64("born", clock.Incarnation), zap.Duration("clock", clock.Now))
 		return 0, false
 	}
 	if restarted {
@@ -325,6 +334,7 @@
 		if err == nil {
 			incarnation, ok := s.recordContact(clock, sentAt)
 			if !ok {
+				_ = wait.For(ctx, workerRetryDelay) // ends early only with ctx, which the loop checks
 				continue
 			}
 			s.owner.send(ctx, event{kind: evStopConfirmed, session: s, incarnation: incarnation, order: order})
--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -195,9 +195,10 @@
 	return w, nil
 }
 
-// clock returns the current reading of the worker's clock.
+// clock returns the current reading of the worker's clock. It doesn't identify the
+// incarnation, which only the answer to a hold does.
 func (w *PoolWorker) clock() port.WorkerClock {
-	return port.WorkerClock{Now: time.Since(w.started) + time.Second, Incarnation: w.incarnation}
+	return port.WorkerClock{Now: time.Since(w.started) + time.Second}
 }
 
 // at returns the time at which the worker's clock reads clock.
@@ -370,6 +371,7 @@
 
 func (w *PoolWorker) report() port.HoldReply {
 	reply := port.HoldReply{Clock: w.clock()}
+	reply.Clock.Incarnation = w.incarnation
 	for i := range w.results {
 		reply.Results = append(reply.Results, w.results[i].RunResult)
 	}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -50,9 +50,12 @@
 // stopRun orders a run to stop, even if its start was never confirmed, because
 // the start may still be carried out.
 func (p *Planner) stopRun(r *run, why string) {
-	if r.phase == runStopping {
-		return
+	if r.phase != runStopping {
+		p.orderStop(r, why)
 	}
+}
+
+func (p *Planner) orderStop(r *run, why string) {
 	r.phase, r.stopConfirmedAt, r.stopReason = runStopping, 0, why
 	p.orders = append(p.orders, Order{Kind: OrderStop, Worker: r.worker.info.ID, Task: r.task, Run: r.number, Why: why})
 }
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -142,6 +142,7 @@
 	// an adopted run. Before the confirmation both are the time of the order.
 	startedAt       time.Duration
 	confirmedAt     time.Duration
+	reported        bool // listed in a report, by which the worker's incarnation is known
 	percent         int
 	basePercent     int           // progress of the checkpoint from which the run started
 	progressAt      time.Duration // time of the last increase of percent, at first of the order or start
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -79,8 +79,9 @@
 	}
 }
 
-// WorkerRestarted drops the runs of a worker's previous incarnation. Unanswered
-// starts may still reach the new incarnation, so they are stopped there.
+// WorkerRestarted drops the runs of a worker's previous incarnation. Starts that are
+// unanswered, or whose answer doesn't tell the incarnation, may have reached the new
+// one or may still do so. They are stopped there.
 func (p *Planner) WorkerRestarted(now time.Duration, id string) {
 	w := p.workers[id]
 	if w == nil {
@@ -91,8 +92,8 @@
 	p.log(LogEntry{Event: EventWorkerRestarted, Worker: id, Count: len(w.runs)})
 	for _, r := range w.runs {
 		u := r.unit
-		if r.phase == runStarting || (r.phase == runStopping && r.stopReason == "unanswered") {
-			p.stopRun(r, "unanswered")
+		if !r.reported {
+			p.orderStop(r, "unanswered")
 			if u != nil {
 				p.endAttempt(u, now)
 			}
@@ -181,6 +182,7 @@
 }
 
 func (p *Planner) updateRun(now time.Duration, r *run, s *port.RunState) {
+	r.reported = true
 	if r.phase == runStarting {
 		r.phase, r.startedAt, r.confirmedAt = runRunning, now, now
 		p.markStarted(r.unit.job, now)
