A restarted worker is told to stop starts that may still arrive

A start that gets no answer may be carried out seconds later. Within one incarnation the worker rejects it once the run has ended or been stopped. A new incarnation knows of neither and accepts it.

Before, a run whose start was resent, and whose second copy was confirmed, was dropped at a restart and its task placed elsewhere at once, while the first copy could still be carried out. Of runs that were no longer on record (given up with a confirmed stop, or ended) the new incarnation was told nothing.

Now such a run keeps its task until the new incarnation has confirmed a stop, and starts without an answer of the last 12 s (maxOrderDelay) are stopped at the new incarnation as soon as it is noticed, whether their runs are on record or not.

Evidence: both cases of TestRestartedWorkerIsToldToStopRepeatedStarts failed before (a second start, and no stop).

What remains: a copy that arrives between the restart and the stop, about one hold later, is carried out. Waiting for maxOrderDelay after each unanswered start would close that, at up to 12 s for every task of a worker that was cut off.

Cost: one stop per such start, only after a restart.

--- a/internal/duty/pool/events.go
+++ b/internal/duty/pool/events.go
@@ -15,7 +15,7 @@
 	evRestarted                                 // session, incarnation: the worker has restarted
 	evUnreachable                               // session: the worker has become unreachable
 	evFirstFailure                              // session: a hold at the worker failed for the first time
-	evStartAnswered                             // session, incarnation, order, rejected: a start was answered
+	evStartAnswered                             // session, incarnation, order, rejected, resent: a start was answered
 	evStartUnanswered                           // session, order: a start was not answered
 	evStopConfirmed                             // session, incarnation, order: a stop was confirmed
 	evWorkersListed                             // workers, complete: the registry's workers or changes to them
@@ -35,6 +35,7 @@
 	reply       port.HoldReply
 	order       planner.Order
 	rejected    port.StartRejection
+	resent      bool // an earlier copy of the start got no answer
 	workers     []port.WorkerChange
 	complete    bool // workers is the whole list
 	commit      commitResult
--- a/internal/duty/pool/incarnation_test.go
+++ b/internal/duty/pool/incarnation_test.go
@@ -1,12 +1,15 @@
 package pool
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/planner"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
@@ -202,3 +205,54 @@
 		must.True(t, ok)
 	})
 }
+
+// The first of two copies of a start got no answer, the second was confirmed. After a
+// restart of the worker the first one may still arrive (issue 31).
+func TestRestartedWorkerIsToldToStopRepeatedStarts(t *testing.T) {
+	for name, ended := range map[string]bool{"running": false, "ended": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o, s, start := ownerOfStart(t)
+				w := &restartingWorkers{loseStarts: 1}
+				o.deps.Workers = w
+				s.recordContact(port.WorkerClock{Now: time.Second, Incarnation: 7}, o.now())
+				s.start(t.Context(), start, o.now())
+				o.apply(t.Context(), <-o.events)
+				state := []port.RunState{{Task: start.Task, Run: start.Run}}
+				o.apply(t.Context(), event{kind: evReport, session: s, sentAt: o.now(), reply: port.HoldReply{Running: state}})
+				if ended {
+					result := port.RunResult{Sequence: 1, Task: start.Task, Run: start.Run, Kind: port.ResultSucceeded}
+					o.apply(t.Context(), event{kind: evReport, session: s, sentAt: o.now(), reply: port.HoldReply{Results: []port.RunResult{result}}})
+				}
+				s.incarnation = 1
+				o.apply(t.Context(), event{kind: evRestarted, session: s, incarnation: 1})
+				for _, order := range o.planner.Plan(o.now()) {
+					must.EqOp(t, planner.OrderStop, order.Kind)
+					o.dispatch(t.Context(), order)
+				}
+				o.wg.Wait()
+				must.Positive(t, w.stops.Load())
+			})
+		})
+	}
+}
+
+// restartingWorkers doesn't answer its first loseStarts starts. It counts stops.
+type restartingWorkers struct {
+	port.WorkerClient
+	loseStarts int
+	stops      atomic.Int64
+}
+
+func (w *restartingWorkers) Start(ctx context.Context, _ port.WorkerTarget, _ port.StartOrder) (port.WorkerClock, port.StartRejection, error) {
+	if w.loseStarts--; w.loseStarts >= 0 {
+		<-ctx.Done()
+		return port.WorkerClock{}, port.NotRejected, fault.Wrap(fault.Uncertain, "no answer", ctx.Err())
+	}
+	return port.WorkerClock{Now: 2 * time.Second}, port.NotRejected, nil
+}
+
+func (w *restartingWorkers) Stop(context.Context, port.WorkerTarget, work.TaskID, int64, int64) (port.WorkerClock, error) {
+	w.stops.Add(1)
+	return port.WorkerClock{Now: 3 * time.Second}, nil
+}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -339,11 +339,16 @@
 
 // applyIncarnation applies a restart of a worker, once, before any of its answers:
 // the new incarnation numbers its results from 1, and a start that it confirmed
-// does not belong to the previous one.
-func (o *Owner) applyIncarnation(now time.Duration, s *session, incarnation int) {
-	if incarnation > s.appliedIncarnation {
-		s.appliedIncarnation = incarnation
-		o.planner.WorkerRestarted(now, s.target.ID)
+// does not belong to the previous one. The new one is told to stop the runs whose
+// starts may still arrive: it knows nothing of their stops and results.
+func (o *Owner) applyIncarnation(ctx context.Context, now time.Duration, s *session, incarnation int) {
+	if incarnation <= s.appliedIncarnation {
+		return
+	}
+	s.appliedIncarnation = incarnation
+	o.planner.WorkerRestarted(now, s.target.ID)
+	for _, key := range s.uncertainStarts(now) {
+		o.dispatch(ctx, planner.Order{Kind: planner.OrderStop, Worker: s.target.ID, Task: key.task, Run: key.run, Why: "start may arrive after the restart"})
 	}
 }
 
@@ -353,7 +358,7 @@
 	id := ""
 	if ev.session != nil {
 		id = ev.session.target.ID
-		o.applyIncarnation(now, ev.session, ev.incarnation)
+		o.applyIncarnation(ctx, now, ev.session, ev.incarnation)
 	}
 	switch ev.kind {
 	case evReport:
@@ -371,6 +376,9 @@
 		o.updateLeft(id)
 	case evStartAnswered:
 		o.cancelStart(runKey{ev.order.Task, ev.order.Run})
+		if ev.resent {
+			o.planner.StartResent(id, ev.order.Task, ev.order.Run)
+		}
 		o.planner.StartAnswered(now, id, ev.order.Task, ev.order.Run, ev.rejected)
 	case evStartUnanswered:
 		o.cancelStart(runKey{ev.order.Task, ev.order.Run})
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -159,10 +159,20 @@
 	return reply, err
 }
 
-func (s *session) orderDone(id int, err error) {
+// startDone records the end of a call that sent a start at sentAt.
+func (s *session) startDone(id int, err error, key runKey, sentAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unanswered.done(id, err)
+	if err != nil && !fault.NoEffect(err) {
+		s.unanswered.startUncertain(key, sentAt)
+	}
+}
+
+func (s *session) uncertainStarts(now time.Duration) []runKey {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unanswered.uncertainStarts(now)
 }
 
 // recordContact applies the clock of an answer to a request sent at sentAt, and
@@ -291,7 +301,7 @@
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		clock, rejected, err := s.owner.deps.Workers.Start(call, s.target, startOrder)
 		cancel()
-		s.orderDone(orderID, err)
+		s.startDone(orderID, err, runKey{order.Task, order.Run}, now)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -313,7 +323,7 @@
 				s.owner.send(ctx, event{kind: evStartUnanswered, session: s, order: order})
 				return
 			}
-			s.owner.send(ctx, event{kind: evStartAnswered, session: s, incarnation: incarnation, order: order, rejected: rejected})
+			s.owner.send(ctx, event{kind: evStartAnswered, session: s, incarnation: incarnation, order: order, rejected: rejected, resent: unanswered})
 			return
 		}
 		unanswered = unanswered || !fault.Is(err, fault.Unavailable)
--- a/internal/duty/pool/unanswered.go
+++ b/internal/duty/pool/unanswered.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"time"
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
@@ -19,6 +20,8 @@
 	// uncertainAt is when the latest order was sent whose answer was lost.
 	uncertainAt time.Duration
 	uncertain   bool // an answer was lost
+	// starts holds when the last start of a run was sent whose answer was lost.
+	starts map[runKey]time.Duration
 }
 
 // sent records an order and returns its ID.
@@ -50,3 +53,24 @@
 	}
 	return at, found
 }
+
+// startUncertain records a start, sent at sentAt, that may be carried out later. It drops
+// those for which that time is over.
+func (u *unansweredOrders) startUncertain(key runKey, sentAt time.Duration) {
+	if u.starts == nil {
+		u.starts = map[runKey]time.Duration{}
+	}
+	maps.DeleteFunc(u.starts, func(_ runKey, at time.Duration) bool { return sentAt-at > maxOrderDelay })
+	u.starts[key] = sentAt
+}
+
+// uncertainStarts returns the runs whose starts may still be carried out at now.
+func (u *unansweredOrders) uncertainStarts(now time.Duration) []runKey {
+	var out []runKey
+	for key, sentAt := range u.starts {
+		if now-sentAt <= maxOrderDelay {
+			out = append(out, key)
+		}
+	}
+	return out
+}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -183,6 +183,16 @@
 	p.releaseIfIdle(u, now)
 }
 
+// StartResent records that a copy of the run's start got no answer. It may be carried
+// out later than the one that is answered.
+func (p *Planner) StartResent(id string, task work.TaskID, number int64) {
+	if w := p.workers[id]; w != nil {
+		if r := w.runs[task]; r != nil && r.number == number {
+			r.resent = true
+		}
+	}
+}
+
 // StartUnanswered handles a start that got no answer. Its stop must be confirmed
 // before the task may run elsewhere.
 func (p *Planner) StartUnanswered(now time.Duration, id string, task work.TaskID, number int64) {
@@ -195,6 +205,7 @@
 		return
 	}
 	p.log(LogEntry{Event: EventStartUnanswered, Job: task.Job, Worker: id, Task: task, Run: number})
+	r.resent = true
 	p.stopRun(r, "unanswered")
 	r.unit.notBefore = now + retryDelay
 	p.endAttempt(r.unit, now)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -142,6 +142,7 @@
 	// an adopted run. Before the confirmation both are the time of the order.
 	startedAt       time.Duration
 	confirmedAt     time.Duration
+	resent          bool // a copy of the start got no answer
 	reported        bool // listed in a report, by which the worker's incarnation is known
 	percent         int
 	basePercent     int           // progress of the checkpoint from which the run started
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -92,7 +92,7 @@
 	p.log(LogEntry{Event: EventWorkerRestarted, Worker: id, Count: len(w.runs)})
 	for _, r := range w.runs {
 		u := r.unit
-		if !r.reported {
+		if !r.reported || r.resent {
 			p.orderStop(r, "unanswered")
 			if u != nil {
 				p.endAttempt(u, now)
