A rejection without a clock isn't the clock of a restarted worker

Since an answer whose clock is below what the known incarnation's can read counts as none. A start that is rejected by its status alone (421, 429, 503, 400) has no clock. It counted as unanswered, and the worker's leases as lasting for MaxLease. Such an answer now says nothing of the clock, as before.

The test failed before.

--- a/internal/duty/pool/incarnation_test.go
+++ b/internal/duty/pool/incarnation_test.go
@@ -206,6 +206,18 @@
 	})
 }
 
+// A rejection by status alone has no clock, which isn't that of a restarted worker.
+func TestRejectionWithoutClockIsAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, s := ownerOfOneWorker()
+		s.recordContact(port.WorkerClock{Now: time.Hour, Incarnation: 7}, o.now())
+		expiry := s.clock.localExpiry
+		_, ok := s.recordContact(port.WorkerClock{}, o.now())
+		must.True(t, ok)
+		must.EqOp(t, expiry, s.clock.localExpiry)
+	})
+}
+
 // The first of two copies of a start got no answer, the second was confirmed. After a
 // restart of the worker the first one may still arrive (issue 31).
 func TestRestartedWorkerIsToldToStopRepeatedStarts(t *testing.T) {
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -185,6 +185,7 @@
 	restarted := clock.Incarnation != 0 && s.incarnationID != 0 && clock.Incarnation != s.incarnationID
 	ignored := ""
 	switch {
+	case clock == (port.WorkerClock{}): // a rejection without a body
 	case clock.Incarnation == 0 && sentAt < s.incarnationSince, restarted && sentAt < s.incarnationSince:
 		ignored = "answer of a previous incarnation ignored"
 	case clock.Incarnation == 0 && s.clock.restartedBefore(clock.Now, sentAt):
