--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -159,22 +159,42 @@
 	return reply, err
 }
 
-func (s *session) orderDone(id int, err error) {
+// startDone records the end of a call that sent a start at sentAt.
+func (s *session) startDone(id int, err error, key runKey, sentAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unanswered.done(id, err)
+	if err != nil && !fault.NoEffect(err) {
+		s.unanswered.startUncertain(key, sentAt)
+	}
+}
+
+func (s *session) uncertainStarts(now time.Duration) []runKey {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unanswered.uncertainStarts(now)
 }
 
 // recordContact applies the clock of an answer to a request sent at sentAt, and
 // detects a restart of the worker. It returns the number of the answering
-// incarnation, and false for an overdue answer of a previous incarnation.
+// incarnation. It returns false, and the answer counts as none, if that may be a
+// previous incarnation or one that no answer has identified yet.
 func (s *session) recordContact(clock port.WorkerClock, sentAt time.Duration) (int, bool) {
 	now := s.owner.now()
 	s.mu.Lock()
 	restarted := clock.Incarnation != 0 && s.incarnationID != 0 && clock.Incarnation != s.incarnationID
-	if restarted && sentAt < s.incarnationSince {
+	ignored := ""
+	switch {
+	case clock == (port.WorkerClock{}): // a rejection without a body
+	case clock.Incarnation == 0 && sentAt < s.incarnationSince, restarted && sentAt < s.incarnationSince:
+		ignored = "answer of a previous incarnation ignored"
+	case clock.Incarnation == 0 && s.clock.restartedBefore(clock.Now, sentAt):
+		s.clock.suspectRestart(now, s.owner.deps.MaxLease)
+		ignored = "answer of an unknown incarnation ignored"
+	}
+	if ignored != "" {
 		s.mu.Unlock()
-		s.owner.log.Info("answer of a previous incarnation ignored", zap.String("worker", s.target.ID), zap.Int64("born", clock.Incarnation))
+		s.owner.log.Info(ignored, zap.String("worker", s.target.ID), zap.Int64("born", clock.Incarnation), zap.Duration("clock", clock.Now))
 		return 0, false
 	}
 	if restarted {
@@ -282,7 +302,7 @@
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		clock, rejected, err := s.owner.deps.Workers.Start(call, s.target, startOrder)
 		cancel()
-		s.orderDone(orderID, err)
+		s.startDone(orderID, err, runKey{order.Task, order.Run}, now)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -304,7 +324,7 @@
 				s.owner.send(ctx, event{kind: evStartUnanswered, session: s, order: order})
 				return
 			}
-			s.owner.send(ctx, event{kind: evStartAnswered, session: s, incarnation: incarnation, order: order, rejected: rejected})
+			s.owner.send(ctx, event{kind: evStartAnswered, session: s, incarnation: incarnation, order: order, rejected: rejected, resent: unanswered})
 			return
 		}
 		unanswered = unanswered || !fault.Is(err, fault.Unavailable)
@@ -325,6 +345,7 @@
 		if err == nil {
 			incarnation, ok := s.recordContact(clock, sentAt)
 			if !ok {
+				_ = wait.For(ctx, workerRetryDelay) // ends early only with ctx, which the loop checks
 				continue
 			}
 			s.owner.send(ctx, event{kind: evStopConfirmed, session: s, incarnation: incarnation, order: order})
--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -257,10 +257,11 @@
 	return w, nil
 }
 
-// clock returns the current reading of the worker's clock.
+// clock returns the current reading of the worker's clock. It doesn't identify the
+// incarnation, which only the answer to a hold does.
 func (w *PoolWorker) clock() port.WorkerClock {
 	elapsed := time.Duration(w.clockRate * float64(time.Since(w.started)))
-	return port.WorkerClock{Now: elapsed + time.Second, Incarnation: w.incarnation}
+	return port.WorkerClock{Now: elapsed + time.Second}
 }
 
 // at returns the time at which the worker's clock reads clock.
@@ -421,6 +422,7 @@
 
 func (w *PoolWorker) report() port.HoldReply {
 	reply := port.HoldReply{Clock: w.clock()}
+	reply.Clock.Incarnation = w.incarnation
 	for i := range w.results {
 		reply.Results = append(reply.Results, w.results[i].RunResult)
 	}
