--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -43,6 +43,15 @@
 	Incarnation string `cbor:"3,keyasint,omitempty"`
 }
 
+// Heartbeat is the value of an owner's heartbeat row. Earlier builds store the owner's
+// name as plain text.
+type Heartbeat struct {
+	Owner string `cbor:"1,keyasint"`
+	// SettledEpoch is the owner's epoch once no owner of an earlier epoch can act any
+	// more, 0 before.
+	SettledEpoch int64 `cbor:"2,keyasint,omitempty"`
+}
+
 // Instance is a registered instance, through which peers can reach the store.
 type Instance struct {
 	Name    string `cbor:"1,keyasint"`
@@ -57,10 +66,23 @@
 }
 
 // PoolCapacity is the capacity that an owner publishes for the admission checks of
-// all instances.
+// all instances, with the workers that it is made of.
 type PoolCapacity struct {
 	// MaxCapacity is the largest capacity of any worker, for each resource.
 	MaxCapacity work.Resources `cbor:"2,keyasint"`
+	// Workers holds the workers of PoolView.Workers, in the same order. It is empty
+	// in rows of earlier builds.
+	Workers []StoredWorker `cbor:"3,keyasint,omitempty"`
+}
+
+// StoredWorker is a worker as its owner last called it. The next owner calls it there
+// if the registry doesn't list it.
+type StoredWorker struct {
+	ID       string         `cbor:"1,keyasint"`
+	Address  string         `cbor:"2,keyasint"`
+	Domain   string         `cbor:"3,keyasint,omitempty"`
+	Rack     string         `cbor:"4,keyasint,omitempty"`
+	Capacity work.Resources `cbor:"5,keyasint"`
 }
 
 // JobView is a job in the replica. A job has more than one row if the partition
@@ -88,7 +110,9 @@
 	Epoch            Epoch
 	EpochVersion     int64
 	HeartbeatVersion int64
-	Capacity         PoolCapacity
+	// SettledEpoch is the newest epoch known to have outlasted the owners before it.
+	SettledEpoch int64
+	Capacity     PoolCapacity
 	// Workers lists the IDs of the workers that the owner last used. It is shared
 	// with other views and must not be modified.
 	Workers []string
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -12,17 +12,33 @@
 func (p *Planner) PutWorker(info work.Worker) {
 	w := p.workers[info.ID]
 	if w == nil {
-		w = &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Capacity, listed: true}
-		p.workers[info.ID] = w
-		i, _ := slices.BinarySearch(p.workerIDs, info.ID)
-		p.workerIDs = slices.Insert(p.workerIDs, i, info.ID)
-		if p.recovery.active {
-			p.recovery.uncontacted[info.ID] = true
-		}
-		return
+		w = p.addWorker(info)
 	}
 	w.free = w.free.Add(info.Capacity.Sub(w.info.Capacity))
-	w.info, w.listed = info, true
+	w.info, w.listed, w.listedBefore = info, true, true
+}
+
+// InheritWorker adds a worker of a previous owner that the registry doesn't list. It
+// gets no new tasks until PutWorker is called for it.
+func (p *Planner) InheritWorker(info work.Worker) { p.addWorker(info) }
+
+func (p *Planner) addWorker(info work.Worker) *worker {
+	w := &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Capacity}
+	p.workers[info.ID] = w
+	i, _ := slices.BinarySearch(p.workerIDs, info.ID)
+	p.workerIDs = slices.Insert(p.workerIDs, i, info.ID)
+	if p.recovery.active {
+		p.recovery.uncontacted[info.ID] = true
+	}
+	return w
+}
+
+// Worker returns a worker as it was last put or inherited.
+func (p *Planner) Worker(id string) (work.Worker, bool) {
+	if w := p.workers[id]; w != nil {
+		return w.info, true
+	}
+	return work.Worker{}, false
 }
 
 // WorkerUnlisted records that the registry no longer lists the worker. Its runs
@@ -33,16 +49,6 @@
 	}
 }
 
-// SetJobsIncomplete sets whether jobs may be missing because a partition of the
-// store is unavailable. While it is set, runs of unknown jobs aren't stopped and
-// their results are kept until the job is added.
-func (p *Planner) SetJobsIncomplete(incomplete bool) {
-	p.jobsIncomplete = incomplete
-	if !incomplete {
-		clear(p.orphanResults)
-	}
-}
-
 // SetReachable sets whether the worker answers calls.
 func (p *Planner) SetReachable(id string, reachable bool) {
 	if w := p.workers[id]; w != nil {
@@ -79,8 +85,9 @@
 	}
 }
 
-// WorkerRestarted drops the runs of a worker's previous incarnation. Unanswered
-// starts may still reach the new incarnation, so they are stopped there.
+// WorkerRestarted drops the runs of a worker's previous incarnation. Starts that are
+// unanswered, or whose answer doesn't tell the incarnation, may have reached the new
+// one or may still do so. They are stopped there.
 func (p *Planner) WorkerRestarted(now time.Duration, id string) {
 	w := p.workers[id]
 	if w == nil {
@@ -91,8 +98,8 @@
 	p.log(LogEntry{Event: EventWorkerRestarted, Worker: id, Count: len(w.runs)})
 	for _, r := range w.runs {
 		u := r.unit
-		if r.phase == runStarting || (r.phase == runStopping && r.stopReason == "unanswered") {
-			p.stopRun(r, "unanswered")
+		if !r.reported || r.resent {
+			p.orderStop(r, "unanswered")
 			if u != nil {
 				p.endAttempt(u, now)
 			}
@@ -107,7 +114,8 @@
 }
 
 // HandleReport handles a worker's report of its active runs and of run results, and
-// returns the results that are new. sentAt is when the request was sent.
+// returns the results that are new. sentAt is when the request was sent. Runs and results
+// of unknown jobs are kept until AddJob or DropUnknownJob.
 func (p *Planner) HandleReport(now, sentAt time.Duration, id string, reply port.HoldReply) []port.RunResult {
 	w := p.workers[id]
 	if w == nil {
@@ -122,11 +130,9 @@
 		w.lastResult = result.Sequence
 		newResults = append(newResults, result)
 		w.unacked = append(w.unacked, unackedResult{result.Sequence, result.Task.Job})
-		if id := result.Task.Job; p.jobsIncomplete && p.jobs[id] == nil {
-			p.orphanResults[id] = append(p.orphanResults[id], orphanResult{w, result})
-			continue
+		if !p.keepResult(now, w, result) {
+			p.handleResult(now, w, result)
 		}
-		p.handleResult(now, w, result)
 	}
 	p.handleReportedRuns(now, sentAt, w, reply.Running)
 	delete(p.recovery.uncontacted, id)
@@ -144,7 +150,7 @@
 	}
 	for len(w.unacked) > 0 {
 		id := w.unacked[0].job
-		if j := p.jobs[id]; j != nil && j.unstored || p.orphanResults[id] != nil {
+		if j := p.jobs[id]; j != nil && j.unstored || p.unknownJobs[id] != nil {
 			break
 		}
 		w.acknowledgeable = w.unacked[0].sequence
@@ -181,6 +187,7 @@
 }
 
 func (p *Planner) updateRun(now time.Duration, r *run, s *port.RunState) {
+	r.reported = true
 	if r.phase == runStarting {
 		r.phase, r.startedAt, r.confirmedAt = runRunning, now, now
 		p.markStarted(r.unit.job, now)
@@ -188,20 +195,21 @@
 	if s.ProgressPercent > r.percent {
 		r.percent, r.progressAt = s.ProgressPercent, now
 	}
+	if r.unit == nil {
+		r.checkpoint = s.Checkpoint
+	}
 	if s.Checkpoint != "" && r.unit != nil && r.unit.spec().Checkpointable && s.ProgressPercent >= r.unit.checkpointPercent {
 		r.unit.checkpoint, r.unit.checkpointPercent = s.Checkpoint, s.ProgressPercent
 	}
 }
 
-// adopt takes over a run that this owner didn't start, or stops it.
+// adopt takes over a run that this owner didn't start, or stops it. It keeps the run of
+// an unknown job.
 func (p *Planner) adopt(now time.Duration, w *worker, s *port.RunState) {
 	if old := w.runs[s.Task]; old != nil {
 		return // another run of the task is on record and must end first
 	}
 	j := p.jobs[s.Task.Job]
-	if j == nil && p.jobsIncomplete {
-		return // the job may be read later
-	}
 	var u *unit
 	if j != nil {
 		u = j.unitOf(s.Task)
@@ -218,15 +226,25 @@
 		p.log(LogEntry{Event: EventRunAdopted, Job: s.Task.Job, Worker: w.info.ID, Task: s.Task, Run: s.Run})
 		return
 	}
-	r := &run{task: s.Task, number: s.Run, worker: w, phase: runRunning, startedAt: now, confirmedAt: now}
+	r := &run{task: s.Task, number: s.Run, worker: w, phase: runRunning, startedAt: now, confirmedAt: now, percent: s.ProgressPercent, checkpoint: s.Checkpoint, needUnknown: true}
+	w.runs[s.Task] = r
+	w.unknownNeeds++
+	p.setNeed(r, u)
+	if j == nil {
+		p.noteUnknown(s.Task.Job, now)
+		p.log(LogEntry{Event: EventUnknownRun, Job: s.Task.Job, Worker: w.info.ID, Task: s.Task, Run: s.Run})
+		return
+	}
 	if u != nil {
-		r.need = u.spec().Need
 		u.nextRun = max(u.nextRun, s.Run+1)
 		p.blockUntilStopped(u, r, now)
 	}
-	w.runs[s.Task] = r
-	w.free = w.free.Sub(r.need)
-	p.log(LogEntry{Event: EventOrphanedRun, Job: s.Task.Job, Worker: w.info.ID, Task: s.Task, Run: s.Run})
+	p.stopOrphan(r)
+}
+
+// stopOrphan stops a run that belongs to no current attempt.
+func (p *Planner) stopOrphan(r *run) {
+	p.log(LogEntry{Event: EventOrphanedRun, Job: r.task.Job, Worker: r.worker.info.ID, Task: r.task, Run: r.number})
 	p.stopRun(r, "stray")
 }
 
@@ -274,12 +292,13 @@
 	return w != nil && len(w.runs) > 0 || p.recovery.uncontacted[id]
 }
 
-// HasLeft reports whether the worker has left as planned: it was draining, the
-// registry no longer lists it, and it doesn't answer. The entry of a worker that
-// answers may have expired in an outage of the registry.
+// HasLeft reports whether the worker has left as planned: it was draining, has no runs,
+// the registry no longer lists it, and it doesn't answer. The entry of a worker that
+// answers may have expired in an outage of the registry, and one that doesn't may go on
+// with its runs until its leases end.
 func (p *Planner) HasLeft(id string) bool {
 	w := p.workers[id]
-	return w != nil && w.info.Draining && !w.listed && !w.reachable
+	return w != nil && w.info.Draining && !w.listed && !w.reachable && !p.MayHaveRuns(id)
 }
 
 // Draining reports whether the worker is draining.
