--- a/cmd/lentilwinch-load/main.go
+++ b/cmd/lentilwinch-load/main.go
@@ -34,6 +34,7 @@
 	flags.DurationVar(&o.Traffic, "traffic", 34*time.Second, "how long jobs are submitted")
 	flags.DurationVar(&o.Troubles, "troubles", 34*time.Second, "how long troubles begin, 0 for none")
 	flags.DurationVar(&o.TroublePause, "trouble-pause", 3500*time.Millisecond, "mean time between the beginnings of troubles")
+	flags.DurationVar(&o.MaxTroubleTime, "max-trouble-time", 9*time.Second, "longest time that a trouble lasts")
 	flags.StringVar(&o.Only, "only", "", "comma-separated `texts`: play only troubles whose name contains one of them")
 	flags.DurationVar(&o.Settle, "settle", 20*time.Second, "calm time before the last check")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("LENTILWINCH_LOAD")); err != nil {
