Pool: a held start is dropped once its run has been given up

What callers saw: none reported; a start after an acknowledged success is TWICE.

Cause: a held start was dropped only by the stop order of its run, which the next planning pass returns. When the previous owner's records were merged meanwhile, an overdue start of a task that had succeeded was sent. The same holds for a job that was cancelled or a worker that was lost and is back.

A held start is now sent only while its run is on record as starting.

Evidence: TestHeldStartOfMergedTaskIsNotSent; the start was sent before. The other test of held starts takes its order from the planner now, as the made-up one had no run.

--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -117,18 +117,22 @@
 }
 
 // releaseIf sends the held starts for which ready reports true, unless mayStart
-// forbids it.
+// forbids it. It drops those whose runs have been given up since: the order that says so
+// may wait for the next planning pass.
 func (o *Owner) releaseIf(ctx context.Context, ready func(*heldStart) bool) {
 	if !o.mayStart(o.now()) {
 		return
 	}
 	kept := o.held[:0]
 	for i := range o.held {
-		if ready(&o.held[i]) {
-			o.dispatch(ctx, o.held[i].order)
-			continue
+		h := &o.held[i]
+		switch {
+		case !o.planner.Starting(&h.order):
+		case ready(h):
+			o.dispatch(ctx, h.order)
+		default:
+			kept = append(kept, *h)
 		}
-		kept = append(kept, o.held[i])
 	}
 	o.held = kept
 }
--- a/internal/duty/pool/suspended_test.go
+++ b/internal/duty/pool/suspended_test.go
@@ -56,15 +56,24 @@
 	}
 }
 
+// holdStart has the planner place the only task of a job on a worker, and holds its start.
+func holdStart(t *testing.T, o *Owner) {
+	t.Helper()
+	o.sessions["w"] = newSession(o, port.WorkerTarget{ID: "w"})
+	o.planner.PutWorker(work.Worker{ID: "w", Capacity: work.Resources{CPU: 8000, MemMB: 8000, Accel: 8}})
+	o.planner.HandleReport(o.now(), o.now(), "w", port.HoldReply{})
+	o.planner.AddJob(o.now(), 0, work.Record{Job: work.Job{ID: "a", MaxAttempts: 4, Stretch: 3, Steps: []work.Step{single(1, 1)}}, State: work.Queued}, false)
+	o.handleOrders(t.Context(), o.planner.Plan(o.now()))
+	must.Len(t, 1, o.held)
+}
+
 // Starts that are held while the process is suspended also wait until ownership is
 // confirmed.
 func TestHeldStartsWaitForConfirmationAfterSuspension(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &suspendingWorkers{}
 		o := suspendableOwner(w)
-		o.sessions["w"] = newSession(o, port.WorkerTarget{ID: "w"})
-		order := planner.Order{Kind: planner.OrderStart, Worker: "w", Task: work.TaskID{Job: "a"}, Run: 1}
-		o.handleOrders(t.Context(), []planner.Order{order})
+		holdStart(t, o)
 		w.skipped.Add(int64(5 * time.Second))
 		o.detectSuspension(o.now())
 		o.releaseOverdue(t.Context(), o.now())
@@ -77,3 +86,19 @@
 		must.Greater(t, 0, w.starts)
 	})
 }
+
+// Guards against a start of a task that has succeeded: the previous owner's record was
+// merged while the start was held, and the next planning pass, which drops it, is due
+// later.
+func TestHeldStartOfMergedTaskIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &suspendingWorkers{}
+		o := suspendableOwner(w)
+		holdStart(t, o)
+		o.planner.Merge(o.now(), work.Record{Job: work.Job{ID: "a"}, Steps: []work.StepProgress{{Done: []int{0}}}, State: work.Completed})
+		time.Sleep(placementCommitWait)
+		o.releaseOverdue(t.Context(), o.now())
+		o.wg.Wait()
+		must.EqOp(t, 0, w.starts)
+	})
+}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -197,6 +197,17 @@
 	p.endAttempt(r.unit, now)
 }
 
+// Starting reports whether the run of a start is on record and neither confirmed nor
+// given up.
+func (p *Planner) Starting(order *Order) bool {
+	w := p.workers[order.Worker]
+	if w == nil {
+		return false
+	}
+	r := w.runs[order.Task]
+	return r != nil && r.number == order.Run && r.phase == runStarting
+}
+
 // StopConfirmed records that the worker confirmed a stop.
 func (p *Planner) StopConfirmed(now time.Duration, id string, task work.TaskID, number int64) {
 	if w := p.workers[id]; w != nil {
