Pool: tasks start only on workers that are in the stored list

Cause: the list of workers and the placements are in different partitions. While the pool's own partition was slow or down, tasks were placed, stored and started on a worker that had just been listed. The next owner, for which the worker had no entry, didn't know it, took its placements for over and started the tasks again.

A start now waits until its worker is in the stored list, besides its placement. As a list without an answer may be performed seconds later, each one expects the version before it, and until an outcome is known only workers in all possible lists count. Where the targets don't fit into a row, the list is stored without them.

Cost: none in order, as the list is written beside the placement. While the pool's partition is down, tasks placed on a new worker wait for it.

--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -13,12 +13,13 @@
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
-// heldStart is a start order that waits until its placement is stored, because
-// the next owner relies on the stored placements to find running tasks.
+// heldStart is a start order that waits until its placement and its worker are stored,
+// because the next owner relies on them to find running tasks.
 type heldStart struct {
 	order     planner.Order
 	plan      int64 // planSequence of the plan that ordered the start
 	heldSince time.Duration
+	stored    bool // the placement is stored
 }
 
 // earlyStartAnnouncement is the state of announcing to later owners that starts may
@@ -38,7 +39,7 @@
 	now := o.now()
 	for _, order := range orders {
 		if order.Kind == planner.OrderStart {
-			o.held = append(o.held, heldStart{order, o.planSequence, now})
+			o.held = append(o.held, heldStart{order: order, plan: o.planSequence, heldSince: now})
 			continue
 		}
 		o.held = slices.DeleteFunc(o.held, func(h heldStart) bool {
@@ -55,7 +56,16 @@
 	for i := range records {
 		stored[records[i].Job.ID] = true
 	}
-	o.releaseIf(ctx, func(h *heldStart) bool { return h.plan <= plan && stored[h.order.Task.Job] })
+	for i := range o.held {
+		h := &o.held[i]
+		h.stored = h.stored || h.plan <= plan && stored[h.order.Task.Job]
+	}
+	o.releaseReady(ctx)
+}
+
+// releaseReady sends the starts whose placements are stored.
+func (o *Owner) releaseReady(ctx context.Context) {
+	o.releaseIf(ctx, func(h *heldStart) bool { return h.stored })
 }
 
 // releaseOverdue sends starts that have waited for placementCommitWait. It waits
@@ -116,9 +126,9 @@
 	o.log.Info("starts may go before their placements are stored")
 }
 
-// releaseIf sends the held starts for which ready reports true, unless mayStart
-// forbids it. It drops those whose runs have been given up since: the order that says so
-// may wait for the next planning pass.
+// releaseIf sends the held starts for which ready reports true and whose workers are in
+// the stored list, unless mayStart forbids it. It drops those whose runs have been given
+// up since: the order that says so may wait for the next planning pass.
 func (o *Owner) releaseIf(ctx context.Context, ready func(*heldStart) bool) {
 	if !o.mayStart(o.now()) {
 		return
@@ -128,7 +138,7 @@
 		h := &o.held[i]
 		switch {
 		case !o.planner.Starting(&h.order):
-		case ready(h):
+		case o.writer.workers.contains(h.order.Worker) && ready(h):
 			o.dispatch(ctx, h.order)
 		default:
 			kept = append(kept, *h)
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -44,6 +44,8 @@
 	}
 	o.useDelegates(ctx, workers)
 	o.firstHoldAt = o.now()
+	view := o.deps.Replica.Pool(o.pool)
+	o.writer.workers.reset(view.WorkersVersion, view.Workers)
 	for i := range workers {
 		if w := workers[i]; w.Pool == o.pool {
 			o.putWorker(ctx, w)
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -41,6 +41,7 @@
 	maxRows map[string]int
 	// workersChanged is set while the stored list of workers is out of date.
 	workersChanged bool
+	workers        workerList
 }
 
 // jobRowKey identifies the row of a job in a partition.
@@ -165,16 +166,21 @@
 		o.log.Error("workers can't be encoded", zap.Error(err))
 		return
 	}
-	capacity, err := work.Encode(replica.PoolCapacity{MaxCapacity: o.largestCapacity(), Workers: o.storedTargets(ids)})
+	published := replica.PoolCapacity{MaxCapacity: o.largestCapacity(), Workers: o.storedTargets(ids)}
+	capacity, err := work.Encode(published)
+	if err == nil && len(capacity) > o.deps.Store.Limits().ValueBytes {
+		published.Workers = nil // the next owner waits for those that it can't call
+		capacity, err = work.Encode(published)
+	}
 	if err != nil {
 		o.log.Error("capacity can't be encoded", zap.Error(err))
 		return
 	}
 	o.writer.workersChanged = false
-	o.startCommit(ctx, o.pool, nil, o.epochTxn(map[port.RowKey][]byte{
-		replica.PoolKey(o.pool, replica.WorkersKey):  value,
-		replica.PoolKey(o.pool, replica.CapacityKey): capacity,
-	}))
+	o.writer.workers.write(ids)
+	txn := o.epochTxn(map[port.RowKey][]byte{o.workersKey(): value, replica.PoolKey(o.pool, replica.CapacityKey): capacity})
+	txn.ExpectedVersions[o.workersKey()] = o.writer.workers.version // an earlier write may be performed late
+	o.startCommit(ctx, o.pool, nil, txn)
 }
 
 // epochTxn returns a transaction on the pool's own rows that fails once another
@@ -215,7 +221,7 @@
 	var conflict *port.RowConflictError
 	switch {
 	case errors.As(r.err, &conflict) && r.partition == o.pool:
-		o.resign("another owner holds the pool")
+		o.workersConflict(conflict)
 		return
 	case errors.As(r.err, &conflict):
 		o.mergeConflict(r, conflict)
@@ -227,6 +233,10 @@
 		o.retryElsewhere(r)
 		return
 	}
+	if r.partition == o.pool {
+		w.workers.written(r.version)
+		o.releaseReady(ctx)
+	}
 	delete(w.maxRows, r.partition)
 	for i := range r.records {
 		rec := &r.records[i]
--- a/internal/duty/pool/suspended_test.go
+++ b/internal/duty/pool/suspended_test.go
@@ -60,6 +60,7 @@
 func holdStart(t *testing.T, o *Owner) {
 	t.Helper()
 	o.sessions["w"] = newSession(o, port.WorkerTarget{ID: "w"})
+	o.writer.workers.reset(1, []string{"w"})
 	o.planner.PutWorker(work.Worker{ID: "w", Capacity: work.Resources{CPU: 8000, MemMB: 8000, Accel: 8}})
 	o.planner.HandleReport(o.now(), o.now(), "w", port.HoldReply{})
 	o.planner.AddJob(o.now(), 0, work.Record{Job: work.Job{ID: "a", MaxAttempts: 4, Stretch: 3, Steps: []work.Step{single(1, 1)}}, State: work.Queued}, false)
--- a/internal/duty/replica/apply.go
+++ b/internal/duty/replica/apply.go
@@ -57,6 +57,7 @@
 		p.EpochVersion = row.Version
 		return decodeInto(row.Value, &p.Epoch)
 	case WorkersKey:
+		p.WorkersVersion = row.Version
 		return decodeInto(row.Value, &p.Workers)
 	case EarlyStartsKey:
 		return decodeInto(row.Value, &p.EarlyStartEpoch)
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -115,7 +115,8 @@
 	Capacity     PoolCapacity
 	// Workers lists the IDs of the workers that the owner last used. It is shared
 	// with other views and must not be modified.
-	Workers []string
+	Workers        []string
+	WorkersVersion int64
 	// EarlyStartEpoch is the last epoch whose stored placements may be incomplete.
 	EarlyStartEpoch int64
 }
