Pool: a held start isn't sent after its run was given up

Cause: a start is held until its placement is stored. If its worker is silent meanwhile until its leases must have expired, its runs are given up and the tasks are placed anew, on other workers. That orders no stop, so that the first starts stayed in the queue of held ones. When the store took writes again and the worker was back, both were sent at the same moment. It takes a store that takes no writes of a pool for longer than a worker of it is away, some 6 s: lost answers, or outages of partitions, in which the store as a whole counts as available.

Evidence: TestHeldStartsOfALostWorkerAreNotSent, 8 tasks on two workers at once before the change.

Fix: a held start is sent only while the planner still counts its run as starting. This also keeps starts from being sent whose job was cancelled, or whose worker restarted, in the same turn of the loop.

TestHeldStartsWaitForConfirmationAfterSuspension made up an order that the planner didn't know. It now takes the order from the planner and asserts the same; it still fails without the wait for the confirmation.

--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -158,18 +158,22 @@
 }
 
 // releaseIf sends the held starts for which ready reports true, unless mayStart
-// forbids it.
+// forbids it. It drops those whose runs were given up while they were held.
 func (o *Owner) releaseIf(ctx context.Context, ready func(*heldStart) bool) {
 	if !o.mayStart(o.now()) {
 		return
 	}
 	kept := o.held[:0]
 	for i := range o.held {
-		if ready(&o.held[i]) {
-			o.dispatch(ctx, o.held[i].order)
-			continue
+		order := &o.held[i].order
+		switch {
+		case !o.planner.Starting(order.Worker, order.Task, order.Run):
+			o.log.Info("start dropped, its run was given up", zap.String("job", order.Task.Job), zap.Int64("run", order.Run), zap.String("worker", order.Worker))
+		case ready(&o.held[i]):
+			o.dispatch(ctx, *order)
+		default:
+			kept = append(kept, o.held[i])
 		}
-		kept = append(kept, o.held[i])
 	}
 	o.held = kept
 }
--- a/internal/duty/pool/suspended_test.go
+++ b/internal/duty/pool/suspended_test.go
@@ -63,8 +63,12 @@
 		w := &suspendingWorkers{}
 		o := suspendableOwner(w)
 		o.sessions["w"] = newSession(o, port.WorkerTarget{ID: "w"})
-		order := planner.Order{Kind: planner.OrderStart, Worker: "w", Task: work.TaskID{Job: "a"}, Run: 1}
-		o.handleOrders(t.Context(), []planner.Order{order})
+		o.planner.PutWorker(work.Worker{ID: "w", Capacity: work.Resources{CPU: 1000}})
+		o.planner.HandleReport(o.now(), o.now(), "w", port.HoldReply{})
+		o.planner.AddJob(o.now(), 0, work.Record{Job: work.Job{ID: "a", Steps: []work.Step{{Count: 1, Need: work.Resources{CPU: 1000}}}}, State: work.Queued}, false)
+		orders := o.planner.Plan(o.now())
+		must.SliceLen(t, 1, orders)
+		o.handleOrders(t.Context(), orders)
 		w.skipped.Add(int64(5 * time.Second))
 		o.detectSuspension(o.now())
 		o.releaseOverdue(t.Context(), o.now())
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -287,3 +287,13 @@
 	w := p.workers[id]
 	return w != nil && w.info.Draining
 }
+
+// Starting reports whether a run that was ordered to start is still expected to.
+func (p *Planner) Starting(id string, task work.TaskID, number int64) bool {
+	w := p.workers[id]
+	if w == nil {
+		return false
+	}
+	r := w.runs[task]
+	return r != nil && r.number == number && r.phase == runStarting
+}
