Pool: an owner merges other owners' rows whenever they appear

Cause: the store may carry out an unanswered transaction seconds later. A write of a previous owner that appears after the new owner merged that owner's records, in a partition that the new owner doesn't write the job to, was merged by nobody: followers showed the job as completed, the owner went on with it.

Evidence: TestLateWriteOfAPreviousOwnerIsMerged failed before: the job's tasks started 5 s after the row.

Fix: the owner's subscription also reports jobs with a changed row by the owner of another epoch, and the owner merges such rows, as after a conflict. An owner's own writes aren't reported, so that they don't wake its loop.

--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -73,32 +73,13 @@
 // that this leaves.
 func (o *Owner) recordsRead(ctx context.Context, r commitResult) {
 	for i := range r.records {
-		id := r.records[i].Job.ID
-		v, _ := o.deps.Replica.Job(id)
-		for _, row := range v.Rows {
-			key := jobRowKey{row.Partition, id}
-			if row.Version <= o.writer.versions[key] {
-				continue
-			}
-			o.writer.versions[key] = row.Version
-			if row.Record.Sequence>>32 != o.epoch {
-				o.mergeRecord(row.Record, row.Version)
-			}
+		if v, ok := o.deps.Replica.Job(r.records[i].Job.ID); ok {
+			o.mergeRows(&v)
 		}
 	}
 	o.releaseStored(ctx, r.records, r.plan)
 }
 
-// mergeRecord merges a record that another owner stored. The job's held starts are dropped,
-// as their tasks may have completed.
-func (o *Owner) mergeRecord(rec work.Record, version int64) {
-	if rec.Sequence > 0 {
-		o.dropHeldStarts(rec.Job.ID)
-	}
-	o.log.Info("job row of another owner merged", zap.String("job", rec.Job.ID), zap.Int64("version", version))
-	o.planner.Merge(o.now(), rec)
-}
-
 // releaseOverdue sends starts that have waited for placementCommitWait. It waits
 // until the previous owner's records are merged: until then that owner may still
 // store and acknowledge results, and only a stored placement rules out that the
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -177,7 +177,7 @@
 	defer cancel()
 	defer close(o.done)
 	o.cancel = cancel
-	sub := o.deps.Replica.Subscribe(o.pool)
+	sub := o.deps.Replica.Subscribe(o.pool, o.epoch)
 	defer sub.Close()
 	o.wg.Go(func() { o.heartbeat(ctx) })
 	if err := o.recover(ctx); err != nil {
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -140,6 +140,9 @@
 func (o *Owner) addChangedJobs(ctx context.Context, sub *replica.Subscription) {
 	complete := o.deps.Replica.Complete()
 	for _, v := range sub.Take() {
+		if o.writer.added[v.Record.Job.ID] {
+			o.mergeRows(&v)
+		}
 		o.addJob(&v, false)
 		if v.Cancelled {
 			o.planner.Cancel(v.Record.Job.ID, o.now())
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -296,6 +296,32 @@
 	}
 }
 
+// mergeRows merges the rows of an added job that other owners have stored since it was
+// added. A row that a previous owner wrote may appear seconds after that owner stopped, as
+// the store may carry out an unanswered transaction late.
+func (o *Owner) mergeRows(v *replica.JobView) {
+	for _, row := range v.Rows {
+		key := jobRowKey{row.Partition, v.Record.Job.ID}
+		if row.Version <= o.writer.versions[key] {
+			continue
+		}
+		o.writer.versions[key] = row.Version
+		if row.Record.Epoch() != o.epoch {
+			o.mergeRecord(row.Record, row.Version)
+		}
+	}
+}
+
+// mergeRecord merges a record that another owner stored. The job's held starts are dropped,
+// as their tasks may have completed.
+func (o *Owner) mergeRecord(rec work.Record, version int64) {
+	if rec.Epoch() > 0 {
+		o.dropHeldStarts(rec.Job.ID)
+	}
+	o.log.Info("job row of another owner merged", zap.String("job", rec.Job.ID), zap.Int64("version", version))
+	o.planner.Merge(o.now(), rec)
+}
+
 // heartbeat writes this owner's heartbeat until ctx ends. If another owner holds
 // the pool, it resigns.
 func (o *Owner) heartbeat(ctx context.Context) {
--- a/internal/duty/pool/unknown_test.go
+++ b/internal/duty/pool/unknown_test.go
@@ -218,3 +218,35 @@
 		c.checkInvariants()
 	})
 }
+
+// Guards against starts of a job that callers see as completed: the store carried out a
+// previous owner's unanswered write in another partition, after its records were merged.
+func TestLateWriteOfAPreviousOwnerIsMerged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		first := c.launch()
+		time.Sleep(time.Second)
+		second := c.launch()
+		time.Sleep(time.Second)
+		c.setDuration("other", 6, 0)
+		c.submit("other", single(8, 6))
+		time.Sleep(time.Second)
+		c.setDuration("job", 1, 0)
+		c.submit("job", single(2, 1))
+		time.Sleep(500 * time.Millisecond)
+		first.kill()
+		time.Sleep(3 * time.Second)
+		must.EqOp(t, second.name, c.owner())
+		v, ok := second.replica.Job("job")
+		must.True(t, ok)
+		late := v.Record
+		late.State, late.Sequence, late.Steps = work.Completed, 1<<32|9, []work.StepProgress{{Done: []int{0, 1}}}
+		value, err := work.Encode(late)
+		must.NoError(t, err)
+		_, err = c.store.Commit(t.Context(), port.RowTxn{Puts: map[port.RowKey][]byte{replica.JobKeys(testPool, "job")[1]: value}})
+		must.NoError(t, err)
+		time.Sleep(6 * time.Second)
+		must.False(t, c.pool.HasStarted("job"))
+		c.checkInvariants()
+	})
+}
--- a/internal/duty/replica/apply.go
+++ b/internal/duty/replica/apply.go
@@ -122,6 +122,8 @@
 	if len(v.Rows) == 1 && v.Record.Job.ID == "" {
 		v.Record = fresh.Record
 		r.notify(v)
+	} else {
+		r.notifyOthers(v, fresh.Record.Epoch())
 	}
 	if fresh.Record.Supersedes(&v.Record) || len(v.Rows) == 1 {
 		v.Record = fresh.Record
@@ -194,6 +196,15 @@
 	return true
 }
 
+// notifyOthers notifies the subscribers other than the owner that wrote the job's row.
+func (r *Replica) notifyOthers(v *JobView, epoch int64) {
+	for s := range r.subs {
+		if s.pool == v.Record.Job.Pool && epoch > 0 && s.epoch != epoch {
+			s.ids = append(s.ids, v.Record.Job.ID)
+		}
+	}
+}
+
 func (r *Replica) notify(v *JobView) {
 	for s := range r.subs {
 		if s.pool == v.Record.Job.Pool {
--- a/internal/duty/replica/subscribe.go
+++ b/internal/duty/replica/subscribe.go
@@ -1,17 +1,19 @@
 package replica
 
-// Subscription reports which jobs of a pool were added or cancelled.
+// Subscription reports which jobs of a pool were added or cancelled, or have a row by
+// the owner of another epoch that changed.
 type Subscription struct {
 	replica *Replica
 	pool    string
+	epoch   int64
 	ids     []string // guarded by replica.mu
 	signal  chan struct{}
 }
 
-// Subscribe returns a new subscription to a pool's jobs, which doesn't report those
-// that the replica already holds. The caller must close it.
-func (r *Replica) Subscribe(pool string) *Subscription {
-	s := &Subscription{replica: r, pool: pool, signal: make(chan struct{}, 1)}
+// Subscribe returns a new subscription to a pool's jobs for the owner of an epoch. It
+// doesn't report jobs that the replica already holds. The caller must close it.
+func (r *Replica) Subscribe(pool string, epoch int64) *Subscription {
+	s := &Subscription{replica: r, pool: pool, epoch: epoch, signal: make(chan struct{}, 1)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.subs[s] = struct{}{}
@@ -45,7 +47,7 @@
 // C returns a channel that is signaled when Take has jobs to return.
 func (s *Subscription) C() <-chan struct{} { return s.signal }
 
-// Take returns the jobs that were added or cancelled since the last call. A full
+// Take returns the jobs to report since the last call. A full
 // read of the table counts every job as added again. A job may be returned more than
 // once, always in its current state.
 func (s *Subscription) Take() []JobView {
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -334,6 +334,10 @@
 	Sequence int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// Epoch returns the epoch of the owner that wrote the record, 0 for that of the
+// submission.
+func (r *Record) Epoch() int64 { return r.Sequence >> 32 }
+
 // Supersedes reports whether r supersedes o, a record of the same job. A record
 // in a final state supersedes one that isn't; otherwise the higher Sequence does.
 func (r *Record) Supersedes(o *Record) bool {
