Pool: the row that tells a job's end is removed last

Cause: a job has rows in two partitions if one was unavailable. After the retention time they were removed one by one in order of preference, so that the one that says that the job has completed could go first. If the other partition was unavailable then, or the owner ended in between, the next owner that read the table anew took the job for a running one. A row that had changed since it was read was passed over and left behind too.

Evidence: TestRemovalOfAnEndedJobLeavesNoOlderRow (4 tasks started again) and TestRemovalOfAnEndedJobStopsAtAChangedRow (the job counted as running) failed before.

Fix: rows that tell an end are removed after the others, each partition on the condition that it holds just the row that was read, or none. A conflict ends the round, unless the row is gone, as after a lost answer; the next round reads anew.

This takes the retention time and a minute to show, so it is unlikely to be what was reported.

--- a/internal/duty/pool/retain.go
+++ b/internal/duty/pool/retain.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
-	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/wait"
 )
@@ -44,28 +44,56 @@
 	}
 }
 
+// removeJob removes the rows of an ended job and its cancellation, the row that tells its
+// end last: with only an older row the job would count as running. It gives up if a row has
+// changed since v was read.
 func (o *Owner) removeJob(ctx context.Context, v *replica.JobView) {
 	id := v.Record.Job.ID
 	cancels := replica.CancelKeys(o.pool, id)
+	var txns, last []port.RowTxn
 	for i, key := range replica.JobKeys(o.pool, id) {
-		txn := port.RowTxn{Deletes: []port.RowKey{cancels[i]}}
+		txn := port.RowTxn{ExpectedVersions: map[port.RowKey]int64{key: 0}, Deletes: []port.RowKey{cancels[i]}}
+		ends := false
 		for _, row := range v.Rows {
 			if row.Partition == key.Partition {
-				txn.ExpectedVersions = map[port.RowKey]int64{key: row.Version}
+				txn.ExpectedVersions[key] = row.Version
 				txn.Deletes = append(txn.Deletes, key)
+				ends = row.Record.State.Ended()
 			}
 		}
+		if ends {
+			last = append(last, txn)
+		} else {
+			txns = append(txns, txn)
+		}
+	}
+	for _, txn := range append(txns, last...) {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
 		_, err := o.deps.Store.Commit(call, txn)
 		cancel()
-		if err != nil && !fault.Is(err, fault.Conflict) {
-			o.log.Info("ended job not removed yet", zap.String("job", id), zap.String("part", key.Partition), zap.Error(err))
+		if err != nil && !isGone(err, txn) {
+			o.log.Info("ended job not removed yet", zap.String("job", id), zap.String("part", txn.Deletes[0].Partition), zap.Error(err))
 			return
 		}
 	}
 	o.post(event{kind: evJobRemoved, job: id})
 }
 
+// isGone reports whether the transaction failed because its rows are gone already, as after
+// an attempt whose answer was lost.
+func isGone(err error, txn port.RowTxn) bool {
+	var conflict *port.RowConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	for key := range txn.ExpectedVersions {
+		if _, found := conflict.Row(key); found {
+			return false
+		}
+	}
+	return true
+}
+
 // dropJob deletes the in-memory state of a removed job.
 func (o *Owner) dropJob(id string) {
 	delete(o.writer.added, id)
