Pool: an owner without the store and most workers stops renewing leases

Cause: an owner that was cut off from the store renewed leases for up to 20 s, until a worker rejected its fencing token. The next owner took for granted that this happens within 1.5 s of its first hold. A network partition that leaves the owner with some workers, and the store with the others, keeps the two from meeting at any worker: the next owner started the tasks again 6.2 s after its first hold while their leases were still renewed. A process that was suspended renewed leases on its return as well.

From 1.5 s after its last confirmed heartbeat an owner now renews leases, and starts tasks, only while more than half of its workers have answered a hold that was sent in the last 1.5 s. The next owner counts that time from when half of the stored workers have answered it, so the two sets meet; before that, it waits for the 20 s. If the previous owner is known to have stopped, it doesn't wait for that time at all. While a heartbeat is late, holds are short, so that contact is recent.

Cost: tasks of cut-off workers start again 7.35 s after the cut. After a handover the wait for a silent worker's leases is 1.5 s shorter. An owner that has lost the store and half of its workers or more loses their tasks after a lease; a new owner that reaches less than half of the stored workers waits 18.5 s longer for the others.

--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -130,7 +130,7 @@
 // the stored list, unless mayStart forbids it. It drops those whose runs have been given
 // up since: the order that says so may wait for the next planning pass.
 func (o *Owner) releaseIf(ctx context.Context, ready func(*heldStart) bool) {
-	if !o.mayStart(o.now()) {
+	if !o.mayStart() {
 		return
 	}
 	kept := o.held[:0]
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,9 +21,19 @@
 	// covers a takeover: detection, reading the jobs and a round of holds.
 	leaseDuration = 4500 * time.Millisecond
 	// unconfirmedLimit is how long an owner goes on renewing leases and starting
-	// tasks without a confirmed heartbeat. Fencing at the workers stops it sooner
-	// if another owner has taken over.
+	// tasks without a confirmed heartbeat while it has contact with most of the workers.
+	// Fencing at the workers stops it sooner if another owner has taken over.
 	unconfirmedLimit = 20 * time.Second
+	// renewUnconfirmedFor is how long after its last confirmed heartbeat an owner goes on
+	// without contact to most of the workers. It is shorter than the takeover by another
+	// owner, which takes heartbeatTimeout, and previousOwnerRenewTime after it.
+	renewUnconfirmedFor = 1500 * time.Millisecond
+	// majorityContactAge bounds the age of an answered hold that counts as contact. It
+	// covers two holds of busyHoldWait.
+	majorityContactAge = 2 * (busyHoldWait + busyHoldGrace)
+	// heartbeatLateAfter is the age of the last confirmed heartbeat from which holds are
+	// short, so that contact with the workers is recent.
+	heartbeatLateAfter = 500 * time.Millisecond
 	// suspensionThreshold is the gap in the activity of the owner's loop above which
 	// the process counts as suspended. Ownership then has to be confirmed before
 	// anything is started.
@@ -37,9 +48,10 @@
 	// the store is at its slowest.
 	previousOwnerStopTime = 2500 * time.Millisecond
 	// previousOwnerRenewTime bounds how long a running previous owner may renew
-	// leases after this owner's first hold: its next long poll at any worker that
-	// has received the new fencing token makes it resign.
-	previousOwnerRenewTime = holdWait + 500*time.Millisecond
+	// leases after this owner has contacted half of the workers: either it has contact
+	// with more than half, and one of them has received the new fencing token, or it
+	// stops for want of that.
+	previousOwnerRenewTime = max(majorityContactAge, renewUnconfirmedFor)
 	// storeStableAfter is how long this instance's reads of the store must have
 	// succeeded before the stored placements of a previous owner count as complete.
 	storeStableAfter = 10 * time.Second
@@ -97,6 +109,9 @@
 	cancel       context.CancelFunc
 	heartbeatAt  atomic.Int64 // when the last confirmed heartbeat was sent, on Now's clock
 	settled      atomic.Bool  // no previous owner can act any more
+	// majorityAt is the time, on Now's clock, after which more than half of the workers
+	// were sent a hold that they answered. It is updated while the heartbeat is late.
+	majorityAt   atomic.Int64
 	writer       recordWriter
 	policy       policyCalls
 	held         []heldStart
@@ -169,10 +184,31 @@
 	o.cancel()
 }
 
-// mayRenew reports whether the last confirmed heartbeat is recent enough to renew
-// leases.
+// unconfirmedFor returns the age of the last confirmed heartbeat.
+func (o *Owner) unconfirmedFor() time.Duration {
+	return o.now() - time.Duration(o.heartbeatAt.Load())
+}
+
+// mayRenew reports whether this owner may renew leases: its last confirmed heartbeat is
+// recent or, as in an outage of the store, most of the workers have accepted its fencing
+// token since. An owner that is cut off from the store with a few workers can't know
+// whether another one has taken over.
 func (o *Owner) mayRenew() bool {
-	return o.now()-time.Duration(o.heartbeatAt.Load()) < unconfirmedLimit
+	age := o.unconfirmedFor()
+	return age < renewUnconfirmedFor || age < unconfirmedLimit && o.now()-time.Duration(o.majorityAt.Load()) < majorityContactAge
+}
+
+// updateMajority updates majorityAt while the heartbeat is late.
+func (o *Owner) updateMajority() {
+	if len(o.sessions) == 0 || o.unconfirmedFor() < heartbeatLateAfter {
+		return
+	}
+	answeredAt := make([]time.Duration, 0, len(o.sessions))
+	for _, s := range o.sessions {
+		answeredAt = append(answeredAt, s.reportSentAt)
+	}
+	slices.Sort(answeredAt)
+	o.majorityAt.Store(int64(answeredAt[(len(answeredAt)-1)/2]))
 }
 
 // run takes the pool over and runs it until ctx ends, ownership is lost or
@@ -277,6 +313,7 @@
 func (o *Owner) step(ctx context.Context) {
 	now := o.now()
 	o.detectSuspension(now)
+	o.updateMajority()
 	o.applyConfig()
 	if wall, ok := o.wallClock(); ok {
 		o.planner.SetWallClock(now, wall)
@@ -286,7 +323,7 @@
 	o.giveUpUnlisted(now)
 	if pause := o.pacer.pause(now); pause > 0 {
 		o.nextPlan.Reset(pause)
-	} else if o.mayStart(now) {
+	} else if o.mayStart() {
 		o.handleOrders(ctx, o.planner.Plan(now))
 		o.queryPolicy(ctx, now)
 		o.pacer.passed(now, o.now())
@@ -308,10 +345,9 @@
 	o.lastActiveAt = now
 }
 
-// mayStart reports whether the last confirmed heartbeat allows starts to be sent.
-func (o *Owner) mayStart(now time.Duration) bool {
-	confirmedAt := time.Duration(o.heartbeatAt.Load())
-	return confirmedAt >= o.confirmAfter && now-confirmedAt < unconfirmedLimit
+// mayStart reports whether starts may be sent. They renew leases.
+func (o *Owner) mayStart() bool {
+	return time.Duration(o.heartbeatAt.Load()) >= o.confirmAfter && o.mayRenew()
 }
 
 func (o *Owner) dispatch(ctx context.Context, order planner.Order) {
@@ -367,6 +403,8 @@
 		if ev.incarnation < ev.session.appliedIncarnation {
 			return // an overdue report of a previous incarnation
 		}
+		ev.session.reportSentAt = max(ev.session.reportSentAt, ev.sentAt)
+		o.previousWorkerFenced(id)
 		results := o.planner.HandleReport(now, ev.sentAt, id, ev.reply)
 		ev.session.acknowledge(ev.incarnation, o.planner.AcknowledgeableResult(id))
 		o.logResults(id, results)
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -19,6 +19,12 @@
 // previousOwner is the state of the previous owner as far as it is known.
 type previousOwner struct {
 	stopped bool // it and all owners before it had stopped before this owner's claim
+	// unfenced holds the workers of the stored list, workers in number, that haven't
+	// answered this owner.
+	unfenced map[string]bool
+	workers  int
+	// fencedAt is when half of these workers had answered this owner, 0 before.
+	fencedAt time.Duration
 	// catchUp guards the read of the store's current version.
 	catchUp retryGate
 	// caughtUp is set once the previous owner can no longer act and the replica
@@ -46,6 +52,8 @@
 	o.firstHoldAt = o.now()
 	view := o.deps.Replica.Pool(o.pool)
 	o.writer.workers.reset(view.WorkersVersion, view.Workers)
+	o.previous.unfenced, o.previous.workers = idSet(view.Workers), len(view.Workers)
+	o.updateFenced()
 	for i := range workers {
 		if w := workers[i]; w.Pool == o.pool {
 			o.putWorker(ctx, w)
@@ -102,15 +110,35 @@
 	}
 }
 
-// beginRecovery delays inherited jobs until every worker has been contacted or its
-// leases must have expired.
-func (o *Owner) beginRecovery(ctx context.Context) {
-	unknownLeasesEndAt := o.firstHoldAt
+// previousWorkerFenced records that a worker has answered this owner, and so rejects the
+// previous one.
+func (o *Owner) previousWorkerFenced(id string) {
+	if o.previous.unfenced[id] {
+		delete(o.previous.unfenced, id)
+		o.updateFenced()
+	}
+}
+
+func (o *Owner) updateFenced() {
+	if o.previous.fencedAt == 0 && 2*len(o.previous.unfenced) <= o.previous.workers {
+		o.previous.fencedAt = o.now()
+		o.planner.SetUnknownLeasesEndAt(o.unknownLeasesEndAt())
+	}
+}
+
+// unknownLeasesEndAt returns when no lease is left at workers that can't be called.
+func (o *Owner) unknownLeasesEndAt() time.Duration {
 	for id := range o.unlisted {
 		if o.sessions[id] == nil {
-			unknownLeasesEndAt = o.inheritedLeasesExpireAt()
+			return o.inheritedLeasesExpireAt()
 		}
 	}
+	return o.firstHoldAt
+}
+
+// beginRecovery delays inherited jobs until every worker has been contacted or its
+// leases must have expired.
+func (o *Owner) beginRecovery(ctx context.Context) {
 	takeoverNoticedBy := o.firstHoldAt + previousOwnerStopTime
 	if o.previous.stopped {
 		takeoverNoticedBy = o.firstHoldAt
@@ -119,7 +147,7 @@
 	mayHaveEarlyStarts := earlyStartEpoch > 0 && o.epoch-earlyStartEpoch <= announcementValidEpochs
 	placementsComplete := !mayHaveEarlyStarts && o.deps.Replica.StableFor() > storeStableAfter && o.deps.StoreHealth.Latency() < slowReadThreshold
 	o.log.Info("recovery begins", zap.Bool("placements_complete", placementsComplete), zap.Bool("bypassed", mayHaveEarlyStarts), zap.Duration("store_quiet_for", o.deps.Replica.StableFor()))
-	o.planner.Recover(unknownLeasesEndAt, takeoverNoticedBy, placementsComplete)
+	o.planner.Recover(o.unknownLeasesEndAt(), takeoverNoticedBy, placementsComplete)
 	if !placementsComplete {
 		// If this owner stops before it knows all placements, the next owner must
 		// not take the stored ones for complete either.
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -72,9 +72,11 @@
 	failedBefore    bool          // a hold has failed
 	ackAdvanced     chan struct{} // signaled when acknowledged grows
 
-	// appliedIncarnation is the last incarnation that the owner's loop has applied.
-	// It is accessed only by the loop.
+	// appliedIncarnation is the last incarnation that the owner's loop has applied, and
+	// reportSentAt when the latest hold was sent whose answer it has applied. They are
+	// accessed only by the loop.
 	appliedIncarnation int
+	reportSentAt       time.Duration
 }
 
 func newSession(o *Owner, target port.WorkerTarget) *session {
@@ -140,7 +142,7 @@
 	grace := probeTimeout
 	switch {
 	case !s.clock.hasReading || !s.reachable:
-	case s.busy:
+	case s.busy || s.owner.unconfirmedFor() > heartbeatLateAfter:
 		req.Wait, grace = busyHoldWait, busyHoldGrace
 	default:
 		req.Wait, grace = holdWait, holdGrace
@@ -272,6 +274,9 @@
 			break
 		}
 		decidedAt = now
+		if unanswered && !s.owner.mayRenew() {
+			break
+		}
 		s.mu.Lock()
 		startOrder := port.StartOrder{
 			Task: order.Task, Run: order.Run, Spec: order.Spec, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
--- a/internal/duty/pool/suspended_test.go
+++ b/internal/duty/pool/suspended_test.go
@@ -103,3 +103,17 @@
 		must.EqOp(t, 0, w.starts)
 	})
 }
+
+// Guards against a lease that is renewed by a process that was suspended for less than a
+// lease's length, when its next owner no longer counts on that.
+func TestLeasesAreNotRenewedAfterSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &suspendingWorkers{}
+		o := suspendableOwner(w)
+		must.True(t, o.mayRenew())
+		w.skipped.Add(int64(leaseDuration - time.Second))
+		must.False(t, o.mayRenew())
+		o.heartbeatAt.Store(int64(o.now()))
+		must.True(t, o.mayRenew())
+	})
+}
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -177,7 +177,14 @@
 	if o.epoch == 1 {
 		return 0
 	}
-	return o.firstHoldAt + previousOwnerRenewTime + time.Duration(float64(leaseDuration)*(1+maxClockSlowness)) + expiryMargin
+	renewedUntil := o.firstHoldAt + unconfirmedLimit
+	switch {
+	case o.previous.stopped:
+		renewedUntil = o.firstHoldAt
+	case o.previous.fencedAt > 0:
+		renewedUntil = o.previous.fencedAt + previousOwnerRenewTime
+	}
+	return renewedUntil + time.Duration(float64(leaseDuration)*(1+maxClockSlowness)) + expiryMargin
 }
 
 // expireWorkers marks the runs of unreachable workers as lost once their leases
--- a/internal/planner/recovery.go
+++ b/internal/planner/recovery.go
@@ -40,6 +40,9 @@
 	}
 }
 
+// SetUnknownLeasesEndAt replaces the time that Recover was told.
+func (p *Planner) SetUnknownLeasesEndAt(at time.Duration) { p.recovery.unknownLeasesEndAt = at }
+
 // AllWorkersReported reports whether every worker of a previous owner has reported to
 // this owner or lost its runs.
 func (p *Planner) AllWorkersReported(now time.Duration) bool {
