Takeover: placements aren't complete after an owner that was cut off for long

Cause: in an outage of 3 s, which is then known to affect all instances, an owner starts tasks without an announcement to later owners. That counts on a takeover and a first round of calls within that time. When the next owner took longer between its claim and its calls, or the one before it ended there, it still judged by its own view of the store alone that all placements were stored. It started tasks again that ran on a worker which it didn't reach.

Stored placements now count as complete only once half of the stored workers have answered, if that was early enough after the previous owner's last heartbeat, and if that owner had outlasted those before it, or if it is known to have stopped.

--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -97,7 +97,7 @@
 			seen, changedAt = view, now
 		}
 		if e.mayClaim(ctx, &seen, now-changedAt) {
-			e.takeOver(ctx, view)
+			e.takeOver(ctx, view, changedAt)
 			changedAt = e.deps.Now()
 		}
 	}
@@ -139,7 +139,8 @@
 
 func (e *Election) epochKey() port.RowKey { return replica.PoolKey(e.pool, replica.EpochKey) }
 
-func (e *Election) takeOver(ctx context.Context, view replica.PoolView) {
+// takeOver claims the pool and runs it. heardAt is when the view last changed.
+func (e *Election) takeOver(ctx context.Context, view replica.PoolView, heardAt time.Duration) {
 	epoch := replica.Epoch{Number: view.Epoch.Number + 1, Owner: e.deps.Name, Incarnation: e.deps.Incarnation}
 	version, err := e.writeEpoch(ctx, view.EpochVersion, epoch)
 	if err != nil {
@@ -148,7 +149,7 @@
 	}
 	e.log.Info("ownership gained", zap.Int64("epoch", epoch.Number), zap.String("former", view.Epoch.Owner), zap.Int64("version", version))
 	o := newOwner(e.deps, e.pool, epoch.Number, version)
-	o.previous.stopped = e.hasStopped(&view)
+	o.previous.stopped, o.previous.settled, o.previous.heardAt = e.hasStopped(&view), settled(&view), heardAt
 	if err := o.run(ctx); err != nil {
 		e.log.Warn("takeover failed", zap.Error(err))
 	}
@@ -163,9 +164,12 @@
 // workers, or never known that its claim was performed.
 func (e *Election) hasStopped(view *replica.PoolView) bool {
 	lastStopped := view.Epoch.Owner == "" || view.Epoch.Owner == e.deps.Name
-	return lastStopped && view.SettledEpoch == view.Epoch.Number
+	return lastStopped && settled(view)
 }
 
+// settled reports whether the owners before the view's epoch have stopped.
+func settled(view *replica.PoolView) bool { return view.SettledEpoch == view.Epoch.Number }
+
 func (e *Election) writeEpoch(ctx context.Context, expectedVersion int64, epoch replica.Epoch) (int64, error) {
 	value, err := work.Encode(epoch)
 	if err != nil {
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -61,8 +61,8 @@
 	placementCommitWait = 150 * time.Millisecond
 	// globalOutageAfter is the duration from which an outage is known to affect all
 	// instances: an instance that still reached the store would have taken the pool
-	// over within 1.6 s, and the workers' answers would have revealed it within
-	// another second.
+	// over within 1.5 s, and the workers' answers would have revealed it within
+	// previousOwnerRenewTime. One that took longer doesn't count on that.
 	globalOutageAfter = 3 * time.Second
 	// maxUnstartedAge is the age above which a job that is newly seen may have been
 	// started by an earlier owner.
@@ -404,7 +404,7 @@
 			return // an overdue report of a previous incarnation
 		}
 		ev.session.reportSentAt = max(ev.session.reportSentAt, ev.sentAt)
-		o.previousWorkerFenced(id)
+		o.previousWorkerFenced(ctx, id)
 		results := o.planner.HandleReport(now, ev.sentAt, id, ev.reply)
 		ev.session.acknowledge(ev.incarnation, o.planner.AcknowledgeableResult(id))
 		o.logResults(id, results)
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -19,6 +19,12 @@
 // previousOwner is the state of the previous owner as far as it is known.
 type previousOwner struct {
 	stopped bool // it and all owners before it had stopped before this owner's claim
+	settled bool // all owners before it had stopped
+	// heardAt is when its heartbeat last changed, as far as this instance has seen.
+	heardAt time.Duration
+	// placementsStored is set if it stored or announced all its placements, unless it
+	// went on without the store for globalOutageAfter.
+	placementsStored bool
 	// unfenced holds the workers of the stored list, workers in number, that haven't
 	// answered this owner.
 	unfenced map[string]bool
@@ -112,20 +118,49 @@
 
 // previousWorkerFenced records that a worker has answered this owner, and so rejects the
 // previous one.
-func (o *Owner) previousWorkerFenced(id string) {
-	if o.previous.unfenced[id] {
-		delete(o.previous.unfenced, id)
-		o.updateFenced()
+func (o *Owner) previousWorkerFenced(ctx context.Context, id string) {
+	if !o.previous.unfenced[id] {
+		return
+	}
+	delete(o.previous.unfenced, id)
+	if o.previous.fencedAt > 0 {
+		return
+	}
+	o.updateFenced()
+	if o.previous.fencedAt == 0 {
+		return
+	}
+	o.planner.SetUnknownLeasesEndAt(o.unknownLeasesEndAt())
+	if o.previous.placementsStored && !o.previous.stopped {
+		o.setPlacementsComplete(ctx)
 	}
 }
 
 func (o *Owner) updateFenced() {
-	if o.previous.fencedAt == 0 && 2*len(o.previous.unfenced) <= o.previous.workers {
+	if 2*len(o.previous.unfenced) <= o.previous.workers {
 		o.previous.fencedAt = o.now()
-		o.planner.SetUnknownLeasesEndAt(o.unknownLeasesEndAt())
 	}
 }
 
+// setPlacementsComplete tells the planner that all placements of the previous owner are
+// stored, if it is certain that it can't have gone on without the store for long enough to
+// start tasks without an announcement.
+func (o *Owner) setPlacementsComplete(ctx context.Context) {
+	p := &o.previous
+	stoppedBy := p.fencedAt + previousOwnerRenewTime
+	inTime := p.stopped || p.settled && stoppedBy-p.heardAt <= globalOutageAfter
+	complete := p.placementsStored && inTime
+	o.log.Info("recovery begins", zap.Bool("placements_complete", complete), zap.Bool("stored", p.placementsStored),
+		zap.Bool("settled", p.settled), zap.Duration("silent_for", stoppedBy-p.heardAt), zap.Duration("store_quiet_for", o.deps.Replica.StableFor()))
+	if complete {
+		o.planner.SetPlacementsComplete()
+		return
+	}
+	// If this owner stops before it knows all placements, the next owner must
+	// not take the stored ones for complete either.
+	o.announceEarlyStarts(ctx, o.now())
+}
+
 // unknownLeasesEndAt returns when no lease is left at workers that can't be called.
 func (o *Owner) unknownLeasesEndAt() time.Duration {
 	for id := range o.unlisted {
@@ -145,13 +180,10 @@
 	}
 	earlyStartEpoch := o.deps.Replica.Pool(o.pool).EarlyStartEpoch
 	mayHaveEarlyStarts := earlyStartEpoch > 0 && o.epoch-earlyStartEpoch <= announcementValidEpochs
-	placementsComplete := !mayHaveEarlyStarts && o.deps.Replica.StableFor() > storeStableAfter && o.deps.StoreHealth.Latency() < slowReadThreshold
-	o.log.Info("recovery begins", zap.Bool("placements_complete", placementsComplete), zap.Bool("bypassed", mayHaveEarlyStarts), zap.Duration("store_quiet_for", o.deps.Replica.StableFor()))
-	o.planner.Recover(o.unknownLeasesEndAt(), takeoverNoticedBy, placementsComplete)
-	if !placementsComplete {
-		// If this owner stops before it knows all placements, the next owner must
-		// not take the stored ones for complete either.
-		o.announceEarlyStarts(ctx, o.now())
+	o.previous.placementsStored = !mayHaveEarlyStarts && o.deps.Replica.StableFor() > storeStableAfter && o.deps.StoreHealth.Latency() < slowReadThreshold
+	o.planner.Recover(o.unknownLeasesEndAt(), takeoverNoticedBy, false)
+	if o.previous.stopped || o.previous.fencedAt > 0 || !o.previous.placementsStored {
+		o.setPlacementsComplete(ctx)
 	}
 }
 
--- a/internal/planner/recovery.go
+++ b/internal/planner/recovery.go
@@ -40,6 +40,9 @@
 	}
 }
 
+// SetPlacementsComplete records that all placements of the previous owner are stored.
+func (p *Planner) SetPlacementsComplete() { p.recovery.placementsComplete = true }
+
 // SetUnknownLeasesEndAt replaces the time that Recover was told.
 func (p *Planner) SetUnknownLeasesEndAt(at time.Duration) { p.recovery.unknownLeasesEndAt = at }
 
