Planner: the success of an orphaned run counts

Cause: the result of a run that is being stopped because its task has another run on record was dropped, and acknowledged. If the other run was lost, the task started again.

It needs two runs of a task at once, so it makes an earlier fault worse and isn't one by itself.

Fix: such results are handled like those of runs that aren't on record.

--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -229,6 +229,7 @@
 	u := r.unit
 	p.dropRun(r)
 	if u == nil {
+		p.handleUnknownResult(now, w, result)
 		return
 	}
 	if result.Checkpoint != "" && u.spec().Checkpointable {
@@ -308,7 +309,7 @@
 	p.checkCompletion(u.job, now)
 }
 
-// handleUnknownResult handles the result of a run that isn't on record: a
+// handleUnknownResult handles the result of a run that isn't on record or is orphaned: a
 // previous owner started it, or it was dropped as lost.
 func (p *Planner) handleUnknownResult(now time.Duration, w *worker, result port.RunResult) {
 	j := p.jobs[result.Task.Job]
--- a/internal/planner/unknown_test.go
+++ b/internal/planner/unknown_test.go
@@ -57,3 +57,26 @@
 	must.EqOp(t, 1, count(orders, OrderStop))
 	must.EqOp(t, 0, starts(orders))
 }
+
+// Guards against a success that is acknowledged and not counted, as the run was being
+// stopped beside another run of its task.
+func TestSuccessOfAnOrphanedRunCounts(t *testing.T) {
+	r := newHarness(t, 1, 2)
+	r.add(r.job("a", 1, step(1, 1, 9)))
+	orders := r.plan()
+	must.EqOp(t, 1, starts(orders))
+	r.p.TakeChanged()
+	other := "w00"
+	if orders[0].Worker == other {
+		other = "w01"
+	}
+	task := work.TaskID{Job: "a"}
+	r.report(other, port.RunState{Task: task, Run: 900})
+	r.p.HandleReport(r.now, r.now, other, port.HoldReply{Results: []port.RunResult{{Sequence: 1, Task: task, Run: 900, Kind: port.ResultSucceeded}}})
+	must.EqOp(t, 0, r.p.AcknowledgeableResult(other))
+	changed := r.p.TakeChanged()
+	must.SliceLen(t, 1, changed)
+	must.EqOp(t, work.Completed, changed[0].State)
+	r.p.RecordStored("a")
+	must.EqOp(t, 1, r.p.AcknowledgeableResult(other))
+}
