--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -96,6 +96,7 @@
 	events       chan event
 	cancel       context.CancelFunc
 	heartbeatAt  atomic.Int64 // when the last confirmed heartbeat was sent, on Now's clock
+	settled      atomic.Bool  // no previous owner can act any more
 	writer       recordWriter
 	policy       policyCalls
 	held         []heldStart
@@ -111,8 +112,13 @@
 	unknown      unknownJobs
 	announcement earlyStartAnnouncement
 	// unlisted holds the stored workers of the previous owner that the registry
-	// hasn't listed yet. They are given up at registryCompleteAt.
-	unlisted           map[string]bool
+	// hasn't listed yet. Those whose targets are stored have sessions.
+	unlisted map[string]bool
+	// left holds the workers that have left and whose sessions haven't ended yet.
+	left map[string]bool
+	// registryComplete is set from registryCompleteAt on, when the registry lists
+	// every worker that reaches the store.
+	registryComplete   bool
 	registryCompleteAt time.Duration
 	yielded            bool           // the owner ended to hand the pool over, though its process keeps running
 	logLoss            sync.Once      // limits the log to one loss of ownership
@@ -128,6 +134,7 @@
 		cancelStarts: map[runKey]context.CancelFunc{},
 		deferred:     map[string]bool{},
 		unlisted:     map[string]bool{},
+		left:         map[string]bool{},
 		events:       make(chan event, eventQueueSize),
 		startedAt:    deps.Now(),
 		done:         make(chan struct{}),
@@ -340,11 +347,16 @@
 
 // applyIncarnation applies a restart of a worker, once, before any of its answers:
 // the new incarnation numbers its results from 1, and a start that it confirmed
-// does not belong to the previous one.
-func (o *Owner) applyIncarnation(now time.Duration, s *session, incarnation int) {
-	if incarnation > s.appliedIncarnation {
-		s.appliedIncarnation = incarnation
-		o.planner.WorkerRestarted(now, s.target.ID)
+// does not belong to the previous one. The new one is told to stop the runs whose
+// starts may still arrive: it knows nothing of their stops and results.
+func (o *Owner) applyIncarnation(ctx context.Context, now time.Duration, s *session, incarnation int) {
+	if incarnation <= s.appliedIncarnation {
+		return
+	}
+	s.appliedIncarnation = incarnation
+	o.planner.WorkerRestarted(now, s.target.ID)
+	for _, key := range s.uncertainStarts(now) {
+		o.dispatch(ctx, planner.Order{Kind: planner.OrderStop, Worker: s.target.ID, Task: key.task, Run: key.run, Why: "start may arrive after the restart"})
 	}
 }
 
@@ -354,7 +366,7 @@
 	id := ""
 	if ev.session != nil {
 		id = ev.session.target.ID
-		o.applyIncarnation(now, ev.session, ev.incarnation)
+		o.applyIncarnation(ctx, now, ev.session, ev.incarnation)
 	}
 	switch ev.kind {
 	case evReport:
@@ -364,6 +376,7 @@
 		results := o.planner.HandleReport(now, ev.sentAt, id, ev.reply)
 		ev.session.acknowledge(ev.incarnation, o.planner.AcknowledgeableResult(id))
 		o.logResults(id, results)
+		o.updateLeft(id)
 	case evRestarted: // already applied above
 	case evFirstFailure:
 		o.planner.ContactFailed(id)
@@ -372,11 +385,17 @@
 		o.updateLeft(id)
 	case evStartAnswered:
 		o.cancelStart(runKey{ev.order.Task, ev.order.Run})
+		if ev.resent {
+			o.planner.StartResent(id, ev.order.Task, ev.order.Run)
+		}
 		o.planner.StartAnswered(now, id, ev.order.Task, ev.order.Run, ev.rejected)
 	case evStartUnanswered:
 		o.cancelStart(runKey{ev.order.Task, ev.order.Run})
 		o.planner.StartUnanswered(now, id, ev.order.Task, ev.order.Run)
 	case evStopConfirmed:
+		if ev.incarnation < ev.session.appliedIncarnation {
+			return // the new incarnation doesn't know of the stop
+		}
 		o.planner.StopConfirmed(now, id, ev.order.Task, ev.order.Run)
 	case evWorkersListed:
 		o.applyWorkers(ctx, ev)
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -41,6 +41,7 @@
 	maxRows map[string]int
 	// workersChanged is set while the stored list of workers is out of date.
 	workersChanged bool
+	workers        workerList
 }
 
 // jobRowKey identifies the row of a job in a partition.
@@ -128,16 +129,29 @@
 // wait for them.
 func (o *Owner) storedWorkers() []string {
 	ids := slices.AppendSeq(slices.Collect(maps.Keys(o.sessions)), maps.Keys(o.unlisted))
-	ids = slices.DeleteFunc(ids, o.planner.HasLeft)
+	ids = slices.DeleteFunc(ids, func(id string) bool { return o.left[id] })
 	slices.Sort(ids)
-	return ids
+	return slices.Compact(ids)
+}
+
+// storedTargets returns how the workers with the given IDs are called, leaving out
+// those for which this isn't known.
+func (o *Owner) storedTargets(ids []string) []replica.StoredWorker {
+	out := make([]replica.StoredWorker, 0, len(ids))
+	for _, id := range ids {
+		if w, ok := o.planner.Worker(id); ok {
+			out = append(out, replica.StoredWorker{ID: id, Address: w.Address, Domain: w.Zone, Rack: w.Rack, Capacity: w.Capacity})
+		}
+	}
+	return out
 }
 
 // largestCapacity returns the largest capacity of any worker. While workers are
-// unlisted it isn't lower than the stored one, as one of them may be the largest.
+// unlisted and the registry may be incomplete, it isn't lower than the stored one, as
+// one of them may be the largest.
 func (o *Owner) largestCapacity() work.Resources {
 	largest := o.planner.MaxCapacity()
-	if len(o.unlisted) > 0 {
+	if len(o.unlisted) > 0 && !o.registryComplete {
 		largest = largest.Max(o.deps.Replica.Pool(o.pool).Capacity.MaxCapacity)
 	}
 	return largest
@@ -146,21 +160,27 @@
 // writeWorkers stores the list of workers in use for the next owner, and the
 // largest worker capacity for admission checks.
 func (o *Owner) writeWorkers(ctx context.Context) {
-	value, err := work.Encode(o.storedWorkers())
+	ids := o.storedWorkers()
+	value, err := work.Encode(ids)
 	if err != nil {
 		o.log.Error("workers can't be encoded", zap.Error(err))
 		return
 	}
-	capacity, err := work.Encode(replica.PoolCapacity{MaxCapacity: o.largestCapacity()})
+	published := replica.PoolCapacity{MaxCapacity: o.largestCapacity(), Workers: o.storedTargets(ids)}
+	capacity, err := work.Encode(published)
+	if err == nil && len(capacity) > o.deps.Store.Limits().ValueBytes {
+		published.Workers = nil // the next owner waits for those that it can't call
+		capacity, err = work.Encode(published)
+	}
 	if err != nil {
 		o.log.Error("capacity can't be encoded", zap.Error(err))
 		return
 	}
 	o.writer.workersChanged = false
-	o.startCommit(ctx, o.pool, nil, o.epochTxn(map[port.RowKey][]byte{
-		replica.PoolKey(o.pool, replica.WorkersKey):  value,
-		replica.PoolKey(o.pool, replica.CapacityKey): capacity,
-	}))
+	o.writer.workers.write(ids)
+	txn := o.epochTxn(map[port.RowKey][]byte{o.workersKey(): value, replica.PoolKey(o.pool, replica.CapacityKey): capacity})
+	txn.ExpectedVersions[o.workersKey()] = o.writer.workers.version // an earlier write may be performed late
+	o.startCommit(ctx, o.pool, nil, txn)
 }
 
 // epochTxn returns a transaction on the pool's own rows that fails once another
@@ -201,7 +221,7 @@
 	var conflict *port.RowConflictError
 	switch {
 	case errors.As(r.err, &conflict) && r.partition == o.pool:
-		o.resign("another owner holds the pool")
+		o.workersConflict(conflict)
 		return
 	case errors.As(r.err, &conflict):
 		o.mergeConflict(r, conflict)
@@ -213,6 +233,10 @@
 		o.retryElsewhere(r)
 		return
 	}
+	if r.partition == o.pool {
+		w.workers.written(r.version)
+		o.releaseReady(ctx)
+	}
 	delete(w.maxRows, r.partition)
 	for i := range r.records {
 		rec := &r.records[i]
@@ -325,12 +349,9 @@
 // heartbeat writes this owner's heartbeat until ctx ends. If another owner holds
 // the pool, it resigns.
 func (o *Owner) heartbeat(ctx context.Context) {
-	txn := o.epochTxn(map[port.RowKey][]byte{replica.PoolKey(o.pool, replica.HeartbeatKey): []byte(o.deps.Name)})
 	for ctx.Err() == nil {
 		sentAt := o.now()
-		call, cancel := context.WithTimeout(ctx, commitTimeout)
-		_, err := o.deps.Store.Commit(call, txn)
-		cancel()
+		err := o.writeHeartbeat(ctx)
 		switch {
 		case err == nil:
 			o.heartbeatAt.Store(int64(sentAt))
@@ -343,3 +364,18 @@
 		_ = wait.For(ctx, heartbeatInterval) // ends early only with ctx, which the loop checks
 	}
 }
+
+func (o *Owner) writeHeartbeat(ctx context.Context) error {
+	heartbeat := replica.Heartbeat{Owner: o.deps.Name}
+	if o.settled.Load() {
+		heartbeat.SettledEpoch = o.epoch
+	}
+	value, err := work.Encode(heartbeat)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	_, err = o.deps.Store.Commit(ctx, o.epochTxn(map[port.RowKey][]byte{replica.PoolKey(o.pool, replica.HeartbeatKey): value}))
+	return err
+}
--- a/internal/duty/replica/old_data_test.go
+++ b/internal/duty/replica/old_data_test.go
@@ -48,3 +48,35 @@
 	must.EqOp(t, "cancel/aaaa", CancelKeys("p", "aaaa")[0].Key)
 	must.EqOp(t, port.RowKey{Table: "lentilwinch", Partition: "p", Key: "beat"}, PoolKey("p", HeartbeatKey))
 }
+
+// Instances of two builds share the rows for a while. An earlier build must still read
+// the capacity that this one stores, with fields that it doesn't know.
+func TestEarlierBuildsDecodeCapacityWithTargets(t *testing.T) {
+	stored := PoolCapacity{
+		MaxCapacity: work.Resources{CPU: 8000, MemMB: 4096, Accel: 8},
+		Workers:     []StoredWorker{{ID: "w1", Address: "10.0.0.9:1", Domain: "north", Rack: "r1", Capacity: work.Resources{CPU: 8000}}},
+	}
+	raw, err := work.Encode(stored)
+	must.NoError(t, err)
+	var earlier struct {
+		MaxCapacity work.Resources `cbor:"2,keyasint"`
+	}
+	must.NoError(t, work.Decode(raw, &earlier))
+	must.Eq(t, stored.MaxCapacity, earlier.MaxCapacity)
+	var decoded PoolCapacity
+	must.NoError(t, work.Decode(raw, &decoded))
+	must.Eq(t, stored, decoded)
+}
+
+// An earlier build's heartbeat is the owner's name as plain text. It says nothing of
+// the owners before it.
+func TestHeartbeatOfEarlierBuildsIsNotSettled(t *testing.T) {
+	r := New(nil, zap.NewNop(), func() time.Duration { return 0 })
+	settled, err := work.Encode(Heartbeat{Owner: "north-1", SettledEpoch: 6})
+	must.NoError(t, err)
+	for version, value := range [][]byte{settled, []byte("north-1")} {
+		row := port.VersionedRow{RowKey: port.RowKey{Partition: "p", Key: "beat"}, Value: value, Version: int64(version + 1)}
+		must.NoError(t, r.applyRow(&row))
+		must.Eq(t, &PoolView{HeartbeatVersion: int64(version + 1), SettledEpoch: 6}, r.pools["p"])
+	}
+}
--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -59,8 +59,9 @@
 	// incarnation is the start time of this incarnation in Unix milliseconds.
 	incarnation int64
 	// started is the start time of this incarnation. The worker's clock starts there
-	// at one second.
+	// at one second and runs at clockRate.
 	started      time.Time
+	clockRate    float64
 	fencingToken int64
 	leaseExpiry  time.Time
 	runs         map[work.TaskID]*poolRun
@@ -68,6 +69,7 @@
 	lastSequence int64
 	lastEnded    map[work.TaskID]int64 // highest run number that ended or was stopped
 	faults       PoolFaults
+	held         Held[PoolFaults]
 }
 
 // PoolFaults configures the faults of a worker. The zero value is healthy.
@@ -120,7 +122,7 @@
 func (p *Pool) Add(info work.Worker) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.workers[info.Address] = &PoolWorker{pool: p, info: info, incarnation: time.Now().UnixMilli(), started: time.Now(),
+	p.workers[info.Address] = &PoolWorker{pool: p, info: info, incarnation: time.Now().UnixMilli(), started: time.Now(), clockRate: 1,
 		runs: map[work.TaskID]*poolRun{}, lastEnded: map[work.TaskID]int64{}}
 }
 
@@ -139,16 +141,63 @@
 	p.workers[address].faults = f
 }
 
-// Restart ends all runs of the worker at an address, which must exist, and starts
-// a new incarnation with the same ID.
+// HoldFaults adds faults to the worker at an address, if it exists, until release is
+// called. The worker has all the faults that are held or set.
+func (p *Pool) HoldFaults(address string, f PoolFaults) (release func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.workers[address]; w != nil {
+		return w.held.Hold(f)
+	}
+	return func() {}
+}
+
+// currentFaults returns the faults that are set, and those that are held. The caller
+// holds Pool.mu.
+func (w *PoolWorker) currentFaults() PoolFaults {
+	f := w.faults
+	for _, held := range w.held.Values() {
+		f.DropCalls = f.DropCalls || held.DropCalls
+		f.DropReplies = f.DropReplies || held.DropReplies
+		f.StallRuns = f.StallRuns || held.StallRuns
+		f.FailRuns = f.FailRuns || held.FailRuns
+		f.StartDelay = max(f.StartDelay, held.StartDelay)
+	}
+	return f
+}
+
+// SetClockRate sets how fast the clock of the worker at an address, which must exist,
+// runs. Leases are measured by it. It must precede the calls to the worker.
+func (p *Pool) SetClockRate(address string, rate float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.workers[address].clockRate = rate
+}
+
+// Restart ends all runs of the worker at an address, if it exists, and starts a new
+// incarnation with the same ID.
 func (p *Pool) Restart(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := p.workers[address]
+	if w == nil {
+		return
+	}
 	w.incarnation, w.started, w.fencingToken, w.leaseExpiry = time.Now().UnixMilli(), time.Now(), 0, time.Time{}
 	w.runs, w.lastEnded, w.results, w.lastSequence = map[work.TaskID]*poolRun{}, map[work.TaskID]int64{}, nil, 0
 }
 
+// Incarnation returns the start time of the current incarnation of the worker at an
+// address in Unix milliseconds, or 0 if there is none.
+func (p *Pool) Incarnation(address string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.workers[address]; w != nil {
+		return w.incarnation
+	}
+	return 0
+}
+
 // Violations returns the violations of the pool's invariants.
 func (p *Pool) Violations() []string {
 	p.mu.Lock()
@@ -182,13 +231,23 @@
 	return n
 }
 
+// RunningOn returns the number of current runs of the worker at an address, which
+// must exist.
+func (p *Pool) RunningOn(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.workers[address]
+	w.advance(time.Now())
+	return len(w.runs)
+}
+
 // beforeCall returns the target worker of a call after a delay of one millisecond.
 // If the worker is unknown or its calls are dropped, it blocks until ctx ends and
 // fails with fault.Uncertain.
 func (p *Pool) beforeCall(ctx context.Context, target port.WorkerTarget) (*PoolWorker, error) {
 	p.mu.Lock()
 	w := p.workers[target.Address]
-	dropped := w == nil || w.faults.DropCalls
+	dropped := w == nil || w.currentFaults().DropCalls
 	p.mu.Unlock()
 	if dropped {
 		<-ctx.Done()
@@ -198,19 +257,23 @@
 	return w, nil
 }
 
-// clock returns the current reading of the worker's clock.
+// clock returns the current reading of the worker's clock. It doesn't identify the
+// incarnation, which only the answer to a hold does.
 func (w *PoolWorker) clock() port.WorkerClock {
-	return port.WorkerClock{Now: time.Since(w.started) + time.Second, Incarnation: w.incarnation}
+	elapsed := time.Duration(w.clockRate * float64(time.Since(w.started)))
+	return port.WorkerClock{Now: elapsed + time.Second}
 }
 
 // at returns the time at which the worker's clock reads clock.
-func (w *PoolWorker) at(clock time.Duration) time.Time { return w.started.Add(clock - time.Second) }
+func (w *PoolWorker) at(clock time.Duration) time.Time {
+	return w.started.Add(time.Duration(float64(clock-time.Second) / w.clockRate))
+}
 
 // applyReplyFaults returns immediately unless the worker's replies are dropped. If
 // they are, it blocks until ctx ends and fails with fault.Uncertain.
 func (w *PoolWorker) applyReplyFaults(ctx context.Context) error {
 	w.pool.mu.Lock()
-	dropped := w.faults.DropReplies
+	dropped := w.currentFaults().DropReplies
 	w.pool.mu.Unlock()
 	if !dropped {
 		return nil
@@ -226,21 +289,21 @@
 		return port.WorkerClock{}, port.NotRejected, err
 	}
 	p.mu.Lock()
-	delay, incarnation := w.faults.StartDelay, w.incarnation
+	delay, incarnation := w.currentFaults().StartDelay, w.incarnation
 	p.mu.Unlock()
 	if delay > 0 {
 		time.AfterFunc(delay, func() {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			if w.incarnation == incarnation { // a restart discards pending calls
-				w.start(o)
+				w.start(o, true)
 			}
 		})
 		<-ctx.Done()
 		return port.WorkerClock{}, port.NotRejected, fault.Wrap(fault.Uncertain, "no answer", ctx.Err())
 	}
 	p.mu.Lock()
-	rejection := w.start(o)
+	rejection := w.start(o, performedLate(ctx))
 	clock := w.clock()
 	p.mu.Unlock()
 	if err := w.applyReplyFaults(ctx); err != nil {
@@ -249,7 +312,8 @@
 	return clock, rejection, nil
 }
 
-func (w *PoolWorker) start(o port.StartOrder) port.StartRejection {
+// start performs an order, which was sent some time ago if late is set.
+func (w *PoolWorker) start(o port.StartOrder, late bool) port.StartRejection {
 	now := time.Now()
 	w.advance(now)
 	if o.FencingToken < w.fencingToken {
@@ -269,7 +333,7 @@
 	case w.runs[o.Task] != nil, w.pool.needs != nil && !w.free().Fits(w.pool.needs(o.Task)):
 		return port.RejectedCapacity
 	}
-	w.pool.checkStart(w, o.Task, o.Run, &profile)
+	w.pool.checkStart(w, o.Task, o.Run, &profile, late)
 	w.pool.starts++
 	w.pool.startedJobs[o.Task.Job] = true
 	w.runs[o.Task] = &poolRun{task: o.Task, number: o.Run, required: profile.RunTime, lastAdvance: now, started: now, profile: profile}
@@ -278,7 +342,7 @@
 
 func (w *PoolWorker) extendLease(until time.Duration) {
 	t := w.at(until)
-	if latest := time.Now().Add(maxLease); t.After(latest) {
+	if latest := w.at(w.clock().Now + maxLease); t.After(latest) {
 		t = latest
 	}
 	if until > 0 && t.After(w.leaseExpiry) {
@@ -358,6 +422,7 @@
 
 func (w *PoolWorker) report() port.HoldReply {
 	reply := port.HoldReply{Clock: w.clock()}
+	reply.Clock.Incarnation = w.incarnation
 	for i := range w.results {
 		reply.Results = append(reply.Results, w.results[i].RunResult)
 	}
@@ -403,17 +468,18 @@
 			w.endRun(r, port.ResultLeaseExpired)
 		}
 	}
+	faults := w.currentFaults()
 	for _, r := range w.sortedRuns() {
 		gang := r.profile.GangSize > 0
 		complete := !gang || w.pool.runningMembers(r) >= r.profile.GangSize
-		if complete && !w.faults.StallRuns {
+		if complete && !faults.StallRuns {
 			r.completed += w.pool.progress(r, now.Sub(r.lastAdvance))
 		}
 		r.lastAdvance = now
 		switch {
 		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
 			w.endRun(r, port.ResultStopped)
-		case w.faults.FailRuns && now.Sub(r.started) > 100*time.Millisecond:
+		case faults.FailRuns && now.Sub(r.started) > 100*time.Millisecond:
 			w.endRun(r, port.ResultFailed)
 		case gang && !complete && r.completed == 0 && now.Sub(r.started) > w.pool.GangTimeout:
 			w.endRun(r, port.ResultGangIncomplete)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -141,6 +141,8 @@
 	// an adopted run. Before the confirmation both are the time of the order.
 	startedAt       time.Duration
 	confirmedAt     time.Duration
+	resent          bool // a copy of the start got no answer
+	reported        bool // listed in a report, by which the worker's incarnation is known
 	percent         int
 	basePercent     int           // progress of the checkpoint from which the run started
 	progressAt      time.Duration // time of the last increase of percent, at first of the order or start
@@ -187,10 +189,12 @@
 	// unknownNeeds counts the runs whose need isn't known and not taken off free.
 	unknownNeeds int
 	// contacted is set once the worker has received this owner's fencing token.
-	contacted   bool
-	reachable   bool
-	listed      bool
-	incarnation int // counts the observed restarts
+	contacted bool
+	reachable bool
+	listed    bool
+	// listedBefore is set once this owner has seen the worker listed.
+	listedBefore bool
+	incarnation  int // counts the observed restarts
 	// lastResult is the sequence of the last result handled.
 	// acknowledgeable is the sequence of the last result that may be
 	// acknowledged; unacked holds the results after it.
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -12,17 +12,33 @@
 func (p *Planner) PutWorker(info work.Worker) {
 	w := p.workers[info.ID]
 	if w == nil {
-		w = &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Capacity, listed: true}
-		p.workers[info.ID] = w
-		i, _ := slices.BinarySearch(p.workerIDs, info.ID)
-		p.workerIDs = slices.Insert(p.workerIDs, i, info.ID)
-		if p.recovery.active {
-			p.recovery.uncontacted[info.ID] = true
-		}
-		return
+		w = p.addWorker(info)
 	}
 	w.free = w.free.Add(info.Capacity.Sub(w.info.Capacity))
-	w.info, w.listed = info, true
+	w.info, w.listed, w.listedBefore = info, true, true
+}
+
+// InheritWorker adds a worker of a previous owner that the registry doesn't list. It
+// gets no new tasks until PutWorker is called for it.
+func (p *Planner) InheritWorker(info work.Worker) { p.addWorker(info) }
+
+func (p *Planner) addWorker(info work.Worker) *worker {
+	w := &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Capacity}
+	p.workers[info.ID] = w
+	i, _ := slices.BinarySearch(p.workerIDs, info.ID)
+	p.workerIDs = slices.Insert(p.workerIDs, i, info.ID)
+	if p.recovery.active {
+		p.recovery.uncontacted[info.ID] = true
+	}
+	return w
+}
+
+// Worker returns a worker as it was last put or inherited.
+func (p *Planner) Worker(id string) (work.Worker, bool) {
+	if w := p.workers[id]; w != nil {
+		return w.info, true
+	}
+	return work.Worker{}, false
 }
 
 // WorkerUnlisted records that the registry no longer lists the worker. Its runs
@@ -69,8 +85,9 @@
 	}
 }
 
-// WorkerRestarted drops the runs of a worker's previous incarnation. Unanswered
-// starts may still reach the new incarnation, so they are stopped there.
+// WorkerRestarted drops the runs of a worker's previous incarnation. Starts that are
+// unanswered, or whose answer doesn't tell the incarnation, may have reached the new
+// one or may still do so. They are stopped there.
 func (p *Planner) WorkerRestarted(now time.Duration, id string) {
 	w := p.workers[id]
 	if w == nil {
@@ -81,8 +98,8 @@
 	p.log(LogEntry{Event: EventWorkerRestarted, Worker: id, Count: len(w.runs)})
 	for _, r := range w.runs {
 		u := r.unit
-		if r.phase == runStarting || (r.phase == runStopping && r.stopReason == "unanswered") {
-			p.stopRun(r, "unanswered")
+		if !r.reported || r.resent {
+			p.orderStop(r, "unanswered")
 			if u != nil {
 				p.endAttempt(u, now)
 			}
@@ -170,6 +187,7 @@
 }
 
 func (p *Planner) updateRun(now time.Duration, r *run, s *port.RunState) {
+	r.reported = true
 	if r.phase == runStarting {
 		r.phase, r.startedAt, r.confirmedAt = runRunning, now, now
 		p.markStarted(r.unit.job, now)
@@ -274,12 +292,13 @@
 	return w != nil && len(w.runs) > 0 || p.recovery.uncontacted[id]
 }
 
-// HasLeft reports whether the worker has left as planned: it was draining, the
-// registry no longer lists it, and it doesn't answer. The entry of a worker that
-// answers may have expired in an outage of the registry.
+// HasLeft reports whether the worker has left as planned: it was draining, has no runs,
+// the registry no longer lists it, and it doesn't answer. The entry of a worker that
+// answers may have expired in an outage of the registry, and one that doesn't may go on
+// with its runs until its leases end.
 func (p *Planner) HasLeft(id string) bool {
 	w := p.workers[id]
-	return w != nil && w.info.Draining && !w.listed && !w.reachable
+	return w != nil && w.info.Draining && !w.listed && !w.reachable && !p.MayHaveRuns(id)
 }
 
 // Draining reports whether the worker is draining.
@@ -287,13 +306,3 @@
 	w := p.workers[id]
 	return w != nil && w.info.Draining
 }
-
-// Starting reports whether a run that was ordered to start is still expected to.
-func (p *Planner) Starting(id string, task work.TaskID, number int64) bool {
-	w := p.workers[id]
-	if w == nil {
-		return false
-	}
-	r := w.runs[task]
-	return r != nil && r.number == number && r.phase == runStarting
-}
