Takeover: placements that are stored after the claim count

Cause: with complete placements, a new owner starts a task unless its stored placement names a worker that hasn't reported. It knew the placements of the row as it was at the claim. A former owner that hasn't noticed the takeover stores a placement and starts the task; the new owner's write conflicts, or its feed shows the row, and it merged the record without its placements. The former owner's worker was out of its reach, so nothing kept the task from being placed again 150 ms later.

Fix: during a recovery, merging a record also adds its placements to the workers that the units without an attempt wait for. The rows of one job in several partitions are merged the same way, so that placements of several owners add up. An outdated placement makes a task wait for a worker of which it needn't, until that reports or its leases have ended.

--- a/internal/duty/pool/unknown_test.go
+++ b/internal/duty/pool/unknown_test.go
@@ -250,3 +250,31 @@
 		c.checkInvariants()
 	})
 }
+
+// Guards against a second run beside one that the former owner started after the claim, on
+// a worker that the new owner can't reach: its placement is in the row that the new owner's
+// write conflicts with.
+func TestTakeoverHeedsPlacementsThatAreStoredAfterTheClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2)
+		unconfirmed := &unconfirmedStore{}
+		c.launchWith(func(in *instance) {
+			in.wrapStore = func(direct port.RowStore) port.RowStore { unconfirmed.RowStore = direct; return unconfirmed }
+		})
+		time.Sleep(time.Second)
+		c.registry = &slowRegistry{c.pool, time.Second}
+		second := c.launchWith(func(in *instance) { in.slowAt, in.slowHold = "w00", 20*time.Second })
+		time.Sleep(storeStableAfter + 2*time.Second)
+		c.setDuration("full", 2.2, 0)
+		c.submit("full", single(16, 2.2))
+		time.Sleep(500 * time.Millisecond)
+		c.setDuration("job", 4, 0)
+		c.submit("job", single(4, 4))
+		unconfirmed.set.Store(true)
+		for c.owner() != second.name || second.replica.Pool(testPool).Epoch.Owner != second.name {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(6 * time.Second)
+		c.checkInvariants()
+	})
+}
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -257,8 +257,9 @@
 }
 
 // Merge adds the succeeded tasks, the failed runs and the final state of a record
-// that another owner stored. They are never undone. Checkpoints and placements are
-// not merged.
+// that another owner stored. They are never undone. During a recovery it adds the
+// record's placements to those that the units without an attempt wait for. Checkpoints
+// are not merged.
 func (p *Planner) Merge(now time.Duration, rec work.Record) {
 	j := p.jobs[rec.Job.ID]
 	if j == nil {
@@ -274,6 +275,11 @@
 					p.markChanged(j)
 				}
 			}
+			if placed := rec.Steps[i].Placed[u.first]; p.recovery.active && (u.phase == unitReady || u.phase == unitBlocked) {
+				u.previousWorkers = slices.Concat(u.previousWorkers, placed)
+				slices.Sort(u.previousWorkers)
+				u.previousWorkers = slices.Compact(u.previousWorkers)
+			}
 			if slices.Contains(rec.Steps[i].Done, u.first) && u.phase != unitDone && u.phase != unitAbandoned {
 				p.stopUnit(u, now, "succeeded elsewhere")
 				p.completeUnit(u, now)
