A held start isn't sent once its run is lost

A start waits until its placement is stored, or until the owner may start tasks again: after a suspension, an outage, or without a confirmed heartbeat. When the worker's leases expired meanwhile, the planner dropped the run and placed the task elsewhere, but the start stayed in the queue. Later both starts were sent, at once for all the tasks that waited for that worker.

Now a start is dropped when its run is no longer on record as starting. A run that ends by a stop had its start dropped before.

--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -124,6 +124,11 @@
 	}
 	kept := o.held[:0]
 	for i := range o.held {
+		order := &o.held[i].order
+		if !o.planner.IsStarting(order.Worker, order.Task, order.Run) {
+			o.log.Info("start dropped, its run was lost", zap.String("job", order.Task.Job), zap.Int64("run", order.Run), zap.String("worker", order.Worker))
+			continue
+		}
 		if ready(&o.held[i]) {
 			o.dispatch(ctx, o.held[i].order)
 			continue
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -145,6 +145,13 @@
 	}
 }
 
+// IsStarting reports whether a run is on record and its start may be sent. It isn't once
+// the worker's leases have expired: the task may run elsewhere.
+func (p *Planner) IsStarting(id string, task work.TaskID, number int64) bool {
+	w := p.workers[id]
+	return w != nil && w.runs[task] != nil && w.runs[task].number == number && w.runs[task].phase == runStarting
+}
+
 // StartAnswered handles the answer to a start. rejected is NotRejected if the
 // start is confirmed.
 func (p *Planner) StartAnswered(now time.Duration, id string, task work.TaskID, number int64, rejected port.StartRejection) {
