An owner without the store acts only while most workers answer it

An owner that was cut off from the store, together with some of the workers, went on for 20 s: it renewed leases, and after 3 s it started waiting tasks whose placements weren't stored. It relied on being fenced by the workers that its successor calls. If no worker is reached by both, none fences it. The successor counted the leases at workers that didn't answer as ended 6.2 s after its first hold, started their tasks again, and started the waiting ones at once: all tasks of a failure domain ran twice.

Now an owner acts without a recently confirmed heartbeat (2 s) only while more than half of its workers have answered calls that it sent in the last 2 s, and a new owner counts on its end only once half of the workers have reported, that is, have received the new fencing token. Both can't be true for long: a worker in both sets rejects the former. Until then the new owner takes leases to be renewed for unconfirmedLimit after its claim and starts nothing that it inherited.

- Starts before their placement is stored need answers to calls sent 2.5 s after the store was lost, by when a successor would have called.
A new owner that was later than that takes the stored placements for incomplete.
- An owner that had stopped acting starts again only after a confirmed heartbeat, as after a suspension, and so does a unit that lost a run: another owner may have acknowledged the run's result.
- A previous owner is over 2.5 s after all workers have reported or lost their leases, not 2.5 s after the first hold: one that was cut off hasn't noticed anything by then, and stores and acknowledges results when the network is whole.
- A start is no longer resent once the owner may not act.

Cost: tasks at workers that are silent at a takeover wait 7.2 instead of 6.2 s; if more than half of the workers are silent and the previous owner didn't hand over, up to 24.7 s, and waiting inherited jobs with them. In an outage of the store, an owner that reaches half of its workers or fewer lets their leases expire. A unit that lost a run starts after the next heartbeat, about 0.2 s.

--- a/internal/duty/pool/cluster_test.go
+++ b/internal/duty/pool/cluster_test.go
@@ -41,12 +41,14 @@
 
 // cluster is a store, a pool of workers and the instances that may own it.
 type cluster struct {
-	t         *testing.T
-	store     *fake.Rows
-	pool      *fake.Pool
-	registry  port.WorkerRegistry
-	workers   port.WorkerClient
-	policy    *fakePolicy // nil if there is no policy service
+	t        *testing.T
+	store    *fake.Rows
+	pool     *fake.Pool
+	registry port.WorkerRegistry
+	workers  port.WorkerClient
+	policy   *fakePolicy // nil if there is no policy service
+	// drops, if set, reports whether a call from an instance to a worker is dropped.
+	drops     func(*instance, port.WorkerTarget) bool
 	began     time.Time
 	instances []*instance
 	jobIDs    []string
@@ -282,13 +284,30 @@
 }
 
 func (f *faultyWorkerClient) Start(ctx context.Context, t port.WorkerTarget, o port.StartOrder) (port.WorkerClock, port.StartRejection, error) {
+	if f.drops(t) {
+		return port.WorkerClock{}, port.NotRejected, lost(ctx)
+	}
 	if f.in.killed.Load() {
 		return port.WorkerClock{}, port.NotRejected, errKilled
 	}
 	return f.WorkerClient.Start(ctx, t, o)
 }
 
+func (f *faultyWorkerClient) Stop(ctx context.Context, t port.WorkerTarget, task work.TaskID, run, fencingToken int64) (port.WorkerClock, error) {
+	if f.drops(t) {
+		return port.WorkerClock{}, lost(ctx)
+	}
+	return f.WorkerClient.Stop(ctx, t, task, run, fencingToken)
+}
+
+func (f *faultyWorkerClient) drops(t port.WorkerTarget) bool {
+	return f.in.cluster.drops != nil && f.in.cluster.drops(f.in, t)
+}
+
 func (f *faultyWorkerClient) Hold(ctx context.Context, t port.WorkerTarget, req port.HoldRequest) (port.HoldReply, error) {
+	if f.drops(t) {
+		return port.HoldReply{}, lost(ctx)
+	}
 	if f.in.killed.Load() {
 		return port.HoldReply{}, errKilled
 	}
--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -97,7 +97,7 @@
 			seen, changedAt = view, now
 		}
 		if e.mayClaim(ctx, &seen, now-changedAt) {
-			e.takeOver(ctx, view)
+			e.takeOver(ctx, view, changedAt)
 			changedAt = e.deps.Now()
 		}
 	}
@@ -139,7 +139,9 @@
 
 func (e *Election) epochKey() port.RowKey { return replica.PoolKey(e.pool, replica.EpochKey) }
 
-func (e *Election) takeOver(ctx context.Context, view replica.PoolView) {
+// takeOver claims the pool and runs it. silentSince is when the owner's heartbeat was last
+// seen to change.
+func (e *Election) takeOver(ctx context.Context, view replica.PoolView, silentSince time.Duration) {
 	epoch := replica.Epoch{Number: view.Epoch.Number + 1, Owner: e.deps.Name, Incarnation: e.deps.Incarnation}
 	version, err := e.writeEpoch(ctx, view.EpochVersion, epoch)
 	if err != nil {
@@ -148,6 +150,7 @@
 	}
 	e.log.Info("ownership gained", zap.Int64("epoch", epoch.Number), zap.String("former", view.Epoch.Owner), zap.Int64("version", version))
 	o := newOwner(e.deps, e.pool, epoch.Number, version)
+	o.previous.silentSince = silentSince
 	o.previous.stopped = view.Epoch.Owner == "" || view.Epoch.Owner == e.deps.Name
 	if err := o.run(ctx); err != nil {
 		e.log.Warn("takeover failed", zap.Error(err))
--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -19,6 +19,7 @@
 	order     planner.Order
 	plan      int64 // planSequence of the plan that ordered the start
 	heldSince time.Duration
+	stored    bool // the placement is stored
 }
 
 // earlyStartAnnouncement is the state of announcing to later owners that starts may
@@ -38,7 +39,7 @@
 	now := o.now()
 	for _, order := range orders {
 		if order.Kind == planner.OrderStart {
-			o.held = append(o.held, heldStart{order, o.planSequence, now})
+			o.held = append(o.held, heldStart{order: order, plan: o.planSequence, heldSince: now})
 			continue
 		}
 		o.held = slices.DeleteFunc(o.held, func(h heldStart) bool {
@@ -55,7 +56,16 @@
 	for i := range records {
 		stored[records[i].Job.ID] = true
 	}
-	o.releaseIf(ctx, func(h *heldStart) bool { return h.plan <= plan && stored[h.order.Task.Job] })
+	o.releaseIf(ctx, func(h *heldStart) bool {
+		h.stored = h.stored || h.plan <= plan && stored[h.order.Task.Job]
+		return h.stored
+	})
+}
+
+// releaseConfirmed sends the starts with stored placements that had to wait for a
+// confirmed heartbeat.
+func (o *Owner) releaseConfirmed(ctx context.Context) {
+	o.releaseIf(ctx, func(h *heldStart) bool { return h.stored })
 }
 
 // releaseOverdue sends starts that have waited for placementCommitWait. It waits
@@ -71,7 +81,7 @@
 	}
 	if !o.announcement.stored {
 		o.announceEarlyStarts(ctx, now)
-		if o.deps.StoreHealth.UnavailableFor() < globalOutageAfter {
+		if !o.isGlobalOutage(now) {
 			return
 		}
 	}
@@ -117,11 +127,11 @@
 }
 
 // releaseIf sends the held starts for which ready reports true, unless mayStart
-// forbids it.
+// forbids it. A unit that lost a run needs a heartbeat that was confirmed since: another
+// owner that reached the worker may have stored and acknowledged the run's result.
 func (o *Owner) releaseIf(ctx context.Context, ready func(*heldStart) bool) {
-	if !o.mayStart(o.now()) {
-		return
-	}
+	mayStart := o.mayStart()
+	confirmedAt := time.Duration(o.heartbeatAt.Load())
 	kept := o.held[:0]
 	for i := range o.held {
 		order := &o.held[i].order
@@ -129,7 +139,8 @@
 			o.log.Info("start dropped, its run was lost", zap.String("job", order.Task.Job), zap.Int64("run", order.Run), zap.String("worker", order.Worker))
 			continue
 		}
-		if ready(&o.held[i]) {
+		confirmed := !order.AfterLoss || confirmedAt >= o.held[i].heldSince
+		if ready(&o.held[i]) && mayStart && confirmed {
 			o.dispatch(ctx, o.held[i].order)
 			continue
 		}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -20,8 +20,8 @@
 	// covers a takeover: detection, reading the jobs and a round of holds.
 	leaseDuration = 4500 * time.Millisecond
 	// unconfirmedLimit is how long an owner goes on renewing leases and starting
-	// tasks without a confirmed heartbeat. Fencing at the workers stops it sooner
-	// if another owner has taken over.
+	// tasks without a confirmed heartbeat while most workers answer it. Fencing at
+	// the workers stops it sooner if another owner has taken over.
 	unconfirmedLimit = 20 * time.Second
 	// suspensionThreshold is the gap in the activity of the owner's loop above which
 	// the process counts as suspended. Ownership then has to be confirmed before
@@ -32,14 +32,10 @@
 	// registryRecoveryTime is how long the registry may lack the entry of a live
 	// worker after an outage of the store. The platform states about two seconds.
 	registryRecoveryTime = 2500 * time.Millisecond
-	// previousOwnerStopTime bounds how long a previous owner may act as the owner
-	// after this owner's first hold: by then its next heartbeat has failed, even if
-	// the store is at its slowest.
+	// previousOwnerStopTime bounds how long a previous owner that reaches the store may
+	// act as the owner after this owner's first hold: by then its next heartbeat has
+	// failed, even if the store is at its slowest.
 	previousOwnerStopTime = 2500 * time.Millisecond
-	// previousOwnerRenewTime bounds how long a running previous owner may renew
-	// leases after this owner's first hold: its next long poll at any worker that
-	// has received the new fencing token makes it resign.
-	previousOwnerRenewTime = holdWait + 500*time.Millisecond
 	// storeStableAfter is how long this instance's reads of the store must have
 	// succeeded before the stored placements of a previous owner count as complete.
 	storeStableAfter = 10 * time.Second
@@ -48,9 +44,9 @@
 	// sent early.
 	placementCommitWait = 150 * time.Millisecond
 	// globalOutageAfter is the duration from which an outage is known to affect all
-	// instances: an instance that still reached the store would have taken the pool
-	// over within 1.6 s, and the workers' answers would have revealed it within
-	// another second.
+	// instances if most workers answer: an instance that still reached the store would
+	// have taken the pool over within 1.6 s, and the workers' answers would have revealed
+	// it within another second.
 	globalOutageAfter = 3 * time.Second
 	// maxUnstartedAge is the age above which a job that is newly seen may have been
 	// started by an earlier owner.
@@ -96,19 +92,24 @@
 	events       chan event
 	cancel       context.CancelFunc
 	heartbeatAt  atomic.Int64 // when the last confirmed heartbeat was sent, on Now's clock
-	writer       recordWriter
-	policy       policyCalls
-	held         []heldStart
-	deferred     map[string]bool // jobs with a row that may be in an unread partition
-	planSequence int64           // number of the last plan with orders; matches held starts with stored records
-	pacer        planPacer
-	nextPlan     *time.Timer // fires when a delayed planning pass may run
-	lastActiveAt time.Duration
-	confirmAfter time.Duration // a heartbeat sent at or after this must be confirmed before starts are sent
-	config       *work.Config
-	done         chan struct{}
-	previous     previousOwner
-	announcement earlyStartAnnouncement
+	// quorumAt is the latest time since which more than half of the workers have answered
+	// a call, on Now's clock. It is updated while the heartbeat is unconfirmed.
+	quorumAt        atomic.Int64
+	quorumCheckedAt time.Duration
+	acted           bool // mayAct at the last check
+	writer          recordWriter
+	policy          policyCalls
+	held            []heldStart
+	deferred        map[string]bool // jobs with a row that may be in an unread partition
+	planSequence    int64           // number of the last plan with orders; matches held starts with stored records
+	pacer           planPacer
+	nextPlan        *time.Timer // fires when a delayed planning pass may run
+	lastActiveAt    time.Duration
+	confirmAfter    time.Duration // a heartbeat sent at or after this must be confirmed before starts are sent
+	config          *work.Config
+	done            chan struct{}
+	previous        previousOwner
+	announcement    earlyStartAnnouncement
 	// unlisted holds the stored workers of the previous owner that the registry
 	// hasn't listed yet. They are given up at registryCompleteAt.
 	unlisted           map[string]bool
@@ -133,6 +134,7 @@
 		nextPlan:     time.NewTimer(planInterval),
 	}
 	o.heartbeatAt.Store(int64(o.startedAt))
+	o.acted = true
 	o.writer.init()
 	o.policy.init()
 	return o
@@ -162,12 +164,6 @@
 	o.cancel()
 }
 
-// mayRenew reports whether the last confirmed heartbeat is recent enough to renew
-// leases.
-func (o *Owner) mayRenew() bool {
-	return o.now()-time.Duration(o.heartbeatAt.Load()) < unconfirmedLimit
-}
-
 // run takes the pool over and runs it until ctx ends, ownership is lost or
 // shouldYield reports true. It fails if the jobs or the workers can't be read.
 func (o *Owner) run(ctx context.Context) error {
@@ -271,6 +267,8 @@
 	now := o.now()
 	o.detectSuspension(now)
 	o.applyConfig()
+	o.updateQuorum(now)
+	o.checkFenced(ctx, now)
 	if wall, ok := o.wallClock(); ok {
 		o.planner.SetWallClock(now, wall)
 	}
@@ -279,13 +277,14 @@
 	o.giveUpUnlisted(now)
 	if pause := o.pacer.pause(now); pause > 0 {
 		o.nextPlan.Reset(pause)
-	} else if o.mayStart(now) {
+	} else if o.mayStart() {
 		o.handleOrders(ctx, o.planner.Plan(now))
 		o.queryPolicy(ctx, now)
 		o.pacer.passed(now, o.now())
 	}
 	o.writeLogEntries()
 	o.writeChanged(ctx)
+	o.releaseConfirmed(ctx)
 	o.releaseOverdue(ctx, now)
 	o.planner.DropEndedJobs()
 }
@@ -301,10 +300,9 @@
 	o.lastActiveAt = now
 }
 
-// mayStart reports whether the last confirmed heartbeat allows starts to be sent.
-func (o *Owner) mayStart(now time.Duration) bool {
-	confirmedAt := time.Duration(o.heartbeatAt.Load())
-	return confirmedAt >= o.confirmAfter && now-confirmedAt < unconfirmedLimit
+// mayStart reports whether starts may be sent.
+func (o *Owner) mayStart() bool {
+	return time.Duration(o.heartbeatAt.Load()) >= o.confirmAfter && o.mayAct()
 }
 
 func (o *Owner) dispatch(ctx context.Context, order planner.Order) {
@@ -365,6 +363,7 @@
 		if ev.incarnation < ev.session.appliedIncarnation {
 			return // an overdue report of a previous incarnation
 		}
+		ev.session.reported = true
 		results := o.planner.HandleReport(now, ev.sentAt, id, ev.reply)
 		ev.session.acknowledge(ev.incarnation, o.planner.AcknowledgeableResult(id))
 		o.logResults(id, results)
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -18,11 +18,20 @@
 // previousOwner is the state of the previous owner as far as it is known.
 type previousOwner struct {
 	stopped bool // it handed the pool over, or was this instance, in this or a previous incarnation
+	// silentSince is when its heartbeat was last seen to change.
+	silentSince time.Duration
+	// fenced is set once so many workers have received this owner's fencing token that
+	// the previous owner stops within authorityTime of fencedAt.
+	fenced   bool
+	fencedAt time.Duration
 	// catchUp guards the read of the store's current version.
 	catchUp retryGate
 	// caughtUp is set once the previous owner can no longer act and the replica
 	// holds everything it stored.
 	caughtUp bool
+	// allReportedAt is when every worker had received this owner's fencing token or lost
+	// its leases, 0 before. From then on the previous owner can't acknowledge results.
+	allReportedAt time.Duration
 	// merged is set once its records, if any, are merged into the planner.
 	merged bool
 }
@@ -95,6 +104,9 @@
 	placementsComplete := !mayHaveEarlyStarts && o.deps.Replica.StableFor() > storeStableAfter && o.deps.StoreHealth.Latency() < slowReadThreshold
 	o.log.Info("recovery begins", zap.Bool("placements_complete", placementsComplete), zap.Bool("bypassed", mayHaveEarlyStarts), zap.Duration("store_quiet_for", o.deps.Replica.StableFor()))
 	o.planner.Recover(o.registryCompleteAt, takeoverNoticedBy, placementsComplete)
+	if o.previous.stopped {
+		o.previousOwnerFenced(ctx, o.firstHoldAt)
+	}
 	if !placementsComplete {
 		// If this owner stops before it knows all placements, the next owner must
 		// not take the stored ones for complete either.
@@ -172,7 +184,11 @@
 		return
 	}
 	noPrevious := o.epoch == 1 || o.previous.stopped
-	previousStopped := now >= o.firstHoldAt+previousOwnerStopTime && o.deps.Replica.Age() <= freshReplicaAge
+	allReported := o.planner.AllWorkersReported(now)
+	if allReported && o.previous.allReportedAt == 0 {
+		o.previous.allReportedAt = now
+	}
+	previousStopped := allReported && now >= o.previous.allReportedAt+previousOwnerStopTime && o.deps.Replica.Age() <= freshReplicaAge
 	if !noPrevious && !previousStopped && !o.previous.caughtUp {
 		o.catchUp(ctx, now)
 		return
@@ -195,7 +211,7 @@
 // fencing token or its leases must have expired, and waits until the replica holds
 // that version. From then on the previous owner can't acknowledge a result or start
 // anything, and all it stored before an acknowledgement is in the replica, so there
-// is no need to wait for previousOwnerStopTime.
+// is no need to wait for previousOwnerStopTime more.
 func (o *Owner) catchUp(ctx context.Context, now time.Duration) {
 	if !o.previous.catchUp.open(now) || !o.planner.AllWorkersReported(now) || !o.deps.Replica.Complete() {
 		return
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -67,14 +67,16 @@
 	// is acknowledged until an answer identifies its incarnation.
 	sameIncarnation bool
 	lastContact     time.Duration
+	answeredAt      time.Duration // when the latest call that was answered was sent
 	busy            bool          // the last report had runs
 	reachable       bool          // false before the first answer, and after unreachableAfter without one
 	failedBefore    bool          // a hold has failed
 	ackAdvanced     chan struct{} // signaled when acknowledged grows
 
 	// appliedIncarnation is the last incarnation that the owner's loop has applied.
-	// It is accessed only by the loop.
+	// reported is set once it has applied a report. They are accessed only by the loop.
 	appliedIncarnation int
+	reported           bool
 }
 
 func newSession(o *Owner, target port.WorkerTarget) *session {
@@ -131,7 +133,7 @@
 	}
 	now := s.owner.now()
 	recentContact := s.clock.hasReading && now-s.lastContact < unreachableAfter+holdWait
-	if recentContact && s.owner.mayRenew() {
+	if recentContact && s.owner.mayAct() {
 		if left, ok := s.clock.remaining(now); ok {
 			s.owner.deps.Observer.LeaseMargin(left)
 		}
@@ -209,6 +211,9 @@
 	s.clock.update(now, clock)
 	regained := !s.reachable
 	s.reachable, s.lastContact = true, now
+	if clock != (port.WorkerClock{}) { // such a rejection may not have looked at the fencing token
+		s.answeredAt = max(s.answeredAt, sentAt)
+	}
 	incarnation := s.incarnation
 	s.mu.Unlock()
 	if restarted {
@@ -220,6 +225,14 @@
 	return incarnation, true
 }
 
+// lastAnswered returns when the latest call was sent that the worker answered. It had
+// seen no higher fencing token by then.
+func (s *session) lastAnswered() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answeredAt
+}
+
 func (s *session) setSameIncarnation(same bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -280,8 +293,9 @@
 }
 
 // start sends a start until it is answered, at most maxStartTries times. It resends
-// a start whose lease had expired on arrival. The same run may be resent, but not
-// after this process was suspended: its ownership has to be confirmed first.
+// a start whose lease had expired on arrival. The same run may be resent while the
+// owner may act, but not after this process was suspended: its ownership has to be
+// confirmed first.
 func (s *session) start(ctx context.Context, order planner.Order, decidedAt time.Duration) {
 	unanswered := false
 	for range maxStartTries {
@@ -291,6 +305,9 @@
 				zap.Int("index", order.Task.Index), zap.Int64("run", order.Run), zap.String("worker", s.target.ID), zap.Duration("gap", now-decidedAt))
 			break
 		}
+		if !s.owner.mayAct() {
+			break
+		}
 		decidedAt = now
 		s.mu.Lock()
 		startOrder := port.StartOrder{
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -144,7 +144,7 @@
 	if o.epoch == 1 {
 		return 0
 	}
-	return o.firstHoldAt + previousOwnerRenewTime + time.Duration(float64(leaseDuration)*(1+maxClockSlowness)) + expiryMargin
+	return o.previousOwnerActsUntil() + time.Duration(float64(leaseDuration)*(1+maxClockSlowness)) + expiryMargin
 }
 
 // expireWorkers marks the runs of unreachable workers as lost once their leases
--- a/internal/planner/recovery.go
+++ b/internal/planner/recovery.go
@@ -16,6 +16,9 @@
 	// placementsComplete is set if all placements of the previous owner are
 	// stored, so that a unit waits only for the workers of its own attempt.
 	placementsComplete bool
+	// previousOwnerFenced is set once a previous owner that is cut off from the store
+	// starts nothing more without storing the placement first.
+	previousOwnerFenced bool
 	// previousOwnerStopped is set once the previous owner can no longer store or
 	// acknowledge anything and all that it stored is merged.
 	previousOwnerStopped bool
@@ -53,6 +56,14 @@
 // all that it stored is merged.
 func (p *Planner) SetPreviousOwnerStopped() { p.recovery.previousOwnerStopped = true }
 
+// SetPreviousOwnerFenced records that a previous owner that is cut off from the store
+// starts nothing more that isn't in the stored placements. placementsIncomplete tells that
+// it may have done so before.
+func (p *Planner) SetPreviousOwnerFenced(placementsIncomplete bool) {
+	p.recovery.previousOwnerFenced = true
+	p.recovery.placementsComplete = p.recovery.placementsComplete && !placementsIncomplete
+}
+
 // ContactFailed records that the first call to the worker got no answer.
 func (p *Planner) ContactFailed(id string) { delete(p.recovery.pendingContact, id) }
 
@@ -65,6 +76,9 @@
 	if len(p.recovery.pendingContact) > 0 && (u.inherited || u.arrivedInRecovery) {
 		return true
 	}
+	if !p.recovery.previousOwnerFenced && u.inherited {
+		return true
+	}
 	if !p.recovery.placementsComplete {
 		return u.inherited || (u.arrivedInRecovery && now < p.recovery.takeoverNoticedBy)
 	}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -42,6 +42,7 @@
 func (p *Planner) handleRunLost(r *run, now time.Duration) {
 	p.dropRun(r)
 	if r.unit != nil {
+		r.unit.runLost = true
 		p.endAttempt(r.unit, now)
 		p.releaseIfIdle(r.unit, now)
 	}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -43,6 +43,9 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
+	// AfterLoss is set for the start of a unit of which a run was lost without a result.
+	// Another owner may have acknowledged that.
+	AfterLoss bool
 	// Why is a short reason for the decision, for the log.
 	Why string
 }
@@ -74,6 +77,7 @@
 	// expiredRuns holds the runs whose leases expired before the worker reported
 	// a result. The platform ignores a success that is reported after that.
 	expiredRuns []expiredRun
+	runLost     bool // a run was lost without a result
 	checkpoint  string
 	// checkpointPercent is the progress at which checkpoint was reported.
 	checkpointPercent int
