A report that lacks results shows no run as lost

A worker lists 500 results at a time. A run that has ended and whose result is beyond the first 500 is in neither list, and the planner took it for lost and started its task again, though its success came with a later report. So did a running task whose entry couldn't be decoded. It takes more than 500 results that aren't acknowledged at one worker, as of short tasks in an outage of the store of some 20 s, then for many tasks at once.

HoldReply.Incomplete marks such a reply; no run is lost by it. Delegates pass it on. Their frames have a new field, hence the path /calls/v2: between instances of both versions no link is opened, and calls are made directly.

Evidence: TestIncompleteReportLosesNoRun failed before (a second start).

What remains: a result that can't be decoded is still passed over and acknowledged with later ones.

--- a/internal/adapter/delegate/delegate_test.go
+++ b/internal/adapter/delegate/delegate_test.go
@@ -345,3 +345,16 @@
 		must.NoError(t, err)
 	})
 }
+
+// Without the mark, the owner takes runs that the reply lacks for lost.
+func TestReplyTellsThatItIsIncomplete(t *testing.T) {
+	for _, incomplete := range []bool{false, true} {
+		var r reply
+		r.setHold(port.HoldReply{Incomplete: incomplete})
+		data, err := encodeFrame(&frame{Replies: []reply{r}})
+		must.NoError(t, err)
+		f, err := decodeFrame(data)
+		must.NoError(t, err)
+		must.EqOp(t, incomplete, f.Replies[0].hold().Incomplete)
+	}
+}
--- a/internal/adapter/delegate/protocol.go
+++ b/internal/adapter/delegate/protocol.go
@@ -19,7 +19,7 @@
 )
 
 // Path is the HTTP path of the delegates' endpoint.
-const Path = "/calls/v1"
+const Path = "/calls/v2"
 
 const (
 	// maxFrameBytes limits a frame. A start carries a specification of up to 4,000
@@ -81,6 +81,8 @@
 	Rejected port.StartRejection
 	Running  []runState
 	Results  []runResult
+	// Incomplete is that of port.HoldReply.
+	Incomplete bool
 }
 
 type runState struct {
@@ -108,7 +110,7 @@
 
 // setHold sets the content of a hold's reply.
 func (r *reply) setHold(h port.HoldReply) {
-	r.Clock = h.Clock
+	r.Clock, r.Incomplete = h.Clock, h.Incomplete
 	for _, s := range h.Running {
 		r.Running = append(r.Running, runState{Job: s.Task.Job, Occurrence: s.Task.Occurrence, Step: s.Task.Step, Index: s.Task.Index,
 			Run: s.Run, Checkpoint: s.Checkpoint, Percent: s.ProgressPercent})
@@ -121,7 +123,7 @@
 
 // hold returns the content of a hold's reply.
 func (r *reply) hold() port.HoldReply {
-	h := port.HoldReply{Clock: r.Clock}
+	h := port.HoldReply{Clock: r.Clock, Incomplete: r.Incomplete}
 	for i := range r.Running {
 		s := &r.Running[i]
 		h.Running = append(h.Running, port.RunState{Task: work.TaskID{Job: s.Job, Occurrence: s.Occurrence, Step: s.Step, Index: s.Index},
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -157,6 +157,20 @@
 	must.EqOp(t, 1, r.p.AcknowledgeableResult("w00"))
 }
 
+// The report of a worker with many results lacks the last ones. A run that it doesn't
+// name may have succeeded, and its task must not be started again (issue 31).
+func TestIncompleteReportLosesNoRun(t *testing.T) {
+	r := newHarness(t, 1, 4)
+	r.add(r.job("a", 1, step(1, 1, 5)))
+	r.plan()
+	r.now += time.Second
+	r.p.HandleReport(r.now, r.now, "w00", port.HoldReply{Incomplete: true})
+	must.EqOp(t, 0, count(r.plan(), OrderStart))
+	result := port.RunResult{Sequence: 1, Task: work.TaskID{Job: "a"}, Run: 1, Kind: port.ResultSucceeded}
+	r.p.HandleReport(r.now, r.now, "w00", port.HoldReply{Results: []port.RunResult{result}})
+	must.EqOp(t, work.Completed, r.p.TakeChanged()[0].State)
+}
+
 // Two owners may write the record of one job around a takeover. The merged record
 // must contain the progress of both.
 func TestMergedRecordKeepsProgressOfBothOwners(t *testing.T) {
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -129,7 +129,7 @@
 		}
 		p.handleResult(now, w, result)
 	}
-	p.handleReportedRuns(now, sentAt, w, reply.Running)
+	p.handleReportedRuns(now, sentAt, w, &reply)
 	delete(p.recovery.uncontacted, id)
 	delete(p.recovery.pendingContact, id)
 	return newResults
@@ -154,10 +154,10 @@
 	return w.acknowledgeable
 }
 
-func (p *Planner) handleReportedRuns(now, sentAt time.Duration, w *worker, states []port.RunState) {
-	reported := make(map[work.TaskID]bool, len(states))
-	for i := range states {
-		s := &states[i]
+func (p *Planner) handleReportedRuns(now, sentAt time.Duration, w *worker, reply *port.HoldReply) {
+	reported := make(map[work.TaskID]bool, len(reply.Running))
+	for i := range reply.Running {
+		s := &reply.Running[i]
 		reported[s.Task] = true
 		r := w.runs[s.Task]
 		if r == nil || r.number != s.Run {
@@ -166,6 +166,9 @@
 		}
 		p.updateRun(now, r, s)
 	}
+	if reply.Incomplete {
+		return // a run that isn't named may have ended with a result that isn't either
+	}
 	for task, r := range w.runs {
 		if reported[task] {
 			continue
--- a/internal/port/rows.go
+++ b/internal/port/rows.go
@@ -210,6 +210,9 @@
 	Clock   WorkerClock
 	Running []RunState
 	Results []RunResult
+	// Incomplete is set if runs or results may be missing: the worker sends only some
+	// of many results at a time, or an entry was invalid.
+	Incomplete bool
 }
 
 // WorkerClient sends orders to the workers of a pool. An order that fails with
