Planner: a task that is placed again after a takeover is logged with its cause

The first placement of a task that a previous owner had placed is now logged with what this owner learned of its workers: a report, why their runs were lost, or that they weren't in the stored list. One line for each such task and takeover; results that free a task were logged before.

TestPlacingAgainAfterTakeoverIsLoggedWithItsCause.

--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -16,6 +16,7 @@
 	EventRunFailed         = "run failed"         // age: time since the run's start; count: failed attempts so far, 0 for a long-lived task
 	EventRunStalled        = "run stalled"        // count: progress of the run, in percent
 	EventRunAdopted        = "run adopted"        // a run of a previous owner continues under this owner
+	EventPlacedAgain       = "placed again"       // a task that a previous owner had placed; detail: why it doesn't run there any more, by worker
 	EventOrphanedRun       = "stray run"          // a run that belongs to no current attempt is stopped
 	EventWorkerLost        = "worker lost"        // detail: reason; count: runs on the worker
 	EventWorkerRestarted   = "worker restarted"   // count: runs on the worker
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -133,7 +133,8 @@
 	number := u.nextRun
 	u.nextRun++
 	u.phase = unitActive
-	u.previousWorkers = nil
+	p.logPlacedAgain(u, number)
+	u.previousWorkers, u.freedBy = nil, ""
 	p.markChanged(u.job)
 	index := u.first
 	for _, pl := range placements {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -317,3 +317,29 @@
 	r.now += reportWaitingAgainAfter
 	must.Eq(t, []string{"job waiting large no room: 3 of 5 tasks fit, 2 on one rack; 3 workers usable, 1 silent"}, report())
 }
+
+// Guards against a second start of a task whose cause can't be found in the logs: each task
+// that a previous owner had placed is logged once, with what became of its workers.
+func TestPlacingAgainAfterTakeoverIsLoggedWithItsCause(t *testing.T) {
+	r := newRecoveringHarness(t, 2)
+	rec := r.job("a", 1, step(4, 1, 9))
+	rec.State = work.Running
+	rec.Steps = []work.StepProgress{{Placed: map[int][]string{0: {"w00"}, 1: {"w01"}, 2: {"gone"}}}}
+	r.p.AddJob(r.now, 0, rec, true)
+	logged := func() []string {
+		var out []string
+		for _, entry := range r.p.TakeLogEntries() {
+			if entry.Event == EventPlacedAgain {
+				out = append(out, fmt.Sprint(entry.Task.Index, " ", entry.Detail))
+			}
+		}
+		return out
+	}
+	r.report("w00")
+	r.p.ContactFailed("w01")
+	must.EqOp(t, 3, starts(r.plan()))
+	must.SliceContainsAll(t, logged(), []string{"0 w00 reported", "2 gone not in the stored list"})
+	r.p.WorkerLost(r.now, "w01", false, "lease expired")
+	must.EqOp(t, 1, starts(r.plan()))
+	must.Eq(t, []string{"1 w01 lease expired"}, logged())
+}
--- a/internal/planner/recovery.go
+++ b/internal/planner/recovery.go
@@ -1,6 +1,9 @@
 package planner
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // recovery tracks what a new owner has yet to learn about the runs of a previous
 // owner.
@@ -10,6 +13,9 @@
 	// pendingContact holds the workers listed when the recovery began whose first
 	// call has neither been answered nor failed.
 	uncontacted, pendingContact map[string]bool
+	// learnedBy tells how this owner learned what ran on a worker first: by a report, or
+	// why its runs were lost. It is kept for the log.
+	learnedBy map[string]string
 	// unknownLeasesEndAt is the time from which no lease is left at a worker that
 	// this owner doesn't know.
 	unknownLeasesEndAt time.Duration
@@ -90,6 +96,9 @@
 	p.log(LogEntry{Event: EventRecoveryFinished, Count: len(p.workers)})
 	for _, j := range p.jobsByArrival {
 		for _, u := range j.units {
+			if len(u.previousWorkers) > 0 && len(u.runs) == 0 {
+				u.freedBy = p.whyFree(u)
+			}
 			u.inherited, u.arrivedInRecovery, u.previousWorkers = false, false, nil
 			if u.phase == unitActive && len(u.runs) < u.count {
 				p.stopAttempt(u, now, "incomplete gang")
@@ -97,3 +106,34 @@
 		}
 	}
 }
+
+// learned records how this owner first learned what ran on a worker.
+func (r *recovery) learned(id, how string) {
+	if r.active && r.learnedBy[id] == "" {
+		r.learnedBy[id] = how
+	}
+}
+
+// whyFree tells, for the workers of a previous owner's attempt, why it counts as over.
+func (p *Planner) whyFree(u *unit) string {
+	var reasons []string
+	for _, id := range u.previousWorkers {
+		how := p.recovery.learnedBy[id]
+		if how == "" {
+			how = "not in the stored list"
+		}
+		reasons = append(reasons, id+" "+how)
+	}
+	return strings.Join(reasons, ", ")
+}
+
+// logPlacedAgain logs the first placement of a unit that a previous owner had placed.
+func (p *Planner) logPlacedAgain(u *unit, number int64) {
+	why := u.freedBy
+	if len(u.previousWorkers) > 0 {
+		why = p.whyFree(u)
+	}
+	if why != "" {
+		p.log(LogEntry{Event: EventPlacedAgain, Job: u.job.rec.Job.ID, Task: taskID(u, u.first), Run: number, Detail: why, Count: u.count})
+	}
+}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -90,6 +90,8 @@
 	// previousWorkers names the workers on which a previous owner's attempt may
 	// run.
 	previousWorkers []string
+	// freedBy says why the previous owner's attempt was over at the end of the recovery.
+	freedBy string
 	// arrivedInRecovery units may be started by a previous owner until
 	// takeoverNoticedBy, because it may not have noticed the takeover.
 	arrivedInRecovery bool
@@ -304,7 +306,7 @@
 		jobs:            map[string]*job{},
 		guarantee:       map[string]int64{},
 		orphanResults:   map[string][]orphanResult{},
-		recovery:        recovery{uncontacted: map[string]bool{}, pendingContact: map[string]bool{}},
+		recovery:        recovery{uncontacted: map[string]bool{}, pendingContact: map[string]bool{}, learnedBy: map[string]string{}},
 		queueMeanWeight: map[string]*mean{},
 		discarded:       map[string]float64{},
 		policyDecisions: map[work.StepID]map[string]policyDecision{},
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -86,6 +86,7 @@
 		p.handleRunLost(r, now)
 	}
 	p.log(LogEntry{Event: EventWorkerLost, Worker: id, Count: n, Detail: why})
+	p.recovery.learned(id, why)
 	delete(p.recovery.uncontacted, id)
 	delete(p.recovery.pendingContact, id)
 	w.health = health{}
@@ -145,6 +146,7 @@
 		p.handleResult(now, w, result)
 	}
 	p.handleReportedRuns(now, sentAt, w, reply.Running)
+	p.recovery.learned(id, "reported")
 	delete(p.recovery.uncontacted, id)
 	delete(p.recovery.pendingContact, id)
 	return newResults
