--- a/cmd/lentilwinch-load/main.go
+++ b/cmd/lentilwinch-load/main.go
@@ -4,10 +4,13 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
@@ -30,6 +33,9 @@
 	flags.Float64Var(&o.Tail, "tail", 0.03, "share of the jobs that run several times as long as usual")
 	flags.DurationVar(&o.Traffic, "traffic", 34*time.Second, "how long jobs are submitted")
 	flags.DurationVar(&o.Troubles, "troubles", 34*time.Second, "how long troubles begin, 0 for none")
+	flags.DurationVar(&o.TroublePause, "trouble-pause", 3500*time.Millisecond, "mean time between the beginnings of troubles")
+	flags.DurationVar(&o.MaxTroubleTime, "max-trouble-time", 9*time.Second, "longest time that a trouble lasts")
+	flags.StringVar(&o.Only, "only", "", "comma-separated `texts`: play only troubles whose name contains one of them")
 	flags.DurationVar(&o.Settle, "settle", 20*time.Second, "calm time before the last check")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("LENTILWINCH_LOAD")); err != nil {
 		return 2 // the flag set has printed the error
@@ -43,7 +49,9 @@
 		o.Folder = folder
 	}
 	o.Log = os.Stderr
-	report, err := load.Run(o)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := load.Run(ctx, o)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -139,8 +139,9 @@
 
 func (e *Election) epochKey() port.RowKey { return replica.PoolKey(e.pool, replica.EpochKey) }
 
-// takeOver claims the pool and runs it. heardAt is when the view last changed.
-func (e *Election) takeOver(ctx context.Context, view replica.PoolView, heardAt time.Duration) {
+// takeOver claims the pool and runs it. silentSince is when the owner's heartbeat was last
+// seen to change.
+func (e *Election) takeOver(ctx context.Context, view replica.PoolView, silentSince time.Duration) {
 	epoch := replica.Epoch{Number: view.Epoch.Number + 1, Owner: e.deps.Name, Incarnation: e.deps.Incarnation}
 	version, err := e.writeEpoch(ctx, view.EpochVersion, epoch)
 	if err != nil {
@@ -149,7 +150,8 @@
 	}
 	e.log.Info("ownership gained", zap.Int64("epoch", epoch.Number), zap.String("former", view.Epoch.Owner), zap.Int64("version", version))
 	o := newOwner(e.deps, e.pool, epoch.Number, version)
-	o.previous.stopped, o.previous.settled, o.previous.heardAt = e.hasStopped(&view), settled(&view), heardAt
+	o.previous.silentSince = silentSince
+	o.previous.stopped, o.previous.settled = e.hasStopped(&view), settled(&view)
 	if err := o.run(ctx); err != nil {
 		e.log.Warn("takeover failed", zap.Error(err))
 	}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,19 +20,9 @@
 	// covers a takeover: detection, reading the jobs and a round of holds.
 	leaseDuration = 4500 * time.Millisecond
 	// unconfirmedLimit is how long an owner goes on renewing leases and starting
-	// tasks without a confirmed heartbeat while it has contact with most of the workers.
-	// Fencing at the workers stops it sooner if another owner has taken over.
+	// tasks without a confirmed heartbeat while most workers answer it. Fencing at
+	// the workers stops it sooner if another owner has taken over.
 	unconfirmedLimit = 20 * time.Second
-	// renewUnconfirmedFor is how long after its last confirmed heartbeat an owner goes on
-	// without contact to most of the workers. It is shorter than the takeover by another
-	// owner, which takes heartbeatTimeout, and previousOwnerRenewTime after it.
-	renewUnconfirmedFor = 1500 * time.Millisecond
-	// majorityContactAge bounds the age of an answered hold that counts as contact. It
-	// covers two holds of busyHoldWait.
-	majorityContactAge = 2 * (busyHoldWait + busyHoldGrace)
-	// heartbeatLateAfter is the age of the last confirmed heartbeat from which holds are
-	// short, so that contact with the workers is recent.
-	heartbeatLateAfter = 500 * time.Millisecond
 	// suspensionThreshold is the gap in the activity of the owner's loop above which
 	// the process counts as suspended. Ownership then has to be confirmed before
 	// anything is started.
@@ -43,15 +32,10 @@
 	// registryRecoveryTime is how long the registry may lack the entry of a live
 	// worker after an outage of the store. The platform states about two seconds.
 	registryRecoveryTime = 2500 * time.Millisecond
-	// previousOwnerStopTime bounds how long a previous owner may act as the owner
-	// after this owner's first hold: by then its next heartbeat has failed, even if
-	// the store is at its slowest.
+	// previousOwnerStopTime bounds how long a previous owner that reaches the store may
+	// act as the owner after this owner's first hold: by then its next heartbeat has
+	// failed, even if the store is at its slowest.
 	previousOwnerStopTime = 2500 * time.Millisecond
-	// previousOwnerRenewTime bounds how long a running previous owner may renew
-	// leases after this owner has contacted half of the workers: either it has contact
-	// with more than half, and one of them has received the new fencing token, or it
-	// stops for want of that.
-	previousOwnerRenewTime = max(majorityContactAge, renewUnconfirmedFor)
 	// storeStableAfter is how long this instance's reads of the store must have
 	// succeeded before the stored placements of a previous owner count as complete.
 	storeStableAfter = 10 * time.Second
@@ -60,9 +44,9 @@
 	// sent early.
 	placementCommitWait = 150 * time.Millisecond
 	// globalOutageAfter is the duration from which an outage is known to affect all
-	// instances: an instance that still reached the store would have taken the pool
-	// over within 1.5 s, and the workers' answers would have revealed it within
-	// previousOwnerRenewTime. One that took longer doesn't count on that.
+	// instances if most workers answer: an instance that still reached the store would
+	// have taken the pool over within 1.6 s, and the workers' answers would have revealed
+	// it within another second.
 	globalOutageAfter = 3 * time.Second
 	// maxUnstartedAge is the age above which a job that is newly seen may have been
 	// started by an earlier owner.
@@ -109,22 +93,24 @@
 	cancel       context.CancelFunc
 	heartbeatAt  atomic.Int64 // when the last confirmed heartbeat was sent, on Now's clock
 	settled      atomic.Bool  // no previous owner can act any more
-	// majorityAt is the time, on Now's clock, after which more than half of the workers
-	// were sent a hold that they answered. It is updated while the heartbeat is late.
-	majorityAt   atomic.Int64
-	writer       recordWriter
-	policy       policyCalls
-	held         []heldStart
-	deferred     map[string]bool // jobs with a row that may be in an unread partition
-	planSequence int64           // number of the last plan with orders; matches held starts with stored records
-	pacer        planPacer
-	nextPlan     *time.Timer // fires when a delayed planning pass may run
-	lastActiveAt time.Duration
-	confirmAfter time.Duration // a heartbeat sent at or after this must be confirmed before starts are sent
-	config       *work.Config
-	done         chan struct{}
-	previous     previousOwner
-	announcement earlyStartAnnouncement
+	// quorumAt is the latest time since which more than half of the workers have answered
+	// a call, on Now's clock. It is updated while the heartbeat is unconfirmed.
+	quorumAt        atomic.Int64
+	quorumCheckedAt time.Duration
+	acted           bool // mayAct at the last check
+	writer          recordWriter
+	policy          policyCalls
+	held            []heldStart
+	deferred        map[string]bool // jobs with a row that may be in an unread partition
+	planSequence    int64           // number of the last plan with orders; matches held starts with stored records
+	pacer           planPacer
+	nextPlan        *time.Timer // fires when a delayed planning pass may run
+	lastActiveAt    time.Duration
+	confirmAfter    time.Duration // a heartbeat sent at or after this must be confirmed before starts are sent
+	config          *work.Config
+	done            chan struct{}
+	previous        previousOwner
+	announcement    earlyStartAnnouncement
 	// unlisted holds the stored workers of the previous owner that the registry
 	// hasn't listed yet. Those whose targets are stored have sessions.
 	unlisted map[string]bool
@@ -155,6 +141,7 @@
 		nextPlan:     time.NewTimer(planInterval),
 	}
 	o.heartbeatAt.Store(int64(o.startedAt))
+	o.acted = true
 	o.writer.init()
 	o.policy.init()
 	return o
@@ -184,33 +171,6 @@
 	o.cancel()
 }
 
-// unconfirmedFor returns the age of the last confirmed heartbeat.
-func (o *Owner) unconfirmedFor() time.Duration {
-	return o.now() - time.Duration(o.heartbeatAt.Load())
-}
-
-// mayRenew reports whether this owner may renew leases: its last confirmed heartbeat is
-// recent or, as in an outage of the store, most of the workers have accepted its fencing
-// token since. An owner that is cut off from the store with a few workers can't know
-// whether another one has taken over.
-func (o *Owner) mayRenew() bool {
-	age := o.unconfirmedFor()
-	return age < renewUnconfirmedFor || age < unconfirmedLimit && o.now()-time.Duration(o.majorityAt.Load()) < majorityContactAge
-}
-
-// updateMajority updates majorityAt while the heartbeat is late.
-func (o *Owner) updateMajority() {
-	if len(o.sessions) == 0 || o.unconfirmedFor() < heartbeatLateAfter {
-		return
-	}
-	answeredAt := make([]time.Duration, 0, len(o.sessions))
-	for _, s := range o.sessions {
-		answeredAt = append(answeredAt, s.reportSentAt)
-	}
-	slices.Sort(answeredAt)
-	o.majorityAt.Store(int64(answeredAt[(len(answeredAt)-1)/2]))
-}
-
 // run takes the pool over and runs it until ctx ends, ownership is lost or
 // shouldYield reports true. It fails if the jobs or the workers can't be read.
 func (o *Owner) run(ctx context.Context) error {
@@ -313,8 +273,9 @@
 func (o *Owner) step(ctx context.Context) {
 	now := o.now()
 	o.detectSuspension(now)
-	o.updateMajority()
 	o.applyConfig()
+	o.updateQuorum(now)
+	o.checkFenced(ctx, now)
 	if wall, ok := o.wallClock(); ok {
 		o.planner.SetWallClock(now, wall)
 	}
@@ -330,6 +291,7 @@
 	}
 	o.writeLogEntries()
 	o.writeChanged(ctx)
+	o.releaseReady(ctx)
 	o.releaseOverdue(ctx, now)
 	o.planner.DropEndedJobs()
 }
@@ -345,9 +307,9 @@
 	o.lastActiveAt = now
 }
 
-// mayStart reports whether starts may be sent. They renew leases.
+// mayStart reports whether starts may be sent.
 func (o *Owner) mayStart() bool {
-	return time.Duration(o.heartbeatAt.Load()) >= o.confirmAfter && o.mayRenew()
+	return time.Duration(o.heartbeatAt.Load()) >= o.confirmAfter && o.mayAct()
 }
 
 func (o *Owner) dispatch(ctx context.Context, order planner.Order) {
@@ -382,11 +344,16 @@
 
 // applyIncarnation applies a restart of a worker, once, before any of its answers:
 // the new incarnation numbers its results from 1, and a start that it confirmed
-// does not belong to the previous one.
-func (o *Owner) applyIncarnation(now time.Duration, s *session, incarnation int) {
-	if incarnation > s.appliedIncarnation {
-		s.appliedIncarnation = incarnation
-		o.planner.WorkerRestarted(now, s.target.ID)
+// does not belong to the previous one. The new one is told to stop the runs whose
+// starts may still arrive: it knows nothing of their stops and results.
+func (o *Owner) applyIncarnation(ctx context.Context, now time.Duration, s *session, incarnation int) {
+	if incarnation <= s.appliedIncarnation {
+		return
+	}
+	s.appliedIncarnation = incarnation
+	o.planner.WorkerRestarted(now, s.target.ID)
+	for _, key := range s.uncertainStarts(now) {
+		o.dispatch(ctx, planner.Order{Kind: planner.OrderStop, Worker: s.target.ID, Task: key.task, Run: key.run, Why: "start may arrive after the restart"})
 	}
 }
 
@@ -396,15 +363,14 @@
 	id := ""
 	if ev.session != nil {
 		id = ev.session.target.ID
-		o.applyIncarnation(now, ev.session, ev.incarnation)
+		o.applyIncarnation(ctx, now, ev.session, ev.incarnation)
 	}
 	switch ev.kind {
 	case evReport:
 		if ev.incarnation < ev.session.appliedIncarnation {
 			return // an overdue report of a previous incarnation
 		}
-		ev.session.reportSentAt = max(ev.session.reportSentAt, ev.sentAt)
-		o.previousWorkerFenced(ctx, id)
+		ev.session.reported = true
 		results := o.planner.HandleReport(now, ev.sentAt, id, ev.reply)
 		ev.session.acknowledge(ev.incarnation, o.planner.AcknowledgeableResult(id))
 		o.logResults(id, results)
@@ -417,11 +383,17 @@
 		o.updateLeft(id)
 	case evStartAnswered:
 		o.cancelStart(runKey{ev.order.Task, ev.order.Run})
+		if ev.resent {
+			o.planner.StartResent(id, ev.order.Task, ev.order.Run)
+		}
 		o.planner.StartAnswered(now, id, ev.order.Task, ev.order.Run, ev.rejected)
 	case evStartUnanswered:
 		o.cancelStart(runKey{ev.order.Task, ev.order.Run})
 		o.planner.StartUnanswered(now, id, ev.order.Task, ev.order.Run)
 	case evStopConfirmed:
+		if ev.incarnation < ev.session.appliedIncarnation {
+			return // the new incarnation doesn't know of the stop
+		}
 		o.planner.StopConfirmed(now, id, ev.order.Task, ev.order.Run)
 	case evWorkersListed:
 		o.applyWorkers(ctx, ev)
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -20,22 +20,20 @@
 type previousOwner struct {
 	stopped bool // it and all owners before it had stopped before this owner's claim
 	settled bool // all owners before it had stopped
-	// heardAt is when its heartbeat last changed, as far as this instance has seen.
-	heardAt time.Duration
-	// placementsStored is set if it stored or announced all its placements, unless it
-	// went on without the store for globalOutageAfter.
-	placementsStored bool
-	// unfenced holds the workers of the stored list, workers in number, that haven't
-	// answered this owner.
-	unfenced map[string]bool
-	workers  int
-	// fencedAt is when half of these workers had answered this owner, 0 before.
+	// silentSince is when its heartbeat was last seen to change.
+	silentSince time.Duration
+	// fenced is set once so many workers have received this owner's fencing token that
+	// the previous owner stops within authorityTime of fencedAt.
+	fenced   bool
 	fencedAt time.Duration
 	// catchUp guards the read of the store's current version.
 	catchUp retryGate
 	// caughtUp is set once the previous owner can no longer act and the replica
 	// holds everything it stored.
 	caughtUp bool
+	// allReportedAt is when every worker had received this owner's fencing token or lost
+	// its leases, 0 before. From then on the previous owner can't acknowledge results.
+	allReportedAt time.Duration
 	// merged is set once its records, if any, are merged into the planner.
 	merged bool
 }
@@ -58,8 +56,6 @@
 	o.firstHoldAt = o.now()
 	view := o.deps.Replica.Pool(o.pool)
 	o.writer.workers.reset(view.WorkersVersion, view.Workers)
-	o.previous.unfenced, o.previous.workers = idSet(view.Workers), len(view.Workers)
-	o.updateFenced()
 	for i := range workers {
 		if w := workers[i]; w.Pool == o.pool {
 			o.putWorker(ctx, w)
@@ -116,51 +112,6 @@
 	}
 }
 
-// previousWorkerFenced records that a worker has answered this owner, and so rejects the
-// previous one.
-func (o *Owner) previousWorkerFenced(ctx context.Context, id string) {
-	if !o.previous.unfenced[id] {
-		return
-	}
-	delete(o.previous.unfenced, id)
-	if o.previous.fencedAt > 0 {
-		return
-	}
-	o.updateFenced()
-	if o.previous.fencedAt == 0 {
-		return
-	}
-	o.planner.SetUnknownLeasesEndAt(o.unknownLeasesEndAt())
-	if o.previous.placementsStored && !o.previous.stopped {
-		o.setPlacementsComplete(ctx)
-	}
-}
-
-func (o *Owner) updateFenced() {
-	if 2*len(o.previous.unfenced) <= o.previous.workers {
-		o.previous.fencedAt = o.now()
-	}
-}
-
-// setPlacementsComplete tells the planner that all placements of the previous owner are
-// stored, if it is certain that it can't have gone on without the store for long enough to
-// start tasks without an announcement.
-func (o *Owner) setPlacementsComplete(ctx context.Context) {
-	p := &o.previous
-	stoppedBy := p.fencedAt + previousOwnerRenewTime
-	inTime := p.stopped || p.settled && stoppedBy-p.heardAt <= globalOutageAfter
-	complete := p.placementsStored && inTime
-	o.log.Info("recovery begins", zap.Bool("placements_complete", complete), zap.Bool("stored", p.placementsStored),
-		zap.Bool("settled", p.settled), zap.Duration("silent_for", stoppedBy-p.heardAt), zap.Duration("store_quiet_for", o.deps.Replica.StableFor()))
-	if complete {
-		o.planner.SetPlacementsComplete()
-		return
-	}
-	// If this owner stops before it knows all placements, the next owner must
-	// not take the stored ones for complete either.
-	o.announceEarlyStarts(ctx, o.now())
-}
-
 // unknownLeasesEndAt returns when no lease is left at workers that can't be called.
 func (o *Owner) unknownLeasesEndAt() time.Duration {
 	for id := range o.unlisted {
@@ -180,10 +131,18 @@
 	}
 	earlyStartEpoch := o.deps.Replica.Pool(o.pool).EarlyStartEpoch
 	mayHaveEarlyStarts := earlyStartEpoch > 0 && o.epoch-earlyStartEpoch <= announcementValidEpochs
-	o.previous.placementsStored = !mayHaveEarlyStarts && o.deps.Replica.StableFor() > storeStableAfter && o.deps.StoreHealth.Latency() < slowReadThreshold
-	o.planner.Recover(o.unknownLeasesEndAt(), takeoverNoticedBy, false)
-	if o.previous.stopped || o.previous.fencedAt > 0 || !o.previous.placementsStored {
-		o.setPlacementsComplete(ctx)
+	// Nothing has fenced an owner before one that hadn't settled.
+	stored := !mayHaveEarlyStarts && o.deps.Replica.StableFor() > storeStableAfter && o.deps.StoreHealth.Latency() < slowReadThreshold
+	placementsComplete := stored && (o.previous.stopped || o.previous.settled)
+	o.log.Info("recovery begins", zap.Bool("placements_complete", placementsComplete), zap.Bool("bypassed", mayHaveEarlyStarts), zap.Bool("settled", o.previous.settled), zap.Duration("store_quiet_for", o.deps.Replica.StableFor()))
+	o.planner.Recover(o.unknownLeasesEndAt(), takeoverNoticedBy, placementsComplete)
+	if o.previous.stopped {
+		o.previousOwnerFenced(ctx, o.firstHoldAt)
+	}
+	if !placementsComplete {
+		// If this owner stops before it knows all placements, the next owner must
+		// not take the stored ones for complete either.
+		o.announceEarlyStarts(ctx, o.now())
 	}
 }
 
@@ -257,7 +216,11 @@
 		return
 	}
 	noPrevious := o.epoch == 1 || o.previous.stopped
-	previousStopped := now >= o.firstHoldAt+previousOwnerStopTime && o.deps.Replica.Age() <= freshReplicaAge
+	allReported := o.planner.AllWorkersReported(now)
+	if allReported && o.previous.allReportedAt == 0 {
+		o.previous.allReportedAt = now
+	}
+	previousStopped := allReported && now >= o.previous.allReportedAt+previousOwnerStopTime && o.deps.Replica.Age() <= freshReplicaAge
 	if !noPrevious && !previousStopped && !o.previous.caughtUp {
 		o.catchUp(ctx, now)
 		return
@@ -281,7 +244,7 @@
 // fencing token or its leases must have expired, and waits until the replica holds
 // that version. From then on the previous owner can't acknowledge a result or start
 // anything, and all it stored before an acknowledgement is in the replica, so there
-// is no need to wait for previousOwnerStopTime.
+// is no need to wait for previousOwnerStopTime more.
 func (o *Owner) catchUp(ctx context.Context, now time.Duration) {
 	if !o.previous.catchUp.open(now) || !o.planner.AllWorkersReported(now) || !o.deps.Replica.Complete() {
 		return
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -67,16 +67,16 @@
 	// is acknowledged until an answer identifies its incarnation.
 	sameIncarnation bool
 	lastContact     time.Duration
+	answeredAt      time.Duration // when the latest call that was answered was sent
 	busy            bool          // the last report had runs
 	reachable       bool          // false before the first answer, and after unreachableAfter without one
 	failedBefore    bool          // a hold has failed
 	ackAdvanced     chan struct{} // signaled when acknowledged grows
 
-	// appliedIncarnation is the last incarnation that the owner's loop has applied, and
-	// reportSentAt when the latest hold was sent whose answer it has applied. They are
-	// accessed only by the loop.
+	// appliedIncarnation is the last incarnation that the owner's loop has applied.
+	// reported is set once it has applied a report. They are accessed only by the loop.
 	appliedIncarnation int
-	reportSentAt       time.Duration
+	reported           bool
 }
 
 func newSession(o *Owner, target port.WorkerTarget) *session {
@@ -133,7 +133,7 @@
 	}
 	now := s.owner.now()
 	recentContact := s.clock.hasReading && now-s.lastContact < unreachableAfter+holdWait
-	if recentContact && s.owner.mayRenew() {
+	if recentContact && s.owner.mayAct() {
 		if left, ok := s.clock.remaining(now); ok {
 			s.owner.deps.Observer.LeaseMargin(left)
 		}
@@ -142,7 +142,7 @@
 	grace := probeTimeout
 	switch {
 	case !s.clock.hasReading || !s.reachable:
-	case s.busy || s.owner.unconfirmedFor() > heartbeatLateAfter:
+	case s.busy:
 		req.Wait, grace = busyHoldWait, busyHoldGrace
 	default:
 		req.Wait, grace = holdWait, holdGrace
@@ -161,22 +161,42 @@
 	return reply, err
 }
 
-func (s *session) orderDone(id int, err error) {
+// startDone records the end of a call that sent a start at sentAt.
+func (s *session) startDone(id int, err error, key runKey, sentAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unanswered.done(id, err)
+	if err != nil && !fault.NoEffect(err) {
+		s.unanswered.startUncertain(key, sentAt)
+	}
+}
+
+func (s *session) uncertainStarts(now time.Duration) []runKey {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unanswered.uncertainStarts(now)
 }
 
 // recordContact applies the clock of an answer to a request sent at sentAt, and
 // detects a restart of the worker. It returns the number of the answering
-// incarnation, and false for an overdue answer of a previous incarnation.
+// incarnation. It returns false, and the answer counts as none, if that may be a
+// previous incarnation or one that no answer has identified yet.
 func (s *session) recordContact(clock port.WorkerClock, sentAt time.Duration) (int, bool) {
 	now := s.owner.now()
 	s.mu.Lock()
 	restarted := clock.Incarnation != 0 && s.incarnationID != 0 && clock.Incarnation != s.incarnationID
-	if restarted && sentAt < s.incarnationSince {
+	ignored := ""
+	switch {
+	case clock == (port.WorkerClock{}): // a rejection without a body
+	case clock.Incarnation == 0 && sentAt < s.incarnationSince, restarted && sentAt < s.incarnationSince:
+		ignored = "answer of a previous incarnation ignored"
+	case clock.Incarnation == 0 && s.clock.restartedBefore(clock.Now, sentAt):
+		s.clock.suspectRestart(now, s.owner.deps.MaxLease)
+		ignored = "answer of an unknown incarnation ignored"
+	}
+	if ignored != "" {
 		s.mu.Unlock()
-		s.owner.log.Info("answer of a previous incarnation ignored", zap.String("worker", s.target.ID), zap.Int64("born", clock.Incarnation))
+		s.owner.log.Info(ignored, zap.String("worker", s.target.ID), zap.Int64("born", clock.Incarnation), zap.Duration("clock", clock.Now))
 		return 0, false
 	}
 	if restarted {
@@ -191,6 +211,9 @@
 	s.clock.update(now, clock)
 	regained := !s.reachable
 	s.reachable, s.lastContact = true, now
+	if clock != (port.WorkerClock{}) { // such a rejection may not have looked at the fencing token
+		s.answeredAt = max(s.answeredAt, sentAt)
+	}
 	incarnation := s.incarnation
 	s.mu.Unlock()
 	if restarted {
@@ -202,6 +225,14 @@
 	return incarnation, true
 }
 
+// lastAnswered returns when the latest call was sent that the worker answered. It had
+// seen no higher fencing token by then.
+func (s *session) lastAnswered() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answeredAt
+}
+
 func (s *session) setSameIncarnation(same bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -262,8 +293,9 @@
 }
 
 // start sends a start until it is answered, at most maxStartTries times. It resends
-// a start whose lease had expired on arrival. The same run may be resent, but not
-// after this process was suspended: its ownership has to be confirmed first.
+// a start whose lease had expired on arrival. The same run may be resent while the
+// owner may act, but not after this process was suspended: its ownership has to be
+// confirmed first.
 func (s *session) start(ctx context.Context, order planner.Order, decidedAt time.Duration) {
 	unanswered := false
 	for range maxStartTries {
@@ -273,10 +305,10 @@
 				zap.Int("index", order.Task.Index), zap.Int64("run", order.Run), zap.String("worker", s.target.ID), zap.Duration("gap", now-decidedAt))
 			break
 		}
-		decidedAt = now
-		if unanswered && !s.owner.mayRenew() {
+		if !s.owner.mayAct() {
 			break
 		}
+		decidedAt = now
 		s.mu.Lock()
 		startOrder := port.StartOrder{
 			Task: order.Task, Run: order.Run, Spec: order.Spec, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
@@ -287,7 +319,7 @@
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		clock, rejected, err := s.owner.deps.Workers.Start(call, s.target, startOrder)
 		cancel()
-		s.orderDone(orderID, err)
+		s.startDone(orderID, err, runKey{order.Task, order.Run}, now)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -309,7 +341,7 @@
 				s.owner.send(ctx, event{kind: evStartUnanswered, session: s, order: order})
 				return
 			}
-			s.owner.send(ctx, event{kind: evStartAnswered, session: s, incarnation: incarnation, order: order, rejected: rejected})
+			s.owner.send(ctx, event{kind: evStartAnswered, session: s, incarnation: incarnation, order: order, rejected: rejected, resent: unanswered})
 			return
 		}
 		unanswered = unanswered || !fault.Is(err, fault.Unavailable)
@@ -330,6 +362,7 @@
 		if err == nil {
 			incarnation, ok := s.recordContact(clock, sentAt)
 			if !ok {
+				_ = wait.For(ctx, workerRetryDelay) // ends early only with ctx, which the loop checks
 				continue
 			}
 			s.owner.send(ctx, event{kind: evStopConfirmed, session: s, incarnation: incarnation, order: order})
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -42,6 +42,7 @@
 func (p *Planner) handleRunLost(r *run, now time.Duration) {
 	p.dropRun(r)
 	if r.unit != nil {
+		r.unit.runLost = true
 		p.endAttempt(r.unit, now)
 		p.releaseIfIdle(r.unit, now)
 	}
@@ -50,9 +51,12 @@
 // stopRun orders a run to stop, even if its start was never confirmed, because
 // the start may still be carried out.
 func (p *Planner) stopRun(r *run, why string) {
-	if r.phase == runStopping {
-		return
+	if r.phase != runStopping {
+		p.orderStop(r, why)
 	}
+}
+
+func (p *Planner) orderStop(r *run, why string) {
 	r.phase, r.stopConfirmedAt, r.stopReason = runStopping, 0, why
 	p.orders = append(p.orders, Order{Kind: OrderStop, Worker: r.worker.info.ID, Task: r.task, Run: r.number, Why: why})
 }
@@ -142,6 +146,13 @@
 	}
 }
 
+// IsStarting reports whether a run is on record and its start may be sent. It isn't once
+// the worker's leases have expired: the task may run elsewhere.
+func (p *Planner) IsStarting(id string, task work.TaskID, number int64) bool {
+	w := p.workers[id]
+	return w != nil && w.runs[task] != nil && w.runs[task].number == number && w.runs[task].phase == runStarting
+}
+
 // StartAnswered handles the answer to a start. rejected is NotRejected if the
 // start is confirmed.
 func (p *Planner) StartAnswered(now time.Duration, id string, task work.TaskID, number int64, rejected port.StartRejection) {
@@ -180,6 +191,16 @@
 	p.releaseIfIdle(u, now)
 }
 
+// StartResent records that a copy of the run's start got no answer. It may be carried
+// out later than the one that is answered.
+func (p *Planner) StartResent(id string, task work.TaskID, number int64) {
+	if w := p.workers[id]; w != nil {
+		if r := w.runs[task]; r != nil && r.number == number {
+			r.resent = true
+		}
+	}
+}
+
 // StartUnanswered handles a start that got no answer. Its stop must be confirmed
 // before the task may run elsewhere.
 func (p *Planner) StartUnanswered(now time.Duration, id string, task work.TaskID, number int64) {
@@ -192,22 +213,12 @@
 		return
 	}
 	p.log(LogEntry{Event: EventStartUnanswered, Job: task.Job, Worker: id, Task: task, Run: number})
+	r.resent = true
 	p.stopRun(r, "unanswered")
 	r.unit.notBefore = now + retryDelay
 	p.endAttempt(r.unit, now)
 }
 
-// Starting reports whether the run of a start is on record and neither confirmed nor
-// given up.
-func (p *Planner) Starting(order *Order) bool {
-	w := p.workers[order.Worker]
-	if w == nil {
-		return false
-	}
-	r := w.runs[order.Task]
-	return r != nil && r.number == order.Run && r.phase == runStarting
-}
-
 // StopConfirmed records that the worker confirmed a stop.
 func (p *Planner) StopConfirmed(now time.Duration, id string, task work.TaskID, number int64) {
 	if w := p.workers[id]; w != nil {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -43,6 +43,9 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
+	// AfterLoss is set for the start of a unit of which a run was lost without a result.
+	// Another owner may have acknowledged that.
+	AfterLoss bool
 	// Why is a short reason for the decision, for the log.
 	Why string
 }
@@ -74,6 +77,7 @@
 	// expiredRuns holds the runs whose leases expired before the worker reported
 	// a result. The platform ignores a success that is reported after that.
 	expiredRuns []expiredRun
+	runLost     bool // a run was lost without a result
 	checkpoint  string
 	// checkpointPercent is the progress at which checkpoint was reported.
 	checkpointPercent int
@@ -144,6 +148,8 @@
 	// an adopted run. Before the confirmation both are the time of the order.
 	startedAt       time.Duration
 	confirmedAt     time.Duration
+	resent          bool // a copy of the start got no answer
+	reported        bool // listed in a report, by which the worker's incarnation is known
 	percent         int
 	basePercent     int           // progress of the checkpoint from which the run started
 	progressAt      time.Duration // time of the last increase of percent, at first of the order or start
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -96,8 +96,9 @@
 	}
 }
 
-// WorkerRestarted drops the runs of a worker's previous incarnation. Unanswered
-// starts may still reach the new incarnation, so they are stopped there.
+// WorkerRestarted drops the runs of a worker's previous incarnation. Starts that are
+// unanswered, or whose answer doesn't tell the incarnation, may have reached the new
+// one or may still do so. They are stopped there.
 func (p *Planner) WorkerRestarted(now time.Duration, id string) {
 	w := p.workers[id]
 	if w == nil {
@@ -108,8 +109,8 @@
 	p.log(LogEntry{Event: EventWorkerRestarted, Worker: id, Count: len(w.runs)})
 	for _, r := range w.runs {
 		u := r.unit
-		if r.phase == runStarting || (r.phase == runStopping && r.stopReason == "unanswered") {
-			p.stopRun(r, "unanswered")
+		if !r.reported || r.resent {
+			p.orderStop(r, "unanswered")
 			if u != nil {
 				p.endAttempt(u, now)
 			}
@@ -145,7 +146,7 @@
 		}
 		p.handleResult(now, w, result)
 	}
-	p.handleReportedRuns(now, sentAt, w, reply.Running)
+	p.handleReportedRuns(now, sentAt, w, &reply)
 	p.recovery.learned(id, "reported")
 	delete(p.recovery.uncontacted, id)
 	delete(p.recovery.pendingContact, id)
@@ -171,10 +172,10 @@
 	return w.acknowledgeable
 }
 
-func (p *Planner) handleReportedRuns(now, sentAt time.Duration, w *worker, states []port.RunState) {
-	reported := make(map[work.TaskID]bool, len(states))
-	for i := range states {
-		s := &states[i]
+func (p *Planner) handleReportedRuns(now, sentAt time.Duration, w *worker, reply *port.HoldReply) {
+	reported := make(map[work.TaskID]bool, len(reply.Running))
+	for i := range reply.Running {
+		s := &reply.Running[i]
 		reported[s.Task] = true
 		r := w.runs[s.Task]
 		if r == nil || r.number != s.Run {
@@ -183,6 +184,9 @@
 		}
 		p.updateRun(now, r, s)
 	}
+	if reply.Incomplete {
+		return // a run that isn't named may have ended with a result that isn't either
+	}
 	for task, r := range w.runs {
 		if reported[task] {
 			continue
@@ -199,6 +203,7 @@
 }
 
 func (p *Planner) updateRun(now time.Duration, r *run, s *port.RunState) {
+	r.reported = true
 	if r.phase == runStarting {
 		r.phase, r.startedAt, r.confirmedAt = runRunning, now, now
 		p.markStarted(r.unit.job, now)
