--- a/internal/duty/pool/cluster_test.go
+++ b/internal/duty/pool/cluster_test.go
@@ -52,6 +52,7 @@
 	began     time.Time
 	instances []*instance
 	jobIDs    []string
+	size      int // number of workers
 }
 
 // instance is one process. Its access to the store and the workers can be cut
@@ -78,7 +79,7 @@
 }
 
 func newCluster(t *testing.T, workers int) *cluster {
-	c := &cluster{t: t, store: fake.NewRows(), pool: fake.NewPool(), began: time.Now()}
+	c := &cluster{t: t, store: fake.NewRows(), pool: fake.NewPool(), began: time.Now(), size: workers}
 	c.registry, c.workers = c.pool, c.pool
 	for i := range workers {
 		c.pool.Add(work.Worker{
@@ -94,6 +95,15 @@
 	return c
 }
 
+// slowClocks makes the clock of every other worker 2% slow.
+func (c *cluster) slowClocks() {
+	for i := 0; i < c.size; i += 2 {
+		c.pool.SetClockRate(address(i), 1-maxClockSlowness)
+	}
+}
+
+func address(worker int) string { return fmt.Sprintf("10.0.0.%d:1", worker) }
+
 func (c *cluster) now() time.Duration { return time.Since(c.began) }
 
 func (c *cluster) storeNow() time.Duration {
--- a/internal/duty/pool/pool_test.go
+++ b/internal/duty/pool/pool_test.go
@@ -278,6 +278,7 @@
 func runWithFaults(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	c := newCluster(t, 6)
+	c.slowClocks()
 	for range 3 {
 		c.launch()
 	}
--- a/internal/duty/pool/split_test.go
+++ b/internal/duty/pool/split_test.go
@@ -116,6 +116,7 @@
 func runOnSplitNetwork(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	c := newCluster(t, 6)
+	c.slowClocks()
 	var mu sync.Mutex
 	dropped := map[string]bool{} // instance and address
 	c.drops = func(in *instance, target port.WorkerTarget) bool {
