--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -69,6 +69,28 @@
 	o.releaseIf(ctx, func(h *heldStart) bool { return h.stored })
 }
 
+// awaitRecords waits until the replica holds what was stored before a transaction with
+// placements, as the previous owner may have stored results in other partitions of the
+// jobs. The starts are then released.
+func (o *Owner) awaitRecords(ctx context.Context, r commitResult) {
+	o.wg.Go(func() {
+		if o.deps.Replica.Await(ctx, r.version) == nil {
+			o.send(ctx, event{kind: evRecordsRead, commit: r})
+		}
+	})
+}
+
+// recordsRead merges the records that the previous owner stored, and releases the starts
+// that this leaves.
+func (o *Owner) recordsRead(ctx context.Context, r commitResult) {
+	for i := range r.records {
+		if v, ok := o.deps.Replica.Job(r.records[i].Job.ID); ok {
+			o.mergeRows(&v)
+		}
+	}
+	o.releaseStored(ctx, r.records, r.plan)
+}
+
 // releaseOverdue sends starts that have waited for placementCommitWait. It waits
 // until the previous owner's records are merged: until then that owner may still
 // store and acknowledge results, and only a stored placement rules out that the
@@ -143,7 +165,7 @@
 			continue
 		}
 		confirmed := !order.AfterLoss || confirmedAt >= o.held[i].heldSince
-		if ready(&o.held[i]) && mayStart && confirmed && o.writer.workers.contains(order.Worker) {
+		if mayStart && confirmed && o.writer.workers.contains(order.Worker) && ready(&o.held[i]) {
 			o.dispatch(ctx, o.held[i].order)
 			continue
 		}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -110,6 +110,7 @@
 	config          *work.Config
 	done            chan struct{}
 	previous        previousOwner
+	unknown         unknownJobs
 	announcement    earlyStartAnnouncement
 	// unlisted holds the stored workers of the previous owner that the registry
 	// hasn't listed yet. Those whose targets are stored have sessions.
@@ -179,7 +180,7 @@
 	defer cancel()
 	defer close(o.done)
 	o.cancel = cancel
-	sub := o.deps.Replica.Subscribe(o.pool)
+	sub := o.deps.Replica.Subscribe(o.pool, o.epoch)
 	defer sub.Close()
 	o.wg.Go(func() { o.heartbeat(ctx) })
 	if err := o.recover(ctx); err != nil {
@@ -252,7 +253,7 @@
 			o.yielded = true
 			return
 		}
-		o.addChangedJobs(sub)
+		o.addChangedJobs(ctx, sub)
 		o.step(ctx)
 	}
 }
@@ -403,6 +404,10 @@
 		o.earlyStartsAnnounced(ev.err)
 	case evCaughtUp:
 		o.catchUpDone(ev.err)
+	case evRecordsRead:
+		o.recordsRead(ctx, ev.commit)
+	case evJobsRead:
+		o.jobsRead(ev)
 	case evPolicyAnswered:
 		o.policyAnswered(now, ev.policy)
 	case evCommitDone:
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -246,7 +246,16 @@
 		}
 		o.log.Info("job stored", zap.String("job", rec.Job.ID), zap.String("state", string(rec.State)), zap.Int64("version", r.version))
 	}
-	o.releaseStored(ctx, r.records, r.plan)
+	if o.previous.merged {
+		o.releaseStored(ctx, r.records, r.plan)
+	} else {
+		o.awaitRecords(ctx, r)
+	}
+	o.acknowledgeResults()
+}
+
+// acknowledgeResults lets the workers drop the results that may be acknowledged.
+func (o *Owner) acknowledgeResults() {
 	for id, s := range o.sessions {
 		s.acknowledge(s.appliedIncarnation, o.planner.AcknowledgeableResult(id))
 	}
@@ -307,14 +316,36 @@
 			o.log.Error("job row can't be decoded", zap.String("job", rec.Job.ID), zap.Error(err))
 			continue
 		}
-		if other.Sequence > 0 {
-			o.dropHeldStarts(rec.Job.ID)
+		o.mergeRecord(other, row.Version)
+	}
+}
+
+// mergeRows merges the rows of an added job that other owners have stored since it was
+// added. A row that a previous owner wrote may appear seconds after that owner stopped, as
+// the store may carry out an unanswered transaction late.
+func (o *Owner) mergeRows(v *replica.JobView) {
+	for _, row := range v.Rows {
+		key := jobRowKey{row.Partition, v.Record.Job.ID}
+		if row.Version <= o.writer.versions[key] {
+			continue
+		}
+		o.writer.versions[key] = row.Version
+		if row.Record.Epoch() != o.epoch {
+			o.mergeRecord(row.Record, row.Version)
 		}
-		o.log.Info("job row of another owner merged", zap.String("job", rec.Job.ID), zap.Int64("version", row.Version))
-		o.planner.Merge(o.now(), other)
 	}
 }
 
+// mergeRecord merges a record that another owner stored. The job's held starts are dropped,
+// as their tasks may have completed.
+func (o *Owner) mergeRecord(rec work.Record, version int64) {
+	if rec.Epoch() > 0 {
+		o.dropHeldStarts(rec.Job.ID)
+	}
+	o.log.Info("job row of another owner merged", zap.String("job", rec.Job.ID), zap.Int64("version", version))
+	o.planner.Merge(o.now(), rec)
+}
+
 // heartbeat writes this owner's heartbeat until ctx ends. If another owner holds
 // the pool, it resigns.
 func (o *Owner) heartbeat(ctx context.Context) {
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -65,10 +65,7 @@
 		p.finish(j, work.Failed, now)
 	}
 	p.checkCompletion(j, now)
-	for _, o := range p.orphanResults[rec.Job.ID] {
-		p.handleResult(now, o.worker, o.result)
-	}
-	delete(p.orphanResults, rec.Job.ID)
+	p.takeUnknown(j, now)
 }
 
 // failUnplannable adds a job that was stored without the checks of work.Job.Check as
@@ -78,6 +75,7 @@
 	p.jobs[rec.Job.ID] = j
 	p.jobsByArrival = append(p.jobsByArrival, j)
 	p.finish(j, work.Failed, now)
+	p.takeUnknown(j, now)
 }
 
 // adoptionDelay is how long a job that a previous owner held waits for workers to
@@ -259,8 +257,9 @@
 }
 
 // Merge adds the succeeded tasks, the failed runs and the final state of a record
-// that another owner stored. They are never undone. Checkpoints and placements are
-// not merged.
+// that another owner stored. They are never undone. During a recovery it adds the
+// record's placements to those that the units without an attempt wait for. Checkpoints
+// are not merged.
 func (p *Planner) Merge(now time.Duration, rec work.Record) {
 	j := p.jobs[rec.Job.ID]
 	if j == nil {
@@ -276,6 +275,11 @@
 					p.markChanged(j)
 				}
 			}
+			if placed := rec.Steps[i].Placed[u.first]; p.recovery.active && (u.phase == unitReady || u.phase == unitBlocked) {
+				u.previousWorkers = slices.Concat(u.previousWorkers, placed)
+				slices.Sort(u.previousWorkers)
+				u.previousWorkers = slices.Compact(u.previousWorkers)
+			}
 			if slices.Contains(rec.Steps[i].Done, u.first) && u.phase != unitDone && u.phase != unitAbandoned {
 				p.stopUnit(u, now, "succeeded elsewhere")
 				p.completeUnit(u, now)
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -32,6 +32,9 @@
 	if r.worker.runs[r.task] == r {
 		delete(r.worker.runs, r.task)
 		r.worker.free = r.worker.free.Add(r.need)
+		if r.needUnknown {
+			r.worker.unknownNeeds--
+		}
 	}
 	if r.unit != nil && r.unit.runs[r.task.Index] == r {
 		delete(r.unit.runs, r.task.Index)
@@ -248,6 +251,7 @@
 	u := r.unit
 	p.dropRun(r)
 	if u == nil {
+		p.handleUnknownResult(now, w, result)
 		return
 	}
 	if result.Checkpoint != "" && u.spec().Checkpointable {
@@ -327,7 +331,7 @@
 	p.checkCompletion(u.job, now)
 }
 
-// handleUnknownResult handles the result of a run that isn't on record: a
+// handleUnknownResult handles the result of a run that isn't on record or is orphaned: a
 // previous owner started it, or it was dropped as lost.
 func (p *Planner) handleUnknownResult(now time.Duration, w *worker, result port.RunResult) {
 	j := p.jobs[result.Task.Job]
@@ -363,7 +367,7 @@
 // task.
 func (j *job) unitOf(t work.TaskID) *unit {
 	job := &j.rec.Job
-	if t.Step < 0 || t.Step >= len(job.Steps) || t.Index < 0 || t.Occurrence < 0 || t.Occurrence >= job.Occurrences() {
+	if len(j.perStep) == 0 || t.Step < 0 || t.Step >= len(job.Steps) || t.Index < 0 || t.Occurrence < 0 || t.Occurrence >= job.Occurrences() {
 		return nil
 	}
 	units := j.unitsOf(t.Occurrence, t.Step)
