--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -63,11 +63,10 @@
 	o.releaseReady(ctx)
 }
 
-// releaseReady sends the starts whose placements are stored. That alone doesn't show that
-// this owner still holds the pool, if the store was out of reach before.
+// releaseReady sends the starts with stored placements, some of which had to wait for a
+// confirmed heartbeat or the stored list of workers.
 func (o *Owner) releaseReady(ctx context.Context) {
-	confirmed := o.unconfirmedFor() < renewUnconfirmedFor
-	o.releaseIf(ctx, func(h *heldStart) bool { return h.stored && confirmed })
+	o.releaseIf(ctx, func(h *heldStart) bool { return h.stored })
 }
 
 // awaitRecords waits until the replica holds what was stored before a transaction with
@@ -105,7 +104,7 @@
 	}
 	if !o.announcement.stored {
 		o.announceEarlyStarts(ctx, now)
-		if o.deps.StoreHealth.UnavailableFor() < globalOutageAfter {
+		if !o.isGlobalOutage(now) {
 			return
 		}
 	}
@@ -151,28 +150,26 @@
 }
 
 // releaseIf sends the held starts for which ready reports true and whose workers are in
-// the stored list, unless mayStart forbids it. It drops those whose runs have been given
-// up since: the order that says so may wait for the next planning pass. The start of a
-// unit that lost a run waits for a heartbeat that was confirmed since, as another owner
-// that reached the worker may have stored and acknowledged the run's result.
+// the stored list, unless mayStart forbids it. A unit that lost a run needs a heartbeat
+// that was confirmed since: another owner that reached the worker may have stored and
+// acknowledged the run's result. Starts whose runs have been given up are dropped: the
+// order that says so may wait for the next planning pass.
 func (o *Owner) releaseIf(ctx context.Context, ready func(*heldStart) bool) {
-	if !o.mayStart() {
-		return
-	}
+	mayStart := o.mayStart()
 	confirmedAt := time.Duration(o.heartbeatAt.Load())
 	kept := o.held[:0]
 	for i := range o.held {
-		h := &o.held[i]
-		switch {
-		case !o.planner.Starting(&h.order):
-			o.log.Info("start dropped, its run was given up", zap.String("job", h.order.Task.Job), zap.Int64("run", h.order.Run), zap.String("worker", h.order.Worker))
-		case h.order.AfterLoss && confirmedAt < h.heldSince:
-			kept = append(kept, *h)
-		case o.writer.workers.contains(h.order.Worker) && ready(h):
-			o.dispatch(ctx, h.order)
-		default:
-			kept = append(kept, *h)
+		order := &o.held[i].order
+		if !o.planner.IsStarting(order.Worker, order.Task, order.Run) {
+			o.log.Info("start dropped, its run was lost", zap.String("job", order.Task.Job), zap.Int64("run", order.Run), zap.String("worker", order.Worker))
+			continue
+		}
+		confirmed := !order.AfterLoss || confirmedAt >= o.held[i].heldSince
+		if mayStart && confirmed && o.writer.workers.contains(order.Worker) && ready(&o.held[i]) {
+			o.dispatch(ctx, o.held[i].order)
+			continue
 		}
+		kept = append(kept, o.held[i])
 	}
 	o.held = kept
 }
--- a/internal/duty/pool/incarnation_test.go
+++ b/internal/duty/pool/incarnation_test.go
@@ -30,6 +30,7 @@
 func ownerOfStart(t *testing.T, w *suspendingWorkers) (*Owner, *session, planner.Order) {
 	t.Helper()
 	o, s := ownerOfOneWorkerCalledBy(w)
+	o.writer.workers.reset(1, []string{"w", "other"})
 	o.planner.PutWorker(work.Worker{ID: "other", Capacity: work.Resources{CPU: 1000}})
 	for _, id := range []string{"w", "other"} {
 		o.planner.HandleReport(o.now(), o.now(), id, port.HoldReply{})
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -16,6 +16,7 @@
 	EventRunFailed         = "run failed"       // age: time since the run's start; count: failed attempts so far, 0 for a long-lived task
 	EventRunStalled        = "run stalled"      // count: progress of the run, in percent
 	EventRunAdopted        = "run adopted"      // a run of a previous owner continues under this owner
+	EventPlacedAgain       = "placed again"     // a task that a previous owner had placed; detail: why it doesn't run there any more, by worker
 	EventUnknownRun        = "run of an unknown job"
 	EventUnknownJobDropped = "unknown job dropped" // a job with reported runs or results that doesn't exist or has ended; count: runs and results
 	EventOrphanedRun       = "stray run"           // a run that belongs to no current attempt is stopped
--- a/internal/planner/recovery.go
+++ b/internal/planner/recovery.go
@@ -1,6 +1,9 @@
 package planner
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // recovery tracks what a new owner has yet to learn about the runs of a previous
 // owner.
@@ -10,12 +13,18 @@
 	// pendingContact holds the workers listed when the recovery began whose first
 	// call has neither been answered nor failed.
 	uncontacted, pendingContact map[string]bool
+	// learnedBy tells how this owner learned what ran on a worker first: by a report, or
+	// why its runs were lost. It is kept for the log.
+	learnedBy map[string]string
 	// unknownLeasesEndAt is the time from which no lease is left at a worker that
 	// this owner doesn't know.
 	unknownLeasesEndAt time.Duration
 	// placementsComplete is set if all placements of the previous owner are
 	// stored, so that a unit waits only for the workers of its own attempt.
 	placementsComplete bool
+	// previousOwnerFenced is set once a previous owner that is cut off from the store
+	// starts nothing more without storing the placement first.
+	previousOwnerFenced bool
 	// previousOwnerStopped is set once the previous owner can no longer store or
 	// acknowledge anything and all that it stored is merged.
 	previousOwnerStopped bool
@@ -40,9 +49,6 @@
 	}
 }
 
-// SetPlacementsComplete records that all placements of the previous owner are stored.
-func (p *Planner) SetPlacementsComplete() { p.recovery.placementsComplete = true }
-
 // SetUnknownLeasesEndAt replaces the time that Recover was told.
 func (p *Planner) SetUnknownLeasesEndAt(at time.Duration) { p.recovery.unknownLeasesEndAt = at }
 
@@ -56,6 +62,14 @@
 // all that it stored is merged.
 func (p *Planner) SetPreviousOwnerStopped() { p.recovery.previousOwnerStopped = true }
 
+// SetPreviousOwnerFenced records that a previous owner that is cut off from the store
+// starts nothing more that isn't in the stored placements. placementsIncomplete tells that
+// it may have done so before.
+func (p *Planner) SetPreviousOwnerFenced(placementsIncomplete bool) {
+	p.recovery.previousOwnerFenced = true
+	p.recovery.placementsComplete = p.recovery.placementsComplete && !placementsIncomplete
+}
+
 // ContactFailed records that the first call to the worker got no answer.
 func (p *Planner) ContactFailed(id string) { delete(p.recovery.pendingContact, id) }
 
@@ -68,6 +82,9 @@
 	if len(p.recovery.pendingContact) > 0 && (u.inherited || u.arrivedInRecovery) {
 		return true
 	}
+	if !p.recovery.previousOwnerFenced && u.inherited {
+		return true
+	}
 	if !p.recovery.placementsComplete {
 		return u.inherited || (u.arrivedInRecovery && now < p.recovery.takeoverNoticedBy)
 	}
@@ -90,6 +107,9 @@
 	p.log(LogEntry{Event: EventRecoveryFinished, Count: len(p.workers)})
 	for _, j := range p.jobsByArrival {
 		for _, u := range j.units {
+			if len(u.previousWorkers) > 0 && len(u.runs) == 0 {
+				u.freedBy = p.whyFree(u)
+			}
 			u.inherited, u.arrivedInRecovery, u.previousWorkers = false, false, nil
 			if u.phase == unitActive && len(u.runs) < u.count {
 				p.stopAttempt(u, now, "incomplete gang")
@@ -97,3 +117,34 @@
 		}
 	}
 }
+
+// learned records how this owner first learned what ran on a worker.
+func (r *recovery) learned(id, how string) {
+	if r.active && r.learnedBy[id] == "" {
+		r.learnedBy[id] = how
+	}
+}
+
+// whyFree tells, for the workers of a previous owner's attempt, why it counts as over.
+func (p *Planner) whyFree(u *unit) string {
+	var reasons []string
+	for _, id := range u.previousWorkers {
+		how := p.recovery.learnedBy[id]
+		if how == "" {
+			how = "not in the stored list"
+		}
+		reasons = append(reasons, id+" "+how)
+	}
+	return strings.Join(reasons, ", ")
+}
+
+// logPlacedAgain logs the first placement of a unit that a previous owner had placed.
+func (p *Planner) logPlacedAgain(u *unit, number int64) {
+	why := u.freedBy
+	if len(u.previousWorkers) > 0 {
+		why = p.whyFree(u)
+	}
+	if why != "" {
+		p.log(LogEntry{Event: EventPlacedAgain, Job: u.job.rec.Job.ID, Task: taskID(u, u.first), Run: number, Detail: why, Count: u.count})
+	}
+}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -149,6 +149,13 @@
 	}
 }
 
+// IsStarting reports whether a run is on record and its start may be sent. It isn't once
+// the worker's leases have expired: the task may run elsewhere.
+func (p *Planner) IsStarting(id string, task work.TaskID, number int64) bool {
+	w := p.workers[id]
+	return w != nil && w.runs[task] != nil && w.runs[task].number == number && w.runs[task].phase == runStarting
+}
+
 // StartAnswered handles the answer to a start. rejected is NotRejected if the
 // start is confirmed.
 func (p *Planner) StartAnswered(now time.Duration, id string, task work.TaskID, number int64, rejected port.StartRejection) {
@@ -215,17 +222,6 @@
 	p.endAttempt(r.unit, now)
 }
 
-// Starting reports whether the run of a start is on record and neither confirmed nor
-// given up.
-func (p *Planner) Starting(order *Order) bool {
-	w := p.workers[order.Worker]
-	if w == nil {
-		return false
-	}
-	r := w.runs[order.Task]
-	return r != nil && r.number == order.Run && r.phase == runStarting
-}
-
 // StopConfirmed records that the worker confirmed a stop.
 func (p *Planner) StopConfirmed(now time.Duration, id string, task work.TaskID, number int64) {
 	if w := p.workers[id]; w != nil {
