--- a/internal/duty/pool/late_claim_test.go
+++ b/internal/duty/pool/late_claim_test.go
@@ -54,8 +54,9 @@
 		c := newCluster(t, 4)
 		var cut, reject, never atomic.Bool
 		var successor *instance
+		var silent atomic.Value // the address of a worker that the successor doesn't reach
 		c.drops = func(in *instance, target port.WorkerTarget) bool {
-			return cut.Load() && in == successor && target.ID == "w00"
+			return cut.Load() && in == successor && target.Address == silent.Load()
 		}
 		c.launchWith(func(in *instance) {
 			in.wrapStore = func(next port.RowStore) port.RowStore { return &claimRejectingStore{next, &cut, &never} }
@@ -73,7 +74,15 @@
 		must.EqOp(t, 32, c.pool.Running())
 		cut.Store(true)
 		reject.Store(true)
-		time.Sleep(3200 * time.Millisecond)
+		for !c.pool.HasStarted("second") { // without a stored placement
+			time.Sleep(50 * time.Millisecond)
+			must.Less(t, 10*time.Second, c.now()-storeStableAfter)
+		}
+		for i := range c.size {
+			if c.pool.RunningOn(address(i)) > 0 {
+				silent.Store(address(i))
+			}
+		}
 		reject.Store(false)
 		time.Sleep(10 * time.Second)
 		cut.Store(false)
