Takeover: a silent worker on which nothing counts isn't awaited

A takeover that doesn't know all placements waited for the leases of a worker that had crashed without runs before it. Its owner knew that nothing ran there. Such workers are no longer in the stored list, drained or not, as starts need a worker in the list.

A worker with results that aren't stored yet stays in it: the next owner would start their tasks again while the lease runs, and the worker may report them then.

TestWorkerHasNotLeftBeforeItsResultsAreStored is new with the rule.

--- a/internal/duty/pool/unlisted_test.go
+++ b/internal/duty/pool/unlisted_test.go
@@ -223,3 +223,26 @@
 		must.EqOp(t, 8, second.replica.Pool(testPool).Capacity.MaxCapacity.Accel)
 	})
 }
+
+// A worker that crashed without runs, as its owner knows, runs nothing for the next one
+// either. Its leases delay no job, even if the stored placements may be incomplete.
+func TestTakeoverDoesNotAwaitSilentWorkerWithoutRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		registry := newEditableRegistry(c.pool)
+		c.registry = registry
+		first := c.launch()
+		time.Sleep(time.Second)
+		c.launch()
+		time.Sleep(2 * time.Second)
+		c.pool.SetFaults("10.0.0.3:1", fake.PoolFaults{DropCalls: true})
+		registry.remove("w03")
+		time.Sleep(2 * time.Second)
+		c.setDuration("next", 1, 0)
+		c.submit("next", single(1, 1))
+		first.kill()
+		time.Sleep(2 * time.Second)
+		must.EqOp(t, 1, c.pool.StartCount())
+		c.checkInvariants()
+	})
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -356,3 +356,22 @@
 	must.EqOp(t, 1, starts(r.plan()))
 	must.Eq(t, []string{"1 w01 lease expired"}, logged())
 }
+
+// Guards against a task that is started again by the next owner before the result of its
+// former run is stored: its worker is kept in the stored list until then.
+func TestWorkerHasNotLeftBeforeItsResultsAreStored(t *testing.T) {
+	r := newRecoveringHarness(t, 1)
+	r.p.AddJob(r.now, 0, r.job("a", 1, step(1, 1, 9)), true)
+	r.report("w00", port.RunState{Task: work.TaskID{Job: "a"}, Run: 1})
+	r.p.WorkerUnlisted("w00")
+	r.p.SetReachable("w00", false)
+	must.False(t, r.p.HasLeft("w00"))
+	r.p.HandleReport(r.now, r.now, "w00", port.HoldReply{Results: []port.RunResult{
+		{Sequence: 1, Task: work.TaskID{Job: "a"}, Run: 1, Kind: port.ResultSucceeded}}})
+	r.p.SetReachable("w00", false)
+	must.False(t, r.p.HasLeft("w00"))
+	r.p.TakeChanged()
+	r.p.RecordStored("a")
+	must.EqOp(t, 1, r.p.AcknowledgeableResult("w00"))
+	must.True(t, r.p.HasLeft("w00"))
+}
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -297,13 +297,14 @@
 	return w != nil && len(w.runs) > 0 || p.recovery.uncontacted[id]
 }
 
-// HasLeft reports whether the worker has left as planned: it was draining, has no runs,
-// the registry no longer lists it, and it doesn't answer. The entry of a worker that
-// answers may have expired in an outage of the registry, and one that doesn't may go on
-// with its runs until its leases end.
+// HasLeft reports whether the worker has left or crashed and nothing on it counts: the
+// registry no longer lists it, it doesn't answer, it has no runs on record, and what its
+// results changed is stored. The entry of a worker that answers may have expired in an
+// outage of the registry, and one that doesn't may go on with its runs until its leases
+// end.
 func (p *Planner) HasLeft(id string) bool {
 	w := p.workers[id]
-	return w != nil && w.info.Draining && !w.listed && !w.reachable && !p.MayHaveRuns(id)
+	return w != nil && !w.listed && !w.reachable && !p.MayHaveRuns(id) && len(w.unacked) == 0
 }
 
 // Draining reports whether the worker is draining.
