Takeover: a job that is read late awaits the workers that its row names

Cause: where the stored placements may be incomplete, a job that arrives during the recovery waited 2.5 s only, and the workers that its row names were ignored. A partition that can't be read at the takeover lets its jobs arrive so.

Its units now wait for those workers in either case, besides the 2.5 s.

Evidence: TestJobReadLateAwaitsItsSilentWorkers failed in 10 of 10 runs with 8 second starts, and passes.

--- a/internal/planner/recovery.go
+++ b/internal/planner/recovery.go
@@ -85,8 +85,8 @@
 	if !p.recovery.previousOwnerFenced && u.inherited {
 		return true
 	}
-	if !p.recovery.placementsComplete {
-		return u.inherited || (u.arrivedInRecovery && now < p.recovery.takeoverNoticedBy)
+	if !p.recovery.placementsComplete && (u.inherited || u.arrivedInRecovery && now < p.recovery.takeoverNoticedBy) {
+		return true
 	}
 	for _, id := range u.previousWorkers {
 		if p.recovery.uncontacted[id] || (p.workers[id] == nil && now < p.recovery.unknownLeasesEndAt) {
