--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -84,25 +84,39 @@
 // whose ctx ends, or that yields, hands the pool over.
 func (e *Election) Run(ctx context.Context) {
 	var seen replica.PoolView
+	var heartbeat heartbeatTimes
 	changedAt := e.deps.Now()
 	for ctx.Err() == nil {
 		_ = wait.For(ctx, electionInterval) // ends early only with ctx, which the loop checks
 		now := e.deps.Now()
-		if !e.deps.Replica.Ready() || e.deps.Replica.Age() > maxReplicaAge {
+		age := e.deps.Replica.Age()
+		if !e.deps.Replica.Ready() || age > maxReplicaAge {
 			changedAt = now
 			continue
 		}
 		view := e.deps.Replica.Pool(e.pool)
 		if view.HeartbeatVersion != seen.HeartbeatVersion || view.EpochVersion != seen.EpochVersion {
 			seen, changedAt = view, now
+			heartbeat.changed(now)
 		}
+		heartbeat.checkedAt = now - age
 		if e.mayClaim(ctx, &seen, now-changedAt) {
-			e.takeOver(ctx, view, changedAt)
+			e.takeOver(ctx, view, heartbeat)
 			changedAt = e.deps.Now()
 		}
 	}
 }
 
+// heartbeatTimes tells when the owner's last heartbeat, or its claim, was stored. The zero
+// value knows of none.
+type heartbeatTimes struct {
+	after, by time.Duration
+	checkedAt time.Duration // up to when the replica has shown no later one
+}
+
+// changed records that a new heartbeat is seen at now.
+func (h *heartbeatTimes) changed(now time.Duration) { h.after, h.by = h.checkedAt, now }
+
 // mayClaim reports whether this instance should take the pool over: it is vacant, its
 // owner's heartbeat has stopped, or its owner is a previous incarnation of this
 // instance. unchangedFor is the time since seen last changed.
@@ -139,9 +153,8 @@
 
 func (e *Election) epochKey() port.RowKey { return replica.PoolKey(e.pool, replica.EpochKey) }
 
-// takeOver claims the pool and runs it. silentSince is when the owner's heartbeat was last
-// seen to change.
-func (e *Election) takeOver(ctx context.Context, view replica.PoolView, silentSince time.Duration) {
+// takeOver claims the pool and runs it. heartbeat is the last one of its owner.
+func (e *Election) takeOver(ctx context.Context, view replica.PoolView, heartbeat heartbeatTimes) {
 	epoch := replica.Epoch{Number: view.Epoch.Number + 1, Owner: e.deps.Name, Incarnation: e.deps.Incarnation}
 	version, err := e.writeEpoch(ctx, view.EpochVersion, epoch)
 	if err != nil {
@@ -150,7 +163,7 @@
 	}
 	e.log.Info("ownership gained", zap.Int64("epoch", epoch.Number), zap.String("former", view.Epoch.Owner), zap.Int64("version", version))
 	o := newOwner(e.deps, e.pool, epoch.Number, version)
-	o.previous.silentSince = silentSince
+	o.previous.silentAfter, o.previous.heardBy = heartbeat.after, heartbeat.by
 	o.previous.stopped, o.previous.settled = e.hasStopped(&view), settled(&view)
 	if err := o.run(ctx); err != nil {
 		e.log.Warn("takeover failed", zap.Error(err))
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -20,9 +20,10 @@
 	// covers a takeover: detection, reading the jobs and a round of holds.
 	leaseDuration = 4500 * time.Millisecond
 	// unconfirmedLimit is how long an owner goes on renewing leases and starting
-	// tasks without a confirmed heartbeat while most workers answer it. Fencing at
-	// the workers stops it sooner if another owner has taken over.
-	unconfirmedLimit = 20 * time.Second
+	// tasks without a confirmed heartbeat while most workers answer it. With the leases
+	// it covers an outage of 12 s. A successor that doesn't reach half of the workers waits
+	// for it.
+	unconfirmedLimit = 8 * time.Second
 	// suspensionThreshold is the gap in the activity of the owner's loop above which
 	// the process counts as suspended. Ownership then has to be confirmed before
 	// anything is started.
@@ -94,8 +95,9 @@
 	heartbeatAt  atomic.Int64 // when the last confirmed heartbeat was sent, on Now's clock
 	settled      atomic.Bool  // no previous owner can act any more
 	// quorumAt is the latest time since which more than half of the workers have answered
-	// a call, on Now's clock. It is updated while the heartbeat is unconfirmed.
+	// a call, on Now's clock.
 	quorumAt        atomic.Int64
+	lapsedAt        atomic.Int64 // when this owner was last seen to have lost the right to act
 	quorumCheckedAt time.Duration
 	acted           bool // mayAct at the last check
 	writer          recordWriter
--- a/internal/duty/pool/quorum.go
+++ b/internal/duty/pool/quorum.go
@@ -32,42 +32,60 @@
 )
 
 // mayAct reports whether this owner may renew leases and start tasks: no other owner
-// counts on its end yet.
+// counts on its end yet. Once it may not, only a confirmed heartbeat revives it: a worker
+// that has restarted answers it although another owner has taken over.
 func (o *Owner) mayAct() bool {
-	now := o.now()
-	unconfirmedFor := now - time.Duration(o.heartbeatAt.Load())
+	now, confirmedAt := o.now(), time.Duration(o.heartbeatAt.Load())
+	unconfirmedFor := now - confirmedAt
 	return unconfirmedFor < authorityTime ||
-		unconfirmedFor < unconfirmedLimit && now-time.Duration(o.quorumAt.Load()) < authorityTime
+		unconfirmedFor < unconfirmedLimit && now-time.Duration(o.quorumAt.Load()) < authorityTime && confirmedAt >= time.Duration(o.lapsedAt.Load())
 }
 
-// updateQuorum finds out since when more than half of the workers have answered, unless
-// the last heartbeat is confirmed.
+// needsAnswers reports whether the heartbeat is so late that the workers' answers may soon
+// be all that shows that this owner may act. Holds are then shorter, which also makes the
+// last renewal before unconfirmedLimit a recent one.
+func (o *Owner) needsAnswers() bool {
+	return o.now()-time.Duration(o.heartbeatAt.Load()) >= authorityTime/2
+}
+
+// updateQuorum finds out since when more than half of the workers have answered.
 func (o *Owner) updateQuorum(now time.Duration) {
-	unconfirmedFor := now - time.Duration(o.heartbeatAt.Load())
-	if unconfirmedFor < authorityTime-2*quorumInterval || now-o.quorumCheckedAt < quorumInterval {
+	if now-o.quorumCheckedAt < quorumInterval {
 		return
 	}
 	o.quorumCheckedAt = now
-	answeredAt := make([]time.Duration, 0, len(o.sessions))
-	for _, s := range o.sessions {
-		answeredAt = append(answeredAt, s.lastAnswered())
-	}
-	if len(answeredAt) == 0 {
-		return
+	acted := o.mayAct() // before this update, which may come late
+	if answeredAt := o.answeredAt(); len(answeredAt) > 0 {
+		slices.Sort(answeredAt)
+		o.quorumAt.Store(int64(answeredAt[(len(answeredAt)-1)/2]))
 	}
-	slices.Sort(answeredAt)
-	o.quorumAt.Store(int64(answeredAt[(len(answeredAt)-1)/2]))
-	acts := o.mayAct()
+	acts := acted && o.mayAct()
 	if !acts {
-		o.confirmAfter = now // another owner may have taken over; answers alone don't revive this one
+		o.lapsedAt.Store(int64(now))
+		o.confirmAfter = now
 	}
 	if acts != o.acted {
 		o.acted = acts
-		o.log.Warn("no confirmed heartbeat", zap.Bool("acts", acts), zap.Duration("unconfirmed_for", unconfirmedFor),
+		o.log.Warn("no confirmed heartbeat", zap.Bool("acts", acts), zap.Duration("unconfirmed_for", now-time.Duration(o.heartbeatAt.Load())),
 			zap.Duration("answered_by_half_for", now-time.Duration(o.quorumAt.Load())), zap.Int("workers", len(o.sessions)))
 	}
 }
 
+// answeredAt returns when each worker was sent the latest call that it answered, 0 for
+// those of the stored list that aren't called any more: a successor counts them.
+func (o *Owner) answeredAt() []time.Duration {
+	out := make([]time.Duration, 0, len(o.sessions))
+	for _, s := range o.sessions {
+		out = append(out, s.lastAnswered())
+	}
+	for id := range o.writer.workers.current {
+		if o.sessions[id] == nil {
+			out = append(out, 0)
+		}
+	}
+	return out
+}
+
 // isGlobalOutage reports whether all instances have lost the store: another owner would
 // have called one of the workers that have answered since.
 func (o *Owner) isGlobalOutage(now time.Duration) bool {
@@ -75,24 +93,19 @@
 	return unavailableFor >= globalOutageAfter && time.Duration(o.quorumAt.Load()) >= now-unavailableFor+takeoverTime
 }
 
-// checkFenced finds out whether half of the workers have received this owner's fencing
-// token.
+// checkFenced finds out whether half of the previous owner's workers have received this
+// owner's fencing token. Those that have joined since say nothing of that owner.
 func (o *Owner) checkFenced(ctx context.Context, now time.Duration) {
 	if o.previous.fenced {
 		return
 	}
-	reported, workers := 0, len(o.sessions)
-	for _, s := range o.sessions {
-		if s.reported {
+	reported := 0
+	for _, id := range o.previous.workers {
+		if s := o.sessions[id]; s != nil && s.reported {
 			reported++
 		}
 	}
-	for id := range o.unlisted {
-		if o.sessions[id] == nil {
-			workers++
-		}
-	}
-	if 2*reported >= workers {
+	if 2*reported >= len(o.previous.workers) {
 		o.previousOwnerFenced(ctx, now)
 	}
 }
@@ -102,7 +115,7 @@
 // global outage and sent starts whose placements aren't stored.
 func (o *Owner) previousOwnerFenced(ctx context.Context, now time.Duration) {
 	o.previous.fenced, o.previous.fencedAt = true, now
-	late := o.epoch > 1 && !o.previous.stopped && now-o.previous.silentSince > takeoverTime-takeoverSlack
+	late := o.epoch > 1 && !o.previous.stopped && now-o.previous.silentAfter > takeoverTime-takeoverSlack
 	o.planner.SetPreviousOwnerFenced(late)
 	o.planner.SetUnknownLeasesEndAt(o.unknownLeasesEndAt())
 	if late {
@@ -111,14 +124,13 @@
 	o.log.Info("previous owner fenced", zap.Duration("after", now-o.firstHoldAt), zap.Bool("late", late), zap.Int("workers", len(o.sessions)))
 }
 
-// previousOwnerActsUntil returns the time until which a previous owner may act. Its last
-// heartbeat was confirmed before this owner's claim.
+// previousOwnerActsUntil returns the time until which a previous owner may act.
 func (o *Owner) previousOwnerActsUntil() time.Duration {
 	switch {
 	case o.previous.stopped:
 		return o.firstHoldAt
 	case !o.previous.fenced:
-		return o.startedAt + unconfirmedLimit
+		return o.previous.heardBy + unconfirmedLimit
 	}
 	return o.previous.fencedAt + authorityTime
 }
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -20,8 +20,10 @@
 type previousOwner struct {
 	stopped bool // it and all owners before it had stopped before this owner's claim
 	settled bool // all owners before it had stopped
-	// silentSince is when its heartbeat was last seen to change.
-	silentSince time.Duration
+	// workers is the stored list of workers at this owner's claim.
+	workers []string
+	// Its last heartbeat was stored between silentAfter and heardBy.
+	silentAfter, heardBy time.Duration
 	// fenced is set once so many workers have received this owner's fencing token that
 	// the previous owner stops within authorityTime of fencedAt.
 	fenced   bool
@@ -54,6 +56,7 @@
 	o.firstHoldAt = o.now()
 	view := o.deps.Replica.Pool(o.pool)
 	o.writer.workers.reset(view.WorkersVersion, view.Workers)
+	o.previous.workers = view.Workers
 	for i := range workers {
 		if w := workers[i]; w.Pool == o.pool {
 			o.putWorker(ctx, w)
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -147,6 +147,9 @@
 	default:
 		req.Wait, grace = holdWait, holdGrace
 	}
+	if s.owner.needsAnswers() {
+		req.Wait /= 2
+	}
 	orderID := s.unanswered.sent(now)
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, req.Wait+grace)
