Planner: unanswered starts of a gang that has succeeded are stopped

Cause: the start of one member got no answer, but was carried out, and the gang succeeded. Its unit was done, and the start went on being sent again for up to 1.8 s. The worker restarted meanwhile, and the new incarnation accepted it.

Such a run is stopped now once its unit has succeeded, which also ends the sending.

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -375,3 +375,24 @@
 	must.EqOp(t, 1, r.p.AcknowledgeableResult("w00"))
 	must.True(t, r.p.HasLeft("w00"))
 }
+
+// Guards against a start that is sent again after its gang has succeeded: a member whose
+// start got no answer ran all the same, and its worker has restarted since.
+func TestUnansweredStartIsStoppedOnceItsGangHasSucceeded(t *testing.T) {
+	r := newRecoveringHarness(t, 2)
+	r.report("w00")
+	r.report("w01")
+	r.p.SetPreviousOwnerFenced(false)
+	r.p.SetPreviousOwnerStopped()
+	r.add(r.job("a", 1, gangOf(2, 8, 9)))
+	orders := r.p.Plan(r.now)
+	must.EqOp(t, 2, starts(orders))
+	answered, open := orders[0], orders[1]
+	r.p.StartAnswered(r.now, answered.Worker, answered.Task, answered.Run, port.NotRejected)
+	r.p.HandleReport(r.now, r.now, answered.Worker, port.HoldReply{Results: []port.RunResult{
+		{Sequence: 1, Task: answered.Task, Run: answered.Run, Kind: port.ResultSucceeded}}})
+	orders = r.p.Plan(r.now)
+	must.Len(t, 1, orders)
+	must.EqOp(t, OrderStop, orders[0].Kind)
+	must.EqOp(t, open.Task, orders[0].Task)
+}
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -326,6 +326,11 @@
 		return
 	}
 	u.phase = unitDone
+	for _, r := range u.runs {
+		if r.phase == runStarting { // its start may still be sent again
+			p.stopRun(r, "gang succeeded")
+		}
+	}
 	p.markChanged(u.job)
 	u.job.unitDone(u)
 	p.checkCompletion(u.job, now)
