A start isn't resent once its run is reported

A start whose answer is lost was resent up to four times, also when a hold had reported the run, or its result, in the meantime. If the worker restarted in that time, the next copy was new to it: a task ran again whose success was stored and acknowledged.

Now a report ends the resending of the starts of the runs that it names. A run that is reported before its start is answered counts as one with a copy under way, which is stopped at a restart.

Evidence: TestStartIsNotResentOnceItsRunIsReported failed before (4 starts).

--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -12,6 +12,7 @@
 
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
 	"github.com/lentilwinch/lentilwinch/internal/planner"
+	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -342,6 +343,22 @@
 	}
 }
 
+// cancelReportedStarts prevents the starts of reported runs from being resent: a new
+// incarnation of the worker would accept them although the runs may have ended. Their
+// last copies may still be under way.
+func (o *Owner) cancelReportedStarts(worker string, reply *port.HoldReply) {
+	for i := range reply.Running {
+		run := &reply.Running[i]
+		if key := (runKey{run.Task, run.Run}); o.cancelStarts[key] != nil {
+			o.cancelStart(key)
+			o.planner.StartResent(worker, run.Task, run.Run)
+		}
+	}
+	for i := range reply.Results {
+		o.cancelStart(runKey{reply.Results[i].Task, reply.Results[i].Run})
+	}
+}
+
 // applyIncarnation applies a restart of a worker, once, before any of its answers:
 // the new incarnation numbers its results from 1, and a start that it confirmed
 // does not belong to the previous one. The new one is told to stop the runs whose
@@ -371,6 +388,7 @@
 			return // an overdue report of a previous incarnation
 		}
 		ev.session.reported = true
+		o.cancelReportedStarts(id, &ev.reply)
 		results := o.planner.HandleReport(now, ev.sentAt, id, ev.reply)
 		ev.session.acknowledge(ev.incarnation, o.planner.AcknowledgeableResult(id))
 		o.logResults(id, results)
--- a/internal/duty/pool/suspended_test.go
+++ b/internal/duty/pool/suspended_test.go
@@ -121,3 +121,23 @@
 		must.True(t, o.mayAct())
 	})
 }
+
+// A hold reports a run, or its result, while its start still waits for the answer. The
+// start must not be resent: after a restart of the worker it would run again (issue 31).
+func TestStartIsNotResentOnceItsRunIsReported(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := &suspendingWorkers{}
+			o, s, order := ownerOfStart(t, w)
+			o.dispatch(t.Context(), order)
+			time.Sleep(100 * time.Millisecond)
+			reply := port.HoldReply{Running: []port.RunState{{Task: order.Task, Run: order.Run}}}
+			if ended {
+				reply = port.HoldReply{Results: []port.RunResult{{Sequence: 1, Task: order.Task, Run: order.Run, Kind: port.ResultSucceeded}}}
+			}
+			o.apply(t.Context(), event{kind: evReport, session: s, sentAt: o.now(), reply: reply})
+			o.wg.Wait()
+			must.EqOp(t, 1, w.starts)
+		})
+	}
+}
