--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -24,7 +24,7 @@
 	// tasks without a confirmed heartbeat while most workers answer it. With the leases
 	// it covers an outage of 12 s. A successor that doesn't reach half of the workers waits
 	// for it.
-	unconfirmedLimit = 8 * time.Second
+	unconfirmedLimit = 7800 * time.Millisecond
 	// suspensionThreshold is the gap in the activity of the owner's loop above which
 	// the process counts as suspended. Ownership then has to be confirmed before
 	// anything is started.
