Election: no claim before the pool's own rows are read

Cause: an instance that can't read the pool's own partition when it starts sees the owner's heartbeats and a handover in the feed, and claims the pool. It knows no stored list of workers, so it waits for none without an entry.

An instance takes part in the election once that partition is read.

--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -90,7 +90,7 @@
 		_ = wait.For(ctx, electionInterval) // ends early only with ctx, which the loop checks
 		now := e.deps.Now()
 		age := e.deps.Replica.Age()
-		if !e.deps.Replica.Ready() || age > maxReplicaAge {
+		if !e.deps.Replica.Ready() || e.deps.Replica.IsUnread(e.pool) || age > maxReplicaAge {
 			changedAt = now
 			continue
 		}
--- a/internal/duty/pool/unread_row_test.go
+++ b/internal/duty/pool/unread_row_test.go
@@ -55,3 +55,32 @@
 		c.checkInvariants()
 	})
 }
+
+// The pool's own partition can't be read at the start of an instance, which then sees the
+// heartbeats and a handover in the feed, but no list of workers.
+func TestPoolIsNotTakenOverBeforeItsOwnRowsAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		registry := newEditableRegistry(c.pool)
+		c.registry = registry
+		first := c.launch()
+		time.Sleep(time.Second)
+		c.setDuration("long", 30, 0)
+		c.submit("long", single(16, 30))
+		time.Sleep(time.Second)
+		must.EqOp(t, 16, c.pool.Running())
+		var unreadable atomic.Bool
+		unreadable.Store(true)
+		c.launchWith(func(in *instance) {
+			in.wrapStore = func(next port.RowStore) port.RowStore { return &unreadPartStore{next, testPool, &unreadable} }
+		})
+		time.Sleep(storeStableAfter + 2*time.Second)
+		registry.remove("w00")
+		first.stop()
+		time.Sleep(time.Second)
+		unreadable.Store(false)
+		time.Sleep(10 * time.Second)
+		c.checkInvariants()
+		must.EqOp(t, 16, c.pool.StartCount())
+	})
+}
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -199,6 +199,14 @@
 	return false
 }
 
+// IsUnread reports whether a partition couldn't be read yet. Before Ready it returns
+// false.
+func (r *Replica) IsUnread(partition string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.missingPartitions, partition)
+}
+
 // Complete reports whether every partition has been read. Before Ready it returns
 // true.
 func (r *Replica) Complete() bool {
