Read-through: one reading of the confirmed heartbeat; the epoch of a record by its method

Six places converted the time of the last confirmed heartbeat themselves, and one shifted a record's sequence beside Record.Epoch, which does the same. No change of behaviour: epochs begin at 1, so a sequence above 0 has an epoch above 0.

--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -156,7 +156,7 @@
 // order that says so may wait for the next planning pass.
 func (o *Owner) releaseIf(ctx context.Context, ready func(*heldStart) bool) {
 	mayStart := o.mayStart()
-	confirmedAt := time.Duration(o.heartbeatAt.Load())
+	confirmedAt := o.confirmedAt()
 	kept := o.held[:0]
 	for i := range o.held {
 		order := &o.held[i].order
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -201,7 +201,7 @@
 func (o *Owner) shouldYield() bool {
 	failingFor := o.deps.StoreHealth.DirectFailingFor()
 	now := o.now()
-	if failingFor < yieldAfter || now-o.startedAt < minYieldInterval || now-time.Duration(o.heartbeatAt.Load()) > heartbeatTimeout {
+	if failingFor < yieldAfter || now-o.startedAt < minYieldInterval || now-o.confirmedAt() > heartbeatTimeout {
 		return false
 	}
 	if len(o.deps.Replica.Instances(o.deps.Name)) == 0 {
@@ -313,7 +313,7 @@
 
 // mayStart reports whether starts may be sent.
 func (o *Owner) mayStart() bool {
-	return time.Duration(o.heartbeatAt.Load()) >= o.confirmAfter && o.mayAct()
+	return o.confirmedAt() >= o.confirmAfter && o.mayAct()
 }
 
 func (o *Owner) dispatch(ctx context.Context, order planner.Order) {
--- a/internal/duty/pool/quorum.go
+++ b/internal/duty/pool/quorum.go
@@ -31,11 +31,14 @@
 	quorumInterval = planInterval
 )
 
+// confirmedAt returns when the last confirmed heartbeat was sent.
+func (o *Owner) confirmedAt() time.Duration { return time.Duration(o.heartbeatAt.Load()) }
+
 // mayAct reports whether this owner may renew leases and start tasks: no other owner
 // counts on its end yet. Once it may not, only a confirmed heartbeat revives it: a worker
 // that has restarted answers it although another owner has taken over.
 func (o *Owner) mayAct() bool {
-	now, confirmedAt := o.now(), time.Duration(o.heartbeatAt.Load())
+	now, confirmedAt := o.now(), o.confirmedAt()
 	unconfirmedFor := now - confirmedAt
 	return unconfirmedFor < authorityTime ||
 		unconfirmedFor < unconfirmedLimit && now-time.Duration(o.quorumAt.Load()) < authorityTime && confirmedAt >= time.Duration(o.lapsedAt.Load())
@@ -45,7 +48,7 @@
 // be all that shows that this owner may act. Holds are then shorter, which also makes the
 // last renewal before unconfirmedLimit a recent one.
 func (o *Owner) needsAnswers() bool {
-	return o.now()-time.Duration(o.heartbeatAt.Load()) >= authorityTime/2
+	return o.now()-o.confirmedAt() >= authorityTime/2
 }
 
 // updateQuorum finds out since when more than half of the workers have answered.
@@ -66,7 +69,7 @@
 	}
 	if acts != o.acted {
 		o.acted = acts
-		o.log.Warn("no confirmed heartbeat", zap.Bool("acts", acts), zap.Duration("unconfirmed_for", now-time.Duration(o.heartbeatAt.Load())),
+		o.log.Warn("no confirmed heartbeat", zap.Bool("acts", acts), zap.Duration("unconfirmed_for", now-o.confirmedAt()),
 			zap.Duration("answered_by_half_for", now-time.Duration(o.quorumAt.Load())), zap.Int("workers", len(o.sessions)))
 	}
 }
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -232,7 +232,7 @@
 	merged := 0
 	for _, v := range o.deps.Replica.Jobs(o.pool) {
 		for i := range v.Rows {
-			if rec := &v.Rows[i].Record; !noPrevious && rec.Sequence > 0 && rec.Sequence>>32 < o.epoch {
+			if rec := &v.Rows[i].Record; !noPrevious && rec.Epoch() > 0 && rec.Epoch() < o.epoch {
 				o.planner.Merge(now, *rec)
 				merged++
 			}
