--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -9,6 +9,14 @@
 const (
 	lastRack   = "r1-8" // of i-43 to i-48
 	lastRunner = "i-48"
+
+	firstOfLastRack = "i-43"
+)
+
+// Times of restartUnseen.
+const (
+	cutLength   = 5500 * time.Millisecond // as in the site files
+	restartTime = 20 * time.Millisecond   // from the crash until the runner is up again
 )
 
 // crash ends runners for good if there is trouble, and waits until the platform has
@@ -37,6 +45,51 @@
 	return true
 }
 
+// restartUnseen: the answers of a runner are lost for 5.5 s, and it restarts behind the cut.
+// It carries out a start whose lease ends by the clock of its former life. The instance
+// that sent the start is stopped as planned right after.
+func restartUnseen(w *world, trouble bool) (bool, error) {
+	time.Sleep(12 * time.Second) // the store has worked for a while
+	owner, err := w.owner()
+	if err != nil {
+		return false, err
+	}
+	j := job(1000, stepSpec{Count: 1, CPU: 2800, MemMB: 4000, GPU: 1, EstimateMs: 8100, Label: lastRack, runs: 8100 * time.Millisecond})
+	begun := make(chan *runner, 10)
+	w.fleet.mu.Lock()
+	w.fleet.started = func(r *runner, _ string) { begun <- r }
+	w.fleet.mu.Unlock()
+	for w.next%len(w.instances) == index(w.instances, owner) {
+		w.next++
+	}
+	if trouble {
+		w.fleet.byID(firstOfLastRack).cut(cutLength, restartTime)
+		time.Sleep(restartTime)
+	}
+	go func() { _ = w.submit(low, j) }() // awaited by its start
+	select {
+	case r := <-begun:
+		if r.id != firstOfLastRack {
+			return false, fmt.Errorf("the job runs on %s", r.id)
+		}
+	case <-time.After(2 * time.Second):
+		return false, fmt.Errorf("the job isn't started")
+	}
+	if trouble {
+		if err := owner.terminate(); err != nil {
+			return false, err
+		}
+		w.record.add("disruption: SIGTERM to %s", owner.name)
+	}
+	time.Sleep(20 * time.Second)
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	for _, text := range w.fleet.twice {
+		w.record.say("TWICE: %s", text)
+	}
+	return len(w.fleet.twice) > 0, nil
+}
+
 // blockedQueue: a rack is lost for good while 130 jobs wait for its label. Ten later jobs
 // of lower priority need no label.
 func blockedQueue(w *world, trouble bool) (bool, error) {
@@ -187,3 +240,12 @@
 	w.record.say("LOST: %s", found.what)
 	return true, nil
 }
+
+func index(list []*instance, in *instance) int {
+	for i := range list {
+		if list[i] == in {
+			return i
+		}
+	}
+	return -1
+}
--- a/review/harness-2/instance.go
+++ b/review/harness-2/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -104,6 +106,7 @@
 	name, front, ready string
 	command            *exec.Cmd
 	ended              chan struct{}
+	terminated         bool // it has been told to end
 }
 
 // freePort returns an address on ip that was free a moment ago.
@@ -162,6 +165,12 @@
 	return out, nil
 }
 
+// terminate tells the process to end, as the platform does around planned work.
+func (in *instance) terminate() error {
+	in.terminated = true
+	return in.command.Process.Signal(syscall.SIGTERM)
+}
+
 func (in *instance) hasEnded() bool {
 	select {
 	case <-in.ended:
@@ -177,6 +186,28 @@
 	<-in.ended
 }
 
+// owner returns the instance that was the last to gain the pool, by the logs.
+func (w *world) owner() (*instance, error) {
+	var owner *instance
+	last := ""
+	for _, in := range w.instances {
+		text, err := os.ReadFile(filepath.Join(w.dir, in.name+".log"))
+		if err != nil {
+			return nil, err
+		}
+		for _, line := range strings.Split(string(text), "\n") {
+			var entry struct{ Ts, Msg string }
+			if json.Unmarshal([]byte(line), &entry) == nil && entry.Msg == "ownership gained" && entry.Ts > last {
+				owner, last = in, entry.Ts
+			}
+		}
+	}
+	if owner == nil {
+		return nil, fmt.Errorf("no instance owns the pool")
+	}
+	return owner, nil
+}
+
 // awaitReady waits until the instance says that it is ready.
 func (in *instance) awaitReady(ctx context.Context) error {
 	for ctx.Err() == nil && !in.hasEnded() {
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -27,6 +27,7 @@
 // cases holds the cases by the name of their folder. Each returns whether the rule was
 // broken, and an error if the case couldn't run.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
+	"restart-unseen":  restartUnseen,
 	"blocked-queue":   blockedQueue,
 	"blocked-policy":  blockedPolicy,
 	"failed-once":     failedOnce,
@@ -92,7 +93,7 @@
 	select {
 	case r := <-done:
 		for _, in := range w.instances {
-			if in.hasEnded() {
+			if in.hasEnded() && !in.terminated {
 				w.record.say("%s has ended by itself", in.name)
 			}
 		}
--- a/review/harness-2/runner.go
+++ b/review/harness-2/runner.go
@@ -91,6 +91,8 @@
 	change  chan struct{} // closed by the next end
 	seq     int64
 	beatAt  time.Time
+	muted   bool // its answers get lost
+	down    bool // between a crash and the restart
 }
 
 func (r *runner) clock() time.Duration { return time.Since(r.bornAt) }
@@ -110,6 +112,9 @@
 	failNext map[string]bool
 	lastRun  map[string]time.Time // when a work unit last ran, by name
 	doneRuns map[string]bool      // work units that have ended done, by name
+	// started, if set, is called for each start.
+	started func(r *runner, task string)
+	twice   []string // overlaps of two runs of one work unit
 }
 
 func newFleet(service string, st *store, rec *record) *fleet {
@@ -208,6 +213,30 @@
 	time.AfterFunc(time.Until(beatAt.Add(missedBeats*beatInterval)), func() { r.fleet.store.remove("servers", r.id) })
 }
 
+// cut loses the runner's answers for length. Behind the cut it crashes and starts again
+// under its id.
+func (r *runner) cut(length, downFor time.Duration) {
+	r.mu.Lock()
+	r.muted, r.down = true, true
+	r.runs, r.used = map[string]*runState{}, amount{}
+	r.mu.Unlock()
+	r.fleet.record.add("disruption: the answers of runner %s are lost from now on, it crashes", r.id)
+	time.AfterFunc(downFor, func() {
+		r.mu.Lock()
+		r.down, r.bornAt, r.fence, r.until = false, time.Now(), 0, 0
+		r.highest, r.ended, r.lastEnd, r.seq = map[string]int64{}, nil, 0, 0
+		r.mu.Unlock()
+		r.fleet.record.add("disruption: runner %s has started again", r.id)
+		r.beat()
+	})
+	time.AfterFunc(length, func() {
+		r.mu.Lock()
+		r.muted = false
+		r.mu.Unlock()
+		r.fleet.record.add("disruption: the answers of runner %s arrive again", r.id)
+	})
+}
+
 func (f *fleet) ran(task string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -261,6 +290,11 @@
 			return
 		}
 		r.mu.Lock()
+		if r.down {
+			r.mu.Unlock()
+			<-req.Context().Done()
+			return
+		}
 		status, body := http.StatusConflict, map[string]any{"reason": "fence"}
 		if o.Fence >= r.fence {
 			r.fence = o.Fence
@@ -270,7 +304,12 @@
 			body = map[string]any{}
 		}
 		body["clockMs"] = r.clock().Milliseconds()
+		muted := r.muted
 		r.mu.Unlock()
+		if muted {
+			<-req.Context().Done()
+			return
+		}
 		writeJSON(w, status, body)
 	}
 }
@@ -320,6 +359,7 @@
 	r.runs[o.Task] = run
 	r.used = r.used.plus(run.need)
 	f.record.add("runner %s: start of %s run=%d", r.id, o.Task, o.Run)
+	go f.noteStart(r, o.Task)
 	switch {
 	case fails:
 		time.AfterFunc(min(step.runs/4, time.Second), func() { r.finish(run, "failed") })
@@ -412,6 +452,31 @@
 
 func (j *jobSpec) unit(index int) string { return fmt.Sprintf("%s.0.0.%d", j.id, index) }
 
+// noteStart records whether a work unit that has just started on r runs elsewhere too.
+func (f *fleet) noteStart(r *runner, task string) {
+	for _, other := range f.all() {
+		if other == r {
+			continue
+		}
+		other.mu.Lock()
+		run := other.runs[task]
+		if run != nil {
+			text := fmt.Sprintf("%s starts on runner %s while its run %d is running on runner %s", task, r.id, run.run, other.id)
+			f.record.add("%s", text)
+			f.mu.Lock()
+			f.twice = append(f.twice, text)
+			f.mu.Unlock()
+		}
+		other.mu.Unlock()
+	}
+	f.mu.Lock()
+	started := f.started
+	f.mu.Unlock()
+	if started != nil {
+		started(r, task)
+	}
+}
+
 // done reports whether a work unit has ended done.
 func (f *fleet) done(task string) bool {
 	f.mu.Lock()
