--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-harness-2 ] && [ -x target/lentilwinch-poold ] || { echo "build first: the command of deploy/system.toml and review/build-2.sh"; exit 2; }
-exec target/review-harness-2 blocked-queue review/6/record.txt
+exec target/review-harness-2 restart-unseen review/6/record.txt
