Fake pool: a late call is bound to its incarnation when it is performed

Calls that are carried out late are dropped if their worker has restarted by then, as the test says, but the incarnation was compared a millisecond before the call took effect, and the worker restarted between the two.

--- a/internal/duty/pool/late_test.go
+++ b/internal/duty/pool/late_test.go
@@ -48,9 +48,7 @@
 	}
 	go func() {
 		time.Sleep(late)
-		if w.Incarnation(target.Address) == incarnation {
-			_ = call(fake.PerformLate(context.Background())) // the caller has given up
-		}
+		_ = call(fake.ForIncarnation(fake.PerformLate(context.Background()), incarnation)) // the caller has given up
 	}()
 	return lost(ctx)
 }
--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -303,6 +303,10 @@
 		return port.WorkerClock{}, port.NotRejected, fault.Wrap(fault.Uncertain, "no answer", ctx.Err())
 	}
 	p.mu.Lock()
+	if !w.performs(ctx) {
+		p.mu.Unlock()
+		return port.WorkerClock{}, port.NotRejected, errOtherIncarnation
+	}
 	rejection := w.start(o, performedLate(ctx))
 	clock := w.clock()
 	p.mu.Unlock()
@@ -357,6 +361,10 @@
 		return port.WorkerClock{}, err
 	}
 	p.mu.Lock()
+	if !w.performs(ctx) {
+		p.mu.Unlock()
+		return port.WorkerClock{}, errOtherIncarnation
+	}
 	w.advance(time.Now())
 	if fencingToken < w.fencingToken {
 		p.mu.Unlock()
@@ -380,6 +388,10 @@
 	}
 	deadline := time.Now().Add(req.Wait)
 	p.mu.Lock()
+	if !w.performs(ctx) {
+		p.mu.Unlock()
+		return port.HoldReply{}, errOtherIncarnation
+	}
 	w.advance(time.Now())
 	incarnation := w.incarnation
 	if req.FencingToken < w.fencingToken {
@@ -394,7 +406,7 @@
 		p.mu.Lock()
 		if w.incarnation != incarnation {
 			p.mu.Unlock()
-			return port.HoldReply{}, fault.New(fault.Uncertain, "connection reset")
+			return port.HoldReply{}, errOtherIncarnation
 		}
 		w.advance(time.Now())
 		if len(w.results) > 0 || !time.Now().Before(deadline) {
--- a/internal/fake/pool_checks.go
+++ b/internal/fake/pool_checks.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -18,6 +19,24 @@
 
 func performedLate(ctx context.Context) bool { return ctx.Value(lateKey{}) != nil }
 
+type incarnationKey struct{}
+
+// ForIncarnation limits the calls of a context to one incarnation of a worker. Another one
+// doesn't perform them.
+func ForIncarnation(ctx context.Context, incarnation int64) context.Context {
+	return context.WithValue(ctx, incarnationKey{}, incarnation)
+}
+
+// performs reports whether the worker's incarnation performs the calls of ctx. The caller
+// holds Pool.mu.
+func (w *PoolWorker) performs(ctx context.Context) bool {
+	incarnation, limited := ctx.Value(incarnationKey{}).(int64)
+	return !limited || incarnation == w.incarnation
+}
+
+// errOtherIncarnation is the error of calls that were limited to another incarnation.
+var errOtherIncarnation = fault.New(fault.Uncertain, "connection reset")
+
 // success is the end of a run with success. Starts that follow it are violations once it
 // is acknowledged before the worker's lease has expired.
 type success struct {
