Planner: a unit avoids workers only if others could hold it

Cause: workers that can't hold the unit, by their long-lived tasks, counted as the better ones that it waits for. Room beside idle capacity was counted up to once for each worker, and reservation and reclaim had a stricter condition of their own.

One count of what a worker could hold decides whether a unit can wait for workers without failures, for placement, reservation and reclaim.

--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -148,6 +148,15 @@
 	p.log(LogEntry{Event: EventPolicyDecided, Job: q.Step.Job, Detail: "workers in the query that may run the step", Count: len(decision.Tickets)})
 }
 
+// isDenied reports whether the policy is known not to allow the unit on the worker.
+func (p *Planner) isDenied(u *unit, w *worker) bool {
+	if !u.job.rec.Job.PolicyControlled {
+		return false
+	}
+	d, ok := p.policyDecision(u, w)
+	return ok && d.ticket == ""
+}
+
 // dropTicket removes a ticket that the worker rejected.
 func (p *Planner) dropTicket(u *unit, w *worker) {
 	u.job.rec.Job.PolicyControlled = true // the queue may have become policy-controlled after the job was accepted
--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -70,8 +70,23 @@
 
 // slots returns how many of the unit's tasks fit into free on worker i.
 func (v *view) slots(u *unit, i int, free work.Resources) int {
+	return v.slotsUpTo(u, i, free, u.count)
+}
+
+// slotsUpTo is slots for a unit of limit tasks.
+func (v *view) slotsUpTo(u *unit, i int, free work.Resources, limit int) int {
+	siblings := 0
+	if u.spec().MaxPerWorker > 0 {
+		siblings = v.workers[i].tasksOf(u)
+	}
+	return u.slotsIn(free, siblings, limit)
+}
+
+// slotsIn returns how many of the unit's tasks, at most limit, fit into free on a worker
+// that runs the given number of tasks of the same step.
+func (u *unit) slotsIn(free work.Resources, siblings, limit int) int {
 	s := u.spec()
-	n := u.count
+	n := limit
 	if s.Need.CPU > 0 {
 		n = min(n, int(max(free.CPU, 0)/s.Need.CPU))
 	}
@@ -81,8 +96,8 @@
 	if s.Need.Accel > 0 {
 		n = min(n, int(max(free.Accel, 0)/s.Need.Accel))
 	}
-	if s.MaxPerWorker > 0 && n > 0 {
-		n = min(n, s.MaxPerWorker-v.workers[i].tasksOf(u))
+	if s.MaxPerWorker > 0 {
+		n = min(n, s.MaxPerWorker-siblings)
 	}
 	return max(n, 0)
 }
@@ -120,25 +135,66 @@
 	return u.compatibleWith(v.colocated[i])
 }
 
-// place returns a placement of the whole unit, or nil if there isn't enough free
-// capacity. Workers on which the unit failed or stalled before are used only if
-// they are at least half of the usable workers that are eligible, and the others don't
-// suffice.
-func (v *view) place(u *unit, spread bool) []placement {
-	if out := v.placeAvoiding(u, spread, true); out != nil || len(u.avoid) == 0 {
-		return out
+// possibleSlots returns how many of the unit's tasks worker i could hold once all tasks
+// there that aren't long-lived have ended.
+func (v *view) possibleSlots(u *unit, i int) int {
+	w := v.workers[i]
+	if !v.eligible(u, i) || v.planner.isDenied(u, w) {
+		return 0
+	}
+	free, siblings := w.info.Capacity, 0
+	for _, r := range w.runs {
+		if r.unit != nil && r.unit.spec().LongLived && r.unit.phase == unitActive {
+			free = free.Sub(r.need)
+			if r.unit.stepKey() == u.stepKey() {
+				siblings++
+			}
+		}
+	}
+	return u.slotsIn(free, siblings, u.count)
+}
+
+// groups returns the sets of workers on one of which the unit is placed as a whole.
+func (v *view) groups(u *unit, spread bool) [][]int {
+	if u.spec().PrefersOneRack() && !spread {
+		return v.racks
+	}
+	return [][]int{v.allWorkers()}
+}
+
+// mayAvoid reports whether the unit can wait for workers on which it hasn't failed or
+// stalled before: more than half of the workers that could hold one of its tasks are such,
+// and they could hold the whole unit.
+func (v *view) mayAvoid(u *unit, spread bool) bool {
+	if len(u.avoid) == 0 {
+		return true
 	}
-	eligible, avoided := 0, 0
-	for i, w := range v.workers {
-		if v.eligible(u, i) {
-			eligible++
-			if u.avoid[w.info.ID] {
+	able, avoided, enough := 0, 0, false
+	for _, members := range v.groups(u, spread) {
+		slots := 0
+		for _, i := range members {
+			n := v.possibleSlots(u, i)
+			switch {
+			case n == 0:
+				continue
+			case u.avoid[v.workers[i].info.ID]:
 				avoided++
+			default:
+				slots += n
 			}
+			able++
 		}
+		enough = enough || slots >= u.count
 	}
-	if 2*avoided < eligible {
-		return nil
+	return enough && 2*avoided < able
+}
+
+// place returns a placement of the whole unit, or nil if there isn't enough free
+// capacity. Workers on which the unit failed or stalled before are used only if the others
+// don't suffice and it can't wait for them.
+func (v *view) place(u *unit, spread bool) []placement {
+	if out := v.placeAvoiding(u, spread, true); out != nil || v.mayAvoid(u, spread) {
+		return out
 	}
 	return v.placeAvoiding(u, spread, false)
 }
--- a/internal/planner/idle.go
+++ b/internal/planner/idle.go
@@ -26,8 +26,8 @@
 
 // placeOnIdle returns a placement of a unit that has waited for idleStartAfter while most
 // of the capacity is idle and the unit fits twice over. It ignores reservations, headroom
-// and racks: these are worth a wait only while capacity is scarce. Otherwise it returns
-// nil.
+// and racks, and uses workers on which the unit failed before if the others don't suffice:
+// these are worth a wait only while capacity is scarce. Otherwise it returns nil.
 func (v *view) placeOnIdle(u *unit) []placement {
 	if !v.mostlyIdle || v.planner.waited(u, v.now) < idleStartAfter {
 		return nil
@@ -37,11 +37,14 @@
 	room := 0
 	for i := range open.workers {
 		if open.allowed(u, i, false) {
-			room += open.slots(u, i, open.free[i])
+			room += open.slotsUpTo(u, i, open.free[i], 2*u.count)
 		}
 	}
 	if room < 2*u.count {
 		return nil
 	}
-	return open.place(u, true)
+	if out := open.placeAvoiding(u, true, true); out != nil {
+		return out
+	}
+	return open.placeAvoiding(u, true, false)
 }
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -26,13 +26,10 @@
 // reports false if no work may be stopped that frees enough capacity or, outside
 // the guarantee, if stopping it costs more than the unit's own work.
 func (p *Planner) reclaim(u *unit, v *view, withinGuarantee, spread bool) bool {
-	groups := [][]int{v.allWorkers()}
-	if u.spec().PrefersOneRack() && !spread {
-		groups = v.racks
-	}
+	avoid := v.mayAvoid(u, spread)
 	var best *eviction
-	for _, members := range groups {
-		e := p.findVictims(u, v, members, withinGuarantee)
+	for _, members := range v.groups(u, spread) {
+		e := p.findVictims(u, v, members, withinGuarantee, avoid)
 		if e != nil && (best == nil || e.cost < best.cost) {
 			best = e
 		}
@@ -76,13 +73,14 @@
 }
 
 // findVictims chooses victims task by task, each time on the worker where another
-// task costs least. It returns nil if the unit can't fit.
-func (p *Planner) findVictims(u *unit, v *view, members []int, withinGuarantee bool) *eviction {
+// task costs least. It returns nil if the unit can't fit. With avoid, workers on which the
+// unit failed or stalled are left out.
+func (p *Planner) findVictims(u *unit, v *view, members []int, withinGuarantee, avoid bool) *eviction {
 	s := &victimSearch{p: p, u: u, v: v, withinGuarantee: withinGuarantee,
 		free: map[int]work.Resources{}, placed: map[int]int{}, chosen: map[*unit]bool{},
 		cost: map[*unit]float64{}, candidates: map[int][]*unit{}, disrupted: map[stepKey]int{}}
 	for _, i := range members {
-		if v.allowed(u, i, true) {
+		if v.allowed(u, i, avoid) {
 			s.prepare(i)
 		}
 	}
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -11,14 +11,11 @@
 // Shorter work may use them until then; longer work can't delay the unit
 // indefinitely.
 func (v *view) reserve(u *unit) {
-	groups := [][]int{v.allWorkers()}
-	if u.spec().PrefersOneRack() {
-		groups = v.racks
-	}
+	avoid := v.mayAvoid(u, false)
 	var best []int
 	bestAt := time.Duration(-1)
-	for _, members := range groups {
-		at, chosen := v.firstFit(u, members)
+	for _, members := range v.groups(u, false) {
+		at, chosen := v.firstFit(u, members, avoid)
 		if chosen != nil && (bestAt < 0 || at < bestAt) {
 			best, bestAt = chosen, at
 		}
@@ -45,8 +42,9 @@
 }
 
 // firstFit returns the time at which the unit is estimated to fit on the given
-// workers, and those that it needs. The workers are nil if it can't fit.
-func (v *view) firstFit(u *unit, members []int) (time.Duration, []int) {
+// workers, and those that it needs. The workers are nil if it can't fit. With avoid,
+// workers on which it failed or stalled are left out.
+func (v *view) firstFit(u *unit, members []int, avoid bool) (time.Duration, []int) {
 	type release struct {
 		i    int
 		at   time.Duration
@@ -57,7 +55,7 @@
 	slots := map[int]int{}
 	total := 0
 	for _, i := range members {
-		if !v.allowed(u, i, true) || v.reservedFrom[i] > 0 {
+		if !v.allowed(u, i, avoid) || v.reservedFrom[i] > 0 {
 			continue
 		}
 		free[i] = v.free[i]
