Planner: every unit that waits for tickets is considered for the next query

Cause: a pass kept only its first unit without tickets. That one needed no query, as the policy's answers about all usable workers were known.

The pass keeps all of them. A unit that was asked about within 0.5 s comes after those that were not, so that expiring tickets or failed queries don't hold up the others either.

--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -20,6 +20,9 @@
 	// start waits 150 ms for its record to be stored and may be sent several
 	// times.
 	ticketMargin = 800 * time.Millisecond
+	// queryAgainAfter is how long the units that there was no query about take
+	// precedence over one that needs another. Calls are served one by one.
+	queryAgainAfter = 500 * time.Millisecond
 )
 
 // policyDecision is the policy service's answer for a step on one worker.
@@ -80,22 +83,47 @@
 }
 
 // NextPolicyQuery returns the next policy query. It concerns the most urgent unit
-// that the last pass couldn't place on workers with tickets. It reports false if
-// no query is needed.
+// that the last pass couldn't place on workers with tickets and that needs a query.
+// Those about whose steps there was one within queryAgainAfter come after the others. It
+// reports false if no query is needed.
 func (p *Planner) NextPolicyQuery(now time.Duration) (PolicyQuery, bool) {
-	u := p.awaitingTickets
+	waiting := p.awaitingTickets
 	p.awaitingTickets = nil
-	if u == nil || u.phase != unitReady {
+	if len(waiting) == 0 {
 		return PolicyQuery{}, false
 	}
+	slices.SortStableFunc(waiting, func(a, b *unit) int { return p.queriedLately(a, now) - p.queriedLately(b, now) })
 	v := p.newView(now)
+	for _, u := range waiting {
+		if u.phase != unitReady {
+			continue
+		}
+		if q := p.policyQuery(u, v); len(q.Workers) > 0 {
+			p.queriedAt[q.Step] = now
+			return q, true
+		}
+	}
+	return PolicyQuery{}, false
+}
+
+// queriedLately returns 1 if there was a query about the unit's step within
+// queryAgainAfter, else 0.
+func (p *Planner) queriedLately(u *unit, now time.Duration) int {
+	if at, ok := p.queriedAt[u.stepID()]; ok && now-at < queryAgainAfter {
+		return 1
+	}
+	return 0
+}
+
+// policyQuery returns the query that the unit needs, without workers if it needs none.
+func (p *Planner) policyQuery(u *unit, v *view) PolicyQuery {
 	type candidate struct{ i, slots int }
 	var candidates []candidate
 	limit := queryLimit(u, v)
 	haveEnough := p.countTickets(u, v) >= limit
 	for i, w := range v.workers {
 		slots := v.slots(u, i, v.free[i])
-		if p.hasCurrentDecision(u, w, now) || !v.eligible(u, i) || haveEnough && slots == 0 {
+		if p.hasCurrentDecision(u, w, v.now) || !v.eligible(u, i) || haveEnough && slots == 0 {
 			continue
 		}
 		candidates = append(candidates, candidate{i, slots})
@@ -106,7 +134,7 @@
 		q.Workers = append(q.Workers, v.workers[c.i].info.ID)
 		q.incarnations = append(q.incarnations, v.workers[c.i].incarnation)
 	}
-	return q, len(q.Workers) > 0
+	return q
 }
 
 // countTickets counts the usable workers for which the unit has a valid ticket.
@@ -170,5 +198,6 @@
 	}
 	for _, u := range j.units {
 		delete(p.policyDecisions, u.stepID())
+		delete(p.queriedAt, u.stepID())
 	}
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -79,8 +79,8 @@
 			continue
 		}
 		unplaceable[key] = true
-		if p.awaitingTickets == nil && u.job.rec.Job.PolicyControlled {
-			p.awaitingTickets = u
+		if u.job.rec.Job.PolicyControlled {
+			p.awaitingTickets = append(p.awaitingTickets, u)
 		}
 		if u.job.rec.Job.Priority == 0 {
 			if p.reclaim(u, v, p.withinGuarantee(u), spread) {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -274,9 +274,11 @@
 	hasWallClock bool
 	// policyDecisions are the answers of the policy service, by step and worker.
 	policyDecisions map[work.StepID]map[string]policyDecision
-	// awaitingTickets is the most urgent policy-controlled unit that the last pass
-	// couldn't place. NextPolicyQuery takes it.
-	awaitingTickets *unit
+	// queriedAt is when NextPolicyQuery last returned a query about a step.
+	queriedAt map[work.StepID]time.Duration
+	// awaitingTickets holds the policy-controlled units that the last pass couldn't
+	// place, most urgent first and one of each step. NextPolicyQuery takes them.
+	awaitingTickets []*unit
 	orders          []Order
 	reservations    []reservation // of the last pass
 	// changed lists the jobs that changed since the last call of TakeChanged.
@@ -320,6 +322,7 @@
 		queueMeanWeight: map[string]*mean{},
 		discarded:       map[string]float64{},
 		policyDecisions: map[work.StepID]map[string]policyDecision{},
+		queriedAt:       map[work.StepID]time.Duration{},
 	}
 }
 
