Planner: the search for victims counts the step's tasks on the worker

Cause: the limit was compared only with the tasks that the search itself places. The claim couldn't be used, expired and was made again.

The search asks the function of the placement, with the step's tasks that stay. Claims of the same step count towards the limit, too.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -29,12 +29,20 @@
 	// urgentOnly marks workers reserved for jobs of priority 0.
 	urgentOnly []bool
 	index      map[*worker]int
+	// claimed counts the tasks of a step for which capacity of a worker is set aside.
+	claimed map[claimKey]int
 	// mostlyIdle is that of Planner.mostlyIdle at the beginning of the pass.
 	mostlyIdle bool
 }
 
+// claimKey identifies a step's claims on a worker.
+type claimKey struct {
+	worker *worker
+	step   stepKey
+}
+
 func (p *Planner) newView(now time.Duration) *view {
-	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.workerIDs)), mostlyIdle: p.mostlyIdle()}
+	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.workerIDs)), claimed: map[claimKey]int{}, mostlyIdle: p.mostlyIdle()}
 	rackIndex := map[string]int{}
 	for _, id := range p.workerIDs {
 		w := p.workers[id]
@@ -77,7 +85,7 @@
 func (v *view) slotsUpTo(u *unit, i int, free work.Resources, limit int) int {
 	siblings := 0
 	if u.spec().MaxPerWorker > 0 {
-		siblings = v.workers[i].tasksOf(u)
+		siblings = v.workers[i].tasksOf(u) + v.claimed[claimKey{v.workers[i], u.stepKey()}]
 	}
 	return u.slotsIn(free, siblings, limit)
 }
@@ -312,6 +320,14 @@
 	}
 }
 
+// setAside subtracts the capacity that the unit claims.
+func (v *view) setAside(u *unit) {
+	v.consume(u, u.claim)
+	for _, pl := range u.claim {
+		v.claimed[claimKey{pl.worker, u.stepKey()}] += pl.count
+	}
+}
+
 // fitsNow reports whether the capacity that a placement needs is free.
 func (v *view) fitsNow(u *unit, placements []placement) bool {
 	for _, pl := range placements {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -123,7 +123,7 @@
 				p.start(u, v, placements, "reclaimed")
 				continue
 			}
-			v.consume(u, u.claim)
+			v.setAside(u)
 		}
 	}
 }
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -45,7 +45,7 @@
 		p.stopAttempt(victim, v.now, "preempted")
 	}
 	u.claim, u.claimedAt = best.placements, v.now
-	v.consume(u, u.claim)
+	v.setAside(u)
 	return true
 }
 
@@ -64,6 +64,7 @@
 	withinGuarantee bool
 	free            map[int]work.Resources // by worker index
 	placed          map[int]int            // tasks of u, by worker index
+	siblings        map[int]int            // tasks of u's step that stay, by worker index
 	chosen          map[*unit]bool
 	cost            map[*unit]float64 // of stopping a unit, in core-seconds of a job of priority 0
 	candidates      map[int][]*unit   // units that may be stopped, by worker index
@@ -77,7 +78,7 @@
 // unit failed or stalled are left out.
 func (p *Planner) findVictims(u *unit, v *view, members []int, withinGuarantee, avoid bool) *eviction {
 	s := &victimSearch{p: p, u: u, v: v, withinGuarantee: withinGuarantee,
-		free: map[int]work.Resources{}, placed: map[int]int{}, chosen: map[*unit]bool{},
+		free: map[int]work.Resources{}, placed: map[int]int{}, siblings: map[int]int{}, chosen: map[*unit]bool{},
 		cost: map[*unit]float64{}, candidates: map[int][]*unit{}, disrupted: map[stepKey]int{}}
 	for _, i := range members {
 		if v.allowed(u, i, avoid) {
@@ -110,11 +111,15 @@
 // the units there that may be stopped.
 func (s *victimSearch) prepare(i int) {
 	free := s.v.free[i]
+	s.siblings[i] = s.v.claimed[claimKey{s.v.workers[i], s.u.stepKey()}]
 	for _, r := range s.v.workers[i].runs {
 		if r.phase == runStopping || r.unit == nil || r.unit.phase == unitStopping || r.unit.phase == unitDone {
 			free = free.Add(r.need)
 			continue
 		}
+		if r.unit.stepKey() == s.u.stepKey() {
+			s.siblings[i]++
+		}
 		if s.mayStop(r.unit) && !slices.Contains(s.candidates[i], r.unit) {
 			s.candidates[i] = append(s.candidates[i], r.unit)
 			s.cost[r.unit] = s.p.stopCost(r.unit, s.v.now)
@@ -154,17 +159,17 @@
 func (s *victimSearch) cheapest(members []int) (int, []*unit, float64) {
 	best, bestCost := -1, 0.0
 	var bestVictims []*unit
-	need := s.u.spec().Need
 	limit := s.u.spec().MaxPerWorker
+	fits := func(i int, free work.Resources) bool { return s.u.slotsIn(free, s.siblings[i]+s.placed[i], 1) > 0 }
 	for _, i := range members {
 		free, ok := s.free[i]
-		if !ok || (limit > 0 && s.placed[i] >= limit) {
+		if !ok || limit > 0 && s.siblings[i]+s.placed[i] >= limit {
 			continue
 		}
 		cost := 0.0
 		var victims []*unit
 		for _, victim := range s.candidates[i] {
-			if free.Fits(need) {
+			if fits(i, free) {
 				break
 			}
 			if s.chosen[victim] || s.exceedsDisruptions(victim) {
@@ -174,7 +179,7 @@
 			cost += s.cost[victim]
 			victims = append(victims, victim)
 		}
-		if free.Fits(need) && (best < 0 || cost < bestCost) {
+		if fits(i, free) && (best < 0 || cost < bestCost) {
 			best, bestCost, bestVictims = i, cost, victims
 		}
 	}
