Early starts are announced only where a placement isn't stored

Cause: a start whose run was lost waits for a confirmed heartbeat, for up to 200 ms. After 150 ms it counted as overdue although its placement was stored, and the owner announced that the stored placements may be incomplete.

Evidence: TestStoredStartThatWaitsForHeartbeatIsNotAnnounced failed before.

--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -99,7 +99,7 @@
 // instances, it does not wait for the announcement. Starts on workers with long leases go
 // on waiting: the next owner counts these leases only where it finds a placement.
 func (o *Owner) releaseOverdue(ctx context.Context, now time.Duration) {
-	overdue := func(h heldStart) bool { return now-h.heldSince >= placementCommitWait }
+	overdue := func(h heldStart) bool { return !h.stored && now-h.heldSince >= placementCommitWait }
 	if !o.previous.merged || !slices.ContainsFunc(o.held, overdue) {
 		return
 	}
