Owners tell that all placements are stored, and withdraw the announcement of early starts

Cause: an announcement of early starts was never withdrawn, and each recovery announced again, so the doubt passed from epoch to epoch. And an instance that had just started knew nothing of the store's last 10 s, by which it counts placements as complete.

With each heartbeat the owner stores whether all placements are stored, those of previous owners included, and when its last heartbeat was confirmed. It withdraws the announcement by a write that expects the row's version. The next owner takes the placements for complete if nothing is announced and that time is too short for an unannounced start, which takes 3 s without the store. Adopted runs that no record tells are stored first. The heartbeat's row is the owner's name again, as of earlier builds; the rest is a row of its own.

--- a/internal/duty/pool/batch.go
+++ b/internal/duty/pool/batch.go
@@ -48,13 +48,17 @@
 // encodeWithinLimits encodes a record for the store. If it is too large, it is stored
 // without the checkpoints, which only save work, and then without the placements. Without
 // those the next owner has to be told that the stored placements are incomplete; until
-// that is stored, the result is nil. It fails with fault.Internal, or with fault.Invalid if
+// that is stored, the result is nil. The announcement stays until the record fits. It fails with fault.Internal, or with fault.Invalid if
 // the record is too large even so.
 func (o *Owner) encodeWithinLimits(ctx context.Context, rec *work.Record) ([]byte, error) {
 	limit := o.deps.Store.Limits().ValueBytes
 	value, err := work.Encode(rec)
-	if err != nil || len(value) <= limit {
-		return value, err
+	if err != nil {
+		return nil, err
+	}
+	if len(value) <= limit {
+		o.earlyStarts.fits(rec.Job.ID, o.planSequence)
+		return value, nil
 	}
 	smaller := *rec
 	smaller.Steps = make([]work.StepProgress, len(rec.Steps))
@@ -76,6 +80,8 @@
 	if len(value) > limit {
 		return nil, fault.New(fault.Invalid, "the record exceeds the store's limit of a row")
 	}
+	o.earlyStarts.sent(rec.Job.ID, neverStored)
+	o.recorded.Store(false)
 	if !o.announcement.stored {
 		o.announceEarlyStarts(ctx, o.now())
 		return nil, nil
--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -165,6 +165,7 @@
 	o := newOwner(e.deps, e.pool, epoch.Number, version)
 	o.previous.silentAfter, o.previous.heardBy = heartbeat.after, heartbeat.by
 	o.previous.stopped, o.previous.settled = e.hasStopped(&view), settled(&view)
+	o.previous.state = view.Owner
 	if err := o.run(ctx); err != nil {
 		e.log.Warn("takeover failed", zap.Error(err))
 	}
--- a/internal/duty/pool/events.go
+++ b/internal/duty/pool/events.go
@@ -25,7 +25,7 @@
 	evCaughtUp                                  // err: the replica holds what the previous owner stored, or catching up failed
 	evRecordsRead                               // commit: the replica holds a transaction with placements
 	evJobsRead                                  // sentAt, err: the replica holds all jobs that were stored by then, or reading failed
-	evEarlyStartsAnnounced                      // err: early starts were announced, or the write failed
+	evEarlyStartsAnnounced                      // commit, complete: early starts were announced, or the announcement withdrawn if complete is set, or the write failed
 )
 
 // event is one message to the owner's loop.
@@ -39,7 +39,7 @@
 	rejected    port.StartRejection
 	resent      bool // an earlier copy of the start got no answer
 	workers     []port.WorkerChange
-	complete    bool // workers is the whole list
+	complete    bool // workers is the whole list, or all placements are stored
 	commit      commitResult
 	job         string
 	policy      policyResult
--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
 	"github.com/lentilwinch/lentilwinch/internal/planner"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
@@ -22,13 +21,6 @@
 	stored    bool // the placement is stored
 }
 
-// earlyStartAnnouncement is the state of announcing to later owners that starts may
-// be sent before their placements are stored.
-type earlyStartAnnouncement struct {
-	retryGate
-	stored bool
-}
-
 // handleOrders sends stops at once and holds starts until they may be sent. A stop
 // drops the held start of its run.
 func (o *Owner) handleOrders(ctx context.Context, orders []planner.Order) {
@@ -113,43 +105,13 @@
 		if !overdue(*h) || o.planner.HasLongLease(h.order.Worker, now) {
 			return false
 		}
+		o.earlyStarts.sent(h.order.Task.Job, h.plan)
+		o.recorded.Store(false)
 		o.log.Info("start before its placement is stored", zap.String("job", h.order.Task.Job), zap.Int64("run", h.order.Run))
 		return true
 	})
 }
 
-// announceEarlyStarts stores that the placements of this epoch may be incomplete.
-func (o *Owner) announceEarlyStarts(ctx context.Context, now time.Duration) {
-	if !o.announcement.open(now) {
-		return
-	}
-	value, err := work.Encode(o.epoch)
-	if err != nil {
-		o.log.Error("epoch can't be encoded", zap.Error(err))
-		return
-	}
-	o.announcement.inFlight = true
-	o.wg.Go(func() {
-		call, cancel := context.WithTimeout(ctx, commitTimeout)
-		defer cancel()
-		_, err := o.deps.Store.Commit(call, o.epochTxn(map[port.RowKey][]byte{
-			replica.PoolKey(o.pool, replica.EarlyStartsKey): value,
-		}))
-		o.send(ctx, event{kind: evEarlyStartsAnnounced, err: err})
-	})
-}
-
-func (o *Owner) earlyStartsAnnounced(err error) {
-	o.announcement.inFlight = false
-	if err != nil {
-		o.announcement.retryAt = o.now() + storeRetryDelay
-		o.log.Info("early starts could not be announced, starts wait for their records", zap.Error(err))
-		return
-	}
-	o.announcement.stored = true
-	o.log.Info("starts may go before their placements are stored")
-}
-
 // releaseIf sends the held starts for which ready reports true and whose workers are in
 // the stored list, unless mayStart forbids it. A unit that lost a run needs a heartbeat
 // that was confirmed since: another owner that reached the worker may have stored and
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -115,6 +115,10 @@
 	previous        previousOwner
 	unknown         unknownJobs
 	announcement    earlyStartAnnouncement
+	earlyStarts     unrecordedStarts
+	// placementsKnown is set once this owner knows every placement of previous owners.
+	placementsKnown bool
+	recorded        atomic.Bool // all placements are stored, those of previous owners included
 	// unlisted holds the stored workers of the previous owner that the registry
 	// hasn't listed yet. Those whose targets are stored have sessions.
 	unlisted map[string]bool
@@ -296,6 +300,7 @@
 		o.pacer.passed(now, o.now())
 	}
 	o.writeLogEntries()
+	o.updateRecorded(ctx, now)
 	o.writeChanged(ctx)
 	o.releaseReady(ctx)
 	o.releaseOverdue(ctx, now)
@@ -424,7 +429,7 @@
 	case evJobRemoved:
 		o.dropJob(ev.job)
 	case evEarlyStartsAnnounced:
-		o.earlyStartsAnnounced(ev.err)
+		o.earlyStartsAnnounced(ev)
 	case evCaughtUp:
 		o.catchUpDone(ev.err)
 	case evRecordsRead:
--- a/internal/duty/pool/quorum.go
+++ b/internal/duty/pool/quorum.go
@@ -122,6 +122,7 @@
 	o.planner.SetPreviousOwnerFenced(late)
 	o.setUnknownLeases()
 	if late {
+		o.placementsKnown = false
 		o.announceEarlyStarts(ctx, now) // the next owner must not take them for complete either
 	}
 	o.log.Info("previous owner fenced", zap.Duration("after", now-o.firstHoldAt), zap.Bool("late", late), zap.Int("workers", len(o.sessions)))
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -20,6 +20,8 @@
 type previousOwner struct {
 	stopped bool // it and all owners before it had stopped before this owner's claim
 	settled bool // all owners before it had stopped
+	// state is what it stored with the last heartbeat that was seen before the claim.
+	state replica.OwnerState
 	// workers is the stored list of workers at this owner's claim, and byID what is stored
 	// of them.
 	workers []string
@@ -58,6 +60,8 @@
 	o.firstHoldAt = o.now()
 	view := o.deps.Replica.Pool(o.pool)
 	o.writer.workers.reset(view.WorkersVersion, view.Workers)
+	o.announcement.version = view.EarlyStartsVersion
+	o.placementsKnown = o.epoch == 1
 	o.previous.workers, o.previous.byID = view.Workers, inheritedWorkersOf(&view)
 	for i := range workers {
 		if w := workers[i]; w.Pool == o.pool {
@@ -138,12 +142,17 @@
 	if o.previous.stopped {
 		takeoverNoticedBy = o.firstHoldAt
 	}
-	earlyStartEpoch := o.deps.Replica.Pool(o.pool).EarlyStartEpoch
-	mayHaveEarlyStarts := earlyStartEpoch > 0 && o.epoch-earlyStartEpoch <= announcementValidEpochs
+	view := o.deps.Replica.Pool(o.pool)
+	mayHaveEarlyStarts := view.EarlyStartEpoch > 0 && o.epoch-view.EarlyStartEpoch <= announcementValidEpochs
+	recorded := o.recordedLately()
+	if storeNow, known := o.deps.Store.Now(); recorded && known {
+		o.previous.silentAfter = max(o.previous.silentAfter, o.now()-(storeNow-o.previous.state.RecordedAt))
+	}
+	stable := o.deps.Replica.StableFor() > storeStableAfter && o.deps.StoreHealth.Latency() < slowReadThreshold
 	// Nothing has fenced an owner before one that hadn't settled.
-	stored := !mayHaveEarlyStarts && o.deps.Replica.StableFor() > storeStableAfter && o.deps.StoreHealth.Latency() < slowReadThreshold
-	placementsComplete := stored && (o.previous.stopped || o.previous.settled)
-	o.log.Info("recovery begins", zap.Bool("placements_complete", placementsComplete), zap.Bool("bypassed", mayHaveEarlyStarts), zap.Bool("settled", o.previous.settled), zap.Duration("store_quiet_for", o.deps.Replica.StableFor()))
+	placementsComplete := !mayHaveEarlyStarts && (recorded || stable) && (o.previous.stopped || o.previous.settled)
+	o.placementsKnown = placementsComplete
+	o.log.Info("recovery begins", zap.Bool("placements_complete", placementsComplete), zap.Bool("bypassed", mayHaveEarlyStarts), zap.Bool("recorded", recorded), zap.Bool("settled", o.previous.settled), zap.Duration("store_quiet_for", o.deps.Replica.StableFor()))
 	o.planner.Recover(takeoverNoticedBy, placementsComplete)
 	o.setUnknownLeases()
 	if o.previous.stopped {
--- a/internal/duty/pool/retain.go
+++ b/internal/duty/pool/retain.go
@@ -98,6 +98,7 @@
 func (o *Owner) dropJob(id string) {
 	delete(o.writer.added, id)
 	delete(o.writer.latest, id)
+	o.earlyStarts.dropped(id)
 	for _, key := range replica.JobKeys(o.pool, id) {
 		delete(o.writer.versions, jobRowKey{key.Partition, id})
 	}
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -262,6 +262,7 @@
 	delete(w.maxRows, r.partition)
 	for i := range r.records {
 		rec := &r.records[i]
+		o.earlyStarts.stored(rec.Job.ID, r.plan)
 		w.versions[jobRowKey{r.partition, rec.Job.ID}] = r.version
 		if rec.Sequence == w.latest[rec.Job.ID] {
 			o.planner.RecordStored(rec.Job.ID)
@@ -388,16 +389,15 @@
 }
 
 func (o *Owner) writeHeartbeat(ctx context.Context) error {
-	heartbeat := replica.Heartbeat{Owner: o.deps.Name}
-	if o.settled.Load() {
-		heartbeat.SettledEpoch = o.epoch
-	}
-	value, err := work.Encode(heartbeat)
+	value, err := work.Encode(replica.OwnerState{Epoch: o.epoch, Settled: o.settled.Load(), RecordedAt: o.recordedAt()})
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	_, err = o.deps.Store.Commit(ctx, o.epochTxn(map[port.RowKey][]byte{replica.PoolKey(o.pool, replica.HeartbeatKey): value}))
+	_, err = o.deps.Store.Commit(ctx, o.epochTxn(map[port.RowKey][]byte{
+		replica.PoolKey(o.pool, replica.HeartbeatKey): []byte(o.deps.Name),
+		replica.PoolKey(o.pool, replica.OwnerKey):     value,
+	}))
 	return err
 }
--- a/internal/duty/replica/apply.go
+++ b/internal/duty/replica/apply.go
@@ -48,11 +48,17 @@
 	switch row.Key {
 	case HeartbeatKey:
 		p.HeartbeatVersion = row.Version
-		var heartbeat Heartbeat
-		if work.Decode(row.Value, &heartbeat) == nil { // else it is an earlier build's
-			p.SettledEpoch = heartbeat.SettledEpoch
+		var earlier heartbeatRecord
+		if work.Decode(row.Value, &earlier) == nil { // else it is a name
+			p.SettledEpoch = earlier.SettledEpoch
 		}
 		return nil
+	case OwnerKey:
+		err := decodeInto(row.Value, &p.Owner)
+		if err == nil && p.Owner.Settled {
+			p.SettledEpoch = p.Owner.Epoch
+		}
+		return err
 	case EpochKey:
 		p.EpochVersion = row.Version
 		return decodeInto(row.Value, &p.Epoch)
@@ -60,6 +66,7 @@
 		p.WorkersVersion = row.Version
 		return decodeInto(row.Value, &p.Workers)
 	case EarlyStartsKey:
+		p.EarlyStartsVersion = row.Version
 		return decodeInto(row.Value, &p.EarlyStartEpoch)
 	case CapacityKey:
 		return decodeInto(row.Value, &p.Capacity)
--- a/internal/duty/replica/old_data_test.go
+++ b/internal/duty/replica/old_data_test.go
@@ -68,11 +68,11 @@
 	must.Eq(t, stored, decoded)
 }
 
-// An earlier build's heartbeat is the owner's name as plain text. It says nothing of
-// the owners before it.
+// The heartbeat of earlier builds is a record or, as now, the owner's name as plain text,
+// which says nothing of the owners before it.
 func TestHeartbeatOfEarlierBuildsIsNotSettled(t *testing.T) {
 	r := New(nil, zap.NewNop(), func() time.Duration { return 0 })
-	settled, err := work.Encode(Heartbeat{Owner: "north-1", SettledEpoch: 6})
+	settled, err := work.Encode(heartbeatRecord{Owner: "north-1", SettledEpoch: 6})
 	must.NoError(t, err)
 	for version, value := range [][]byte{settled, []byte("north-1")} {
 		row := port.VersionedRow{RowKey: port.RowKey{Partition: "p", Key: "beat"}, Value: value, Version: int64(version + 1)}
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -22,8 +22,10 @@
 	HeartbeatKey = "beat"
 	CapacityKey  = "load"
 	WorkersKey   = "workers"
+	// OwnerKey holds what the owner stores with each heartbeat.
+	OwnerKey = "owner"
 	// EarlyStartsKey holds the number of the last epoch whose owner may have started
-	// tasks before their placements were stored.
+	// tasks before their placements were stored, 0 once all of them are.
 	EarlyStartsKey = "bypassed"
 	jobPrefix      = "job/"
 	cancelPrefix   = "cancel/"
@@ -43,9 +45,21 @@
 	Incarnation string `cbor:"3,keyasint,omitempty"`
 }
 
-// Heartbeat is the value of an owner's heartbeat row. Earlier builds store the owner's
-// name as plain text.
-type Heartbeat struct {
+// OwnerState is what an owner stores with each heartbeat, whose value is the owner's name
+// as plain text.
+type OwnerState struct {
+	Epoch int64 `cbor:"1,keyasint"`
+	// Settled is set once no owner of an earlier epoch can act any more.
+	Settled bool `cbor:"2,keyasint,omitempty"`
+	// RecordedAt is when the owner last had a heartbeat confirmed, on the store's clock, if
+	// the placements of all starts that were sent by the time of this one are stored; else
+	// 0. None goes before its placement is stored within the next seconds, unless that is
+	// announced.
+	RecordedAt time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// heartbeatRecord is the heartbeat of an earlier build.
+type heartbeatRecord struct {
 	Owner string `cbor:"1,keyasint"`
 	// SettledEpoch is the owner's epoch once no owner of an earlier epoch can act any
 	// more, 0 before.
@@ -118,13 +132,16 @@
 	HeartbeatVersion int64
 	// SettledEpoch is the newest epoch known to have outlasted the owners before it.
 	SettledEpoch int64
+	Owner        OwnerState
 	Capacity     PoolCapacity
 	// Workers lists the IDs of the workers that the owner last used. It is shared
 	// with other views and must not be modified.
 	Workers        []string
 	WorkersVersion int64
-	// EarlyStartEpoch is the last epoch whose stored placements may be incomplete.
-	EarlyStartEpoch int64
+	// EarlyStartEpoch is the last epoch whose stored placements may be incomplete, 0 if
+	// there is none.
+	EarlyStartEpoch    int64
+	EarlyStartsVersion int64 // of the row
 }
 
 // PoolKey returns the key of one of a pool's own rows.
--- a/internal/planner/recovery.go
+++ b/internal/planner/recovery.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// Recovering reports whether a recovery is under way.
+func (p *Planner) Recovering() bool { return p.recovery.active }
+
 // SetUnknownLeasesEndAt sets when no lease is left at workers that aren't known to the
 // planner: confirmed for leases that a previous owner confirmed, longest for the others.
 func (p *Planner) SetUnknownLeasesEndAt(confirmed, longest time.Duration) {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -281,6 +281,8 @@
 	awaitingTickets []*unit
 	orders          []Order
 	reservations    []reservation // of the last pass
+	// unrecorded lists the jobs of which a run was adopted whose placement no record tells.
+	unrecorded []string
 	// changed lists the jobs that changed since the last call of TakeChanged.
 	changed    []*job
 	discarded  map[string]float64 // core-seconds, by cause
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -305,6 +305,10 @@
 	if j != nil {
 		u = j.unitOf(s.Task)
 	}
+	if u != nil && j.open() && !slices.Contains(u.previousWorkers, w.info.ID) {
+		p.unrecorded = append(p.unrecorded, s.Task.Job)
+		p.markChanged(j)
+	}
 	if u != nil && j.open() && u.accepts(s) {
 		u.nextRun = max(u.nextRun, s.Run+1)
 		u.phase = unitActive
@@ -333,6 +337,14 @@
 	p.stopOrphan(r)
 }
 
+// TakeUnrecorded returns the jobs of which runs have been adopted since the last call whose
+// placements no record tells. They have changed.
+func (p *Planner) TakeUnrecorded() []string {
+	jobs := p.unrecorded
+	p.unrecorded = nil
+	return jobs
+}
+
 // stopOrphan stops a run that belongs to no current attempt.
 func (p *Planner) stopOrphan(r *run) {
 	p.log(LogEntry{Event: EventOrphanedRun, Job: r.task.Job, Worker: r.worker.info.ID, Task: r.task, Run: r.number})
