Records of confirmed leases are written for long tasks only, the owner's state less often

Each record and each heartbeat's row is read by every instance. A record that only tells of confirmed leases is written for tasks of 4 s or more, every 3 s at most; the owner's state goes with a heartbeat each 0.6 s, or when it changes.

--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -20,6 +20,9 @@
 const (
 	// heartbeatInterval is the delay between an owner's heartbeats.
 	heartbeatInterval = 200 * time.Millisecond
+	// ownerStateInterval is the delay between heartbeats with an unchanged owner's state.
+	// All instances read each of them.
+	ownerStateInterval = 600 * time.Millisecond
 	// commitTimeout allows for a store that is a hundred times slower than usual.
 	commitTimeout = 2500 * time.Millisecond
 	// entriesPerRow is the number of entries that a job row takes in a transaction: its
@@ -372,12 +375,20 @@
 // heartbeat writes this owner's heartbeat until ctx ends. If another owner holds
 // the pool, it resigns.
 func (o *Owner) heartbeat(ctx context.Context) {
+	var stored replica.OwnerState
+	storedAt := o.now() - ownerStateInterval
 	for ctx.Err() == nil {
 		sentAt := o.now()
-		err := o.writeHeartbeat(ctx)
+		state := replica.OwnerState{Epoch: o.epoch, Settled: o.settled.Load(), RecordedAt: o.recordedAt()}
+		changed := state.Settled != stored.Settled || (state.RecordedAt > 0) != (stored.RecordedAt > 0)
+		withState := changed || sentAt-storedAt >= ownerStateInterval
+		err := o.writeHeartbeat(ctx, state, withState)
 		switch {
 		case err == nil:
 			o.heartbeatAt.Store(int64(sentAt))
+			if withState {
+				stored, storedAt = state, sentAt
+			}
 		case fault.Is(err, fault.Conflict):
 			o.resign("another owner holds the pool")
 			return
@@ -388,16 +399,18 @@
 	}
 }
 
-func (o *Owner) writeHeartbeat(ctx context.Context) error {
-	value, err := work.Encode(replica.OwnerState{Epoch: o.epoch, Settled: o.settled.Load(), RecordedAt: o.recordedAt()})
-	if err != nil {
-		return err
+// writeHeartbeat writes a heartbeat, with the owner's state if withState is set.
+func (o *Owner) writeHeartbeat(ctx context.Context, state replica.OwnerState, withState bool) error {
+	rows := map[port.RowKey][]byte{replica.PoolKey(o.pool, replica.HeartbeatKey): []byte(o.deps.Name)}
+	if withState {
+		value, err := work.Encode(state)
+		if err != nil {
+			return err
+		}
+		rows[replica.PoolKey(o.pool, replica.OwnerKey)] = value
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	_, err = o.deps.Store.Commit(ctx, o.epochTxn(map[port.RowKey][]byte{
-		replica.PoolKey(o.pool, replica.HeartbeatKey): []byte(o.deps.Name),
-		replica.PoolKey(o.pool, replica.OwnerKey):     value,
-	}))
+	_, err := o.deps.Store.Commit(ctx, o.epochTxn(rows))
 	return err
 }
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -22,7 +22,7 @@
 	HeartbeatKey = "beat"
 	CapacityKey  = "load"
 	WorkersKey   = "workers"
-	// OwnerKey holds what the owner stores with each heartbeat.
+	// OwnerKey holds what the owner stores with its heartbeats.
 	OwnerKey = "owner"
 	// EarlyStartsKey holds the number of the last epoch whose owner may have started
 	// tasks before their placements were stored, 0 once all of them are.
@@ -45,7 +45,7 @@
 	Incarnation string `cbor:"3,keyasint,omitempty"`
 }
 
-// OwnerState is what an owner stores with each heartbeat, whose value is the owner's name
+// OwnerState is what an owner stores with its heartbeats, whose value is the owner's name
 // as plain text.
 type OwnerState struct {
 	Epoch int64 `cbor:"1,keyasint"`
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -247,8 +247,11 @@
 	cancelled     bool
 	started       bool
 	reported      waitingReport
-	changed       bool // is in Planner.changed
-	unstored      bool // changed since its record was last confirmed to be stored
+	// recordConfirmedAt is when its record may be written again only to tell of confirmed
+	// leases.
+	recordConfirmedAt time.Duration
+	changed           bool // is in Planner.changed
+	unstored          bool // changed since its record was last confirmed to be stored
 }
 
 func (j *job) open() bool { return !j.rec.State.Ended() && !j.cancelled }
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -131,8 +131,17 @@
 	return w != nil && now < w.longLeaseUntil
 }
 
-// RecordConfirmedLeases has the jobs stored again of which an attempt's leases are
-// confirmed and the record doesn't tell.
+const (
+	// recordConfirmedFrom is the estimate of a task from which a record is written only to
+	// tell that its lease is confirmed. Shorter ones have mostly ended before a successor
+	// would need to know it.
+	recordConfirmedFrom = 4 * time.Second
+	// recordConfirmedInterval is the least time between two such records of a job.
+	recordConfirmedInterval = 3 * time.Second
+)
+
+// RecordConfirmedLeases has the jobs with long tasks stored again of which an attempt's
+// leases are confirmed and the record doesn't tell.
 func (p *Planner) RecordConfirmedLeases(now time.Duration) {
 	for _, j := range p.jobsByArrival {
 		if !j.open() {
@@ -142,14 +151,15 @@
 		for _, u := range j.units {
 			confirmed = u.confirm(now) || confirmed
 		}
-		if confirmed {
+		if confirmed && now >= j.recordConfirmedAt {
+			j.recordConfirmedAt = now + recordConfirmedInterval
 			p.markChanged(j)
 		}
 	}
 }
 
 // confirm confirms the leases of the unit's runs as far as they are known, and reports
-// whether all are and the job's last record doesn't tell.
+// whether all are, the task is long and the job's last record doesn't tell.
 func (u *unit) confirm(now time.Duration) bool {
 	if u.phase != unitActive || u.confirmedStored {
 		return false
@@ -157,7 +167,7 @@
 	for _, r := range u.runs {
 		r.confirmed = r.confirmed || r.reported && !r.resent && now >= r.worker.longLeaseUntil
 	}
-	return u.confirmed()
+	return (u.spec().LongLived || u.spec().Estimate >= recordConfirmedFrom) && u.confirmed()
 }
 
 // confirmed reports whether all leases that the unit may have are confirmed.
