Planner: steps that no worker can hold don't end a pass

Cause: a pass ended after 120 steps that it failed to place, the same ones each time.

A pass asks once for each shape of unit whether the workers could hold it, and counts only those that they could. The second half of the limit goes on where the pass before stopped. Units that can't be held take none of the reservations.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -20,6 +20,8 @@
 	now       time.Duration
 	workers   []*worker // only the usable ones
 	free      []work.Resources
+	lasting   []work.Resources // the capacity without that of long-lived tasks
+	abilities map[shape]ability
 	racks     [][]int      // worker indexes by rack, in order of first appearance
 	rackOf    []int        // index into racks, by worker index
 	colocated []colocation // by worker index
@@ -42,7 +44,7 @@
 }
 
 func (p *Planner) newView(now time.Duration) *view {
-	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.workerIDs)), claimed: map[claimKey]int{}, mostlyIdle: p.mostlyIdle()}
+	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.workerIDs)), claimed: map[claimKey]int{}, abilities: map[shape]ability{}, mostlyIdle: p.mostlyIdle()}
 	rackIndex := map[string]int{}
 	for _, id := range p.workerIDs {
 		w := p.workers[id]
@@ -61,6 +63,7 @@
 		v.index[w] = i
 		v.workers = append(v.workers, w)
 		v.free = append(v.free, w.free)
+		v.lasting = append(v.lasting, w.lastingCapacity())
 		v.colocated = append(v.colocated, w.colocation())
 	}
 	v.reservedFrom = make([]time.Duration, len(v.workers))
@@ -150,16 +153,69 @@
 	if !v.eligible(u, i) || v.planner.isDenied(u, w) {
 		return 0
 	}
-	free, siblings := w.info.Capacity, 0
+	siblings := 0
+	if s := u.spec(); s.LongLived && s.MaxPerWorker > 0 {
+		siblings = w.tasksOf(u)
+	}
+	return u.slotsIn(v.lasting[i], siblings, u.count)
+}
+
+// ability tells how far the usable workers could run a unit.
+type ability int
+
+const (
+	ineligible ability = iota // no worker may run one of its tasks
+	cannotHold                // they couldn't hold it beside the long-lived tasks
+	canHold
+)
+
+// shape is what the ability to run a unit depends on.
+type shape struct {
+	label              string
+	need               work.Resources
+	count, perWorker   int
+	bestEffort, serves bool
+	step               stepKey // only where the ability depends on more
+}
+
+// ability returns how far the usable workers could run the unit once all tasks that
+// aren't long-lived have ended. Most units of a long queue share few shapes.
+func (v *view) ability(u *unit) ability {
+	s := u.spec()
+	key := shape{label: s.RequiredLabel, need: s.Need, count: u.count, perWorker: s.MaxPerWorker, bestEffort: s.BestEffort, serves: u.isServing()}
+	if u.job.rec.Job.PolicyControlled || s.LongLived && s.MaxPerWorker > 0 {
+		key.step = u.stepKey()
+	}
+	known, ok := v.abilities[key]
+	if !ok {
+		known = v.findAbility(u)
+		v.abilities[key] = known
+	}
+	return known
+}
+
+func (v *view) findAbility(u *unit) ability {
+	found, slots := ineligible, 0
+	for i := range v.workers {
+		if v.eligible(u, i) && !v.planner.isDenied(u, v.workers[i]) {
+			found = cannotHold
+		}
+		if slots += v.possibleSlots(u, i); slots >= u.count {
+			return canHold
+		}
+	}
+	return found
+}
+
+// lastingCapacity returns the worker's capacity without that of its long-lived tasks.
+func (w *worker) lastingCapacity() work.Resources {
+	free := w.info.Capacity
 	for _, r := range w.runs {
 		if r.unit != nil && r.unit.spec().LongLived && r.unit.phase == unitActive {
 			free = free.Sub(r.need)
-			if r.unit.stepKey() == u.stepKey() {
-				siblings++
-			}
 		}
 	}
-	return u.slotsIn(free, siblings, u.count)
+	return free
 }
 
 // groups returns the sets of workers on one of which the unit is placed as a whole.
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -10,8 +10,10 @@
 	// maxReservations limits the waiting units that get workers reserved in one
 	// pass. More would leave too little capacity to backfill.
 	maxReservations = 2
-	// maxUnplaceable limits the waiting steps that one pass fails to place. It
-	// bounds the time of a pass over a long queue.
+	// maxUnplaceable limits the waiting steps that one pass fails to place although the
+	// workers could hold them. It bounds the time of a pass over a long queue. The last
+	// half of them are those that follow on the ones of the pass before, so that all steps
+	// have their turn.
 	maxUnplaceable = 120
 	// stalledAfter is the least time without progress after which a run counts as
 	// stalled. Tasks report whole percents, and most run for less than 75 s, which is
@@ -53,44 +55,53 @@
 	v := p.newView(now)
 	p.placeClaims(v)
 	reservations := 0
-	unplaceable := map[stepKey]bool{}
-	for _, r := range p.ranking(now) {
+	unplaceable, failed := map[stepKey]bool{}, 0
+	ranking := p.ranking(now)
+	for k := 0; k < len(ranking); k++ {
+		r := ranking[k]
 		u := r.unit
 		key := u.stepKey()
-		if len(unplaceable) >= maxUnplaceable {
-			break
-		}
 		if unplaceable[key] {
 			continue
 		}
+		if failed == maxUnplaceable {
+			p.nextRank = k
+			break
+		}
 		spread := p.maySpread(u, now)
-		if u.claim == nil {
+		ability := v.ability(u)
+		if u.claim == nil && ability == canHold {
 			if placements := v.place(u, spread); placements != nil {
 				p.start(u, v, placements, "fits")
 				continue
 			}
 		}
-		if placements := v.placeOnIdle(u); placements != nil {
-			u.claim = nil
-			p.start(u, v, placements, "most capacity is idle")
-			continue
+		if ability == canHold {
+			if placements := v.placeOnIdle(u); placements != nil {
+				u.claim = nil
+				p.start(u, v, placements, "most capacity is idle")
+				continue
+			}
 		}
 		if u.claim != nil {
 			continue
 		}
-		unplaceable[key] = true
-		if u.job.rec.Job.PolicyControlled {
+		if u.job.rec.Job.PolicyControlled && ability != ineligible {
 			p.awaitingTickets = append(p.awaitingTickets, u)
 		}
-		if u.job.rec.Job.Priority == 0 {
-			if p.reclaim(u, v, p.withinGuarantee(u), spread) {
-				delete(unplaceable, key)
-				continue
-			}
+		if u.job.rec.Job.Priority == 0 && ability != ineligible && p.reclaim(u, v, p.withinGuarantee(u), spread) {
+			continue
+		}
+		unplaceable[key] = true
+		if ability != canHold {
+			continue // waits for other workers, and for none of the capacity here
+		}
+		if failed++; failed == maxUnplaceable/2 {
+			k = max(k, p.nextRank-1)
+			p.nextRank = 0
 		}
-		if reservations < maxReservations && r.score > overdueFactor {
+		if reservations < maxReservations && r.score > overdueFactor && v.reserve(u) {
 			reservations++
-			v.reserve(u)
 		}
 	}
 	orders := p.orders
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -9,8 +9,8 @@
 
 // reserve reserves the workers on which a waiting unit is estimated to fit first.
 // Shorter work may use them until then; longer work can't delay the unit
-// indefinitely.
-func (v *view) reserve(u *unit) {
+// indefinitely. It reports whether there are such workers.
+func (v *view) reserve(u *unit) bool {
 	avoid := v.mayAvoid(u, false)
 	var best []int
 	bestAt := time.Duration(-1)
@@ -21,7 +21,7 @@
 		}
 	}
 	if len(best) == 0 {
-		return
+		return false
 	}
 	r := reservation{unit: u, from: bestAt}
 	for _, i := range best {
@@ -31,6 +31,7 @@
 		}
 	}
 	v.planner.reservations = append(v.planner.reservations, r)
+	return true
 }
 
 // reservation is the number of workers that a pass reserved for a waiting unit, and when
