Planner: a long-lived task doesn't wait for a reservation

Cause: it doesn't end before the reservation begins, and what overrules reservations held only while most of the pool is idle.

It holds for long-lived tasks however much is in use, after 2 s without a run.

Evidence: TestLongLivedTaskStartsOnReservedWorker failed before.

--- a/internal/planner/idle.go
+++ b/internal/planner/idle.go
@@ -8,7 +8,7 @@
 
 // idleStartAfter is how long a unit waits before it may use idle capacity that is kept for
 // others or that is on several racks. The platform allows a job to have nothing running for
-// 3 s while there is room for it.
+// 3 s while there is room for it, and a long-lived task for 6 s.
 const idleStartAfter = 2 * time.Second
 
 // mostlyIdle reports whether less than half of each resource of the listed workers is in
@@ -25,11 +25,13 @@
 }
 
 // placeOnIdle returns a placement of a unit that has waited for idleStartAfter while most
-// of the capacity is idle and the unit fits twice over. It ignores reservations, headroom
+// of the capacity is idle and the unit fits twice over. A long-lived unit gets one however
+// much is in use, as what it waits for may never end. It ignores reservations, headroom
 // and racks, and uses workers on which the unit failed before if the others don't suffice:
 // these are worth a wait only while capacity is scarce. Otherwise it returns nil.
 func (v *view) placeOnIdle(u *unit) []placement {
-	if !v.mostlyIdle || v.planner.waited(u, v.now) < idleStartAfter {
+	waited := min(v.planner.waited(u, v.now), v.now-u.attemptEndedAt)
+	if !v.mostlyIdle && !u.spec().LongLived || waited < idleStartAfter {
 		return nil
 	}
 	open := *v
--- a/internal/planner/idle_test.go
+++ b/internal/planner/idle_test.go
@@ -162,3 +162,19 @@
 	}
 	must.LessEq(t, 2, stops)
 }
+
+// Guards against long-lived tasks that are kept off the only worker with room, which is
+// reserved for a larger job that waits for the rest of it (reserved-runner).
+func TestLongLivedTaskStartsOnReservedWorker(t *testing.T) {
+	h := newHarness(t, 1, 2)
+	h.add(h.job("full", 2, longLived(1, 0)))
+	h.add(h.job("half", 2, step(1, 4, 80)))
+	must.EqOp(t, 2, starts(h.plan()))
+	h.add(h.job("large", 1, step(1, 8, 80)))
+	lasting := longLived(1, 0)
+	lasting.Need.Accel = 2
+	h.add(h.job("lasting", 2, lasting))
+	must.EqOp(t, 0, starts(h.plan()))
+	must.Positive(t, len(h.p.reservations))
+	must.LessEq(t, maxIdleWait-500*time.Millisecond, h.startDelay("lasting", slowly))
+}
