--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -110,7 +110,7 @@
 			job: j, occurrence: occurrence, step: step, first: k * size, count: size,
 			nextRun: p.firstRun, runs: map[int]*run{},
 			failedRuns: slices.Clone(progress.Failures[k*size]), checkpoint: progress.Checkpoints[k*size],
-			previousWorkers: progress.Placed[k*size], previousConfirmed: slices.Contains(progress.Confirmed, k*size),
+			previousWorkers: progress.Placed[k*size], previousConfirmed: len(progress.Placed) > 0 && j.rec.Confirmed(index, k*size),
 			inherited: inherited, arrivedInRecovery: !inherited && p.recovery.active,
 		}
 		if slices.Contains(progress.Done, u.first) {
@@ -277,7 +277,7 @@
 				}
 			}
 			if placed := rec.Steps[i].Placed[u.first]; p.recovery.active && (u.phase == unitReady || u.phase == unitBlocked) {
-				u.addPreviousWorkers(placed, slices.Contains(rec.Steps[i].Confirmed, u.first))
+				u.addPreviousWorkers(placed, rec.Confirmed(i, u.first))
 			}
 			if slices.Contains(rec.Steps[i].Done, u.first) && u.phase != unitDone && u.phase != unitAbandoned {
 				p.stopUnit(u, now, "succeeded elsewhere")
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -374,6 +374,7 @@
 // snapshot returns the job's record with a copy of its current progress.
 func (j *job) snapshot() work.Record {
 	rec := j.rec
+	rec.LeasesKnown = true
 	rec.Steps = make([]work.StepProgress, len(j.perStep))
 	for i, units := range j.perStep {
 		s := &rec.Steps[i]
@@ -387,8 +388,8 @@
 			}
 			if workers := u.workers(); len(workers) > 0 {
 				setEntry(&s.Placed, u.first, workers)
-				if u.confirmedStored = u.confirmed(); u.confirmedStored {
-					s.Confirmed = append(s.Confirmed, u.first)
+				if u.confirmedStored = u.confirmed(); !u.confirmedStored {
+					s.Doubted = append(s.Doubted, u.first)
 				}
 			}
 			if u.checkpoint != "" {
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -316,10 +316,10 @@
 	// Placed maps a task to the workers of its current attempt; a gang uses task
 	// 0. It is stored before the attempt's starts are sent.
 	Placed map[int][]string `cbor:"4,keyasint,omitempty"`
-	// Confirmed lists the tasks of Placed whose leases are known not to exceed those that
-	// the owner asked for; a gang uses task 0. Any other lease may be the longest that a
-	// worker grants, as the worker may have restarted before it carried out the start.
-	Confirmed []int `cbor:"5,keyasint,omitempty"`
+	// Doubted lists the tasks of Placed whose leases may exceed what the owner asked for, as
+	// the worker may have restarted before it carried out the start; a gang uses task 0.
+	// It is complete if Record.LeasesKnown is set.
+	Doubted []int `cbor:"5,keyasint,omitempty"`
 }
 
 // Record is the row of a job in the store.
@@ -336,6 +336,15 @@
 	// is the owner's epoch, the lower half a counter; 0 is the record of the
 	// submission.
 	Sequence int64 `cbor:"5,keyasint,omitempty"`
+	// LeasesKnown is set if StepProgress.Doubted tells all leases that are in doubt. It
+	// isn't in records of earlier builds.
+	LeasesKnown bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Confirmed reports whether the leases of a placed task are known not to exceed what the
+// owner asked for. step is an index into Steps.
+func (r *Record) Confirmed(step, task int) bool {
+	return r.LeasesKnown && !slices.Contains(r.Steps[step].Doubted, task)
 }
 
 // Epoch returns the epoch of the owner that wrote the record, 0 for that of the
