--- a/internal/duty/pool/batch.go
+++ b/internal/duty/pool/batch.go
@@ -48,8 +48,8 @@
 // encodeWithinLimits encodes a record for the store. If it is too large, it is stored
 // without the checkpoints, which only save work, and then without the placements. Without
 // those the next owner has to be told that the stored placements are incomplete; until
-// that is stored, the result is nil. The announcement stays until the record fits. It fails with fault.Internal, or with fault.Invalid if
-// the record is too large even so.
+// that is stored, the result is nil. The announcement stays until the record fits. It fails
+// with fault.Internal, or with fault.Invalid if the record is too large even so.
 func (o *Owner) encodeWithinLimits(ctx context.Context, rec *work.Record) ([]byte, error) {
 	limit := o.deps.Store.Limits().ValueBytes
 	value, err := work.Encode(rec)
