Planner: one reading of a run in doubt, and of where a unit may run

Read-through, no change of behaviour. The condition that another incarnation may have carried out a run's start stood in three places; run.inDoubt serves them all. The workers that may run a unit, policy included, were found by the same two checks in possibleSlots and findAbility; view.mayRun serves both, and isn't asked again once one worker may.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -146,16 +146,21 @@
 	return u.compatibleWith(v.colocated[i])
 }
 
+// mayRun reports whether the unit is eligible for worker i and the policy isn't known to
+// deny it there.
+func (v *view) mayRun(u *unit, i int) bool {
+	return v.eligible(u, i) && !v.planner.isDenied(u, v.workers[i])
+}
+
 // possibleSlots returns how many of the unit's tasks worker i could hold once all tasks
 // there that aren't long-lived have ended.
 func (v *view) possibleSlots(u *unit, i int) int {
-	w := v.workers[i]
-	if !v.eligible(u, i) || v.planner.isDenied(u, w) {
+	if !v.mayRun(u, i) {
 		return 0
 	}
 	siblings := 0
 	if s := u.spec(); s.LongLived && s.MaxPerWorker > 0 {
-		siblings = w.tasksOf(u)
+		siblings = v.workers[i].tasksOf(u)
 	}
 	return u.slotsIn(v.lasting[i], siblings, u.count)
 }
@@ -197,7 +202,7 @@
 func (v *view) findAbility(u *unit) ability {
 	found, slots := ineligible, 0
 	for i := range v.workers {
-		if v.eligible(u, i) && !v.planner.isDenied(u, v.workers[i]) {
+		if found == ineligible && v.mayRun(u, i) {
 			found = cannotHold
 		}
 		if slots += v.possibleSlots(u, i); slots >= u.count {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -166,6 +166,10 @@
 	needUnknown bool
 }
 
+// inDoubt reports whether another incarnation than the known one may have carried out the
+// run's start, or may still do so.
+func (r *run) inDoubt() bool { return !r.reported || r.resent }
+
 // reportDelay covers the time until a worker reports the first progress of a run.
 const reportDelay = time.Second
 
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -89,7 +89,7 @@
 	}
 	n := 0
 	for _, r := range w.runs {
-		if !r.reported || r.resent {
+		if r.inDoubt() {
 			continue
 		}
 		p.handleLeaseExpired(r, now)
@@ -165,7 +165,7 @@
 		return false
 	}
 	for _, r := range u.runs {
-		r.confirmed = r.confirmed || r.reported && !r.resent && now >= r.worker.longLeaseUntil
+		r.confirmed = r.confirmed || !r.inDoubt() && now >= r.worker.longLeaseUntil
 	}
 	return (u.spec().LongLived || u.spec().Estimate >= recordConfirmedFrom) && u.confirmed()
 }
@@ -196,7 +196,7 @@
 	p.log(LogEntry{Event: EventWorkerRestarted, Worker: id, Count: len(w.runs)})
 	for _, r := range w.runs {
 		u := r.unit
-		if !r.reported || r.resent {
+		if r.inDoubt() {
 			p.orderStop(r, "unanswered")
 			if u != nil {
 				p.endAttempt(u, now)
