Planner: a unit holds back only from workers on which it is probably late

Change: three degrees: surely, probably and not in time. Preference goes by all three, holding back and reclaiming by the last alone.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -38,11 +38,11 @@
 	// mostlyIdle is that of Planner.mostlyIdle at the beginning of the pass.
 	mostlyIdle bool
 	// factor and class hold the time factors of the workers and their speed classes, by
-	// worker index. upper holds the factors that they are unlikely to exceed, of which
-	// leastUpper is the lowest one.
+	// worker index. leastFactor is the lowest factor. upper holds the factors that the
+	// workers are unlikely to exceed.
 	factor, upper []float64
 	class         []int
-	leastUpper    float64
+	leastFactor   float64
 	uneven        bool // the workers belong to several speed classes
 }
 
@@ -53,7 +53,7 @@
 }
 
 func (p *Planner) newView(now time.Duration) *view {
-	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.workerIDs)), claimed: map[claimKey]int{}, abilities: map[shape]ability{}, mostlyIdle: p.mostlyIdle(), leastUpper: math.Inf(1)}
+	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.workerIDs)), claimed: map[claimKey]int{}, abilities: map[shape]ability{}, mostlyIdle: p.mostlyIdle(), leastFactor: math.Inf(1)}
 	rackIndex := map[string]int{}
 	for _, id := range p.workerIDs {
 		w := p.workers[id]
@@ -77,7 +77,7 @@
 		factor := p.speeds.Factor(id)
 		v.factor, v.class = append(v.factor, factor), append(v.class, speedClass(factor))
 		v.upper = append(v.upper, p.speeds.UpperFactor(id))
-		v.leastUpper = min(v.leastUpper, v.upper[i])
+		v.leastFactor = min(v.leastFactor, factor)
 		v.uneven = v.uneven || v.class[i] != v.class[0]
 	}
 	v.reservedFrom = make([]time.Duration, len(v.workers))
@@ -314,10 +314,9 @@
 			continue
 		}
 		f := v.fitOn(u, members, avoid, limit, inTime)
-		if f == nil || best != nil && !f.betterThan(best) && !(f.same(best) && free < bestFree) {
-			continue
+		if f != nil && (best == nil || cmp.Or(f.compare(best), cmp.Compare(free, bestFree)) < 0) {
+			best, bestMembers, bestFree = f, members, free
 		}
-		best, bestMembers, bestFree = f, members, free
 	}
 	if best == nil {
 		return nil
@@ -356,7 +355,7 @@
 			continue
 		}
 		if n := v.slots(u, i, v.free[i]); n > 0 {
-			candidates = append(candidates, candidate{i, n, v.free[i].Cores(), v.class[i], v.upper[i]})
+			candidates = append(candidates, candidate{i, n, v.free[i].Cores(), v.class[i], v.factor[i], v.upper[i]})
 		}
 	}
 	return chooseBySpeed(u, candidates, limit, inTime)
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -79,13 +79,13 @@
 
 // findVictims chooses victims task by task, each time on the worker where another
 // task costs least. It returns nil if the unit can't fit. With avoid, workers on which the
-// unit failed or stalled are left out, and always those whose time factor may exceed limit.
+// unit failed or stalled are left out, and always those whose time factor exceeds limit.
 func (p *Planner) findVictims(u *unit, v *view, members []int, withinGuarantee, avoid bool, limit float64) *eviction {
 	s := &victimSearch{p: p, u: u, v: v, withinGuarantee: withinGuarantee,
 		free: map[int]work.Resources{}, placed: map[int]int{}, siblings: map[int]int{}, chosen: map[*unit]bool{},
 		cost: map[*unit]float64{}, candidates: map[int][]*unit{}, disrupted: map[stepKey]int{}}
 	for _, i := range members {
-		if v.allowed(u, i, avoid) && v.upper[i] <= limit {
+		if v.allowed(u, i, avoid) && v.factor[i] <= limit {
 			s.prepare(i)
 		}
 	}
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -96,7 +98,7 @@
 // holdsBack reports whether an urgent unit waits for workers on which it completes in time
 // although slower ones are free. It doesn't where no usable worker is fast enough.
 func (p *Planner) holdsBack(u *unit, v *view, limit float64) bool {
-	return u.job.rec.Job.Priority == 0 && p.waited(u, v.now) < time.Duration(holdBackShare*float64(p.settings.ReclaimWithin)) && limit >= v.leastUpper
+	return u.job.rec.Job.Priority == 0 && p.waited(u, v.now) < time.Duration(holdBackShare*float64(p.settings.ReclaimWithin)) && limit >= v.leastFactor
 }
 
 // SpeedFactor returns the worker's time factor: 2 if it takes twice as long as a worker of
@@ -114,96 +116,122 @@
 	i, slots  int
 	freeCores float64
 	class     int
+	factor    float64
 	upper     float64 // the time factor that it is unlikely to exceed
 }
 
+// timeliness tells whether a unit is expected to complete within its objective.
+type timeliness int
+
+const (
+	surelyInTime timeliness = iota
+	probablyInTime
+	late
+)
+
 // fit is a choice of workers for a unit, with what it is compared by.
 type fit struct {
 	candidates []candidate
-	// late is set if the unit is expected to complete after its objective there.
-	late bool
+	timeliness timeliness
 	// class is the slowest worker's speed class. mixed is set if a gang's faster members
 	// wait for slower ones.
 	class int
 	mixed bool
 }
 
-// betterThan orders choices: those in time first, then those that leave faster workers to
-// others, or for a late unit those that complete it first.
-func (f *fit) betterThan(o *fit) bool {
-	switch {
-	case f.late != o.late:
-		return !f.late
-	case f.mixed != o.mixed:
-		return !f.mixed
-	case f.late:
-		return f.class < o.class
+// compare orders choices by preference: those in time first, then those that leave faster
+// workers to others or, where the time is short, those that complete the unit first.
+func (f *fit) compare(o *fit) int {
+	byClass := cmp.Compare(o.class, f.class)
+	if f.timeliness != surelyInTime {
+		byClass = -byClass
+	}
+	mixed := 0
+	if f.mixed != o.mixed {
+		mixed = 1
+		if o.mixed {
+			mixed = -1
+		}
 	}
-	return f.class > o.class
+	return cmp.Or(cmp.Compare(f.timeliness, o.timeliness), mixed, byClass)
 }
 
-func (f *fit) same(o *fit) bool { return f.late == o.late && f.mixed == o.mixed && f.class == o.class }
-
 // chooseBySpeed returns those of the candidates on which the unit should run: the slowest
-// ones on which it still completes in time, of one speed class if there are enough of them;
-// if it can't complete in time, the fastest. limit is the largest time factor in time. It
-// returns nil if the candidates don't hold the whole unit, or with inTime only too late.
+// ones on which it surely completes in time, of one speed class if there are enough of them;
+// if there are none, the fastest. limit is the largest time factor in time. It returns nil
+// if the candidates don't hold the whole unit, or with inTime only if it would be late.
 func chooseBySpeed(u *unit, candidates []candidate, limit float64, inTime bool) *fit {
-	classes := map[int]int{} // slots by class
-	total, timely := 0, 0
+	total, probable, sure := 0, 0, 0
+	even := true
 	for _, c := range candidates {
 		total += c.slots
-		classes[c.class] += c.slots
+		if c.factor <= limit {
+			probable += c.slots
+		}
 		if c.upper <= limit {
-			timely += c.slots
+			sure += c.slots
 		}
+		even = even && c.class == candidates[0].class
 	}
-	if total < u.count || inTime && timely < u.count {
+	result := fit{candidates: candidates, timeliness: late}
+	switch {
+	case total < u.count || inTime && probable < u.count:
 		return nil
-	}
-	if len(classes) == 1 {
-		return &fit{candidates: candidates, late: timely < u.count, class: candidates[0].class}
-	}
-	if timely >= u.count {
-		candidates = slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return c.upper > limit })
-		return chooseInTime(u, candidates)
-	}
-	// The fewest classes, fastest first, that hold the unit.
-	order := sortedClasses(classes)
-	slots := 0
-	for _, class := range order {
-		if slots += classes[class]; slots >= u.count {
-			chosen := slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return c.class > class })
-			return &fit{candidates: chosen, late: true, class: class}
+	case sure >= u.count:
+		result.timeliness = surelyInTime
+		if !even {
+			result.keep(func(c *candidate) bool { return c.upper <= limit })
+			result.leaveFaster(u)
+			return &result
 		}
+	case probable >= u.count:
+		result.timeliness = probablyInTime
+	}
+	if even {
+		result.class = candidates[0].class
+	} else {
+		result.takeFastest(u)
 	}
-	return nil
+	return &result
 }
 
-// chooseInTime chooses among candidates that all complete the unit in time.
-func chooseInTime(u *unit, candidates []candidate) *fit {
-	classes := map[int]int{}
-	for _, c := range candidates {
-		classes[c.class] += c.slots
+func (f *fit) keep(kept func(c *candidate) bool) {
+	f.candidates = slices.DeleteFunc(slices.Clone(f.candidates), func(c candidate) bool { return !kept(&c) })
+}
+
+// slotsByClass returns the slots of the candidates by speed class, and the classes, the
+// fastest first.
+func (f *fit) slotsByClass() (map[int]int, []int) {
+	slots := map[int]int{}
+	for _, c := range f.candidates {
+		slots[c.class] += c.slots
 	}
-	order := sortedClasses(classes)
-	slices.Reverse(order)
-	for _, class := range order {
-		if classes[class] >= u.count {
-			chosen := slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return c.class != class })
-			return &fit{candidates: chosen, class: class}
+	return slots, slices.Sorted(maps.Keys(slots))
+}
+
+// takeFastest keeps the fewest classes that hold the unit, the fastest ones.
+func (f *fit) takeFastest(u *unit) {
+	slots, classes := f.slotsByClass()
+	sum := 0
+	for _, f.class = range classes {
+		if sum += slots[f.class]; sum >= u.count {
+			break
 		}
 	}
-	return &fit{candidates: candidates, class: order[0], mixed: true}
+	f.keep(func(c *candidate) bool { return c.class <= f.class })
 }
 
-func sortedClasses(classes map[int]int) []int {
-	out := make([]int, 0, len(classes))
-	for class := range classes {
-		out = append(out, class)
+// leaveFaster keeps the slowest class that holds the unit, or else all candidates.
+func (f *fit) leaveFaster(u *unit) {
+	slots, classes := f.slotsByClass()
+	for _, class := range slices.Backward(classes) {
+		if slots[class] >= u.count {
+			f.class = class
+			f.keep(func(c *candidate) bool { return c.class == class })
+			return
+		}
 	}
-	slices.Sort(out)
-	return out
+	f.class, f.mixed = classes[len(classes)-1], true
 }
 
 // scaled returns a duration at a time factor.
