--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -114,6 +114,7 @@
 	done            chan struct{}
 	previous        previousOwner
 	unknown         unknownJobs
+	speeds          speedStore
 	announcement    earlyStartAnnouncement
 	earlyStarts     unrecordedStarts
 	// placementsKnown is set once this owner knows every placement of previous owners.
@@ -254,6 +255,7 @@
 			o.deps.Observer.ReportOwnership(o.pool, true, waiting, running)
 			o.planner.ReportWaiting(o.now())
 			o.recordLeases(o.now())
+			o.storeSpeeds(ctx, o.now())
 			continue
 		case <-ctx.Done():
 			return
@@ -399,6 +401,7 @@
 			return // an overdue report of a previous incarnation
 		}
 		ev.session.reported = true
+		o.restoreSpeed(ev.session)
 		o.cancelReportedStarts(id, &ev.reply)
 		results := o.planner.HandleReport(now, ev.sentAt, id, ev.reply)
 		ev.session.acknowledge(ev.incarnation, o.planner.AcknowledgeableResult(id))
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -8,6 +8,7 @@
 
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
 	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/speed"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -62,6 +63,7 @@
 	o.writer.workers.reset(view.WorkersVersion, view.Workers)
 	o.announcement.version = view.EarlyStartsVersion
 	o.placementsKnown = o.epoch == 1
+	o.speeds.restorer = speed.NewRestorer(view.Speeds)
 	o.previous.workers, o.previous.byID = view.Workers, inheritedWorkersOf(&view)
 	for i := range workers {
 		if w := workers[i]; w.Pool == o.pool {
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -78,11 +78,13 @@
 	inherited *inheritedWorker
 
 	// appliedIncarnation is the last incarnation that the owner's loop has applied.
-	// reported is set once it has applied a report. listed is what the stored list of
+	// reported is set once it has applied a report, speedRestored once it has looked for a
+	// stored speed of the worker. listed is what the stored list of
 	// workers tells of the worker, or will tell with its next write. They are accessed
 	// only by the loop.
 	appliedIncarnation int
 	reported           bool
+	speedRestored      bool
 	listed             listedLease
 }
 
--- a/internal/duty/replica/apply.go
+++ b/internal/duty/replica/apply.go
@@ -68,6 +68,8 @@
 	case EarlyStartsKey:
 		p.EarlyStartsVersion = row.Version
 		return decodeInto(row.Value, &p.EarlyStartEpoch)
+	case SpeedsKey:
+		return decodeInto(row.Value, &p.Speeds)
 	case CapacityKey:
 		return decodeInto(row.Value, &p.Capacity)
 	}
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/speed"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -27,6 +28,8 @@
 	// EarlyStartsKey holds the number of the last epoch whose owner may have started
 	// tasks before their placements were stored, 0 once all of them are.
 	EarlyStartsKey = "bypassed"
+	// SpeedsKey holds what the owner has learned of the workers' speeds.
+	SpeedsKey      = "speeds"
 	jobPrefix      = "job/"
 	cancelPrefix   = "cancel/"
 	instancePrefix = "node/"
@@ -134,6 +137,7 @@
 	SettledEpoch int64
 	Owner        OwnerState
 	Capacity     PoolCapacity
+	Speeds       speed.Stored
 	// Workers lists the IDs of the workers that the owner last used. It is shared
 	// with other views and must not be modified.
 	Workers        []string
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -105,6 +105,10 @@
 // nominal speed.
 func (p *Planner) SpeedFactor(id string) float64 { return p.speeds.Factor(id) }
 
+// SpeedSpread returns how much the workers' speeds differ, as the standard deviation of the
+// logarithms of their time factors.
+func (p *Planner) SpeedSpread() float64 { return p.speeds.Spread() }
+
 // StoredSpeeds returns the learned speeds for the next owner.
 func (p *Planner) StoredSpeeds(workers []speed.Identity) speed.Stored { return p.speeds.Store(workers) }
 
--- /dev/null
+++ b/internal/planner/speed_test.go
@@ -0,0 +1,175 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/speed"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+// newUnevenHarness returns racks of workers of which every third is known to take 1.7 of
+// the nominal time, and the others 0.7.
+func newUnevenHarness(t *testing.T, racks, perRack int) *harness {
+	h := newHarness(t, racks, perRack)
+	for round := range 6 {
+		for i, id := range h.p.workerIDs {
+			h.p.speeds.Observe(h.now, speed.Observation{
+				Run: speed.Run{Task: work.TaskID{Job: fmt.Sprint("earlier", round), Index: i}}, Workers: []string{id}, Factor: trueFactor(i),
+			})
+		}
+	}
+	h.p.speeds.Update(h.now)
+	return h
+}
+
+func trueFactor(worker int) float64 {
+	if worker%3 == 2 {
+		return 1.7
+	}
+	return 0.7
+}
+
+// slowRuns counts the runs of a job that were started on slow workers.
+func (h *harness) slowRuns(job string) (slow, all int) {
+	for task, o := range h.runs {
+		if task.Job == job {
+			all++
+			if h.p.SpeedFactor(o.Worker) > 1.2 {
+				slow++
+			}
+		}
+	}
+	return slow, all
+}
+
+// render is an urgent gang that completes in time on fast workers only.
+func (h *harness) render(id string, count int) work.Record {
+	rec := h.job(id, 0, gangOf(count, 8, 2))
+	rec.Job.Stretch, rec.Job.Target = 1.5, 300*time.Millisecond
+	return rec
+}
+
+// The load is urgent gangs on a pool of uneven workers with room. Guards against a gang
+// that is late because one of its workers is slow.
+func TestUrgentGangAvoidsSlowWorkers(t *testing.T) {
+	h := newUnevenHarness(t, 3, 9)
+	for k := range 6 {
+		rec := h.render(fmt.Sprint("render", k), 3)
+		rec.Job.Steps[0].SameRack = k%2 == 0
+		h.add(rec)
+	}
+	h.plan()
+	for k := range 6 {
+		slow, all := h.slowRuns(fmt.Sprint("render", k))
+		must.Eq(t, 3, all)
+		must.Eq(t, 0, slow)
+	}
+}
+
+// The load is patient work beside urgent work that hasn't come yet. Guards against patient
+// work that takes the fast workers although it completes in time on the slow ones.
+func TestPatientWorkLeavesFastWorkers(t *testing.T) {
+	h := newUnevenHarness(t, 3, 9)
+	h.add(h.job("rebuild", 1, gangOf(5, 8, 7)))
+	h.add(h.job("extract", 2, step(4, 8, 5)))
+	h.plan()
+	for job, count := range map[string]int{"rebuild": 5, "extract": 4} {
+		slow, all := h.slowRuns(job)
+		must.Eq(t, count, all)
+		must.Eq(t, count, slow)
+	}
+}
+
+// Guards against patient work that waits for slow workers while fast ones are idle.
+func TestPatientWorkUsesFastWorkersWhenSlowOnesAreBusy(t *testing.T) {
+	h := newUnevenHarness(t, 1, 9)
+	h.add(h.job("extract", 2, step(8, 8, 5)))
+	h.plan()
+	_, all := h.slowRuns("extract")
+	must.Eq(t, 8, all)
+}
+
+// The load is urgent work while the fast workers are taken by work that can't be stopped.
+// Guards against an urgent gang that takes slow workers at once, although fast ones become
+// free in time, and against one that waits for them for too long.
+func TestUrgentGangWaitsBrieflyForFastWorkers(t *testing.T) {
+	h := newUnevenHarness(t, 1, 9)
+	for k := range 3 {
+		h.add(h.render(fmt.Sprint("first", k), 2))
+	}
+	h.plan()
+	h.add(h.render("second", 2))
+	h.plan()
+	_, all := h.slowRuns("second")
+	must.Eq(t, 0, all)
+	for task := range h.runs {
+		if task.Job == "first0" {
+			h.endRun(task, port.ResultSucceeded)
+		}
+	}
+	h.now += 500 * time.Millisecond
+	h.plan()
+	slow, all := h.slowRuns("second")
+	must.Eq(t, 2, all)
+	must.Eq(t, 0, slow)
+
+	h.add(h.render("third", 2))
+	h.plan()
+	_, all = h.slowRuns("third")
+	must.Eq(t, 0, all)
+	h.now += 1300 * time.Millisecond // of ReclaimWithin of 3 s
+	h.plan()
+	_, all = h.slowRuns("third")
+	must.Eq(t, 2, all)
+}
+
+// Guards against preemption, or a wait, in a pool whose workers all complete urgent work in
+// time: what is learned there must not cost other work anything.
+func TestEvenPoolPlacesAsBefore(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.add(h.job("extract", 2, step(2, 8, 5)))
+	h.plan()
+	h.add(h.render("render", 2))
+	orders := h.plan()
+	must.Len(t, 2, orders)
+	for _, o := range orders {
+		must.Eq(t, OrderStart, o.Kind)
+	}
+}
+
+// Guards against runs whose progress isn't taken into account, and against a factor that
+// outlives the worker's incarnation.
+func TestSpeedIsLearnedFromProgress(t *testing.T) {
+	h := newHarness(t, 2, 8)
+	for round := range 12 {
+		id := fmt.Sprint("extract", round)
+		h.add(h.job(id, 2, step(16, 8, 4)))
+		h.plan()
+		started := h.now
+		for percent := 10; percent <= 90; percent += 20 {
+			h.now = started + time.Duration(percent)*40*time.Millisecond
+			for i, worker := range h.p.workerIDs {
+				running := h.running(worker)
+				for k := range running {
+					running[k].ProgressPercent = int(float64(percent) / trueFactor(i))
+				}
+				h.report(worker, running...)
+			}
+			h.plan()
+		}
+		for task := range h.runs {
+			h.endRun(task, port.ResultStopped)
+		}
+		h.p.Cancel(id, h.now)
+		h.plan()
+	}
+	must.Greater(t, 1.4, h.p.SpeedFactor("w02"))
+	must.Less(t, 0.9, h.p.SpeedFactor("w00"))
+	h.p.WorkerRestarted(h.now, "w02")
+	must.Eq(t, 1, h.p.SpeedFactor("w02"))
+}
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -188,6 +188,10 @@
 	return math.Exp(mean + 2*math.Sqrt(1/weight))
 }
 
+// Spread returns how much the workers' factors differ, as the standard deviation of their
+// logarithms.
+func (e *Estimator) Spread() float64 { return math.Sqrt(e.spread) }
+
 // Update updates the factors if there are new observations, at most every
 // updateInterval. It reports whether it did.
 func (e *Estimator) Update(now time.Duration) bool {
--- a/internal/speed/stored.go
+++ b/internal/speed/stored.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"slices"
 )
 
 const (
@@ -57,6 +58,22 @@
 	return out
 }
 
+// minStoredChange is the change of a stored factor that is worth a write, about a tenth.
+const minStoredChange = 6
+
+// DiffersFrom reports whether other workers are stored, or noticeably other factors.
+func (s *Stored) DiffersFrom(o *Stored) bool {
+	if !slices.Equal(s.Workers, o.Workers) {
+		return true
+	}
+	for i := range s.Factors {
+		if d := int(int8(s.Factors[i])) - int(int8(o.Factors[i])); d > minStoredChange || d < -minStoredChange {
+			return true
+		}
+	}
+	return false
+}
+
 // Restorer gives the stored factors back to the workers as their incarnations become
 // known.
 type Restorer struct{ factors map[uint32]float64 }
