Utility: one definition of a job's value and of the costs of stopping or refusing it

The order of starts and the choice of preemption victims each had constants of their own in internal/planner; admission needs the same figures, and two definitions would let it refuse what the planner ranks high.

Package internal/utility takes over the constants and formulas of score, sizeFactor and stopCost, and adds RefusalCost and LastUseful for admission.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lentilwinch/lentilwinch/internal/utility"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -100,7 +101,7 @@
 			k = max(k, p.nextRank-1)
 			p.nextRank = 0
 		}
-		if reservations < maxReservations && r.score > overdueFactor && v.reserve(u) {
+		if reservations < maxReservations && r.score > utility.OverdueFactor && v.reserve(u) {
 			reservations++
 		}
 	}
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -1,25 +1,16 @@
 package planner
 
 import (
-	"math"
 	"slices"
 	"time"
 
+	"github.com/lentilwinch/lentilwinch/internal/utility"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
-const (
-	// discardCost is the cost of a discarded core-second in addition to its value
-	// for its own job, relative to a core-second of a job of priority 0.
-	discardCost = 1.0 / priorityRatio
-	// disruptionCost is the cost of stopping a unit in addition to its discarded
-	// work, in core-seconds per core.
-	disruptionCost = 0.05
-	// claimExpiry is how long a unit may claim capacity. It releases the capacity
-	// if the victims don't report their results, for instance because a worker is
-	// unreachable.
-	claimExpiry = 2500 * time.Millisecond
-)
+// claimExpiry is how long a unit may claim capacity. It releases the capacity if the
+// victims don't report their results, for instance because a worker is unreachable.
+const claimExpiry = 2500 * time.Millisecond
 
 // reclaim frees capacity for a unit by stopping cheaper work. Units within their
 // workspace's guarantee may also reclaim what other workspaces have borrowed. It
@@ -223,8 +214,7 @@
 	for _, r := range u.runs {
 		discarded += discardedWork(u, r, now)
 	}
-	value := math.Pow(priorityRatio, -float64(u.job.rec.Job.Priority))
-	return (value+discardCost)*discarded + disruptionCost*u.cores()
+	return utility.StopCost(u.job.rec.Job.Priority, discarded, u.cores())
 }
 
 // isBorrowing reports whether the workspace's jobs of priority 0 use more
--- /dev/null
+++ b/internal/utility/utility.go
@@ -0,0 +1,109 @@
+// Package utility defines what the completion of a job is worth to its caller, and what
+// it costs to delay, stop or refuse the job. The order of starts, the choice of preemption
+// victims and admission all use it, so that they weigh jobs alike. It reads no clock and
+// keeps no state.
+//
+// Values and costs are in core-seconds of a job of priority 0, unless they are said to be
+// relative to something else.
+package utility
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// priorityRatio is the value of a job's work relative to the same work one
+	// priority lower.
+	priorityRatio = 6
+	// lateFactor scales the value of a job that completes after its objective, but
+	// within lateLimit times the objective. A later completion has no value.
+	lateFactor = 0.3
+	lateLimit  = 3
+	// OverdueFactor ranks jobs that complete even later behind all others. Units
+	// with a rank up to it get no workers reserved.
+	OverdueFactor = 1e-4
+	// fixedValueShare is the part of a job's value that doesn't depend on its
+	// size.
+	fixedValueShare = 0.3
+	// startedBonus favours jobs that have started, because the work done so far
+	// is wasted unless the rest completes.
+	startedBonus = 1.5
+	// discardCost is the cost of a discarded core-second in addition to its value
+	// for its own job.
+	discardCost = 1.0 / priorityRatio
+	// disruptionCost is the cost of stopping a unit in addition to its discarded
+	// work, in core-seconds per core.
+	disruptionCost = 0.05
+)
+
+// Job holds the figures of a job on which its value depends.
+type Job struct {
+	Priority int
+	// Objective is the latency objective, and Age the time since the job was submitted
+	// or its occurrence was due.
+	Objective, Age time.Duration
+	// Remaining is the estimated length of the critical path that is left.
+	Remaining time.Duration
+	// LongLived jobs never complete. Their value doesn't depend on the time.
+	LongLived bool
+	Started   bool
+	// Size is the job's work relative to the mean of its queue, 0 if that isn't known.
+	Size float64
+}
+
+// Rank returns the value of the job relative to its work if it continues now. Jobs of a
+// higher rank start first.
+func (j Job) Rank() float64 {
+	value := WorkValue(j.Priority) * j.timeliness()
+	if j.Started {
+		value *= startedBonus
+	}
+	return value * sizeFactor(j.Size)
+}
+
+// timeliness returns the share of the job's value that is left for its caller if the rest
+// of its work begins now. It is OverdueFactor if nothing is left, which keeps the order of
+// such jobs.
+func (j Job) timeliness() float64 {
+	switch end := j.Age + j.Remaining; {
+	case j.LongLived, end <= j.Objective:
+		return 1
+	case end <= LastUseful(j.Objective):
+		return lateFactor
+	}
+	return OverdueFactor
+}
+
+// LastUseful returns the age up to which the completion of a job with an objective has any
+// value for its caller.
+func LastUseful(objective time.Duration) time.Duration { return lateLimit * objective }
+
+// WorkValue returns the value of a core-second of a job of a priority.
+func WorkValue(priority int) float64 { return math.Pow(priorityRatio, -float64(priority)) }
+
+// sizeFactor returns the square root of a job's value per unit of work relative to that of
+// a job of size 1. It favours small jobs.
+func sizeFactor(size float64) float64 {
+	if size <= 0 {
+		return 1
+	}
+	return math.Sqrt((fixedValueShare + (1-fixedValueShare)*size) / size)
+}
+
+// StopCost returns the cost of stopping a unit of a job of a priority, which uses cores and
+// whose runs lose discarded core-seconds.
+func StopCost(priority int, discarded, cores float64) float64 {
+	return (WorkValue(priority)+discardCost)*discarded + disruptionCost*cores
+}
+
+// RefusalCost returns the cost of refusing a job that has not started, relative to that of
+// a job of priority 0 and size 1: the value that its completion would have had within its
+// objective.
+func (j Job) RefusalCost() float64 {
+	size := j.Size
+	if size <= 0 {
+		size = 1
+	}
+	return WorkValue(j.Priority) * (fixedValueShare + (1-fixedValueShare)*size)
+}
--- /dev/null
+++ b/internal/utility/utility_test.go
@@ -0,0 +1,65 @@
+package utility_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/lentilwinch/lentilwinch/internal/utility"
+)
+
+// Guards against a change of the order of starts: the figures are those of the formula
+// that the planner used before this package.
+func TestRankFigures(t *testing.T) {
+	inTime := utility.Job{Objective: 10 * time.Second, Age: 4 * time.Second, Remaining: 6 * time.Second}
+	must.Eq(t, 1, inTime.Rank())
+	late := inTime
+	late.Age += time.Millisecond
+	must.Eq(t, 0.3, late.Rank())
+	late.Age = 24 * time.Second
+	must.Eq(t, 0.3, late.Rank())
+	overdue := late
+	overdue.Age += time.Millisecond
+	must.Eq(t, utility.OverdueFactor, overdue.Rank())
+	overdue.LongLived = true
+	must.Eq(t, 1, overdue.Rank())
+	started := inTime
+	started.Started, started.Priority, started.Size = true, 1, 4
+	size := started.Size // not a constant, whose arithmetic would be exact
+	must.Eq(t, math.Pow(6, -1)*1.5*math.Sqrt((0.3+(1-0.3)*size)/size), started.Rank())
+}
+
+// Guards against victims whose stop looks cheaper than it is: the same work costs more to
+// discard at a higher priority, and every stop has a cost.
+func TestStopCostFigures(t *testing.T) {
+	value, discarded, cores := 1.0, 10.0, 8.0 // not constants, whose arithmetic would be exact
+	must.Eq(t, (value+1.0/6)*discarded+0.05*cores, utility.StopCost(0, discarded, cores))
+	must.Less(t, utility.StopCost(1, 10, 8), utility.StopCost(2, 10, 8))
+	must.Positive(t, utility.StopCost(3, 0, 1))
+}
+
+// Guards against a rank or a cost that falls where it must rise, which would put the more
+// valuable job behind.
+func TestMonotone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		duration := rapid.Int64Range(0, int64(time.Hour))
+		j := utility.Job{
+			Priority:  rapid.IntRange(0, 5).Draw(t, "priority"),
+			Objective: time.Duration(duration.Draw(t, "objective")),
+			Age:       time.Duration(duration.Draw(t, "age")),
+			Remaining: time.Duration(duration.Draw(t, "remaining")),
+			Started:   rapid.Bool().Draw(t, "started"),
+			Size:      rapid.Float64Range(0, 1000).Draw(t, "size"),
+		}
+		older, lower := j, j
+		older.Age += time.Duration(duration.Draw(t, "later"))
+		lower.Priority++
+		must.LessEq(t, j.Rank(), older.Rank())
+		must.Less(t, j.Rank(), lower.Rank())
+		must.Less(t, j.RefusalCost(), lower.RefusalCost())
+		must.Positive(t, older.Rank())
+	})
+}
