--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -39,7 +39,10 @@
 }
 
 // score returns the rank of the unit's job.
-func (p *Planner) score(u *unit, now time.Duration) float64 {
+func (p *Planner) score(u *unit, now time.Duration) float64 { return p.figures(u, now).Rank() }
+
+// figures returns the figures of the unit's job if it goes on with the unit.
+func (p *Planner) figures(u *unit, now time.Duration) utility.Job {
 	j := u.job
 	remaining := j.criticalPaths[u.step]
 	if u.checkpoint != "" {
@@ -53,7 +56,7 @@
 		LongLived: u.spec().LongLived,
 		Started:   j.started,
 		Size:      p.relativeSize(j),
-	}.Rank()
+	}
 }
 
 // relativeSize returns the job's weight relative to the mean of its queue, 0 if it has
--- a/internal/utility/utility.go
+++ b/internal/utility/utility.go
@@ -35,6 +35,12 @@
 	// disruptionCost is the cost of stopping a unit in addition to its discarded
 	// work, in core-seconds per core.
 	disruptionCost = 0.05
+	// minRetrySpread is the least time over which the retries of refused jobs are spread.
+	// Retry-After counts whole seconds, so that a shorter one would not spread them.
+	minRetrySpread = 4 * time.Second
+	// retryJitterShare is the part of that time that is left to chance. The rest puts the
+	// jobs whose refusal costs more first.
+	retryJitterShare = 0.5
 )
 
 // Job holds the figures of a job on which its value depends.
@@ -54,8 +60,11 @@
 
 // Rank returns the value of the job relative to its work if it continues now. Jobs of a
 // higher rank start first.
-func (j Job) Rank() float64 {
-	value := WorkValue(j.Priority) * j.timeliness()
+func (j Job) Rank() float64 { return j.rankAt(j.timeliness()) }
+
+// rankAt returns the rank at a timeliness.
+func (j Job) rankAt(timeliness float64) float64 {
+	value := WorkValue(j.Priority) * timeliness
 	if j.Started {
 		value *= startedBonus
 	}
@@ -75,6 +84,24 @@
 	return OverdueFactor
 }
 
+// OutranksFor returns for how long the job keeps at least a rank if it doesn't continue
+// meanwhile, 0 if its rank is lower now.
+func (j Job) OutranksFor(rank float64) time.Duration {
+	best, late := j.rankAt(1), j.rankAt(lateFactor)
+	slack := -j.Age - j.Remaining
+	switch {
+	case best < rank:
+		return 0
+	case j.LongLived:
+		return math.MaxInt64
+	case late >= rank:
+		slack += LastUseful(j.Objective)
+	default:
+		slack += j.Objective
+	}
+	return max(slack, 0)
+}
+
 // LastUseful returns the age up to which the completion of a job with an objective has any
 // value for its caller.
 func LastUseful(objective time.Duration) time.Duration { return lateLimit * objective }
@@ -107,3 +134,13 @@
 	}
 	return WorkValue(j.Priority) * (fixedValueShare + (1-fixedValueShare)*size)
 }
+
+// RetryDelay returns when the caller of a refused job may retry if the job is expected to
+// be admitted after a time. The jobs whose refusal costs most get the shortest times.
+// jitter, from 0 to 1, spreads the retries of callers that were refused at once.
+func (j Job) RetryDelay(admittedAfter time.Duration, jitter float64) time.Duration {
+	cost := j.RefusalCost()
+	spread := max(admittedAfter/2, minRetrySpread).Seconds()
+	later := (retryJitterShare*jitter + (1-retryJitterShare)/(1+cost)) * spread
+	return admittedAfter + time.Duration(later*float64(time.Second))
+}
--- a/internal/utility/utility_test.go
+++ b/internal/utility/utility_test.go
@@ -63,3 +63,41 @@
 		must.Positive(t, older.Rank())
 	})
 }
+
+// Guards against a forecast that counts a waiting job ahead of a new one although the
+// planner will rank it behind by then.
+func TestOutranksForAgreesWithRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		duration := rapid.Int64Range(0, int64(time.Hour))
+		j := utility.Job{
+			Priority:  rapid.IntRange(0, 3).Draw(t, "priority"),
+			Objective: time.Duration(duration.Draw(t, "objective")),
+			Age:       time.Duration(duration.Draw(t, "age")),
+			Remaining: time.Duration(duration.Draw(t, "remaining")),
+			Started:   rapid.Bool().Draw(t, "started"),
+			LongLived: rapid.Bool().Draw(t, "long-lived"),
+			Size:      rapid.Float64Range(0.01, 100).Draw(t, "size"),
+		}
+		rank := rapid.Float64Range(0.01, 3).Draw(t, "rank")
+		until := j.OutranksFor(rank)
+		if until > 0 {
+			j.Age += min(until, 1000*time.Hour)
+			must.GreaterEq(t, rank, j.Rank())
+		}
+		if !j.LongLived {
+			j.Age += time.Nanosecond
+			must.Less(t, rank, j.Rank())
+		}
+	})
+}
+
+// Guards against callers that all retry at once, and against jobs that come back before
+// others whose refusal costs more.
+func TestRetryDelayIsSpreadAndPutsCostlyJobsFirst(t *testing.T) {
+	urgent, batch := utility.Job{Priority: 0, Size: 1}, utility.Job{Priority: 2, Size: 1}
+	for _, jitter := range []float64{0, 0.3, 1} {
+		must.Less(t, batch.RetryDelay(10*time.Second, jitter), urgent.RetryDelay(10*time.Second, jitter))
+	}
+	must.GreaterEq(t, 10*time.Second, urgent.RetryDelay(10*time.Second, 0))
+	must.GreaterEq(t, urgent.RetryDelay(0, 0)+2*time.Second, urgent.RetryDelay(0, 1))
+}
