Intake: refuse jobs that certainly complete too late; owner publishes the forecast

The owner computes the forecast at most twice a second after a planning pass and stores it in the row `owner`, which it writes every 600 ms anyway.

An instance refuses a job on arrival if even the lower bound plus the shortest critical path exceeds three times the objective. It asks the store for the ID first, since its replica lags behind a commit of another instance by some hundred milliseconds. Nothing is refused by a forecast older than 2 s, of an owner that recovers or whose epoch isn't the newest, nor scheduled, long-lived, best-effort or policy-controlled jobs, jobs with a label, and jobs of priority 0 that a guarantee may cover.

New: counter submissions_refused, gauges forecast_wait_seconds and forecast_age_seconds, event `job refused`, which explain shows.

--- a/internal/adapter/metrics/pool.go
+++ b/internal/adapter/metrics/pool.go
@@ -18,7 +18,7 @@
 const poolReportInterval = 2 * time.Second
 
 // Pool holds the metrics of an instance that serves pools. It implements
-// pool.Observer and is safe for concurrent use.
+// pool.Observer and intake.Observer and is safe for concurrent use.
 type Pool struct {
 	// ConfigVersion is the version of the configuration in force.
 	ConfigVersion tally.Gauge
@@ -146,6 +146,22 @@
 	scope.Gauge("jobs_running").Update(float64(running))
 }
 
+// SubmissionRefused implements intake.Observer.
+func (p *Pool) SubmissionRefused(priority int, reason string) {
+	withTags(p.scope, "priority", strconv.Itoa(priority), "reason", reason).Counter("submissions_refused").Inc(1)
+}
+
+// ReportForecast records the longest wait that is forecast for new jobs of a priority in a
+// pool.
+func (p *Pool) ReportForecast(pool string, priority int, wait time.Duration) {
+	withTags(p.scope, "pool", pool, "priority", strconv.Itoa(priority)).Gauge("forecast_wait_seconds").Update(wait.Seconds())
+}
+
+// ReportForecastAge records the age of a pool's forecast, 0 if there is none.
+func (p *Pool) ReportForecastAge(pool string, age time.Duration) {
+	withTags(p.scope, "pool", pool).Gauge("forecast_age_seconds").Update(age.Seconds())
+}
+
 // RowStore wraps next with a histogram of call durations by call and result. The
 // durations of Watch include its wait for changes.
 func (p *Pool) RowStore(next port.RowStore) port.RowStore { return &rowStore{next, p} }
--- a/internal/adapter/metrics/pool_test.go
+++ b/internal/adapter/metrics/pool_test.go
@@ -40,6 +40,9 @@
 	p.LeaseMargin(-time.Second)
 	p.TakeoverFinished(time.Second)
 	p.ReportOwnership("triage", true, 3, 4)
+	p.SubmissionRefused(1, "accelerators")
+	p.ReportForecast("triage", 1, 90*time.Second)
+	p.ReportForecastAge("triage", 500*time.Millisecond)
 	p.ReplicaAge.Update(0.5)
 	text := scrape(t, p)
 	for _, line := range []string{
@@ -54,6 +57,9 @@
 		`lentilwinch_lease_margin_seconds_count 1`,
 		`lentilwinch_takeover_seconds_count 1`,
 		`lentilwinch_jobs_waiting{pool="triage"} 3`,
+		`lentilwinch_submissions_refused{priority="1",reason="accelerators"} 1`,
+		`lentilwinch_forecast_wait_seconds{pool="triage",priority="1"} 90`,
+		`lentilwinch_forecast_age_seconds{pool="triage"} 0.5`,
 		`lentilwinch_feed_age_seconds 0.5`,
 	} {
 		must.StrContains(t, text, line+"\n")
--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -36,6 +36,7 @@
 const (
 	EventAccepted    = "job accepted"
 	EventRejected    = "job rejected"     // before a write was sent
+	EventRefused     = "job refused"      // because of the forecast, before a write was sent
 	EventNotAccepted = "job not accepted" // the write failed, or its outcome is unknown
 	EventCancelled   = "cancellation stored"
 )
@@ -50,6 +51,8 @@
 	Now func() time.Duration
 	// KeyPolicy returns the policy in force for the callers' keys.
 	KeyPolicy func() keylease.Policy
+	// Observer is nil if nothing observes the intake.
+	Observer Observer
 }
 
 // Intake serves callers. It is safe for concurrent use.
@@ -59,6 +62,8 @@
 	replica *replica.Replica
 	log     *zap.Logger
 	health  Health
+	// observer is never nil.
+	observer Observer
 
 	applying    sync.Mutex // serializes ApplyReading
 	inForce     atomic.Pointer[inForce]
@@ -79,7 +84,11 @@
 
 // New returns an intake without a configuration.
 func New(deps Deps) *Intake {
-	return &Intake{deps: deps, store: deps.Store, health: deps.Health, replica: deps.Replica, log: deps.Log}
+	in := &Intake{deps: deps, store: deps.Store, health: deps.Health, replica: deps.Replica, log: deps.Log, observer: deps.Observer}
+	if in.observer == nil {
+		in.observer = noObserver{}
+	}
+	return in
 }
 
 // Route returns the queue for a host and a path, by the longest matching prefix, and
@@ -115,7 +124,8 @@
 // Submit stores a job. Submitting the same ID again succeeds, even with other
 // content. It fails with fault.Invalid, with fault.Unavailable if the job is
 // certainly not stored, and with fault.Uncertain if it may be. During a store outage
-// it fails at once, with a *fault.RetryError of code fault.Unavailable. The caller's
+// it fails at once, with a *fault.RetryError of code fault.Unavailable. It fails with one
+// of code fault.Overloaded if the job certainly can't complete in useful time. The caller's
 // key is verified again before each write and before success is reported, with the
 // errors of Authorize if nothing was stored. A configuration must be in force.
 func (in *Intake) Submit(ctx context.Context, caller Caller, id string, sub work.Submission) error {
@@ -139,6 +149,9 @@
 		in.log.Info(EventRejected, zap.String("job", id), zap.String("queue", q.Name), zap.Error(err))
 		return err
 	}
+	if err := in.checkForecast(ctx, caller, &job); err != nil {
+		return err
+	}
 	version, err := in.commit(ctx, caller, replica.JobKeys(q.Pool, id), func(key port.RowKey) port.RowTxn {
 		return port.RowTxn{
 			ExpectedVersions: map[port.RowKey]int64{key: 0},
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -107,6 +107,7 @@
 	deferred        map[string]bool // jobs with a row that may be in an unread partition
 	planSequence    int64           // number of the last plan with orders; matches held starts with stored records
 	pacer           planPacer
+	forecaster      forecaster
 	nextPlan        *time.Timer // fires when a delayed planning pass may run
 	lastActiveAt    time.Duration
 	confirmAfter    time.Duration // a heartbeat sent at or after this must be confirmed before starts are sent
@@ -299,6 +300,7 @@
 		o.queryPolicy(ctx, now)
 		o.pacer.passed(now, o.now())
 	}
+	o.updateForecast(now)
 	o.writeLogEntries()
 	o.updateRecorded(ctx, now)
 	o.writeChanged(ctx)
--- a/internal/duty/pool/store.go
+++ b/internal/duty/pool/store.go
@@ -379,7 +379,7 @@
 	storedAt := o.now() - ownerStateInterval
 	for ctx.Err() == nil {
 		sentAt := o.now()
-		state := replica.OwnerState{Epoch: o.epoch, Settled: o.settled.Load(), RecordedAt: o.recordedAt()}
+		state := replica.OwnerState{Epoch: o.epoch, Settled: o.settled.Load(), RecordedAt: o.recordedAt(), Forecast: o.forecaster.latest.Load()}
 		changed := state.Settled != stored.Settled || (state.RecordedAt > 0) != (stored.RecordedAt > 0)
 		withState := changed || sentAt-storedAt >= ownerStateInterval
 		err := o.writeHeartbeat(ctx, state, withState)
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -56,6 +56,9 @@
 	// 0. None goes before its placement is stored within the next seconds, unless that is
 	// announced.
 	RecordedAt time.Duration `cbor:"3,keyasint,omitempty"`
+	// Forecast bounds the time until new jobs can start; nil if nothing waits or the owner
+	// doesn't know yet what runs.
+	Forecast *work.Forecast `cbor:"4,keyasint,omitempty"`
 }
 
 // heartbeatRecord is the heartbeat of an earlier build.
@@ -144,6 +147,15 @@
 	EarlyStartsVersion int64 // of the row
 }
 
+// Forecast returns the forecast of the pool's owner, nil if there is none or it is that of
+// an owner whose epoch isn't the newest one.
+func (v *PoolView) Forecast() *work.Forecast {
+	if v.Epoch.Owner == "" || v.Owner.Epoch != v.Epoch.Number {
+		return nil
+	}
+	return v.Owner.Forecast
+}
+
 // PoolKey returns the key of one of a pool's own rows.
 func PoolKey(pool, key string) port.RowKey {
 	return port.RowKey{Table: Table, Partition: pool, Key: key}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -108,6 +109,25 @@
 	})
 }
 
+// The load is more urgent work than the pool can complete while the caller waits. Guards
+// against a refusal whose log doesn't tell the reason.
+func TestExplainsRefusalByForecast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFixture(t)
+		for k := range 20 {
+			id := fmt.Sprint("urgent-", k)
+			s.workers.SetProfile(id, fake.Profile{RunTime: time.Minute})
+			must.NoError(t, s.submit(0, id, 1, 60))
+		}
+		time.Sleep(3 * time.Second)
+		must.True(t, fault.Is(s.submit(1, "aaaa", 1, 1), fault.Overloaded))
+		h := s.explain("aaaa")
+		must.EqOp(t, explain.Rejected, h.Verdict.Outcome)
+		must.StrContains(t, reasons(h), "job refused: it can't start within")
+		must.StrContains(t, reasons(h), "for lack of accelerators")
+	})
+}
+
 func TestExplainsLateJobByWaitForCapacity(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newFixture(t)
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -100,7 +100,7 @@
 	case intake.EventAccepted:
 		setIfZero(&f.acceptedAt, line)
 		f.objective = line.duration("objective")
-	case intake.EventRejected, intake.EventNotAccepted, eventCallFailed:
+	case intake.EventRejected, intake.EventRefused, intake.EventNotAccepted, eventCallFailed:
 		f.addRejection(line)
 	case eventQueued:
 		setIfZero(&f.queuedAt, line)
--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -35,7 +35,7 @@
 // fits. They are carried out in the order of their ranks, each as if it could use any
 // worker and could be divided, and all in the shortest time that an estimate allows.
 func (p *Planner) Forecast(now time.Duration) work.Forecast {
-	if p.recovery.active {
+	if p.settings.NoForecast || p.recovery.active {
 		return work.Forecast{}
 	}
 	f := p.newForecaster(now)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -21,6 +21,8 @@
 	// guarantee must run. It counts from the job's acceptance, or from the due time
 	// of a scheduled occurrence.
 	ReclaimWithin time.Duration
+	// NoForecast turns off Forecast, and so the refusal of new jobs because of it.
+	NoForecast bool
 }
 
 // OrderKind tells whether an order starts or stops a run.
--- a/internal/work/forecast.go
+++ b/internal/work/forecast.go
@@ -92,18 +92,13 @@
 	return wait
 }
 
-// LongestWaits returns the largest bound for any unit, by priority.
-func (f *Forecast) LongestWaits() map[int]time.Duration {
-	waits := map[int]time.Duration{}
+// LongestWait returns the largest bound for any unit of a priority.
+func (f *Forecast) LongestWait(priority int) time.Duration {
+	wait := time.Duration(0)
 	for i := range f.Bounds {
-		waits[f.Bounds[i].Priority] = 0
-	}
-	for priority := range waits {
-		for i := range f.Bounds {
-			if b := &f.Bounds[i]; b.Priority <= priority {
-				waits[priority] = max(waits[priority], b.Wait)
-			}
+		if b := &f.Bounds[i]; b.Priority <= priority {
+			wait = max(wait, b.Wait)
 		}
 	}
-	return waits
+	return wait
 }
