--- a/internal/planner/forecast_test.go
+++ b/internal/planner/forecast_test.go
@@ -128,6 +128,30 @@
 	}
 }
 
+// Guards against counting units that a smaller one, or one that may use several racks,
+// starts before: they don't fit where it does.
+func TestForecastDropsUnitsThatOthersPass(t *testing.T) {
+	for name, passed := range map[string]work.Step{"larger": gangOf(4, 8, 190), "one rack": gangOf(2, 8, 190)} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2, 4)
+			passed.SameRack = true
+			for k := range 60 {
+				s := gangOf(2, 8, 3.8)
+				if k%6 == 0 {
+					s = passed
+				}
+				rec := h.job(fmt.Sprint(k), 0, s)
+				rec.Job.Stretch = 1000
+				h.add(rec)
+			}
+			h.plan()
+			must.Less(t, 40*time.Second, h.newcomerWait(1, gangOf(2, 8, 5))) // 50 units, 4 at a time, of 2 s
+			must.Positive(t, h.newcomerWait(1, gangOf(2, 8, 5)))
+			must.GreaterEq(t, 200*time.Second, h.newcomerWait(1, passed)) // 10 units, 2 or 4 at a time, of 100 s
+		})
+	}
+}
+
 // Guards against forecasts of an owner that doesn't know yet what runs.
 func TestNoForecastDuringRecovery(t *testing.T) {
 	h := newHarness(t, 1, 4)
