Planner: reclaiming for speed costs at most what completing late costs

Cause: an urgent unit that held back from slow workers reclaimed fast ones at any cost below its own work, and never slower ones. Change: capacity in time is reclaimed at the cost of lateness at most, slower capacity only if the unit would have to wait for that too, at what remains of its value.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -276,19 +276,29 @@
 // capacity. Workers on which the unit failed or stalled before are used only if the others
 // don't suffice and it can't wait for them.
 func (v *view) place(u *unit, spread bool) []placement {
-	if out := v.placeAvoiding(u, spread, true); out != nil || v.mayAvoid(u, spread) {
+	limit := v.planner.maxTimeFactor(u, v.now)
+	return v.placeWithin(u, spread, limit, v.planner.holdsBack(u, v, limit))
+}
+
+// placeOnAnySpeed is place without holding back from slow workers.
+func (v *view) placeOnAnySpeed(u *unit, spread bool) []placement {
+	return v.placeWithin(u, spread, v.planner.maxTimeFactor(u, v.now), false)
+}
+
+// placeWithin is place for a unit that completes in time up to a time factor of limit. With
+// inTime, it isn't placed where it is probably late.
+func (v *view) placeWithin(u *unit, spread bool, limit float64, inTime bool) []placement {
+	if out := v.placeAvoiding(u, spread, true, limit, inTime); out != nil || v.mayAvoid(u, spread) {
 		return out
 	}
-	return v.placeAvoiding(u, spread, false)
+	return v.placeAvoiding(u, spread, false, limit, inTime)
 }
 
 // placeAvoiding tries the step's data rack first. A single-rack gang is placed on the rack
 // whose workers suit it best by their speed, and among those on the one with the least free
 // capacity that fits it, unless spread is set.
-func (v *view) placeAvoiding(u *unit, spread, avoid bool) []placement {
+func (v *view) placeAvoiding(u *unit, spread, avoid bool, limit float64, inTime bool) []placement {
 	s := u.spec()
-	limit := v.planner.maxTimeFactor(u, v.now)
-	inTime := v.planner.holdsBack(u, v, limit)
 	if rack := s.DataRack; rack != "" {
 		for _, members := range v.racks {
 			if v.workers[members[0]].info.Rack == rack {
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,13 +16,35 @@
 // reclaim frees capacity for a unit by stopping cheaper work. Units within their
 // workspace's guarantee may also reclaim what other workspaces have borrowed. It
 // reports false if no work may be stopped that frees enough capacity or, outside
-// the guarantee, if stopping it costs more than the unit's own work.
+// the guarantee, if stopping it costs more than the unit's own work. A unit that holds
+// back from slow workers reclaims capacity in time first, at the cost of completing late
+// at most, and slower capacity only if it would have to wait for that too.
 func (p *Planner) reclaim(u *unit, v *view, withinGuarantee, spread bool) bool {
-	avoid := v.mayAvoid(u, spread)
-	limit := math.Inf(1)
-	if inTime := p.maxTimeFactor(u, v.now); p.holdsBack(u, v, inTime) {
-		limit = inTime
+	value := u.cores() * u.estimate().Seconds()
+	maxCost := value
+	limit := p.maxTimeFactor(u, v.now)
+	if p.holdsBack(u, v, limit) {
+		if e := p.cheapestEviction(u, v, withinGuarantee, spread, limit); e != nil && e.cost <= utility.LatenessCost(value) {
+			p.evict(u, v, e)
+			return true
+		}
+		if v.placeOnAnySpeed(u, spread) != nil {
+			return false
+		}
+		maxCost = value - utility.LatenessCost(value)
+	}
+	e := p.cheapestEviction(u, v, withinGuarantee, spread, math.Inf(1))
+	if e == nil || !withinGuarantee && e.cost > maxCost {
+		return false
 	}
+	p.evict(u, v, e)
+	return true
+}
+
+// cheapestEviction returns the choice of victims that costs least on workers whose time
+// factor doesn't exceed limit, nil if there is none.
+func (p *Planner) cheapestEviction(u *unit, v *view, withinGuarantee, spread bool, limit float64) *eviction {
+	avoid := v.mayAvoid(u, spread)
 	var best *eviction
 	for _, members := range v.groups(u, spread) {
 		e := p.findVictims(u, v, members, withinGuarantee, avoid, limit)
@@ -29,19 +52,17 @@
 			best = e
 		}
 	}
-	if best == nil {
-		return false
-	}
-	if gain := u.cores() * u.estimate().Seconds(); !withinGuarantee && best.cost > gain {
-		return false
-	}
-	for _, victim := range best.victims {
+	return best
+}
+
+// evict stops the victims and sets their capacity aside for the unit.
+func (p *Planner) evict(u *unit, v *view, e *eviction) {
+	for _, victim := range e.victims {
 		p.log(LogEntry{Event: EventPreempted, Job: victim.job.rec.Job.ID, Detail: "for " + u.job.rec.Job.ID, Count: len(victim.runs)})
 		p.stopAttempt(victim, v.now, "preempted")
 	}
-	u.claim, u.claimedAt = best.placements, v.now
+	u.claim, u.claimedAt = e.placements, v.now
 	v.setAside(u)
-	return true
 }
 
 // eviction is a choice of victims for a unit.
--- a/internal/planner/waiting.go
+++ b/internal/planner/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 )
@@ -94,7 +95,7 @@
 		return "outranked", "it fits, but the capacity goes to jobs ranked higher"
 	}
 	cause = "no room"
-	if u.spec().PrefersOneRack() && !spread && v.placeAvoiding(u, true, false) != nil {
+	if u.spec().PrefersOneRack() && !spread && v.placeAvoiding(u, true, false, math.Inf(1), false) != nil {
 		cause = "no rack has room, several have"
 	}
 	return cause, v.capacityFor(u)
