--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -38,11 +37,9 @@
 	// mostlyIdle is that of Planner.mostlyIdle at the beginning of the pass.
 	mostlyIdle bool
 	// factor and class hold the time factors of the workers and their speed classes, by
-	// worker index. leastFactor is the lowest factor. upper holds the factors that the
-	// workers are unlikely to exceed.
+	// worker index. upper holds the factors that the workers are unlikely to exceed.
 	factor, upper []float64
 	class         []int
-	leastFactor   float64
 	uneven        bool // the workers belong to several speed classes
 }
 
@@ -53,7 +50,7 @@
 }
 
 func (p *Planner) newView(now time.Duration) *view {
-	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.workerIDs)), claimed: map[claimKey]int{}, abilities: map[shape]ability{}, mostlyIdle: p.mostlyIdle(), leastFactor: math.Inf(1)}
+	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.workerIDs)), claimed: map[claimKey]int{}, abilities: map[shape]ability{}, mostlyIdle: p.mostlyIdle()}
 	rackIndex := map[string]int{}
 	for _, id := range p.workerIDs {
 		w := p.workers[id]
@@ -77,7 +74,6 @@
 		factor := p.speeds.Factor(id)
 		v.factor, v.class = append(v.factor, factor), append(v.class, speedClass(factor))
 		v.upper = append(v.upper, p.speeds.UpperFactor(id))
-		v.leastFactor = min(v.leastFactor, factor)
 		v.uneven = v.uneven || v.class[i] != v.class[0]
 	}
 	v.reservedFrom = make([]time.Duration, len(v.workers))
@@ -276,33 +272,22 @@
 // capacity. Workers on which the unit failed or stalled before are used only if the others
 // don't suffice and it can't wait for them.
 func (v *view) place(u *unit, spread bool) []placement {
-	limit := v.planner.maxTimeFactor(u, v.now)
-	return v.placeWithin(u, spread, limit, v.planner.holdsBack(u, v, limit))
-}
-
-// placeOnAnySpeed is place without holding back from slow workers.
-func (v *view) placeOnAnySpeed(u *unit, spread bool) []placement {
-	return v.placeWithin(u, spread, v.planner.maxTimeFactor(u, v.now), false)
-}
-
-// placeWithin is place for a unit that completes in time up to a time factor of limit. With
-// inTime, it isn't placed where it is probably late.
-func (v *view) placeWithin(u *unit, spread bool, limit float64, inTime bool) []placement {
-	if out := v.placeAvoiding(u, spread, true, limit, inTime); out != nil || v.mayAvoid(u, spread) {
+	if out := v.placeAvoiding(u, spread, true); out != nil || v.mayAvoid(u, spread) {
 		return out
 	}
-	return v.placeAvoiding(u, spread, false, limit, inTime)
+	return v.placeAvoiding(u, spread, false)
 }
 
 // placeAvoiding tries the step's data rack first. A single-rack gang is placed on the rack
 // whose workers suit it best by their speed, and among those on the one with the least free
 // capacity that fits it, unless spread is set.
-func (v *view) placeAvoiding(u *unit, spread, avoid bool, limit float64, inTime bool) []placement {
+func (v *view) placeAvoiding(u *unit, spread, avoid bool) []placement {
 	s := u.spec()
+	limit := v.planner.maxTimeFactor(u, v.now)
 	if rack := s.DataRack; rack != "" {
 		for _, members := range v.racks {
 			if v.workers[members[0]].info.Rack == rack {
-				if f := v.fitOn(u, members, avoid, limit, inTime); f != nil {
+				if f := v.fitOn(u, members, avoid, limit); f != nil {
 					return v.pack(u, members, f)
 				}
 			}
@@ -310,7 +295,7 @@
 	}
 	if !s.PrefersOneRack() || spread {
 		members := v.allWorkers()
-		if f := v.fitOn(u, members, avoid, limit, inTime); f != nil {
+		if f := v.fitOn(u, members, avoid, limit); f != nil {
 			return v.pack(u, members, f)
 		}
 		return nil
@@ -323,7 +308,7 @@
 		if best != nil && free >= bestFree && !v.uneven {
 			continue
 		}
-		f := v.fitOn(u, members, avoid, limit, inTime)
+		f := v.fitOn(u, members, avoid, limit)
 		if f != nil && (best == nil || cmp.Or(f.compare(best), cmp.Compare(free, bestFree)) < 0) {
 			best, bestMembers, bestFree = f, members, free
 		}
@@ -349,8 +334,8 @@
 const rackFreeWeight = 0.05
 
 // fitOn chooses those of the given workers that suit the unit best by their speed. It
-// returns nil if the whole unit doesn't fit, or with inTime if it would complete late.
-func (v *view) fitOn(u *unit, members []int, avoid bool, limit float64, inTime bool) *fit {
+// returns nil if the whole unit doesn't fit.
+func (v *view) fitOn(u *unit, members []int, avoid bool, limit float64) *fit {
 	var candidates []candidate
 	estimate := u.estimate()
 	for _, i := range members {
@@ -368,7 +353,7 @@
 			candidates = append(candidates, candidate{i, n, v.free[i].Cores(), v.class[i], v.factor[i], v.upper[i]})
 		}
 	}
-	return chooseBySpeed(u, candidates, limit, inTime)
+	return chooseBySpeed(u, candidates, limit)
 }
 
 // pack packs the unit onto those of the chosen workers that have the least free capacity
--- a/internal/planner/idle.go
+++ b/internal/planner/idle.go
@@ -45,9 +45,8 @@
 	if room < 2*u.count {
 		return nil
 	}
-	limit := v.planner.maxTimeFactor(u, v.now)
-	if out := open.placeAvoiding(u, true, true, limit, false); out != nil {
+	if out := open.placeAvoiding(u, true, true); out != nil {
 		return out
 	}
-	return open.placeAvoiding(u, true, false, limit, false)
+	return open.placeAvoiding(u, true, false)
 }
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -16,53 +15,29 @@
 // reclaim frees capacity for a unit by stopping cheaper work. Units within their
 // workspace's guarantee may also reclaim what other workspaces have borrowed. It
 // reports false if no work may be stopped that frees enough capacity or, outside
-// the guarantee, if stopping it costs more than the unit's own work. A unit that holds
-// back from slow workers reclaims capacity in time first, at the cost of completing late
-// at most, and slower capacity only if it would have to wait for that too.
+// the guarantee, if stopping it costs more than the unit's own work.
 func (p *Planner) reclaim(u *unit, v *view, withinGuarantee, spread bool) bool {
-	value := u.cores() * u.estimate().Seconds()
-	maxCost := value
-	limit := p.maxTimeFactor(u, v.now)
-	if p.holdsBack(u, v, limit) {
-		if e := p.cheapestEviction(u, v, withinGuarantee, spread, limit); e != nil && e.cost <= utility.LatenessCost(value) {
-			p.evict(u, v, e)
-			return true
-		}
-		if v.placeOnAnySpeed(u, spread) != nil {
-			return false
-		}
-		maxCost = value - utility.LatenessCost(value)
-	}
-	e := p.cheapestEviction(u, v, withinGuarantee, spread, math.Inf(1))
-	if e == nil || !withinGuarantee && e.cost > maxCost {
-		return false
-	}
-	p.evict(u, v, e)
-	return true
-}
-
-// cheapestEviction returns the choice of victims that costs least on workers whose time
-// factor doesn't exceed limit, nil if there is none.
-func (p *Planner) cheapestEviction(u *unit, v *view, withinGuarantee, spread bool, limit float64) *eviction {
 	avoid := v.mayAvoid(u, spread)
 	var best *eviction
 	for _, members := range v.groups(u, spread) {
-		e := p.findVictims(u, v, members, withinGuarantee, avoid, limit)
+		e := p.findVictims(u, v, members, withinGuarantee, avoid)
 		if e != nil && (best == nil || e.cost < best.cost) {
 			best = e
 		}
 	}
-	return best
-}
-
-// evict stops the victims and sets their capacity aside for the unit.
-func (p *Planner) evict(u *unit, v *view, e *eviction) {
-	for _, victim := range e.victims {
+	if best == nil {
+		return false
+	}
+	if gain := u.cores() * u.estimate().Seconds(); !withinGuarantee && best.cost > gain {
+		return false
+	}
+	for _, victim := range best.victims {
 		p.log(LogEntry{Event: EventPreempted, Job: victim.job.rec.Job.ID, Detail: "for " + u.job.rec.Job.ID, Count: len(victim.runs)})
 		p.stopAttempt(victim, v.now, "preempted")
 	}
-	u.claim, u.claimedAt = e.placements, v.now
+	u.claim, u.claimedAt = best.placements, v.now
 	v.setAside(u)
+	return true
 }
 
 // eviction is a choice of victims for a unit.
@@ -91,13 +66,13 @@
 
 // findVictims chooses victims task by task, each time on the worker where another
 // task costs least. It returns nil if the unit can't fit. With avoid, workers on which the
-// unit failed or stalled are left out, and always those whose time factor exceeds limit.
-func (p *Planner) findVictims(u *unit, v *view, members []int, withinGuarantee, avoid bool, limit float64) *eviction {
+// unit failed or stalled are left out.
+func (p *Planner) findVictims(u *unit, v *view, members []int, withinGuarantee, avoid bool) *eviction {
 	s := &victimSearch{p: p, u: u, v: v, withinGuarantee: withinGuarantee,
 		free: map[int]work.Resources{}, placed: map[int]int{}, siblings: map[int]int{}, chosen: map[*unit]bool{},
 		cost: map[*unit]float64{}, candidates: map[int][]*unit{}, disrupted: map[stepKey]int{}}
 	for _, i := range members {
-		if v.allowed(u, i, avoid) && v.factor[i] <= limit {
+		if v.allowed(u, i, avoid) {
 			s.prepare(i)
 		}
 	}
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -22,10 +22,6 @@
 	// classWidth is the width of a speed class in logarithms of the time factor: workers of
 	// one class differ by less than a third, which is within the error of what is learned.
 	classWidth = 0.3
-	// holdBackShare is the part of Settings.ReclaimWithin for which an urgent unit may wait for
-	// a worker on which it completes in time, while slower ones are free. Capacity for a unit
-	// within its guarantee has to be reclaimed after that.
-	holdBackShare = 0.4
 )
 
 // observeSpeed records how fast a run of a unit progresses. The percents are those of the
@@ -95,12 +91,6 @@
 	return float64(left) / float64(u.estimate())
 }
 
-// holdsBack reports whether an urgent unit waits for workers on which it completes in time
-// although slower ones are free. It doesn't where no usable worker is fast enough.
-func (p *Planner) holdsBack(u *unit, v *view, limit float64) bool {
-	return u.job.rec.Job.Priority == 0 && p.waited(u, v.now) < time.Duration(holdBackShare*float64(p.settings.ReclaimWithin)) && limit >= v.leastFactor
-}
-
 // SpeedFactor returns the worker's time factor: 2 if it takes twice as long as a worker of
 // nominal speed.
 func (p *Planner) SpeedFactor(id string) float64 { return p.speeds.Factor(id) }
@@ -163,8 +153,8 @@
 // chooseBySpeed returns those of the candidates on which the unit should run: the slowest
 // ones on which it surely completes in time, of one speed class if there are enough of them;
 // if there are none, the fastest. limit is the largest time factor in time. It returns nil
-// if the candidates don't hold the whole unit, or with inTime only if it would be late.
-func chooseBySpeed(u *unit, candidates []candidate, limit float64, inTime bool) *fit {
+// if the candidates don't hold the whole unit.
+func chooseBySpeed(u *unit, candidates []candidate, limit float64) *fit {
 	total, probable, sure := 0, 0, 0
 	even := true
 	for _, c := range candidates {
@@ -179,7 +169,7 @@
 	}
 	result := fit{candidates: candidates, timeliness: late}
 	switch {
-	case total < u.count || inTime && probable < u.count:
+	case total < u.count:
 		return nil
 	case sure >= u.count:
 		result.timeliness = surelyInTime
--- a/internal/planner/waiting.go
+++ b/internal/planner/waiting.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"strings"
 	"time"
 )
@@ -95,7 +94,7 @@
 		return "outranked", "it fits, but the capacity goes to jobs ranked higher"
 	}
 	cause = "no room"
-	if u.spec().PrefersOneRack() && !spread && v.placeAvoiding(u, true, false, math.Inf(1), false) != nil {
+	if u.spec().PrefersOneRack() && !spread && v.placeAvoiding(u, true, false) != nil {
 		cause = "no rack has room, several have"
 	}
 	return cause, v.capacityFor(u)
--- a/internal/utility/utility.go
+++ b/internal/utility/utility.go
@@ -124,10 +124,6 @@
 	return (WorkValue(priority)+discardCost)*discarded + disruptionCost*cores
 }
 
-// LatenessCost returns what a completion after the objective costs instead of one in time,
-// for a job of which the latter has a value.
-func LatenessCost(value float64) float64 { return (1 - lateFactor) * value }
-
 // RefusalCost returns the cost of refusing a job that has not started, relative to that of
 // a job of priority 0 and size 1: the value that its completion would have had within its
 // objective.
