Evacuate a failure domain of a pool

Cause: the operator's rows op/evacuate/ZONE were not read, so tasks were started in a failure domain that was being evacuated.

Change: the reading of the operator's rows carries the evacuated failure domains; a full read gives the whole set, a watch its changes. The set is kept beside the configuration. The planner treats workers there as unusable and drops claims on them at once. The owner withdraws decided starts that it has not sent, doesn't resend those without a reply, and sends none while its reading is older than the bound bounds.evacuateMs allows and reads don't fail. Workers that are cold after a restart are placed last.

--- a/internal/adapter/metrics/pool.go
+++ b/internal/adapter/metrics/pool.go
@@ -28,6 +28,9 @@
 	// ConfigReadAge is the time since the configuration was last known to be the
 	// newest one, in seconds.
 	ConfigReadAge tally.Gauge
+	// EvacuatedDomains is the number of failure domains that this instance knows to be
+	// evacuated.
+	EvacuatedDomains tally.Gauge
 	// ReplicaAge is the age of the local replica of the store, in seconds.
 	ReplicaAge tally.Gauge
 	// StoreUnavailable is the time for which the store has been unavailable, in
@@ -55,6 +58,7 @@
 		ConfigVersion:      scope.Gauge("config_version"),
 		ConfigAge:          scope.Gauge("config_age_seconds"),
 		ConfigReadAge:      scope.Gauge("config_read_age_seconds"),
+		EvacuatedDomains:   scope.Gauge("evacuated_domains"),
 		ReplicaAge:         scope.Gauge("feed_age_seconds"),
 		StoreUnavailable:   scope.Gauge("store_away_seconds"),
 		StoreDirectFailing: scope.Gauge("store_direct_down_seconds"),
--- a/internal/duty/intake/config.go
+++ b/internal/duty/intake/config.go
@@ -21,12 +21,14 @@
 	superseded bool
 }
 
-// ApplyReading applies a reading of the configuration that was sent at readAt, by
-// the clock of Deps. It reports whether another configuration is in force as a
-// result. A version lower than the one in force changes nothing.
+// ApplyReading applies a reading of the configuration and of the evacuated failure
+// domains that was sent at readAt, by the clock of Deps. It reports whether another
+// configuration is in force as a result. A version lower than the one in force doesn't
+// change the configuration.
 func (in *Intake) ApplyReading(r port.ConfigReading, readAt time.Duration) bool {
 	in.applying.Lock()
 	defer in.applying.Unlock()
+	in.applyEvacuations(r, readAt)
 	old := in.inForce.Load()
 	if old == nil {
 		if r.Config == nil || r.Unusable {
--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -62,6 +62,7 @@
 
 	applying    sync.Mutex // serializes ApplyReading
 	inForce     atomic.Pointer[inForce]
+	evacuation  atomic.Pointer[work.Evacuation]
 	keysRefused atomic.Bool // whether the last check refused keys, to log changes
 }
 
--- a/internal/duty/pool/cluster_test.go
+++ b/internal/duty/pool/cluster_test.go
@@ -47,6 +47,8 @@
 	registry port.WorkerRegistry
 	workers  port.WorkerClient
 	policy   *fakePolicy // nil if there is no policy service
+	// evacuation returns the evacuated failure domains as its instances know them; nil for none.
+	evacuation func() work.Evacuation
 	// drops, if set, reports whether a call from an instance to a worker is dropped.
 	drops     func(*instance, port.WorkerTarget) bool
 	began     time.Time
@@ -73,9 +75,12 @@
 	wallAhead time.Duration
 	// wrapStore, if set, changes its direct route to the store.
 	wrapStore func(port.RowStore) port.RowStore
-	replica   *replica.Replica
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
+	// evacuation, if set, replaces that of the cluster. evacuateWithin is that of Deps.
+	evacuation     func() work.Evacuation
+	evacuateWithin time.Duration
+	replica        *replica.Replica
+	cancel         context.CancelFunc
+	done           sync.WaitGroup
 }
 
 func newCluster(t *testing.T, workers int) *cluster {
@@ -131,6 +136,10 @@
 		Log: testLog().With(zap.String("in", in.name)), Now: c.now, Observer: NoObserver{}, WallClock: in.wallClock, Config: func() *work.Config { return nil }, Name: in.name, Incarnation: in.incarnation,
 		Settings: planner.Settings{ReclaimWithin: 3 * time.Second}, MaxLease: 10 * time.Second, Retention: 2 * time.Minute, StoreHealth: store,
 	}
+	deps.Evacuation, deps.EvacuateWithin = c.evacuation, in.evacuateWithin
+	if in.evacuation != nil {
+		deps.Evacuation = in.evacuation
+	}
 	in.replica = rep
 	in.done.Go(func() { rep.Run(ctx) })
 	if c.policy != nil {
--- a/internal/duty/pool/deps.go
+++ b/internal/duty/pool/deps.go
@@ -37,6 +37,11 @@
 	StoreHealth StoreHealth
 	// Config returns the configuration in force, nil if there is none.
 	Config func() *work.Config
+	// Evacuation returns the failure domains that the operator has evacuated; nil if
+	// there are never any. EvacuateWithin is the time after an evacuation from which
+	// nothing may be started there, 0 for no limit.
+	Evacuation     func() work.Evacuation
+	EvacuateWithin time.Duration
 	// Cores is the number of processor cores that this instance may use.
 	Cores float64
 	// Name identifies this instance. Incarnation identifies the current run of its
--- a/internal/duty/pool/events.go
+++ b/internal/duty/pool/events.go
@@ -17,6 +17,7 @@
 	evFirstFailure                              // session: a hold at the worker failed for the first time
 	evStartAnswered                             // session, incarnation, order, rejected, resent: a start was answered
 	evStartUnanswered                           // session, order: a start was not answered
+	evStartWithdrawn                            // session, order: a start wasn't sent, its failure domain is evacuated
 	evStopConfirmed                             // session, incarnation, order: a stop was confirmed
 	evWorkersListed                             // workers, complete: the registry's workers or changes to them
 	evCommitDone                                // commit: a transaction finished
--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -113,11 +113,13 @@
 }
 
 // releaseIf sends the held starts for which ready reports true and whose workers are in
-// the stored list, unless mayStart forbids it. A unit that lost a run needs a heartbeat
+// the stored list, unless mayStart forbids it. Those in an evacuated failure domain
+// are withdrawn. A unit that lost a run needs a heartbeat
 // that was confirmed since: another owner that reached the worker may have stored and
 // acknowledged the run's result. Starts whose runs have been given up are dropped: the
 // order that says so may wait for the next planning pass.
 func (o *Owner) releaseIf(ctx context.Context, ready func(*heldStart) bool) {
+	o.withdrawEvacuated(o.now())
 	mayStart := o.mayStart()
 	confirmedAt := o.confirmedAt()
 	kept := o.held[:0]
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -111,6 +111,8 @@
 	lastActiveAt    time.Duration
 	confirmAfter    time.Duration // a heartbeat sent at or after this must be confirmed before starts are sent
 	config          *work.Config
+	evacuated       map[string]int64 // the evacuated failure domains as the planner has them
+	evacuationKnown bool             // at the last check
 	done            chan struct{}
 	previous        previousOwner
 	unknown         unknownJobs
@@ -150,7 +152,10 @@
 		nextPlan:     time.NewTimer(planInterval),
 	}
 	o.heartbeatAt.Store(int64(o.startedAt))
-	o.acted = true
+	o.acted, o.evacuationKnown = true, true
+	if o.deps.Evacuation == nil {
+		o.deps.Evacuation = func() work.Evacuation { return work.Evacuation{} }
+	}
 	o.writer.init()
 	o.policy.init()
 	return o
@@ -284,6 +289,7 @@
 	now := o.now()
 	o.detectSuspension(now)
 	o.applyConfig()
+	o.applyEvacuation(now)
 	o.updateQuorum(now)
 	o.checkFenced(ctx, now)
 	if wall, ok := o.wallClock(); ok {
@@ -320,7 +326,7 @@
 
 // mayStart reports whether starts may be sent.
 func (o *Owner) mayStart() bool {
-	return o.confirmedAt() >= o.confirmAfter && o.mayAct()
+	return o.confirmedAt() >= o.confirmAfter && o.mayAct() && o.knowsEvacuation(o.now())
 }
 
 func (o *Owner) dispatch(ctx context.Context, order planner.Order) {
@@ -419,6 +425,9 @@
 	case evStartUnanswered:
 		o.cancelStart(runKey{ev.order.Task, ev.order.Run})
 		o.planner.StartUnanswered(now, id, ev.order.Task, ev.order.Run)
+	case evStartWithdrawn:
+		o.cancelStart(runKey{ev.order.Task, ev.order.Run})
+		o.planner.WithdrawStart(now, id, ev.order.Task, ev.order.Run)
 	case evStopConfirmed:
 		if ev.incarnation < ev.session.appliedIncarnation {
 			return // the new incarnation doesn't know of the stop
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -73,6 +73,7 @@
 		o.beginRecovery(ctx)
 	}
 	o.applyConfig()
+	o.applyEvacuation(o.now())
 	for i := range jobs {
 		o.addJob(&jobs[i], o.epoch > 1)
 	}
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -318,11 +318,12 @@
 }
 
 // start sends a start until it is answered, at most maxStartTries times. It resends
-// a start whose lease had expired on arrival. The same run may be resent while the
+// a start whose lease had expired on arrival, unless the worker's failure domain has been
+// evacuated since. The same run may be resent while the
 // owner may act, but not after this process was suspended: its ownership has to be
 // confirmed first.
 func (s *session) start(ctx context.Context, order planner.Order, decidedAt time.Duration) {
-	unanswered := false
+	unanswered, sent := false, false
 	for range maxStartTries {
 		now := s.owner.now()
 		if now-decidedAt > orderTimeout+suspensionThreshold {
@@ -333,7 +334,14 @@
 		if !s.owner.mayAct() {
 			break
 		}
-		decidedAt = now
+		if !s.owner.mayStartIn(s.target.Domain, now) {
+			if sent {
+				break
+			}
+			s.owner.send(ctx, event{kind: evStartWithdrawn, session: s, order: order})
+			return
+		}
+		decidedAt, sent = now, true
 		s.mu.Lock()
 		startOrder := port.StartOrder{
 			Task: order.Task, Run: order.Run, Spec: order.Spec, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -140,6 +140,7 @@
 		o.log.Info("worker draining", zap.String("worker", w.ID))
 	}
 	o.planner.PutWorker(w)
+	o.planner.SetCold(w.ID, o.now()+w.ColdFor)
 	if s != nil && !o.unlisted[w.ID] {
 		o.updateLeft(w.ID)
 		return
--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -39,6 +39,8 @@
 	// needs returns what a task needs; nil while the workers don't guard their
 	// capacity.
 	needs func(work.TaskID) work.Resources
+	// forbidden reports whether nothing may be started on a worker; nil if that is never so.
+	forbidden func(work.Worker) bool
 }
 
 // Profile describes how a job's tasks run.
--- a/internal/fake/pool_checks.go
+++ b/internal/fake/pool_checks.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// ForbidStarts makes starts on the workers violations for which forbidden returns true. It
+// replaces the last one; nil allows all. Calls of forbidden must not use the pool.
+func (p *Pool) ForbidStarts(forbidden func(work.Worker) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forbidden = forbidden
+}
+
 // successKey returns the key of a task's successes. One success completes a gang.
 func successKey(task work.TaskID, profile *Profile) work.TaskID {
 	if profile.GangSize > 0 {
@@ -93,7 +101,8 @@
 }
 
 // checkStart records violations if the task has an acknowledged success or another run,
-// or if its job was shown as completed, which a late order isn't judged by. The start is
+// or if its job was shown as completed or the worker is forbidden, by neither of which a
+// late order is judged. The start is
 // kept with the successes that may still be acknowledged.
 func (p *Pool) checkStart(w *PoolWorker, task work.TaskID, run int64, profile *Profile, late bool) {
 	now := time.Now()
@@ -113,6 +122,9 @@
 			p.violate("%s after an acknowledged success: %v", start.text, s)
 		}
 	}
+	if !late && p.forbidden != nil && p.forbidden(w.info) {
+		p.violate("%s, where nothing may be started", start.text)
+	}
 	if shown := p.completedAt[task.Job]; !late && !shown.IsZero() && now.Sub(shown) > completedSlack {
 		p.violate("%s after the job was shown as completed at %s", start.text, stamp(shown))
 	}
--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -313,11 +313,12 @@
 const rackFreeWeight = 0.05
 
 // placeOn packs the unit onto those of the given workers that have the least free
-// capacity and can still hold a task. It returns nil if the whole unit doesn't fit.
+// capacity and can still hold a task, cold ones last. It returns nil if the whole unit doesn't fit.
 func (v *view) placeOn(u *unit, members []int, avoid bool) []placement {
 	type candidate struct {
 		i, slots  int
 		freeCores float64
+		cold      bool
 	}
 	var candidates []candidate
 	total := 0
@@ -334,7 +335,7 @@
 			continue
 		}
 		total += n
-		candidates = append(candidates, candidate{i, n, v.free[i].Cores()})
+		candidates = append(candidates, candidate{i, n, v.free[i].Cores(), v.now < v.workers[i].coldUntil})
 	}
 	if total < u.count {
 		return nil
@@ -350,6 +351,10 @@
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		switch {
+		case a.cold != b.cold && a.cold:
+			return 1
+		case a.cold != b.cold:
+			return -1
 		case a.freeCores < b.freeCores:
 			return -1
 		case a.freeCores > b.freeCores:
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -210,7 +210,10 @@
 	listed    bool
 	// listedBefore is set once this owner has seen the worker listed.
 	listedBefore bool
-	incarnation  int // counts the observed restarts
+	// evacuated is set while the worker's failure domain is evacuated.
+	evacuated   bool
+	coldUntil   time.Duration // the worker is slow until then, after a restart
+	incarnation int           // counts the observed restarts
 	// longLeaseUntil is the time until which its lease may exceed what this owner asked
 	// for, as another incarnation or owner was the one that asked.
 	longLeaseUntil time.Duration
@@ -270,6 +273,7 @@
 	jobs            map[string]*job
 	jobsByArrival   []*job           // all of jobs, in order of arrival
 	guarantee       map[string]int64 // in accelerators, by workspace
+	evacuated       map[string]bool  // failure domains
 	recovery        recovery
 	unknownJobs     map[string]*unknownJob
 	queueMeanWeight map[string]*mean // mean weight of the jobs, by queue
--- a/internal/planner/waiting.go
+++ b/internal/planner/waiting.go
@@ -94,7 +94,10 @@
 		return "outranked", "it fits, but the capacity goes to jobs ranked higher"
 	}
 	cause = "no room"
-	if u.spec().PrefersOneRack() && !spread && v.placeAvoiding(u, true, false) != nil {
+	if p.needsEvacuated(u, v) {
+		cause = CauseEvacuated
+	}
+	if cause == "no room" && u.spec().PrefersOneRack() && !spread && v.placeAvoiding(u, true, false) != nil {
 		cause = "no rack has room, several have"
 	}
 	return cause, v.capacityFor(u)
@@ -143,7 +146,7 @@
 		bestRack = max(bestRack, onRack)
 	}
 	out := fmt.Sprintf("%d of %d tasks fit, %d on one rack; %d workers usable", fit, u.count, bestRack, len(v.workers))
-	for _, cause := range []string{"not heard", "silent", "not listed", "draining", "quarantined", "unknown runs", "label or neighbours", "no ticket", "headroom", "failed or stalled there"} {
+	for _, cause := range []string{"not heard", "silent", "not listed", "draining", causeEvacuated, "quarantined", "unknown runs", "label or neighbours", "no ticket", "headroom", "failed or stalled there"} {
 		if n := excluded[cause]; n > 0 {
 			out += fmt.Sprintf(", %d %s", n, cause)
 		}
@@ -162,6 +165,8 @@
 		return "not listed"
 	case w.info.Draining:
 		return "draining"
+	case w.evacuated:
+		return causeEvacuated
 	case w.health.excluded(now):
 		return "quarantined"
 	case w.unknownNeeds > 0:
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -17,6 +17,7 @@
 	}
 	w.free = w.free.Add(info.Capacity.Sub(w.info.Capacity))
 	w.info, w.listed, w.listedBefore = info, true, true
+	w.evacuated = p.evacuated[info.Zone]
 }
 
 // InheritWorker adds a worker of a previous owner that the registry doesn't list. It
@@ -24,7 +25,7 @@
 func (p *Planner) InheritWorker(info work.Worker) { p.addWorker(info) }
 
 func (p *Planner) addWorker(info work.Worker) *worker {
-	w := &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Capacity}
+	w := &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Capacity, evacuated: p.evacuated[info.Zone]}
 	p.workers[info.ID] = w
 	i, _ := slices.BinarySearch(p.workerIDs, info.ID)
 	p.workerIDs = slices.Insert(p.workerIDs, i, info.ID)
--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -25,7 +25,16 @@
 	WatchWorkers(ctx context.Context, after int64, wait time.Duration) ([]WorkerChange, int64, error)
 }
 
-// ConfigReading is a reading of the operator's configuration.
+// EvacuationChange tells that a failure domain is evacuated, or restored, by a row of the
+// given version.
+type EvacuationChange struct {
+	Domain    string
+	Evacuated bool
+	Version   int64
+}
+
+// ConfigReading is a reading of the operator's configuration and of the failure domains
+// that the operator has evacuated.
 type ConfigReading struct {
 	// Config is the newest usable configuration among those read, nil if there is
 	// none or, for WatchConfig, no new one.
@@ -33,6 +42,10 @@
 	// Unusable is set if the newest configuration read was removed or can't be
 	// decoded.
 	Unusable bool
+	// Evacuations holds the changes that were read, in their order. If Complete is set,
+	// no other failure domains are evacuated.
+	Evacuations []EvacuationChange
+	Complete    bool
 	// Version is the store's version from which to watch.
 	Version int64
 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -384,6 +384,9 @@
 	Labels   []string
 	Capacity Resources
 	Draining bool
+	// ColdFor is for how long the worker stays slow after a restart, as of its last
+	// registry entry.
+	ColdFor time.Duration
 }
 
 // HasLabel reports whether the worker has the label.
