explain: name an evacuated failure domain as the reason of a wait

Cause: a job that fits only in an evacuated failure domain looked like one that waits for capacity. The list of a job's own lines also shared its array with the list that is sorted together with the pool's events, so that the verdict could miss the job's last lines and read the pool's instead.

Change: the verdict names the evacuated failure domain and withdrawn starts; the lists no longer share an array.

Measured: the new test failed with the shared array and passes; the package's other tests pass.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -44,7 +45,7 @@
 		{Name: "urgent", Host: "h", Prefix: "/u/", Pool: "p", MaxAttempts: 3, Stretch: 2},
 		{Name: "batch", Host: "h", Prefix: "/b/", Pool: "p", Priority: 1, MaxAttempts: 3, Stretch: 2},
 	}
-	s.workers.Add(work.Worker{ID: "w1", Address: "10.0.0.1:1", Pool: "p", Rack: "r", Capacity: work.Resources{CPU: 8000, MemMB: 8000, Accel: 8}})
+	s.workers.Add(work.Worker{ID: "w1", Address: "10.0.0.1:1", Pool: "p", Zone: "z", Rack: "r", Capacity: work.Resources{CPU: 8000, MemMB: 8000, Accel: 8}})
 	sink := logsink.New(&s.logOutput)
 	log := sink.Logger(logsink.Budget{}).With(zap.String("node", "north-1"))
 	startedAt := time.Now()
@@ -64,7 +65,7 @@
 			WallClock: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
 			Settings:  planner.Settings{ReclaimWithin: 3 * time.Second}, MaxLease: 10 * time.Second, Retention: time.Minute,
 			StoreHealth: store,
-			Config:      s.intake.Config, Name: "north-1", Incarnation: "a",
+			Config:      s.intake.Config, Evacuation: s.intake.Evacuation, Name: "north-1", Incarnation: "a",
 		}, "p").Run(ctx)
 	})
 	s.close = sync.OnceFunc(func() { cancel(); done.Wait(); sink.Close() })
@@ -124,6 +125,21 @@
 	})
 }
 
+// Guards against a job whose wait for an evacuated failure domain looks like one for
+// capacity.
+func TestExplainsWaitForAnEvacuatedDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFixture(t)
+		s.intake.ApplyReading(port.ConfigReading{Evacuations: []port.EvacuationChange{{Domain: "z", Evacuated: true, Version: 1}}}, 0)
+		must.NoError(t, s.submit(1, "aaaa", 1, 1))
+		time.Sleep(5 * time.Second)
+		h := s.explain("aaaa")
+		must.EqOp(t, explain.Open, h.Verdict.Outcome)
+		must.StrContains(t, reasons(h), "its capacity is in an evacuated failure domain")
+		must.True(t, slices.ContainsFunc(h.Entries, func(e explain.Entry) bool { return e.Event == "failure domain evacuated" }))
+	})
+}
+
 func TestExplainsPreemptionByPreemptingJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newFixture(t)
--- a/internal/explain/history.go
+++ b/internal/explain/history.go
@@ -21,7 +21,7 @@
 // poolEvents are the events that concern every job of a pool.
 var poolEvents = []string{
 	"ownership gained", "ownership lost", "pool handed over", "pool taken over", "recovery begins",
-	planner.EventRecoveryFinished, "former owner over", "suspended, confirming ownership first",
+	planner.EventRecoveryFinished, "former owner over", "suspended, confirming ownership first", "failure domain evacuated", "failure domain restored",
 	"handing over, the store is reached through peers only", "beat not confirmed", "dependency lost", "dependency regained",
 }
 
@@ -58,7 +58,7 @@
 		return h
 	}
 	from, to := jobLines[0].At, jobLines[len(jobLines)-1].At
-	lines := jobLines
+	lines := slices.Clone(jobLines) // sorting the longer list must not move lines of the job
 	for i := range l.Lines {
 		line := &l.Lines[i]
 		if line.At.Before(from) || line.At.After(to) || line.text("job") != "" {
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -49,6 +49,8 @@
 	discardedWork                                      map[string]float64 // core-seconds by cause
 	rejectedStarts, unansweredStarts, stalledRuns      int
 	preemptedFor                                       []string
+	withdrawnStarts                                    int
+	waitedForEvacuated                                 bool // it fitted only in an evacuated failure domain
 	inherited                                          bool // the pool's owner took the job over from a previous one
 }
 
@@ -138,6 +140,10 @@
 		f.unansweredStarts++
 	case planner.EventRunStalled:
 		f.stalledRuns++
+	case planner.EventStartWithdrawn:
+		f.withdrawnStarts++
+	case planner.EventJobWaiting:
+		f.waitedForEvacuated = f.waitedForEvacuated || strings.HasPrefix(line.text("detail"), planner.CauseEvacuated)
 	case planner.EventPreempted:
 		f.preemptedFor = append(f.preemptedFor, strings.TrimPrefix(line.text("detail"), "for "))
 	}
@@ -196,6 +202,9 @@
 // disruptions describes the events that disrupted the job.
 func (f *facts) disruptions() []string {
 	var out []string
+	if f.waitedForEvacuated {
+		out = append(out, "it waited: its "+planner.CauseEvacuated)
+	}
 	if n := len(f.preemptedFor); n > 0 {
 		slices.Sort(f.preemptedFor)
 		out = append(out, fmt.Sprintf("preempted for %s", strings.Join(slices.Compact(f.preemptedFor), ", ")))
@@ -206,7 +215,8 @@
 	for _, t := range []struct {
 		n           int
 		description string
-	}{{f.stalledRuns, "runs stood still"}, {f.rejectedStarts, "starts were rejected by workers"}, {f.unansweredStarts, "starts got no answer"}} {
+	}{{f.stalledRuns, "runs stood still"}, {f.rejectedStarts, "starts were rejected by workers"}, {f.unansweredStarts, "starts got no answer"},
+		{f.withdrawnStarts, "starts were withdrawn, as their failure domain was evacuated"}} {
 		if t.n > 0 {
 			out = append(out, fmt.Sprintf("%d %s", t.n, t.description))
 		}
