--- a/internal/duty/pool/evacuation.go
+++ b/internal/duty/pool/evacuation.go
@@ -40,8 +40,11 @@
 func (o *Owner) applyEvacuation(now time.Duration) {
 	if knows := o.knowsEvacuation(now); knows != o.evacuationKnown {
 		o.evacuationKnown = knows
-		o.log.Warn("evacuated failure domains not confirmed, starts wait for it", zap.Bool("confirmed", knows),
-			zap.Duration("read_ago", now-o.deps.Evacuation().ReadAt))
+		event := "starts wait, the evacuated failure domains are not confirmed"
+		if knows {
+			event = "evacuated failure domains confirmed again"
+		}
+		o.log.Warn(event, zap.Duration("read_ago", now-o.deps.Evacuation().ReadAt))
 	}
 	e := o.deps.Evacuation()
 	if maps.Equal(e.Domains, o.evacuated) {
--- a/internal/duty/pool/evacuation_test.go
+++ b/internal/duty/pool/evacuation_test.go
@@ -145,6 +145,40 @@
 	return o, s, o.planner.Plan(o.now())[0], e
 }
 
+// Guards against held starts that stay with their runs until they could be sent: an
+// evacuation must free the tasks at once, also those of a gang whose other members may go
+// elsewhere. Tasks outside of the evacuated failure domain stay held.
+func TestEvacuationWithdrawsHeldStartsWithTheirGangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &suspendingWorkers{}
+		o, _, order, e := evacuatedStart(t, w)
+		o.planner.PutWorker(work.Worker{ID: "far", Zone: "far", Capacity: work.Resources{CPU: 2000, Accel: 1}})
+		o.planner.PutWorker(work.Worker{ID: "near", Zone: "near", Capacity: work.Resources{CPU: 2000, Accel: 1}})
+		for _, id := range []string{"far", "near"} {
+			o.planner.HandleReport(o.now(), o.now(), id, port.HoldReply{})
+		}
+		add := func(id string, gang bool, need work.Resources, count int) {
+			steps := []work.Step{{Count: count, Gang: gang, Need: need, Estimate: time.Second}}
+			o.planner.AddJob(o.now(), 0, work.Record{State: work.Queued, Job: work.Job{ID: id, MaxAttempts: 4, Steps: steps}}, false)
+		}
+		add("gang", true, work.Resources{CPU: 1000, Accel: 1}, 2)
+		orders := append(o.planner.Plan(o.now()), order)
+		must.Len(t, 3, orders)
+		o.handleOrders(t.Context(), orders)
+		e.set(o.now(), "near")
+		o.releaseReady(t.Context())
+		must.SliceEmpty(t, o.held)
+		must.EqOp(t, 0, w.starts)
+		must.EqOp(t, 0, len(o.events), must.Sprint("no start has reached its goroutine"))
+		orders = o.planner.Plan(o.now())
+		must.Len(t, 1, orders)
+		must.EqOp(t, "far", orders[0].Worker)
+		o.handleOrders(t.Context(), orders)
+		o.releaseReady(t.Context())
+		must.Len(t, 1, o.held)
+	})
+}
+
 // Guards against a start that its goroutine sends although the failure domain was evacuated
 // after the release, which the owner's loop hasn't noticed. As it wasn't sent, its run
 // needs no stop.
--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -351,9 +351,9 @@
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		switch {
-		case a.cold != b.cold && a.cold:
+		case a.cold && !b.cold:
 			return 1
-		case a.cold != b.cold:
+		case b.cold && !a.cold:
 			return -1
 		case a.freeCores < b.freeCores:
 			return -1
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -25,7 +25,7 @@
 func (p *Planner) InheritWorker(info work.Worker) { p.addWorker(info) }
 
 func (p *Planner) addWorker(info work.Worker) *worker {
-	w := &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Capacity, evacuated: p.evacuated[info.Zone]}
+	w := &worker{info: info, runs: map[work.TaskID]*run{}, free: info.Capacity}
 	p.workers[info.ID] = w
 	i, _ := slices.BinarySearch(p.workerIDs, info.ID)
 	p.workerIDs = slices.Insert(p.workerIDs, i, info.ID)
