Evacuation: what counts as a reading that failed, and where a start goes

Cause: an owner that wakes from a suspension could take a lost history, a call that its own suspension ended, or one on a connection that was closed meanwhile for an outage, and start by the last known domains. A start was checked against the domain that its session was opened with, not the one that the planner chose it by.

A start names its worker's domain. Withdrawn starts are logged with their reason.

--- a/internal/duty/intake/evacuation.go
+++ b/internal/duty/intake/evacuation.go
@@ -35,6 +35,9 @@
 	in.applying.Lock()
 	defer in.applying.Unlock()
 	next := in.Evacuation()
+	if next.FailedAt == 0 {
+		next.FailingSince = at
+	}
 	next.FailedAt = at
 	in.evacuation.Store(&next)
 }
--- a/internal/duty/pool/evacuation.go
+++ b/internal/duty/pool/evacuation.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilwinch/lentilwinch/internal/planner"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -15,18 +16,31 @@
 // and take orderTimeout there.
 const lateStartTime = 2*orderTimeout + 600*time.Millisecond
 
+// Reasons of withdrawn starts.
+const (
+	whyEvacuated    = "evacuated"
+	whyNotConfirmed = "evacuations not confirmed"
+)
+
+// failingAtLeast is how long readings must have failed before starts go on by the last known
+// domains. After a suspension the first calls may fail on connections that were closed
+// meanwhile. With a longer time, starts would pause at the begin of an outage in which calls
+// stay without an answer.
+const failingAtLeast = 400 * time.Millisecond
+
 // knowsEvacuation reports whether this owner knows the evacuated failure domains as of a
 // time after which no start that it sends now is too late. A reading that is older and
 // hasn't been repeated shows that this process was suspended. While the readings fail, the
 // last known domains stay in force.
 func (o *Owner) knowsEvacuation(now time.Duration) bool {
 	within := o.deps.EvacuateWithin
-	if within == 0 {
+	if within <= 0 {
 		return true
 	}
 	maxAge := max(within-lateStartTime, within/2)
 	e := o.deps.Evacuation()
-	return now-e.ReadAt <= maxAge || e.FailedAt > 0 && now-e.FailedAt <= maxAge
+	failing := e.FailedAt > 0 && now-e.FailedAt <= maxAge && now-e.FailingSince >= failingAtLeast
+	return failing || now-e.ReadAt <= maxAge
 }
 
 // mayStartIn reports whether a start may be sent to a worker of a failure domain. Unlike
@@ -36,6 +50,16 @@
 	return !evacuated && o.knowsEvacuation(now)
 }
 
+// withdrawUnsent withdraws a start whose goroutine hasn't sent it, as mayStartIn forbade it.
+func (o *Owner) withdrawUnsent(now time.Duration, order *planner.Order) {
+	o.cancelStart(runKey{order.Task, order.Run})
+	why := whyNotConfirmed
+	if _, evacuated := o.deps.Evacuation().Domains[order.Domain]; evacuated {
+		why = whyEvacuated
+	}
+	o.planner.WithdrawStart(now, order.Worker, order.Task, order.Run, why)
+}
+
 // applyEvacuation has the planner use the evacuated failure domains, and logs what changes.
 func (o *Owner) applyEvacuation(now time.Duration) {
 	if knows := o.knowsEvacuation(now); knows != o.evacuationKnown {
@@ -103,19 +127,19 @@
 func (o *Owner) withdrawEvacuated(now time.Duration) {
 	o.applyEvacuation(now)
 	withdrawn := false
-	withdrawIf := func(condition func(worker string, task work.TaskID, run int64) bool) {
+	withdrawIf := func(why string, condition func(worker string, task work.TaskID, run int64) bool) {
 		o.held = slices.DeleteFunc(o.held, func(h heldStart) bool {
 			order := &h.order
 			if !condition(order.Worker, order.Task, order.Run) {
 				return false
 			}
-			o.planner.WithdrawStart(now, order.Worker, order.Task, order.Run)
+			o.planner.WithdrawStart(now, order.Worker, order.Task, order.Run, why)
 			withdrawn = true
 			return true
 		})
 	}
-	withdrawIf(func(worker string, _ work.TaskID, _ int64) bool { return o.planner.IsEvacuated(worker) })
+	withdrawIf(whyEvacuated, func(worker string, _ work.TaskID, _ int64) bool { return o.planner.IsEvacuated(worker) })
 	if withdrawn {
-		withdrawIf(o.planner.AttemptEnded)
+		withdrawIf("member of a gang in part "+whyEvacuated, o.planner.AttemptEnded)
 	}
 }
--- a/internal/duty/pool/evacuation_test.go
+++ b/internal/duty/pool/evacuation_test.go
@@ -222,13 +222,14 @@
 func TestStartsWaitForAReadingOfTheEvacuations(t *testing.T) {
 	const old = testEvacuateWithin - lateStartTime + 10*time.Millisecond
 	for name, c := range map[string]struct {
-		readAgo, failedAgo time.Duration // failedAgo is 0 if the last reading succeeded
-		starts             int
+		readAgo, failedAgo, failingFor time.Duration // failedAgo is 0 if the last reading succeeded
+		starts                         int
 	}{
-		"recent":              {old / 2, 0, 1},
-		"old":                 {old, 0, 0},
-		"store can't be read": {old, time.Second, 1},
-		"failed long ago":     {3 * old, 2 * old, 0},
+		"recent":              {old / 2, 0, 0, 1},
+		"old":                 {old, 0, 0, 0},
+		"store can't be read": {old, 100 * time.Millisecond, time.Second, 1},
+		"one call failed":     {old, 100 * time.Millisecond, 200 * time.Millisecond, 0},
+		"failed long ago":     {3 * old, 2 * old, 2 * old, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -236,7 +237,7 @@
 				o, _, order, e := evacuatedStart(t, w)
 				current := work.Evacuation{ReadAt: o.now() - c.readAgo}
 				if c.failedAgo > 0 {
-					current.FailedAt = o.now() - c.failedAgo
+					current.FailedAt, current.FailingSince = o.now()-c.failedAgo, o.now()-c.failingFor
 				}
 				e.current.Store(&current)
 				release := func() {
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -426,8 +426,7 @@
 		o.cancelStart(runKey{ev.order.Task, ev.order.Run})
 		o.planner.StartUnanswered(now, id, ev.order.Task, ev.order.Run)
 	case evStartWithdrawn:
-		o.cancelStart(runKey{ev.order.Task, ev.order.Run})
-		o.planner.WithdrawStart(now, id, ev.order.Task, ev.order.Run)
+		o.withdrawUnsent(now, &ev.order)
 	case evStopConfirmed:
 		if ev.incarnation < ev.session.appliedIncarnation {
 			return // the new incarnation doesn't know of the stop
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -334,7 +334,7 @@
 		if !s.owner.mayAct() {
 			break
 		}
-		if !s.owner.mayStartIn(s.target.Domain, now) {
+		if !s.owner.mayStartIn(order.Domain, now) {
 			if sent {
 				break
 			}
--- a/internal/planner/evacuation.go
+++ b/internal/planner/evacuation.go
@@ -72,12 +72,12 @@
 
 // WithdrawStart drops a run whose start hasn't been sent, and ends its attempt. The
 // attempt doesn't count as one of the job's. It has no effect on other runs.
-func (p *Planner) WithdrawStart(now time.Duration, id string, task work.TaskID, number int64) {
+func (p *Planner) WithdrawStart(now time.Duration, id string, task work.TaskID, number int64, why string) {
 	if !p.IsStarting(id, task, number) {
 		return
 	}
 	r := p.workers[id].runs[task]
-	p.log(LogEntry{Event: EventStartWithdrawn, Job: task.Job, Worker: id, Task: task, Run: number, Detail: causeEvacuated})
+	p.log(LogEntry{Event: EventStartWithdrawn, Job: task.Job, Worker: id, Task: task, Run: number, Detail: why})
 	u := r.unit
 	p.dropRun(r)
 	p.markChanged(u.job)
--- a/internal/planner/evacuation_test.go
+++ b/internal/planner/evacuation_test.go
@@ -132,7 +132,7 @@
 	first := h.p.workers[order.Worker]
 	h.p.SetEvacuated([]string{first.info.Zone})
 	h.p.TakeChanged()
-	h.p.WithdrawStart(h.now, order.Worker, order.Task, order.Run)
+	h.p.WithdrawStart(h.now, order.Worker, order.Task, order.Run, causeEvacuated)
 	must.Eq(t, first.info.Capacity, first.free)
 	must.MapEmpty(t, h.p.TakeChanged()[0].Steps[0].Placed, must.Sprint("the record no longer names the worker"))
 	must.EqOp(t, 1, starts(h.plan()))
@@ -152,7 +152,7 @@
 	sent, held := orders[0], orders[1]
 	h.p.StartAnswered(h.now, sent.Worker, sent.Task, sent.Run, port.NotRejected)
 	h.p.SetEvacuated([]string{h.p.workers[held.Worker].info.Zone})
-	h.p.WithdrawStart(h.now, held.Worker, held.Task, held.Run)
+	h.p.WithdrawStart(h.now, held.Worker, held.Task, held.Run, causeEvacuated)
 	must.True(t, h.p.AttemptEnded(sent.Worker, sent.Task, sent.Run))
 	h.now += gangStopDelay
 	must.EqOp(t, 1, count(h.plan(), OrderStop))
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -12,7 +12,7 @@
 	EventPreempted         = "preempted"        // detail: the job that preempts; count: tasks
 	EventWorkDiscarded     = "work lost"        // detail: cause; core_seconds: discarded work
 	EventStartRejected     = "start rejected"   // detail: the worker's reason
-	EventStartWithdrawn    = "start withdrawn"  // it wasn't sent, as its worker's failure domain was evacuated
+	EventStartWithdrawn    = "start withdrawn"  // a start that wasn't sent, because of an evacuation; detail: reason
 	EventStartUnanswered   = "start unanswered" // the task is placed again only after the run's stop is confirmed
 	EventRunFailed         = "run failed"       // age: time since the run's start; count: failed attempts so far, 0 for a long-lived task
 	EventRunStalled        = "run stalled"      // count: progress of the run, in percent
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -161,7 +161,7 @@
 			p.orders = append(p.orders, Order{
 				Kind: OrderStart, Worker: pl.worker.info.ID, Task: r.task, Run: number,
 				Spec: u.job.rec.Job.Spec, Checkpoint: u.checkpoint, Ticket: ticket, Why: why,
-				AfterLoss: u.runLost,
+				Domain: pl.worker.info.Zone, AfterLoss: u.runLost,
 			})
 			index++
 		}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -42,6 +42,8 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
+	// Domain is the worker's failure domain. It is set only for starts.
+	Domain string
 	// AfterLoss is set for the start of a unit of which a run was lost without a result.
 	// Another owner may have acknowledged that.
 	AfterLoss bool
--- a/internal/work/evacuation.go
+++ b/internal/work/evacuation.go
@@ -13,6 +13,7 @@
 	// ReadAt is the latest time, on the instance's clock, at which the domains are known
 	// to have been complete.
 	ReadAt time.Duration
-	// FailedAt is when the last reading failed, 0 if it succeeded.
-	FailedAt time.Duration
+	// FailedAt is when the last reading failed, 0 if it succeeded. FailingSince is when the
+	// first one failed since the last that succeeded.
+	FailedAt, FailingSince time.Duration
 }
