--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -333,10 +333,11 @@
 // often than whole free racks.
 const rackFreeWeight = 0.05
 
-// fitOn chooses those of the given workers that suit the unit best by their speed. It
-// returns nil if the whole unit doesn't fit.
+// fitOn chooses those of the given workers that suit the unit best by their speed,
+// cold ones only if the others don't hold it. It returns nil if the whole unit doesn't fit.
 func (v *view) fitOn(u *unit, members []int, avoid bool, limit float64) *fit {
-	var candidates []candidate
+	var candidates, cold []candidate
+	warmSlots := 0
 	estimate := u.estimate()
 	for _, i := range members {
 		if !v.allowed(u, i, avoid) {
@@ -349,9 +350,20 @@
 		if v.reservedFrom[i] > 0 && until > v.reservedFrom[i] {
 			continue
 		}
-		if n := v.slots(u, i, v.free[i]); n > 0 {
-			candidates = append(candidates, candidate{i, n, v.free[i].Cores(), v.class[i], v.factor[i], v.upper[i]})
+		n := v.slots(u, i, v.free[i])
+		if n == 0 {
+			continue
+		}
+		c := candidate{i, n, v.free[i].Cores(), v.class[i], v.factor[i], v.upper[i]}
+		if v.now < v.workers[i].coldUntil {
+			cold = append(cold, c)
+			continue
 		}
+		candidates = append(candidates, c)
+		warmSlots += n
+	}
+	if warmSlots < u.count {
+		candidates = append(candidates, cold...)
 	}
 	return chooseBySpeed(u, candidates, limit)
 }
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -17,6 +17,7 @@
 	}
 	w.free = w.free.Add(info.Capacity.Sub(w.info.Capacity))
 	w.info, w.listed, w.listedBefore = info, true, true
+	w.evacuated = p.evacuated[info.Zone]
 }
 
 // InheritWorker adds a worker of a previous owner that the registry doesn't list. It
