Planner: stronger, cheaper and safer forecast bounds

The bounds counted the 500 waiting units of highest rank only, which in a long queue are the smallest, and each bound was simulated with a heap. Equal units of a step are now counted together, 3000 steps at most, and simulated time passes in slots of 50 ms.

--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 
@@ -16,24 +15,32 @@
 	estimateDoubt = 1.9
 	// maxForecast is the longest wait that is forecast.
 	maxForecast = 10 * time.Minute
-	// maxForecastUnits bounds the waiting units in a forecast, and so its time. Leaving
-	// out the others makes the bounds lower.
-	maxForecastUnits = 500
+	// minForecast is the shortest wait that is forecast. No caller finds a job worthless
+	// that starts sooner.
+	minForecast = time.Second
+	// noticeableShare is the share of a bound from which on another one replaces it. Every
+	// instance reads each bound, and bytes have a price.
+	noticeableShare = 0.8
+	// forecastSlot is the resolution of a forecast. Most tasks take seconds.
+	forecastSlot = 50 * time.Millisecond
+	// maxForecastSteps bounds the steps with waiting units in a forecast, and so its time.
+	// Leaving out the others makes the bounds lower.
+	maxForecastSteps = 3000
 )
 
 // forecastSizes are the sizes of jobs, relative to the mean of their queue, from which on
 // bounds are computed. Smaller jobs have a higher rank and so less work ahead of them.
-// The first is below 1, so that it covers queues of equal jobs.
-var forecastSizes = [...]float64{0.9, 0.02}
+// The last is below 1, so that it covers queues of equal jobs.
+var forecastSizes = [...]float64{0.02, 0.9}
 
 // Forecast returns lower bounds of the time until a unit that arrives now can start, none
 // during a recovery or while nothing waits.
 //
-// A bound holds whatever the estimates are worth, because it counts only what goes before
-// the new unit without doubt: runs that it may not preempt, though no higher priority may
-// lower them, and waiting units that keep a higher rank until then and fit wherever it
-// fits. They are carried out in the order of their ranks, each as if it could use any
-// worker and could be divided, and all in the shortest time that an estimate allows.
+// A bound holds in spite of wrong estimates, because it counts only what goes before the
+// new unit without doubt: runs of its own or a higher priority, and waiting units that keep
+// a higher rank until then and fit wherever it fits. They are carried out in the order of
+// their ranks, each as if it could use any worker and could be divided, and all in the
+// shortest time that an estimate allows.
 func (p *Planner) Forecast(now time.Duration) work.Forecast {
 	if p.settings.NoForecast || p.recovery.active {
 		return work.Forecast{}
@@ -60,8 +67,9 @@
 	scarcest    work.Resource
 	capacity    int64
 	running     []forecastRun
-	waiting     []forecastUnit // by descending rank
+	waiting     []forecastUnits // by descending rank
 	maxPriority int
+	releases    []int64 // reused by each simulation
 }
 
 type forecastRun struct {
@@ -70,35 +78,28 @@
 	left     time.Duration
 }
 
-type forecastUnit struct {
+// forecastUnits are equal waiting units of one step.
+type forecastUnits struct {
 	figures  utility.Job
-	demand   int64
+	count    int64
+	demand   int64 // of one unit
 	oneRack  bool
 	duration time.Duration
 }
 
 // newForecaster returns nil if nothing waits that could be counted.
 func (p *Planner) newForecaster(now time.Duration) *forecaster {
-	v := p.newView(now)
-	var units []*unit
-	for _, r := range p.ranking(now) {
-		if len(units) == maxForecastUnits {
-			break
-		}
-		if p.blocksOthers(r.unit, v) {
-			units = append(units, r.unit)
-		}
-	}
-	capacity := p.lastingCapacity(now)
-	f := &forecaster{scarcest: scarcest(units, capacity)}
+	groups := p.waitingGroups(now)
+	capacity := p.returningCapacity(now)
+	f := &forecaster{scarcest: scarcest(groups, capacity), releases: make([]int64, maxForecast/forecastSlot)}
 	if f.scarcest == 0 {
 		return nil
 	}
 	f.capacity = capacity.Amount(f.scarcest)
-	for _, u := range units {
-		if dominant(u.spec().Need, capacity) == f.scarcest {
-			f.waiting = append(f.waiting, forecastUnit{
-				figures: p.figures(u, now), demand: u.spec().UnitDemand(f.scarcest), oneRack: u.spec().PrefersOneRack(), duration: u.shortest(),
+	for _, g := range groups {
+		if u := g.first; dominant(u.spec().Need, capacity) == f.scarcest {
+			f.waiting = append(f.waiting, forecastUnits{
+				figures: p.figures(u, now), count: g.count, demand: u.spec().UnitDemand(f.scarcest), oneRack: u.spec().PrefersOneRack(), duration: u.shortest(),
 			})
 		}
 	}
@@ -122,6 +123,35 @@
 	return f
 }
 
+// waitingGroup is a number of waiting units of one step with equal estimates.
+type waitingGroup struct {
+	first *unit
+	count int64
+}
+
+// waitingGroups returns the waiting units that go before others, by descending rank.
+func (p *Planner) waitingGroups(now time.Duration) []waitingGroup {
+	v := p.newView(now)
+	var groups []waitingGroup
+	var previous *unit
+	counted := false // previous is in the last group
+	for _, r := range p.ranking(now) {
+		u := r.unit
+		if previous == nil || u.stepKey() != previous.stepKey() || u.estimate() != previous.estimate() || len(u.avoid)+len(previous.avoid) > 0 {
+			if len(groups) == maxForecastSteps {
+				break
+			}
+			if counted = p.blocksOthers(u, v); counted {
+				groups = append(groups, waitingGroup{first: u})
+			}
+		}
+		if previous = u; counted {
+			groups[len(groups)-1].count++
+		}
+	}
+	return groups
+}
+
 // blocksOthers reports whether the waiting unit is placed before each unit of a lower rank
 // that needs no less: any worker with room for it may run it.
 func (p *Planner) blocksOthers(u *unit, v *view) bool {
@@ -130,9 +160,9 @@
 		len(u.avoid) == 0 && v.ability(u) == canHold
 }
 
-// lastingCapacity returns the capacity of the workers that are usable or may be so again
+// returningCapacity returns the capacity of the workers that are usable or may be so again
 // within seconds, such as those that don't answer.
-func (p *Planner) lastingCapacity(now time.Duration) work.Resources {
+func (p *Planner) returningCapacity(now time.Duration) work.Resources {
 	var sum work.Resources
 	for _, w := range p.workers {
 		if w.mayReturn(now) {
@@ -157,13 +187,13 @@
 
 // scarcest returns the resource of which the units need most relative to the capacity, 0
 // if they need none.
-func scarcest(units []*unit, capacity work.Resources) work.Resource {
+func scarcest(groups []waitingGroup, capacity work.Resources) work.Resource {
 	var most work.Resource
 	mostLoad := 0.0
 	for _, k := range work.AllResources {
 		load := 0.0
-		for _, u := range units {
-			load += float64(int64(u.count)*u.spec().Need.Amount(k)) * u.estimate().Seconds()
+		for _, g := range groups {
+			load += float64(g.count*int64(g.first.count)*g.first.spec().Need.Amount(k)) * g.first.estimate().Seconds()
 		}
 		if c := capacity.Amount(k); c > 0 && load/float64(c) > mostLoad {
 			most, mostLoad = k, load/float64(c)
@@ -194,22 +224,29 @@
 }
 
 // shortestLeft returns the shortest time that the run may still take, 0 if it may end at
-// once.
+// once. It doesn't extrapolate the progress so far: the time of the start counts in that,
+// and progress comes in whole percents, so that it may exceed the true time several times.
 func (r *run) shortestLeft(now time.Duration) time.Duration {
 	switch u := r.unit; {
 	case u == nil || r.phase == runStopping || u.phase != unitActive:
 		return 0
 	case u.spec().LongLived:
 		return forever
-	case r.phase == runRunning && r.percent > r.basePercent:
-		return time.Duration(float64(r.remaining(now)) / estimateDoubt)
 	}
-	return max(r.unit.shortest()-(now-r.startedAt), 0)
+	left := float64(r.unit.spec().Estimate) * float64(100-r.percent) / 100
+	since := now - r.startedAt
+	if r.percent > r.basePercent {
+		since = now - r.progressAt + reportDelay
+	} else {
+		left = float64(r.unit.estimate())
+	}
+	return max(time.Duration(left/estimateDoubt)-since, 0)
 }
 
-// bounds returns the bounds above 0, without those that others make superfluous.
+// bounds returns the bounds from minForecast on. It leaves out those that another one, which
+// holds for more units, makes superfluous.
 func (f *forecaster) bounds() []work.StartBound {
-	var out []work.StartBound
+	var kept []work.StartBound
 	for priority := 0; priority <= f.maxPriority+1; priority++ { // one more than there are, for jobs that go after all
 		for _, size := range forecastSizes {
 			for _, oneRack := range []bool{false, true} {
@@ -217,24 +254,16 @@
 					b := work.StartBound{Priority: priority, MinDemand: demand, OneRack: oneRack,
 						MaxRank: utility.Job{Priority: priority, Size: size}.Rank()}
 					b.Wait = f.wait(&b)
-					if b.Wait > 0 {
-						out = append(out, b)
+					superfluous := func(o work.StartBound) bool {
+						return o.Covers(&b) && float64(o.Wait) >= noticeableShare*float64(b.Wait)
+					}
+					if b.Wait >= minForecast && !slices.ContainsFunc(kept, superfluous) {
+						kept = append(kept, b)
 					}
 				}
 			}
 		}
 	}
-	superfluous := func(b work.StartBound) bool {
-		return slices.ContainsFunc(out, func(o work.StartBound) bool {
-			return o != b && o.Covers(&b) && o.Wait >= b.Wait
-		})
-	}
-	var kept []work.StartBound
-	for _, b := range out {
-		if !superfluous(b) {
-			kept = append(kept, b)
-		}
-	}
 	return kept
 }
 
@@ -260,104 +289,105 @@
 // priorities than theirs aren't counted: an urgent job may preempt more of them than it
 // needs.
 func (f *forecaster) wait(b *work.StartBound) time.Duration {
-	s := simulation{free: f.capacity}
+	s := simulation{free: f.capacity, releases: f.releases}
+	clear(s.releases)
 	for i := range f.running {
 		if r := &f.running[i]; r.priority <= b.Priority {
 			s.occupy(r.amount, r.left)
 		}
 	}
-	heap.Init(&s.releases)
 	for i := range f.waiting {
 		u := &f.waiting[i]
 		if u.demand > b.MinDemand || u.oneRack && !b.OneRack {
 			continue
 		}
-		if s.place(u, u.figures.OutranksFor(b.MaxRank)); s.now >= maxForecast {
+		if !s.place(u, u.figures.OutranksFor(b.MaxRank)) {
 			return maxForecast
 		}
 	}
 	for s.free < b.MinDemand {
 		if !s.advance() {
-			return 0 // it never fits, for reasons that aren't forecast
+			return 0 // it doesn't fit for reasons that aren't forecast
 		}
 	}
-	return min(s.now, maxForecast)
+	return s.now()
 }
 
-// simulation carries out units in order. now counts from the time of the forecast.
+// simulation carries out units in order. Time passes in slots; what ends in a slot ends at
+// its beginning, which makes the bounds lower.
 type simulation struct {
-	now      time.Duration
+	slot     int
 	free     int64
-	releases releaseHeap
+	releases []int64 // amounts that become free, by slot
 }
 
-// release is an amount of the resource that becomes free.
-type release struct {
-	at     time.Duration
+// part is a part of a unit that occupies an amount of the resource until a slot.
+type part struct {
+	until  int
 	amount int64
 }
 
-func (s *simulation) occupy(amount int64, left time.Duration) *release {
-	r := &release{s.now + left, amount}
-	s.free -= amount
-	s.releases = append(s.releases, r)
-	return r
+func (s *simulation) now() time.Duration { return time.Duration(s.slot) * forecastSlot }
+
+func (s *simulation) occupy(amount int64, left time.Duration) part {
+	p := part{s.slot + int(left/forecastSlot), amount}
+	if p.until > s.slot {
+		s.free -= amount
+	}
+	if p.until > s.slot && p.until < len(s.releases) {
+		s.releases[p.until] += amount
+	}
+	return p
 }
 
-// advance goes on to the next release. It reports false if there is none.
+// advance goes on to the next release. It reports false if there is none before
+// maxForecast.
 func (s *simulation) advance() bool {
-	if len(s.releases) == 0 {
-		return false
+	for s.slot+1 < len(s.releases) {
+		s.slot++
+		if amount := s.releases[s.slot]; amount > 0 {
+			s.free += amount
+			return true
+		}
 	}
-	r := heap.Pop(&s.releases).(*release)
-	s.now = max(s.now, r.at)
-	s.free += r.amount
-	r.amount = 0
-	return true
+	return false
 }
 
-// place places the unit part by part, as capacity becomes free. It takes the parts back
-// unless the whole unit is placed by the given time: other units may go before it then.
-func (s *simulation) place(u *forecastUnit, by time.Duration) {
-	var parts []*release
-	for left := u.demand; left > 0; {
-		if by <= s.now {
-			for _, part := range parts {
-				s.free += part.amount
-				part.amount = 0
-			}
-			return
+// place places the units part by part, as capacity becomes free, until the given time:
+// other units may go before them then. It takes back the parts of an incomplete unit. It
+// reports false if a unit waits until maxForecast.
+func (s *simulation) place(u *forecastUnits, by time.Duration) bool {
+	var parts []part
+	for left := u.count * u.demand; left > 0; {
+		if by <= s.now() {
+			s.takeBack(parts, (u.count*u.demand-left)%u.demand)
+			return true
 		}
 		if amount := min(left, s.free); amount > 0 {
 			parts = append(parts, s.occupy(amount, u.duration))
-			heap.Fix(&s.releases, len(s.releases)-1)
 			left -= amount
 			continue
 		}
-		if s.now >= maxForecast || !s.advance() {
-			return
+		if !s.advance() {
+			return false
 		}
 	}
+	return true
 }
 
-// releaseHeap holds releases, the earliest first.
-type releaseHeap []*release
-
-// Len implements heap.Interface.
-func (h releaseHeap) Len() int { return len(h) }
-
-// Less implements heap.Interface.
-func (h releaseHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-
-// Swap implements heap.Interface.
-func (h releaseHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *releaseHeap) Push(x any) { *h = append(*h, x.(*release)) }
-
-// Pop implements heap.Interface.
-func (h *releaseHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
+// takeBack frees an amount of the last parts as far as it is still occupied.
+func (s *simulation) takeBack(parts []part, amount int64) {
+	for _, p := range slices.Backward(parts) {
+		if amount == 0 {
+			return
+		}
+		taken := min(amount, p.amount)
+		amount -= taken
+		if p.until > s.slot {
+			s.free += taken
+		}
+		if p.until > s.slot && p.until < len(s.releases) {
+			s.releases[p.until] -= taken
+		}
+	}
 }
--- a/internal/planner/forecast_random_test.go
+++ b/internal/planner/forecast_random_test.go
@@ -1,8 +1,11 @@
 package planner
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,10 +37,17 @@
 	return rec
 }
 
+// tasks returns the running tasks in a fixed order, so that a seed gives one load.
+func (l *randomLoad) tasks() []work.TaskID {
+	return slices.SortedFunc(maps.Keys(l.runs), func(a, b work.TaskID) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+	})
+}
+
 // pass lets 100 ms pass.
 func (l *randomLoad) pass() {
 	l.now += 100 * time.Millisecond
-	for task := range l.runs {
+	for _, task := range l.tasks() {
 		if l.ends[task] == 0 {
 			factor := 1/1.9 + l.rng.Float64()*(1.9-1/1.9)
 			if l.rng.IntN(100) < 3 {
@@ -47,8 +57,8 @@
 			l.ends[task] = l.now + time.Duration(factor*float64(l.p.jobs[task.Job].rec.Job.Steps[0].Estimate))
 		}
 	}
-	for task, at := range l.ends {
-		if _, running := l.runs[task]; running && l.now >= at {
+	for _, task := range l.tasks() {
+		if l.now >= l.ends[task] {
 			l.finish(task, port.ResultSucceeded)
 		}
 	}
