--- a/internal/planner/forecast_test.go
+++ b/internal/planner/forecast_test.go
@@ -152,6 +152,24 @@
 	}
 }
 
+// Guards against a time left that is above the true one: the start of the task takes part
+// of the first percents, which come in whole numbers and late.
+func TestShortestTimeLeftOfARunIsALowerBound(t *testing.T) {
+	for _, estimate := range []float64{0.5, 3.8, 19} {
+		h := newHarness(t, 1, 1)
+		h.add(h.job("a", 0, step(1, 8, estimate)))
+		h.plan()
+		r := h.p.jobs["a"].units[0].runs[0]
+		const startup, late = 400 * time.Millisecond, 300 * time.Millisecond
+		began, takes := h.now+startup, time.Duration(estimate/estimateDoubt*float64(time.Second))
+		for ; h.now < began+takes; h.now += 50 * time.Millisecond {
+			percent := max(int(100*(h.now-late-began)/takes), 0)
+			h.p.HandleReport(h.now, h.now, "w00", port.HoldReply{Running: []port.RunState{{Task: r.task, Run: r.number, ProgressPercent: percent}}})
+			must.LessEq(t, began+takes-h.now, r.shortestLeft(h.now), must.Sprint("percent: ", percent))
+		}
+	}
+}
+
 // Guards against forecasts of an owner that doesn't know yet what runs.
 func TestNoForecastDuringRecovery(t *testing.T) {
 	h := newHarness(t, 1, 4)
