Pool: forecast test changes the link to the workers without a race

`go test -race` found that the test replaced the cluster's function for dropped calls while the instances used it.

--- a/internal/duty/pool/forecast_test.go
+++ b/internal/duty/pool/forecast_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,6 +67,8 @@
 func TestNoForecastAroundAnOwnerChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 2)
+		var unheard atomic.Bool // the workers don't hear the second instance
+		c.drops = func(in *instance, _ port.WorkerTarget) bool { return unheard.Load() && in.name == "instance-1" }
 		first := c.launch()
 		time.Sleep(time.Second)
 		other := c.launch()
@@ -74,7 +77,7 @@
 		time.Sleep(2 * time.Second)
 		f, _ := c.published(other)
 		must.NotNil(t, f)
-		c.drops = func(in *instance, _ port.WorkerTarget) bool { return in == other }
+		unheard.Store(true)
 		first.kill()
 		takenOver := false
 		for range 40 {
@@ -87,7 +90,7 @@
 			must.Nil(t, view.Forecast()) // no worker has answered the new owner
 		}
 		must.True(t, takenOver)
-		c.drops = nil
+		unheard.Store(false)
 		time.Sleep(15 * time.Second)
 		f, age := c.published(other)
 		must.NotNil(t, f)
