Planner: a forecast costs nothing while nothing waits, and little at odd priorities

It allocated 96 KB and built a view of the workers twice a second also while nothing waits, and simulated each number up to the lowest priority.

--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -64,12 +64,13 @@
 
 // forecaster holds the load of the pool in its scarcest resource.
 type forecaster struct {
-	scarcest    work.Resource
-	capacity    int64
-	running     []forecastRun
-	waiting     []forecastUnits // by descending rank
-	maxPriority int
-	releases    []int64 // reused by each simulation
+	scarcest work.Resource
+	capacity int64
+	running  []forecastRun
+	waiting  []forecastUnits // by descending rank
+	// priorities holds those of the jobs, and one for jobs that go after them all.
+	priorities []int
+	releases   []int64 // reused by each simulation
 }
 
 type forecastRun struct {
@@ -91,7 +92,7 @@
 func (p *Planner) newForecaster(now time.Duration) *forecaster {
 	groups := p.waitingGroups(now)
 	capacity := p.returningCapacity(now)
-	f := &forecaster{scarcest: scarcest(groups, capacity), releases: make([]int64, maxForecast/forecastSlot)}
+	f := &forecaster{scarcest: scarcest(groups, capacity)}
 	if f.scarcest == 0 {
 		return nil
 	}
@@ -107,10 +108,12 @@
 		return nil
 	}
 	for _, j := range p.jobsByArrival {
-		if j.open() {
-			f.maxPriority = max(f.maxPriority, j.rec.Job.Priority)
+		if priority := j.rec.Job.Priority; j.open() && !slices.Contains(f.priorities, priority) {
+			f.priorities = append(f.priorities, priority)
 		}
 	}
+	slices.Sort(f.priorities)
+	f.priorities = append(f.priorities, f.priorities[len(f.priorities)-1]+1)
 	for _, id := range p.workerIDs {
 		if w := p.workers[id]; w.mayReturn(now) {
 			for _, r := range w.runs {
@@ -131,11 +134,15 @@
 
 // waitingGroups returns the waiting units that go before others, by descending rank.
 func (p *Planner) waitingGroups(now time.Duration) []waitingGroup {
+	ranking := p.ranking(now)
+	if len(ranking) == 0 {
+		return nil // most of the time
+	}
 	v := p.newView(now)
 	var groups []waitingGroup
 	var previous *unit
 	counted := false // previous is in the last group
-	for _, r := range p.ranking(now) {
+	for _, r := range ranking {
 		u := r.unit
 		if previous == nil || u.stepKey() != previous.stepKey() || u.estimate() != previous.estimate() || len(u.avoid)+len(previous.avoid) > 0 {
 			if len(groups) == maxForecastSteps {
@@ -246,8 +253,9 @@
 // bounds returns the bounds from minForecast on. It leaves out those that another one, which
 // holds for more units, makes superfluous.
 func (f *forecaster) bounds() []work.StartBound {
+	f.releases = make([]int64, maxForecast/forecastSlot)
 	var kept []work.StartBound
-	for priority := 0; priority <= f.maxPriority+1; priority++ { // one more than there are, for jobs that go after all
+	for _, priority := range f.priorities {
 		for _, size := range forecastSizes {
 			for _, oneRack := range []bool{false, true} {
 				for _, demand := range f.demands(oneRack) {
