Gangs: none starts in an evacuated failure domain

The owner's decisions took no notice of an evacuation. Now all jobs of an evacuated failure domain wait with a reason that names it, nothing is reclaimed for them, and none ends as too large while the workers there may be switched off. A start whose decision is older than the evacuation is withdrawn before its first write, or its reservation is released before its tasks start. Running gangs go on, also under a new owner.

New jobs, moved ones and those that fit nowhere else go to evacuated failure domains last. An evacuated failure domain publishes no free capacity.

An owner decides only with a fresh configuration. One that had just started with an empty one would end its queued jobs as unplaceable, because it knows no workspace (TestOwnerWithoutConfigDecidesNothing fails without it).

lentilwinch job and jobs show the reason too: it follows from the configuration, so that no row is written for it.

--- a/internal/bench/capacity/owner.go
+++ b/internal/bench/capacity/owner.go
@@ -125,6 +125,7 @@
 		Fleet:           o.fleet,
 		Config:          func() *structs.Config { return o.config },
 		SessionUsable:   func() bool { return true },
+		ConfigFresh:     func() bool { return true },
 		DomainSummaries: noSummaries,
 		Observer:        noObserver{},
 		Log:             zap.NewNop(),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -181,6 +181,7 @@
 		Config:          d.config.Current,
 		DomainSummaries: d.domainSummaries,
 		SessionUsable:   func() bool { return d.session.Usable(time.Now()) },
+		ConfigFresh:     func() bool { return d.config.Fresh(time.Now()) },
 		Observer:        d.metrics,
 		Log:             d.log,
 	}, d.ownership)
--- a/internal/duty/gangs/domain.go
+++ b/internal/duty/gangs/domain.go
@@ -81,6 +81,9 @@
 	// SessionUsable reports whether this process may act as the owner. After a
 	// pause of this process it returns false until ownership was verified again.
 	SessionUsable func() bool
+	// ConfigFresh reports whether Config is recent enough for decisions. It returns
+	// false until the configuration was first read.
+	ConfigFresh func() bool
 	// DomainSummaries returns the latest summaries of all failure domains,
 	// including those that this instance owns.
 	DomainSummaries func() []port.DomainSummary
@@ -215,7 +218,9 @@
 	r.lastRound = now
 	if r.deps.SessionUsable() {
 		r.retryFailedOperations(ctx, now)
-		r.schedule(ctx)
+		if r.deps.ConfigFresh() {
+			r.schedule(ctx)
+		}
 	}
 	if now.Sub(r.lastPublish) >= publishInterval {
 		r.lastPublish = now
--- a/internal/duty/gangs/entry.go
+++ b/internal/duty/gangs/entry.go
@@ -21,7 +21,7 @@
 	avoidWorkers []string
 	// queuedAt is the time at which the job last entered the queue: that of its
 	// submission, or that of the end of its last operation under this owner, even
-	// one that failed and left it queued.
+	// one that failed and left it queued, unless a start was withdrawn.
 	queuedAt time.Time
 	// guaranteedSince is the time at which a decision first found that the job
 	// is within a guarantee but waits for a reclaim. It is zero before that and
--- a/internal/duty/gangs/events.go
+++ b/internal/duty/gangs/events.go
@@ -56,7 +56,9 @@
 	if !ok {
 		return nil
 	}
-	r.recordTransition(e.job, o.job)
+	if !o.withdrawn {
+		r.recordTransition(e.job, o.job)
+	}
 	r.logState(o)
 	e.busy = false
 	e.stoppingSince = time.Time{}
@@ -76,7 +78,9 @@
 	}
 	if o.job.State == structs.JobQueued {
 		e.leaseExpiry = time.Time{}
-		e.queuedAt = time.Now()
+		if !o.withdrawn {
+			e.queuedAt = time.Now()
+		}
 		e.avoidWorkers = append(e.avoidWorkers, o.failedWorkers...)
 	}
 	r.advance(ctx, e)
--- a/internal/duty/gangs/operation.go
+++ b/internal/duty/gangs/operation.go
@@ -33,6 +33,8 @@
 	leaseExpiry time.Time
 	// moved is set once the job was moved to another failure domain.
 	moved bool
+	// withdrawn is set if the start was abandoned before anything was written.
+	withdrawn bool
 	// failedWorkers lists the workers on which a member's reservation or start
 	// failed.
 	failedWorkers []string
@@ -107,8 +109,14 @@
 }
 
 // start reserves every member and then starts them all. If a reservation fails,
-// it releases them all and requeues the job.
+// or the failure domain is evacuated in the meantime, it releases them all and
+// requeues the job. An evacuation that is in force before the first write withdraws
+// the start, which then doesn't count as an attempt.
 func (o *operation) start(ctx context.Context, st scheduler.Start) error {
+	if o.runner.evacuated() {
+		o.withdrawn = true
+		return nil
+	}
 	next, err := gang.Reserve(o.job, st)
 	if err != nil {
 		return err
@@ -120,6 +128,9 @@
 	if err := o.reserveAll(ctx); err != nil {
 		return o.stop(ctx, structs.JobQueued, "a reservation was refused: "+err.Error(), false)
 	}
+	if o.runner.evacuated() {
+		return o.stop(ctx, structs.JobQueued, scheduler.EvacuatedReason(o.job.Domain), false)
+	}
 	running, err := gang.Run(o.job, time.Now())
 	if err != nil {
 		return err
--- a/internal/duty/gangs/owner_test.go
+++ b/internal/duty/gangs/owner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,9 +48,19 @@
 	table   *fake.Table
 	workers *fake.Workers
 	epoch   int64
+	// domains replaces the failure domains in testSettings, unless it is nil.
+	domains []string
+	// owner is the owner that was started last.
+	owner *gangs.Runner
 	// otherDomains holds the owner's summaries of other failure domains.
 	otherDomains []port.DomainSummary
-	wg           sync.WaitGroup
+	// beforeSummaries, if set, is called when the owner reads them.
+	beforeSummaries func()
+	// evacuated holds the evacuated failure domains. configStale makes the owner's
+	// configuration count as not known.
+	evacuated   atomic.Pointer[map[string]bool]
+	configStale atomic.Bool
+	wg          sync.WaitGroup
 }
 
 func newHarness(t *testing.T, ctx context.Context) *harness {
@@ -63,7 +74,11 @@
 }
 
 func (h *harness) config() *structs.Config {
-	return &structs.Config{Number: 1, Workspaces: map[string]structs.Workspace{
+	var evacuated map[string]bool
+	if set := h.evacuated.Load(); set != nil {
+		evacuated = *set
+	}
+	return &structs.Config{Number: 1, Evacuated: evacuated, Workspaces: map[string]structs.Workspace{
 		"grading": {
 			Name:           "grading",
 			Guarantees:     []structs.Guarantee{{Domain: domain, Gangs: 1, Members: members, Accelerators: 4, Adjacency: structs.AdjacencyRack}},
@@ -107,20 +122,33 @@
 	fl := fleet.New(workers, time.Minute, time.Second, zap.NewNop())
 	h.wg.Go(func() { _ = fl.Run(ctx) })
 	synctest.Wait()
-	runner := gangs.NewRunner(testSettings, gangs.Deps{
+	settings := testSettings
+	if h.domains != nil {
+		settings.Domains = h.domains
+	}
+	runner := gangs.NewRunner(settings, gangs.Deps{
 		Store:           store.New(table, store.NewWriterID("owner")),
 		Workers:         workers,
 		Fleet:           fl,
 		Config:          h.config,
 		SessionUsable:   func() bool { return true },
+		ConfigFresh:     func() bool { return !h.configStale.Load() },
 		Observer:        noopObserver{},
-		DomainSummaries: func() []port.DomainSummary { return h.otherDomains },
+		DomainSummaries: h.summaries,
 		Log:             zap.NewNop(),
 	}, h.takeOver())
+	h.owner = runner
 	h.wg.Go(func() { _ = runner.Run(ctx) })
 	return cancel
 }
 
+func (h *harness) summaries() []port.DomainSummary {
+	if h.beforeSummaries != nil {
+		h.beforeSummaries()
+	}
+	return h.otherDomains
+}
+
 func (h *harness) awaitFinalState(key structs.JobKey) structs.Job {
 	h.t.Helper()
 	for range 600 {
--- a/internal/duty/gangs/schedule.go
+++ b/internal/duty/gangs/schedule.go
@@ -56,7 +56,11 @@
 			}
 		}
 	}
-	r.spill(ctx, plan.Waiting)
+	if s.Evacuated {
+		r.leaveEvacuated(ctx, plan.Waiting)
+	} else {
+		r.spill(ctx, plan.Waiting)
+	}
 }
 
 // decisionDue reports whether a new decision could differ from the last one and
@@ -100,7 +104,11 @@
 // snapshot returns the inputs of a scheduling decision.
 func (r *Runner) snapshot() scheduler.Snapshot {
 	now := time.Now()
-	s := scheduler.Snapshot{Domain: r.grant.Domain, BorrowedElsewhere: r.borrowedElsewhere()}
+	s := scheduler.Snapshot{
+		Domain:            r.grant.Domain,
+		Evacuated:         r.evacuated(),
+		BorrowedElsewhere: r.borrowedElsewhere(),
+	}
 	for _, w := range r.deps.Fleet.Domain(r.grant.Domain) {
 		s.Workers = append(s.Workers, scheduler.Worker{
 			ID:           w.ID,
@@ -261,14 +269,23 @@
 	})
 }
 
+// nextUntriedDomain returns the first failure domain in which the job hasn't been
+// tried. It returns an evacuated one only if there is no other: the job waits there
+// for the end of the evacuation and doesn't end as unplaceable.
 func (r *Runner) nextUntriedDomain(j structs.Job) (string, bool) {
 	if j.Spec.Domain != "" {
 		return "", false
 	}
+	evacuated := r.deps.Config().Evacuated
+	fallback := ""
 	for _, name := range r.settings.Domains {
-		if name != r.grant.Domain && !hasTried(j, name) {
+		switch {
+		case name == r.grant.Domain || hasTried(j, name):
+		case !evacuated[name]:
 			return name, true
+		case fallback == "":
+			fallback = name
 		}
 	}
-	return "", false
+	return fallback, fallback != ""
 }
--- a/internal/duty/gangs/spill.go
+++ b/internal/duty/gangs/spill.go
@@ -38,21 +38,27 @@
 			continue
 		}
 		to := targets[i].Domain
-		r.recentSpills.Add(now, to, e.job.Spec.Size())
-		targets[i] = subtractFree(targets[i], e.job.Spec.Size())
+		r.recordSpill(targets, i, e.job.Spec.Size())
 		r.startOperation(ctx, e, func(ctx context.Context, o *operation) error {
 			return o.move(ctx, to)
 		})
 	}
 }
 
-// spillTargets returns the other failure domains without queued jobs, with
-// the capacity of recently moved jobs subtracted.
+// recordSpill subtracts the accelerators of a moved job from the target's capacity
+// in this and in later decisions.
+func (r *Runner) recordSpill(targets []port.DomainSummary, i, accelerators int) {
+	r.recentSpills.Add(time.Now(), targets[i].Domain, accelerators)
+	targets[i] = subtractFree(targets[i], accelerators)
+}
+
+// spillTargets returns the other failure domains that aren't evacuated and have
+// no queued jobs, with the capacity of recently moved jobs subtracted.
 func (r *Runner) spillTargets() []port.DomainSummary {
 	now := time.Now()
 	var out []port.DomainSummary
-	for _, s := range r.deps.DomainSummaries() {
-		if s.Domain != r.grant.Domain && s.QueuedJobs == 0 {
+	for _, s := range r.openDomains() {
+		if s.QueuedJobs == 0 {
 			out = append(out, subtractFree(s, r.recentSpills.Sum(now, s.Domain)))
 		}
 	}
--- a/internal/duty/gangs/state.go
+++ b/internal/duty/gangs/state.go
@@ -11,6 +11,8 @@
 // State describes a failure domain's runner in the state dump.
 type State struct {
 	Domain string `json:"domain"`
+	// Evacuated is set while nothing may start in the failure domain.
+	Evacuated bool `json:"evacuated"`
 	// Revision is the revision of the owner row under the runner's grant.
 	Revision int64          `json:"owner_revision"`
 	Jobs     []JobSummary   `json:"jobs"`
@@ -57,6 +59,7 @@
 func (r *Runner) buildState() State {
 	s := State{
 		Domain:          r.grant.Domain,
+		Evacuated:       r.evacuated(),
 		Revision:        r.grant.Revision,
 		Jobs:            []JobSummary{},
 		ByState:         make(map[string]int),
@@ -93,8 +96,12 @@
 }
 
 // freeCapacity returns the number of free accelerators, in total and in the rack
-// with the most. It counts workers that get no new work too.
+// with the most: none if the failure domain is evacuated, so that other owners
+// move no jobs here. It counts workers that get no new work too.
 func (r *Runner) freeCapacity(workers []structs.Worker) (total, largest int) {
+	if r.evacuated() {
+		return 0, 0
+	}
 	used := make(map[string]int)
 	for _, e := range r.entries {
 		for _, m := range e.job.Members {
--- a/internal/duty/jobs/choose.go
+++ b/internal/duty/jobs/choose.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lentilwinch/lentilwinch/internal/port"
@@ -37,8 +38,8 @@
 }
 
 // chooseDomain returns the failure domain in which a new job is queued. Unless
-// the job names one, it picks one of the best rank at random, weighted by free
-// accelerators. All instances use the same lagging summaries, so always picking
+// the job names one, it picks one of the best rank that isn't evacuated at random,
+// weighted by free accelerators. All instances use the same lagging summaries, so always picking
 // the best domain would send it a whole burst.
 func (js *Jobs) chooseDomain(spec structs.JobSpec) string {
 	if spec.Domain != "" {
@@ -49,7 +50,7 @@
 	defer js.mu.Unlock()
 	now := time.Now()
 	var best []candidate
-	for _, name := range js.domains {
+	for _, name := range js.openDomains() {
 		c := js.candidate(spec, name, summaries[name], now)
 		if len(best) > 0 && c.rank > best[0].rank {
 			continue
@@ -64,6 +65,17 @@
 	return domain
 }
 
+// openDomains returns the failure domains that aren't evacuated, or all if all
+// are.
+func (js *Jobs) openDomains() []string {
+	evacuated := js.config().Evacuated
+	open := slices.DeleteFunc(slices.Clone(js.domains), func(name string) bool { return evacuated[name] })
+	if len(open) == 0 {
+		return js.domains
+	}
+	return open
+}
+
 func (js *Jobs) pickWeighted(candidates []candidate) string {
 	total := 0
 	for _, c := range candidates {
--- a/internal/duty/jobs/jobs.go
+++ b/internal/duty/jobs/jobs.go
@@ -17,6 +17,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/gang"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/recent"
+	"github.com/lentilwinch/lentilwinch/internal/scheduler"
 	"github.com/lentilwinch/lentilwinch/internal/store"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 	"github.com/lentilwinch/lentilwinch/internal/wait"
@@ -129,8 +130,9 @@
 	js.peers.Broadcast(port.PeerMessage{Notice: &port.PeerNotice{Domain: domain}})
 }
 
-// Get returns a job and the revision of its row. It fails with fault.NotFound,
-// with fault.Unavailable, and with fault.Invalid if the row can't be decoded.
+// Get returns a job and the revision of its row. The reason of a job that waits in
+// an evacuated failure domain names it. It fails with fault.NotFound, with
+// fault.Unavailable, and with fault.Invalid if the row can't be decoded.
 func (js *Jobs) Get(ctx context.Context, k structs.JobKey) (structs.Job, int64, error) {
 	rows, err := js.store.Get(ctx, store.JobKey(k))
 	if err != nil {
@@ -144,7 +146,16 @@
 	if err := store.Decode(row, &j); err != nil {
 		return structs.Job{}, 0, err
 	}
-	return j, row.Revision, nil
+	return js.withEvacuatedReason(j), row.Revision, nil
+}
+
+// withEvacuatedReason sets the reason of a job that waits in a failure domain that
+// is evacuated. Wait reasons aren't stored, because each change would be a write.
+func (js *Jobs) withEvacuatedReason(j structs.Job) structs.Job {
+	if j.State == structs.JobQueued && js.config().Evacuated[j.Domain] {
+		j.Reason = scheduler.EvacuatedReason(j.Domain)
+	}
+	return j
 }
 
 // List returns up to limit jobs of a workspace whose IDs follow after, ordered by
@@ -166,7 +177,7 @@
 		if err := store.Decode(row, &j); err != nil {
 			return nil, false, err
 		}
-		out = append(out, j)
+		out = append(out, js.withEvacuatedReason(j))
 	}
 	return out, more, nil
 }
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -2,6 +2,7 @@
 
 // Decide returns the plan for a failure domain. It is deterministic. Jobs within
 // a guarantee are placed first, then jobs that borrow, in the order of queueOrder.
+// In an evacuated failure domain all jobs wait, and nothing is reclaimed for them.
 func Decide(s Snapshot) Plan {
 	st := newState(s)
 	st.plan.UnmetGuarantees = st.unmetGuarantees()
@@ -14,6 +15,12 @@
 		}
 		jobs = append(jobs, p)
 	}
+	if s.Evacuated {
+		for _, p := range jobs {
+			st.wait(p, EvacuatedReason(s.Domain))
+		}
+		return st.plan
+	}
 	guaranteed, rest := st.splitGuaranteed(jobs)
 	st.placeGuaranteed(guaranteed)
 	newBorrowPass(st).startAll(rest)
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -50,6 +50,13 @@
 	return f
 }
 
+// setUnusable marks all workers as unusable.
+func (f *fleet) setUnusable() {
+	for i := range f.workers {
+		f.workers[i].Usable = false
+	}
+}
+
 // assignment assigns a number of a gang's members to the worker at an index of
 // fleet.workers.
 type assignment struct {
--- a/internal/scheduler/never.go
+++ b/internal/scheduler/never.go
@@ -20,6 +20,12 @@
 	reasonMoving           = "moving preemptible gangs to make room"
 )
 
+// EvacuatedReason returns the reason why a job waits in an evacuated failure
+// domain.
+func EvacuatedReason(domain string) string {
+	return "failure domain " + domain + " is evacuated"
+}
+
 // feasibilityCheck finds jobs that can never run in the failure domain.
 type feasibilityCheck struct {
 	st    *state
@@ -34,7 +40,8 @@
 }
 
 // unplaceableReason returns why a job can't run even if all workers of the fleet
-// are usable and free, or "" if it can.
+// are usable and free, or "" if it can. While the failure domain is evacuated, its
+// workers may be missing from the list, so that no job counts as too large.
 func (f *feasibilityCheck) unplaceableReason(spec structs.JobSpec) string {
 	sh := shapeOf(spec)
 	w, exists := f.st.workspaces[spec.Key.Workspace]
@@ -43,7 +50,7 @@
 		return reasonNoWorkspace
 	case sh.members <= 0 || sh.accelerators <= 0:
 		return reasonShape
-	case !f.fits(sh):
+	case !f.st.evacuated && !f.fits(sh):
 		return reasonTooLarge
 	case sh.size() <= w.BorrowingLimit:
 		return ""
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -29,7 +29,9 @@
 
 // state is the working state of one decision.
 type state struct {
-	fleet      *fleet
+	fleet *fleet
+	// evacuated is Snapshot.Evacuated.
+	evacuated  bool
 	workspaces map[string]structs.Workspace
 	gangs      []placedGang
 	guarantees guaranteeSet
@@ -51,8 +53,12 @@
 
 func newState(s Snapshot) *state {
 	f := newFleet(s.Workers)
+	if s.Evacuated {
+		f.setUnusable()
+	}
 	st := &state{
 		fleet:         f,
+		evacuated:     s.Evacuated,
 		workspaces:    make(map[string]structs.Workspace, len(s.Workspaces)),
 		gangs:         make([]placedGang, len(s.Gangs)),
 		guarantees:    guaranteesOf(s),
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -12,7 +12,9 @@
 
 // Snapshot is the state of one failure domain that a decision is based on.
 type Snapshot struct {
-	Domain     string
+	Domain string
+	// Evacuated is set while nothing may start in the failure domain.
+	Evacuated  bool
 	Workers    []Worker
 	Gangs      []Gang
 	Queued     []Pending
