Requests: none is dispatched to an evacuated failure domain

Backend servers of an evacuated failure domain get no new work and don't count for the shares of long work; requests in flight finish. After a restoration they start slowly, as they may have been restarted.

The loop applies a new configuration before it assigns, and an attempt checks it again after the claim was written. A request withdrawn there is queued again without a token of the retry budget and isn't held against the server.

The state machine test of the dispatcher evacuates servers and withdraws requests too; its bound of long work leaves evacuated servers out.

--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -73,6 +73,11 @@
 	// A server that reported that it is leaving stays marked: the list lags
 	// behind its report.
 	v.leaving = v.leaving || s.Leaving
+	if v.evacuated && !s.Evacuated {
+		// The server may have been restarted during the evacuation.
+		v.slowStart = breaker.NewSlowStart(d.now, d.settings.SlowStart)
+	}
+	v.evacuated = s.Evacuated
 }
 
 func (d *Dispatcher) removeIfIdle(v *server) bool {
@@ -140,7 +145,7 @@
 		shift := float64(xxhash.Sum64String(v.id)%1024) / 1024
 		slots := float64(v.slots)
 		v.ownSlots = int(slots*to+shift) - int(slots*from+shift)
-		if !v.removed && !v.leaving {
+		if !v.removed && !v.leaving && !v.evacuated {
 			totalOwnSlots += v.ownSlots
 		}
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -46,7 +46,7 @@
 	instances []instance
 	self      string
 	// totalOwnSlots is the number of slots in this instance's share of the
-	// servers that are listed and not leaving.
+	// servers that are listed and neither leaving nor evacuated.
 	totalOwnSlots int
 	// longLimit is the value of longInFlight, the number of long items in
 	// flight, from which no long item is dispatched. Stragglers may exceed it.
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -91,6 +91,7 @@
 	case RefusedLeaving:
 		d.counters.RefusedLeaving++
 		v.leaving = true
+	case Withdrawn:
 	default:
 		if !r.Abandoned {
 			v.circuit.RecordFailure(d.now, d.settings.Circuit, d.settings.Rand.Float64())
@@ -128,7 +129,8 @@
 }
 
 // mayRetry reports whether an item may be queued again. It takes a token of the
-// retry budget, but a refused item may be queued without one.
+// retry budget, but a refused item may be queued without one. A withdrawn item was
+// never sent, so that it takes none.
 func (d *Dispatcher) mayRetry(it *item, r Result) bool {
 	if r.Kind == Failed && !it.repeatable {
 		return false
@@ -139,6 +141,9 @@
 	if d.now+it.service.run.Estimate().Low >= it.deadline {
 		return false
 	}
+	if r.Kind == Withdrawn {
+		return true
+	}
 	hasToken := d.retryBudget.Take()
 	refused := r.Kind == RefusedFull || r.Kind == RefusedLeaving
 	return hasToken || refused
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -42,6 +42,8 @@
 	services []string
 	leaving  bool
 	removed  bool
+	// evacuated is Server.Evacuated.
+	evacuated bool
 	// inFlight is the number of this instance's requests at the server;
 	// longInFlight is the number of long ones among them.
 	inFlight     int
@@ -71,10 +73,10 @@
 }
 
 // usableSlots returns the number of the server's slots that this instance may
-// use now: none if the server is leaving or removed or its circuit is open, one
-// for a trial request, and fewer than all during slow start.
+// use now: none if the server is leaving, removed or evacuated or its circuit is
+// open, one for a trial request, and fewer than all during slow start.
 func (s *server) usableSlots(now time.Duration) int {
-	if s.leaving || s.removed {
+	if s.leaving || s.removed || s.evacuated {
 		return 0
 	}
 	switch s.circuit.State(now) {
@@ -144,7 +146,7 @@
 // without an event, and false if slots of each kind are free or only an event can
 // free them.
 func (d *Dispatcher) nextAvailableAt(v *server, free [slotKindCount]bool) (time.Duration, bool) {
-	if v.leaving || v.removed || free[longOwn] && free[shortBorrowed] {
+	if v.leaving || v.removed || v.evacuated || free[longOwn] && free[shortBorrowed] {
 		return 0, false
 	}
 	if v.circuit.State(d.now) == breaker.Open {
--- a/internal/dispatch/state_machine_test.go
+++ b/internal/dispatch/state_machine_test.go
@@ -29,6 +29,7 @@
 	ended       map[uint64]bool
 	slots       map[string]int
 	leaving     map[string]bool
+	evacuated   map[string]bool
 	lastID      uint64
 }
 
@@ -42,6 +43,7 @@
 		ended:       map[uint64]bool{},
 		slots:       map[string]int{},
 		leaving:     map[string]bool{},
+		evacuated:   map[string]bool{},
 	}
 	for i := range 4 {
 		m.slots[fmt.Sprintf("server-%d", i)] = 1 + i
@@ -54,7 +56,7 @@
 	var list []Server
 	for i := range 4 {
 		id := fmt.Sprintf("server-%d", i)
-		list = append(list, Server{ID: id, Slots: m.slots[id], Leaving: m.leaving[id]})
+		list = append(list, Server{ID: id, Slots: m.slots[id], Leaving: m.leaving[id], Evacuated: m.evacuated[id]})
 	}
 	m.d.SetServers(list)
 }
@@ -98,6 +100,9 @@
 		if m.leaving[a.Server] {
 			t.Fatalf("leaving server %s was assigned item %d", a.Server, a.Item)
 		}
+		if m.evacuated[a.Server] {
+			t.Fatalf("evacuated server %s was assigned item %d", a.Server, a.Item)
+		}
 		delete(m.queued, a.Item)
 		m.inFlight[a.Item], m.assignments[a.Item] = it, a
 		m.checkSlots(t, a, it)
@@ -130,12 +135,12 @@
 	}
 }
 
-// longSlots returns three quarters of the slots of servers that aren't leaving,
-// at least 1.
+// longSlots returns three quarters of the slots of servers that are neither leaving
+// nor evacuated, at least 1.
 func (m *stateMachine) longSlots() int {
 	n := 0
 	for id, slots := range m.slots {
-		if !m.leaving[id] {
+		if !m.leaving[id] && !m.evacuated[id] {
 			n += slots
 		}
 	}
@@ -147,7 +152,7 @@
 		return
 	}
 	id := rapid.SampledFrom(sortedKeys(m.inFlight)).Draw(t, "item")
-	kinds := []ResultKind{Succeeded, Succeeded, Succeeded, RefusedFull, RefusedLeaving, NotStarted, Failed}
+	kinds := []ResultKind{Succeeded, Succeeded, Succeeded, RefusedFull, RefusedLeaving, NotStarted, Withdrawn, Failed}
 	r := Result{
 		Kind:    rapid.SampledFrom(kinds).Draw(t, "kind"),
 		Elapsed: time.Duration(rapid.IntRange(1, 3000).Draw(t, "elapsed")) * time.Millisecond,
@@ -216,6 +221,13 @@
 	m.setServers()
 }
 
+// evacuate evacuates a server or restores it.
+func (m *stateMachine) evacuate(t *rapid.T) {
+	id := fmt.Sprintf("server-%d", rapid.IntRange(0, 3).Draw(t, "server"))
+	m.evacuated[id] = !m.evacuated[id]
+	m.setServers()
+}
+
 func (m *stateMachine) advance(t *rapid.T) {
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 }
@@ -229,7 +241,7 @@
 }
 
 // TestDispatcherInvariants fails under each of these mutations: freeKinds
-// ignores usableSlots; usableSlots ignores leaving; mayRetry ignores
+// ignores usableSlots; usableSlots ignores leaving or evacuated; mayRetry ignores
 // repeatable; the long limit is ignored; Done keeps a succeeded item; Retry
 // queues without checking the state; Cancel keeps the item; Expire removes
 // nothing. That the reserve is ignored it finds only with more checks, such as
@@ -244,6 +256,7 @@
 			"expire":   m.expire,
 			"cancel":   m.cancel,
 			"leave":    m.leave,
+			"evacuate": m.evacuate,
 			"pass":     m.advance,
 			"":         m.check,
 		})
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -66,11 +66,13 @@
 	// InFlight is the number of this instance's requests at the server; Long is
 	// the number of long ones among them. Others is the number of the other
 	// instances' requests, as last reported and since reduced by decayReport.
-	InFlight int    `json:"in_flight"`
-	Long     int    `json:"long"`
-	Others   int    `json:"others"`
-	Leaving  bool   `json:"leaving"`
-	Circuit  string `json:"circuit"`
+	InFlight int  `json:"in_flight"`
+	Long     int  `json:"long"`
+	Others   int  `json:"others"`
+	Leaving  bool `json:"leaving"`
+	// Evacuated is set while the server's failure domain is evacuated.
+	Evacuated bool   `json:"evacuated"`
+	Circuit   string `json:"circuit"`
 }
 
 var classes = [levelCount]structs.Class{
@@ -130,12 +132,13 @@
 
 func (s *server) stats(now time.Duration) ServerStats {
 	return ServerStats{
-		ID:       s.id,
-		Slots:    s.slots,
-		InFlight: s.inFlight,
-		Long:     s.longInFlight,
-		Others:   s.others,
-		Leaving:  s.leaving,
-		Circuit:  s.circuit.State(now).String(),
+		ID:        s.id,
+		Slots:     s.slots,
+		InFlight:  s.inFlight,
+		Long:      s.longInFlight,
+		Others:    s.others,
+		Leaving:   s.leaving,
+		Evacuated: s.evacuated,
+		Circuit:   s.circuit.State(now).String(),
 	}
 }
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -20,6 +20,8 @@
 	Slots int
 	// Leaving is set for servers that get no new work.
 	Leaving bool
+	// Evacuated is set for servers that get no new work until it is unset.
+	Evacuated bool
 	// Services lists the services that the server runs; empty means all.
 	Services []string
 }
@@ -69,6 +71,9 @@
 	// NotStarted means that the server did not start the request for another
 	// reason, for example because it was not reached.
 	NotStarted
+	// Withdrawn means that the request was not sent because the server was
+	// evacuated after the assignment. It doesn't indicate a fault of the server.
+	Withdrawn
 	// Failed means that the server may have started the request.
 	Failed
 )
--- a/internal/duty/requests/attempt.go
+++ b/internal/duty/requests/attempt.go
@@ -46,6 +46,12 @@
 		res.reason = string(fault.Timeout) + ": the deadline passed before the request was sent"
 		return res
 	}
+	if r.config().Evacuated[server.Domain] {
+		// The evacuation came into force during the claim.
+		res.result.Kind = dispatch.Withdrawn
+		res.reason = "failure domain " + server.Domain + " is evacuated"
+		return res
+	}
 	sent := time.Now()
 	deadline := attemptDeadline(sent, c.req, a)
 	answer, err := r.execute(ctx, c, server, a, deadline)
--- a/internal/duty/requests/cluster_test.go
+++ b/internal/duty/requests/cluster_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,6 +62,9 @@
 	serverList []structs.Instance
 	wg         sync.WaitGroup
 
+	// evacuation is the configuration that replaces that of config, or nil.
+	evacuation atomic.Pointer[structs.Config]
+
 	mu           sync.Mutex
 	instances    []*instance
 	received     []response
@@ -86,7 +90,7 @@
 		cl.backends.Add(address, s)
 		cl.servers = append(cl.servers, s)
 		cl.serverList = append(cl.serverList, structs.Instance{
-			ID: fmt.Sprintf("b%d", i), Kind: structs.KindBackend, State: structs.StateLive, Address: address, Slots: slots,
+			ID: fmt.Sprintf("b%d", i), Kind: structs.KindBackend, State: structs.StateLive, Domain: fmt.Sprintf("d%d", i), Address: address, Slots: slots,
 		})
 	}
 	return cl
@@ -102,6 +106,25 @@
 	return &structs.Config{Number: 1, Workspaces: workspaces, Services: services}
 }
 
+func (cl *cluster) config() *structs.Config {
+	if cfg := cl.evacuation.Load(); cfg != nil {
+		return cfg
+	}
+	return config()
+}
+
+// setEvacuated brings a configuration into force that evacuates the failure
+// domains. It doesn't notify the instances.
+func (cl *cluster) setEvacuated(domains ...string) {
+	cfg := config()
+	cfg.Number = cl.config().Number + 1
+	cfg.Evacuated = make(map[string]bool)
+	for _, name := range domains {
+		cfg.Evacuated[name] = true
+	}
+	cl.evacuation.Store(cfg)
+}
+
 // answerOf returns the answer of a request. It is too large for a row if the ID
 // ends in largeSuffix.
 func answerOf(id string) string {
@@ -188,7 +211,7 @@
 	n.claims = claims.New(claimSettings, st, cl.objects, n.currentIncarnation, zap.NewNop())
 	sharingInstances := func() []string { return []string{n.currentIncarnation()} }
 	noDemand := func() map[string]int { return nil }
-	n.requests = requests.New(requestSettings, backendClient{n.process}, n, n.claims, config, sharingInstances, noDemand, zap.NewNop())
+	n.requests = requests.New(requestSettings, backendClient{n.process}, n, n.claims, cl.config, sharingInstances, noDemand, zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	cl.wg.Go(func() { _ = n.claims.Run(ctx) })
--- a/internal/duty/requests/loop.go
+++ b/internal/duty/requests/loop.go
@@ -83,23 +83,25 @@
 // applyUpdates passes the servers, the sharing instances and the configuration
 // to the dispatcher.
 func (r *Requests) applyUpdates() {
+	cfg := r.config()
+	r.appliedNumber = cfg.Number
 	servers := r.servers.Servers()
 	clear(r.serverByID)
 	out := make([]dispatch.Server, 0, len(servers))
 	for _, s := range servers {
 		r.serverByID[s.ID] = s
 		out = append(out, dispatch.Server{
-			ID:       s.ID,
-			Slots:    s.Slots,
-			Leaving:  s.State == structs.StateLeaving,
-			Services: s.Services,
+			ID:        s.ID,
+			Slots:     s.Slots,
+			Leaving:   s.State == structs.StateLeaving,
+			Evacuated: cfg.Evacuated[s.Domain],
+			Services:  s.Services,
 		})
 	}
 	r.dispatcher.SetServers(out)
 	if instances := r.sharingInstances(); len(instances) > 0 {
 		r.dispatcher.SetInstances(instances[0], instances[1:])
 	}
-	cfg := r.config()
 	workspaces := slices.SortedFunc(maps.Values(cfg.Workspaces), func(a, b structs.Workspace) int {
 		return strings.Compare(a.Name, b.Name)
 	})
@@ -154,8 +156,13 @@
 	return structs.Result{Outcome: structs.OutcomeNotRun, Reason: reason}
 }
 
-// dispatch drops requests that can't meet their deadline and starts attempts.
+// dispatch drops requests that can't meet their deadline and starts attempts. It
+// first applies a new configuration, so that nothing is assigned to a server that
+// the configuration in force evacuates.
 func (r *Requests) dispatch(ctx context.Context) {
+	if r.config().Number != r.appliedNumber {
+		r.applyUpdates()
+	}
 	now := time.Now()
 	for _, id := range r.dispatcher.Expire(now) {
 		if c, ok := r.calls[id]; ok {
--- a/internal/duty/requests/requests.go
+++ b/internal/duty/requests/requests.go
@@ -85,6 +85,8 @@
 	dispatcher *dispatch.Dispatcher
 	calls      map[uint64]*call
 	serverByID map[string]structs.Instance
+	// appliedNumber is the number of the configuration that the dispatcher uses.
+	appliedNumber int64
 }
 
 // call is a request that is being processed.
