CLI: commands evacuate and restore, evacuated domains in status

lentilwinch evacuate DOMAIN and restore DOMAIN read the number in force, build the ticket with the next one and send it by the code of apply, with its exit codes; the hint after a lost answer names the command in place of the file.

status has a column EVACUATED. The answer to Status has no field for it, so the command takes it from the dump, and shows ? for an instance of an older release.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -77,6 +77,8 @@
 		Subcommands: []*ffcli.Command{
 			a.applyCommand(),
 			a.ticketCommand(),
+			a.evacuateCommand(),
+			a.restoreCommand(),
 			a.submitCommand(),
 			a.jobsCommand(),
 			a.jobCommand(),
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -33,7 +33,7 @@
 
 func TestHelpShowsExamples(t *testing.T) {
 	for _, command := range []string{
-		"apply", "ticket", "submit", "jobs", "job", "watch", "cancel", "request", "outcome", "status", "dump", "check",
+		"apply", "ticket", "evacuate", "restore", "submit", "jobs", "job", "watch", "cancel", "request", "outcome", "status", "dump", "check",
 		"explain",
 	} {
 		got := run(background, command, "-h")
@@ -56,6 +56,8 @@
 		{[]string{"request", "-service", "s"}, "flag -workspace is required"},
 		{[]string{"status", "-server", "localhost:7420"}, "is not IP:port"},
 		{[]string{"status", "-color"}, "flag provided but not defined: -color"},
+		{[]string{"evacuate", "-author", "ana"}, "wrong number of arguments"},
+		{[]string{"restore", "-author", "", "north"}, "flag -author is required"},
 		{[]string{"ticket", "last"}, "not a ticket number"},
 		{[]string{"check", "jobs", "x"}, "neither settings nor tickets"},
 	}
--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -35,7 +36,11 @@
 	submit  func(*lentilwinchv1.JobSpec) (*lentilwinchv1.JobStatus, error)
 	list    func(*lentilwinchv1.ListJobsRequest) (*lentilwinchv1.ListJobsResponse, error)
 	watch   func(context.Context, func(state string)) error
-	status  func() (*lentilwinchv1.StatusResponse, error)
+	// ticket is the number of the newest ticket; 0 if there is none.
+	ticket int64
+	// dump replaces the fixed document, unless it is empty.
+	dump   string
+	status func() (*lentilwinchv1.StatusResponse, error)
 }
 
 func (f *fakeServer) Request(ctx context.Context, r *connect.Request[lentilwinchv1.RequestRequest]) (*connect.Response[lentilwinchv1.RequestResponse], error) {
@@ -76,7 +81,14 @@
 }
 
 func (f *fakeServer) Dump(context.Context, *connect.Request[lentilwinchv1.DumpRequest]) (*connect.Response[lentilwinchv1.DumpResponse], error) {
-	return connect.NewResponse(&lentilwinchv1.DumpResponse{Json: []byte(`{"ready": true}`)}), nil
+	return connect.NewResponse(&lentilwinchv1.DumpResponse{Json: []byte(cmp.Or(f.dump, `{"ready": true}`))}), nil
+}
+
+func (f *fakeServer) GetTicket(context.Context, *connect.Request[lentilwinchv1.GetTicketRequest]) (*connect.Response[lentilwinchv1.GetTicketResponse], error) {
+	if f.ticket == 0 {
+		return nil, serverError(fault.NotFound)
+	}
+	return connect.NewResponse(&lentilwinchv1.GetTicketResponse{Number: f.ticket}), nil
 }
 
 func jobStatus(id, state string) *lentilwinchv1.JobStatus {
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -176,19 +177,21 @@
 
 // statusView is the JSON form of an instance's status.
 type statusView struct {
-	Server         string       `json:"server"`
-	Instance       string       `json:"instance,omitempty"`
-	Incarnation    string       `json:"incarnation,omitempty"`
-	Domain         string       `json:"failure_domain,omitempty"`
-	Ready          bool         `json:"ready"`
-	NotReadyReason string       `json:"not_ready_reason,omitempty"`
-	ConfigNumber   int64        `json:"config_number"`
-	OwnedDomains   []string     `json:"owned_domains"`
-	QueuedRequests int32        `json:"queued_requests"`
-	LivePeers      int32        `json:"live_peers"`
-	BackendServers int32        `json:"backend_servers"`
-	Workers        int32        `json:"workers"`
-	Failure        *failureView `json:"failure,omitempty"`
+	Server         string   `json:"server"`
+	Instance       string   `json:"instance,omitempty"`
+	Incarnation    string   `json:"incarnation,omitempty"`
+	Domain         string   `json:"failure_domain,omitempty"`
+	Ready          bool     `json:"ready"`
+	NotReadyReason string   `json:"not_ready_reason,omitempty"`
+	ConfigNumber   int64    `json:"config_number"`
+	OwnedDomains   []string `json:"owned_domains"`
+	// EvacuatedDomains is nil if the instance doesn't report them.
+	EvacuatedDomains []string     `json:"evacuated_domains"`
+	QueuedRequests   int32        `json:"queued_requests"`
+	LivePeers        int32        `json:"live_peers"`
+	BackendServers   int32        `json:"backend_servers"`
+	Workers          int32        `json:"workers"`
+	Failure          *failureView `json:"failure,omitempty"`
 }
 
 // dumpView is the JSON form of an instance's state dump.
@@ -218,7 +221,7 @@
 
 func (a *app) printStatuses(views []statusView) {
 	w := tabwriter.NewWriter(a.stdout, 0, 2, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "SERVER\tINSTANCE\tDOMAIN\tREADY\tTICKET\tOWNS\tQUEUED\tPEERS\tBACKENDS\tWORKERS")
+	_, _ = fmt.Fprintln(w, "SERVER\tINSTANCE\tDOMAIN\tREADY\tTICKET\tOWNS\tEVACUATED\tQUEUED\tPEERS\tBACKENDS\tWORKERS")
 	for _, v := range views {
 		_, _ = fmt.Fprintln(w, v.row())
 	}
@@ -227,14 +230,18 @@
 
 func (v statusView) row() string {
 	if v.Failure != nil {
-		return v.Server + "\t-\t-\tno: " + v.Failure.Message + "\t\t\t\t\t\t"
+		return v.Server + "\t-\t-\tno: " + v.Failure.Message + "\t\t\t\t\t\t\t"
 	}
 	ready := "yes"
 	if !v.Ready {
 		ready = "no: " + v.NotReadyReason
 	}
-	return fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\t%d\t%d",
-		v.Server, v.Instance, v.Domain, ready, v.ConfigNumber, strings.Join(v.OwnedDomains, ","),
+	evacuated := "?"
+	if v.EvacuatedDomains != nil {
+		evacuated = cmp.Or(strings.Join(v.EvacuatedDomains, ","), "-")
+	}
+	return fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\t%d",
+		v.Server, v.Instance, v.Domain, ready, v.ConfigNumber, strings.Join(v.OwnedDomains, ","), evacuated,
 		v.QueuedRequests, v.LivePeers, v.BackendServers, v.Workers)
 }
 
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 
@@ -74,25 +75,49 @@
 		res = answer.Msg
 		return nil
 	})
+	var evacuated []string
+	if err == nil {
+		evacuated, err = a.queryEvacuated(ctx, t)
+	}
 	if err != nil {
 		return statusView{Server: t.address, OwnedDomains: []string{}, Failure: newServerFailure(err)}, err
 	}
 	return statusView{
-		Server:         t.address,
-		Instance:       res.GetInstance(),
-		Incarnation:    res.GetIncarnation(),
-		Domain:         res.GetDomain(),
-		Ready:          res.GetReady(),
-		NotReadyReason: res.GetNotReadyReason(),
-		ConfigNumber:   res.GetConfigNumber(),
-		OwnedDomains:   append([]string{}, res.GetOwnedDomains()...),
-		QueuedRequests: res.GetQueuedRequests(),
-		LivePeers:      res.GetLivePeers(),
-		BackendServers: res.GetBackendServers(),
-		Workers:        res.GetWorkers(),
+		Server:           t.address,
+		Instance:         res.GetInstance(),
+		Incarnation:      res.GetIncarnation(),
+		Domain:           res.GetDomain(),
+		Ready:            res.GetReady(),
+		NotReadyReason:   res.GetNotReadyReason(),
+		ConfigNumber:     res.GetConfigNumber(),
+		OwnedDomains:     append([]string{}, res.GetOwnedDomains()...),
+		EvacuatedDomains: evacuated,
+		QueuedRequests:   res.GetQueuedRequests(),
+		LivePeers:        res.GetLivePeers(),
+		BackendServers:   res.GetBackendServers(),
+		Workers:          res.GetWorkers(),
 	}, nil
 }
 
+// queryEvacuated returns the evacuated failure domains from a server's dump, since
+// the answer to Status has no field for them. It returns nil if an older server's
+// dump doesn't list them.
+func (a *app) queryEvacuated(ctx context.Context, t target) ([]string, error) {
+	view, err := a.queryDump(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	var state struct {
+		Config struct {
+			EvacuatedDomains []string `json:"evacuated_domains"`
+		} `json:"config"`
+	}
+	if err := json.Unmarshal(view.State, &state); err != nil {
+		return nil, fault.Wrap(fault.Internal, "decode the dump", err)
+	}
+	return state.Config.EvacuatedDomains, nil
+}
+
 func newServerFailure(err error) *failureView {
 	view := newFailureView(err, ExitUnavailable, "")
 	return &view
--- a/internal/cli/tickets.go
+++ b/internal/cli/tickets.go
@@ -41,11 +41,17 @@
 	if len(doc) > ticket.MaxDocumentBytes {
 		return fault.New(fault.Invalid, args[0]+" is larger than "+strconv.Itoa(ticket.MaxDocumentBytes)+" bytes")
 	}
+	return a.sendTicket(ctx, doc, "The ticket may have been accepted. Send the same file again, or check with: lentilwinch ticket")
+}
+
+// sendTicket sends a ticket's document and prints its number. The hint tells what
+// to do if the ticket may have been accepted.
+func (a *app) sendTicket(ctx context.Context, doc []byte, hint string) error {
 	stop := a.startProgress("waiting for the ticket to be accepted")
 	res, err := invoke(ctx, a, &lentilwinchv1.ApplyRequest{Document: doc}, api.Apply)
 	stop()
 	if err != nil {
-		return withHint(err, "The ticket may have been accepted. Send the same file again, or check with: lentilwinch ticket")
+		return withHint(err, hint)
 	}
 	number := res.GetNumber()
 	a.print(ticketView{Number: number}, "ticket "+strconv.FormatInt(number, 10)+" accepted; it takes effect at all instances within seconds")
