--- a/internal/duty/gangs/evacuate_test.go
+++ b/internal/duty/gangs/evacuate_test.go
@@ -198,8 +198,8 @@
 // jobs as unplaceable because it knows no workspace.
 func TestOwnerWithoutConfigDecidesNothing(t *testing.T) {
 	runEvacuation(t, func(t *testing.T, h *harness) {
-		h.configStale.Store(true)
 		k := h.submit("job", domain)
+		h.configStale.Store(true)
 		h.startOwner(h.table, h.workers)
 		time.Sleep(time.Minute)
 		must.Eq(t, structs.JobQueued, h.job(k).State)
--- a/internal/duty/gangs/owner_test.go
+++ b/internal/duty/gangs/owner_test.go
@@ -56,8 +56,8 @@
 	otherDomains []port.DomainSummary
 	// beforeSummaries, if set, is called when the owner reads them.
 	beforeSummaries func()
-	// evacuated holds the evacuated failure domains. configStale makes the owner's
-	// configuration count as not known.
+	// evacuated holds the evacuated failure domains. configStale makes the
+	// configuration empty and not fresh, as before it was first read.
 	evacuated   atomic.Pointer[map[string]bool]
 	configStale atomic.Bool
 	wg          sync.WaitGroup
@@ -74,6 +74,9 @@
 }
 
 func (h *harness) config() *structs.Config {
+	if h.configStale.Load() {
+		return &structs.Config{}
+	}
 	var evacuated map[string]bool
 	if set := h.evacuated.Load(); set != nil {
 		evacuated = *set
