--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -19,6 +19,8 @@
 type Metrics struct {
 	// ConfigNumber is the number of the ticket in force.
 	ConfigNumber tally.Gauge
+	// EvacuatedDomains counts the evacuated failure domains.
+	EvacuatedDomains tally.Gauge
 	// Ready is 1 while the instance is ready for requests from the load
 	// balancer, otherwise 0.
 	Ready tally.Gauge
@@ -49,6 +51,7 @@
 	scope, handler := newScope(prometheus.Options{}, reportInterval)
 	return &Metrics{
 		ConfigNumber:       scope.Gauge("config_number"),
+		EvacuatedDomains:   scope.Gauge("evacuated_domains"),
 		Ready:              scope.Gauge("ready"),
 		RequestsHeld:       scope.Gauge("requests_held"),
 		OutcomesUnresolved: scope.Gauge("outcomes_unsettled"),
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -156,6 +156,7 @@
 func (d *Daemon) updateGauges() {
 	m := d.metrics
 	m.ConfigNumber.Update(float64(d.config.Current().Number))
+	m.EvacuatedDomains.Update(float64(len(d.config.Current().Evacuated)))
 	m.RequestsHeld.Update(float64(d.requests.Held()))
 	m.OutcomesUnresolved.Update(float64(d.claims.Unresolved()))
 	m.LivePeers.Update(float64(len(d.mesh.Live())))
