--- a/internal/duty/gangs/evacuate_test.go
+++ b/internal/duty/gangs/evacuate_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +13,7 @@
 
 	"github.com/lentilwinch/lentilwinch/internal/fake"
 	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/store"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
 
@@ -118,27 +121,58 @@
 	})
 }
 
+// evacuatingTable evacuates the failure domain before the first commit of a job's
+// next state.
+type evacuatingTable struct {
+	port.Table
+	h *harness
+}
+
+func (e evacuatingTable) Commit(ctx context.Context, txn port.Txn) (int64, error) {
+	for _, write := range txn.Writes {
+		if strings.HasPrefix(write.Key, store.JobPrefix) {
+			e.h.evacuate(domain)
+		}
+	}
+	return e.Table.Commit(ctx, txn)
+}
+
+// evacuatingWorkers evacuates the failure domain before the reservation with a
+// given number.
+type evacuatingWorkers struct {
+	port.Workers
+	h            *harness
+	at           int64
+	reservations atomic.Int64
+}
+
+func (e *evacuatingWorkers) Reserve(ctx context.Context, w structs.Worker, id structs.LeaseID, n int, ttl time.Duration) error {
+	if e.reservations.Add(1) == e.at {
+		e.h.evacuate(domain)
+	}
+	return e.Workers.Reserve(ctx, w, id, n, ttl)
+}
+
 // Guards against tasks that start although the failure domain was evacuated during
-// the reservation of the gang. All leases must be released.
+// the reservation of the gang: in case 0 before the commit, otherwise before the
+// reservation of a member. All leases must be released.
 func TestReservedGangIsReleased(t *testing.T) {
-	for haltAtCall := 1; haltAtCall <= members; haltAtCall++ {
-		t.Run(fmt.Sprint("call ", haltAtCall), func(t *testing.T) {
+	for at := range int64(members + 1) {
+		t.Run(fmt.Sprint("case ", at), func(t *testing.T) {
 			runEvacuation(t, func(t *testing.T, h *harness) {
 				pinned := h.submit("pinned", domain)
-				resume := make(chan struct{})
-				halting := &haltingPorts{Table: h.table, Workers: h.workers, haltAtCall: haltAtCall, resume: resume, onHalt: func() {
-					h.evacuate(domain)
-				}}
-				h.startOwner(&haltingTable{halting}, halting)
-				// Less than CallTimeout, so that the halted call succeeds.
-				time.Sleep(700 * time.Millisecond)
-				close(resume)
+				if at == 0 {
+					h.startOwner(evacuatingTable{Table: h.table, h: h}, h.workers)
+				} else {
+					h.startOwner(h.table, &evacuatingWorkers{Workers: h.workers, h: h, at: at})
+				}
 				time.Sleep(time.Minute)
 				j := h.job(pinned)
 				must.Eq(t, structs.JobQueued, j.State)
 				must.Eq(t, 1, j.Attempt)
 				must.Zero(t, h.eventsOf(fake.EventTaskStarted))
-				must.Eq(t, h.eventsOf(fake.EventLeaseGranted), h.eventsOf(fake.EventLeaseReleased))
+				must.Eq(t, members, h.eventsOf(fake.EventLeaseGranted))
+				must.Eq(t, members, h.eventsOf(fake.EventLeaseReleased))
 			})
 		})
 	}
