Ingress: byte budget and connection limits of a process

Cause: nothing bounds the memory of bodies that are being received, of their decoding, or the number of connections.

Change: package internal/ingress. A ledger decides which bodies get bytes and which are aborted for it (the incomplete ones that have been open longest); a function chooses the connection that is closed for a new one. Unread bodies aren't drained.

--- /dev/null
+++ b/internal/ingress/http.go
@@ -0,0 +1,249 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+)
+
+// Listen returns a listener for TCP with at most maxConns connections. It fails with
+// fault.Unavailable.
+func (g *Gate) Listen(ctx context.Context, address string, maxConns int) (*Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		// Connections inherit the size. It has to be set before they are opened,
+		// because the window that was announced isn't taken back.
+		var setErr error
+		err := c.Control(func(fd uintptr) {
+			setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+		})
+		return errors.Join(err, setErr)
+	}}
+	l, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, "listen on "+address, err)
+	}
+	return &Listener{Listener: l, gate: g, maxConns: maxConns, conns: map[*Conn]struct{}{}}, nil
+}
+
+// Listener accepts connections. If there are too many, it closes one that makes no
+// progress, and otherwise the new one.
+type Listener struct {
+	net.Listener
+	gate     *Gate
+	maxConns int
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &Conn{Conn: raw, listener: l, state: connNew, since: l.gate.now()}
+		victim, ok := l.admit(c)
+		if victim != nil {
+			l.gate.refuse(ReasonConnections, victim.RemoteAddr().String(), 0)
+			_ = victim.Close() // it is of no use to anyone, whatever the result
+		}
+		if ok {
+			return c, nil
+		}
+		l.gate.refuse(ReasonConnections, raw.RemoteAddr().String(), 0)
+		_ = raw.Close()
+	}
+}
+
+// admit adds a connection if there are few enough, or instead of the returned one.
+func (l *Listener) admit(c *Conn) (victim *Conn, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.conns) >= l.maxConns {
+		open, infos := make([]*Conn, 0, len(l.conns)), make([]connInfo, 0, len(l.conns))
+		for o := range l.conns {
+			open, infos = append(open, o), append(infos, connInfo{o.state, o.since})
+		}
+		i := chooseVictim(infos, l.gate.now())
+		if i < 0 {
+			return nil, false
+		}
+		victim = open[i]
+		l.forget(victim)
+	}
+	l.conns[c] = struct{}{}
+	l.gate.conns.Add(1)
+	return victim, true
+}
+
+// forget removes a connection. The caller holds l.mu.
+func (l *Listener) forget(c *Conn) {
+	if _, ok := l.conns[c]; ok {
+		delete(l.conns, c)
+		l.gate.conns.Add(-1)
+	}
+}
+
+// Conn is an accepted connection.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	state    connState // guarded by listener.mu, as is since
+	since    time.Duration
+
+	mu      sync.Mutex
+	aborted bool // reads fail at once
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.listener.mu.Lock()
+	c.listener.forget(c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the response before the connection is closed, so that the peer gets
+// all of it. The HTTP server calls it.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+func (c *Conn) setState(s connState) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.state, c.since = s, c.listener.gate.now()
+}
+
+// setReadDeadline sets the deadline unless the connection was aborted.
+func (c *Conn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.aborted {
+		_ = c.Conn.SetReadDeadline(t) // fails only if the connection is closed, as the next read does
+	}
+}
+
+// abort makes the current and all further reads fail. The response can still be
+// written.
+func (c *Conn) abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+}
+
+type connKey struct{}
+
+// Server returns an HTTP server for one of the gate's listeners.
+func (g *Gate) Server(handler http.Handler, readHeaderTimeout time.Duration) *http.Server {
+	return &http.Server{
+		Handler: g.guard(handler), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnState: func(c net.Conn, s http.ConnState) {
+			conn, ok := c.(*Conn)
+			if !ok {
+				return
+			}
+			switch s {
+			case http.StateIdle:
+				conn.setState(connIdle)
+			case http.StateActive:
+				conn.setState(connReceiving)
+			case http.StateHijacked:
+				conn.setState(connBusy)
+			case http.StateNew, http.StateClosed:
+			}
+		},
+	}
+}
+
+// guard refuses requests with too many header lines, and closes connections whose body
+// the handler didn't read, without draining them.
+func (g *Gate) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _ := r.Context().Value(connKey{}).(*Conn)
+		if conn == nil {
+			next.ServeHTTP(w, r) // in a test without a listener
+			return
+		}
+		if r.ContentLength == 0 {
+			conn.setState(connBusy)
+		} else {
+			// The server drains no body of a connection that it closes.
+			w.Header().Set("Connection", "close")
+		}
+		lines := 0
+		for _, values := range r.Header {
+			lines += len(values)
+		}
+		if lines > maxHeaderLines {
+			g.refuse(ReasonHeaders, r.RemoteAddr, 0)
+			w.Header().Set("Connection", "close")
+			http.Error(w, "too many header lines", http.StatusRequestHeaderFieldsTooLarge)
+		} else {
+			next.ServeHTTP(w, r)
+		}
+		switch w.Header().Get("Connection") {
+		case "close":
+			conn.setState(connClosing)
+			conn.abort()
+		case "": // otherwise the connection has become a link
+			conn.setState(connSending)
+		}
+	})
+}
+
+// Receive reads the body of a request, at most limit bytes and until the deadline. It
+// fails with *http.MaxBytesError if the body is larger, with a *fault.RetryError of
+// code fault.Unavailable if the budget is exhausted or the body isn't complete in time
+// or makes no progress, and with fault.Invalid if it can't be read. The connection is
+// then closed after the response.
+func (g *Gate) Receive(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*Body, error) {
+	conn, _ := r.Context().Value(connKey{}).(*Conn)
+	if r.ContentLength > limit {
+		g.refuse(ReasonTooLarge, r.RemoteAddr, r.ContentLength)
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	abort := func() {}
+	var reader io.Reader = http.MaxBytesReader(w, r.Body, limit)
+	if conn != nil { // nil in tests without a listener
+		abort = conn.abort
+		reader = &progress{reader, conn, deadline}
+		defer conn.setReadDeadline(time.Time{})
+	}
+	b := g.open(r.RemoteAddr, abort)
+	err := b.receive(reader)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		g.refuse(ReasonTooLarge, r.RemoteAddr, b.size)
+		b.Close()
+		return nil, tooLarge
+	case err != nil:
+		err = b.failure(err)
+		b.Close()
+		return nil, err
+	}
+	if conn != nil {
+		conn.setState(connBusy)
+		if !r.Close {
+			w.Header().Del("Connection")
+		}
+	}
+	return b, nil
+}
