Poold: ingress limits on all listeners

Cause: 300 clients whose bodies of 1 MiB stop short of their end took 345 MB; 12 jobs of empty steps took 1.1 GB.

--- a/internal/adapter/delegate/conn.go
+++ b/internal/adapter/delegate/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -11,6 +12,18 @@
 	"github.com/lentilwinch/lentilwinch/internal/ring"
 )
 
+// receiver reads a message whole and decodes it. abort makes the message's reader fail.
+type receiver func(ctx context.Context, m io.Reader, abort func(), decode func([]byte)) error
+
+// receiveAll is the receiver of links that this instance dials.
+func receiveAll(_ context.Context, m io.Reader, _ func(), decode func([]byte)) error {
+	data, err := io.ReadAll(m)
+	if err == nil {
+		decode(data)
+	}
+	return err
+}
+
 // conn reads and writes frames on a WebSocket connection. Items wait in a bounded
 // ring and are written in batches.
 type conn[T any] struct {
@@ -19,15 +32,16 @@
 	// batchDelay is how long the writer waits for more items after the first one.
 	batchDelay time.Duration
 	now        func() time.Duration
+	receive    receiver
 	// fill adds a batch to a frame.
 	fill func(*frame, []T)
 	// greets is set if this side sends the first frame.
 	greets bool
 }
 
-func newConn[T any](ws *websocket.Conn, name string, capacity int, batchDelay time.Duration, now func() time.Duration, fill func(*frame, []T)) *conn[T] {
+func newConn[T any](ws *websocket.Conn, name string, receive receiver, capacity int, batchDelay time.Duration, now func() time.Duration, fill func(*frame, []T)) *conn[T] {
 	ws.SetReadLimit(maxFrameBytes)
-	return &conn[T]{ws: ws, outgoing: ring.New[T](name, capacity), batchDelay: batchDelay, now: now, fill: fill}
+	return &conn[T]{ws: ws, outgoing: ring.New[T](name, capacity), batchDelay: batchDelay, now: now, receive: receive, fill: fill}
 }
 
 // run reads frames into handle and writes the outgoing items, until either fails or
@@ -48,15 +62,8 @@
 func (c *conn[T]) read(ctx context.Context, handle func(context.Context, *frame)) error {
 	for {
 		readCtx, cancel := context.WithTimeout(ctx, linkTimeout)
-		kind, data, err := c.ws.Read(readCtx)
+		f, err := c.readFrame(readCtx, cancel)
 		cancel()
-		if err != nil {
-			return fault.Wrap(fault.Unavailable, "read from link", err)
-		}
-		if kind != websocket.MessageBinary {
-			return fault.New(fault.Invalid, "the peer sent a text message")
-		}
-		f, err := decodeFrame(data)
 		if err != nil {
 			return err
 		}
@@ -64,6 +71,22 @@
 	}
 }
 
+// readFrame reads one frame. cancel ends ctx.
+func (c *conn[T]) readFrame(ctx context.Context, cancel func()) (f *frame, err error) {
+	kind, m, err := c.ws.Reader(ctx)
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, "read from link", err)
+	}
+	if kind != websocket.MessageBinary {
+		return nil, fault.New(fault.Invalid, "the peer sent a text message")
+	}
+	var decodeErr error
+	if err := c.receive(ctx, m, cancel, func(data []byte) { f, decodeErr = decodeFrame(data) }); err != nil {
+		return nil, fault.Wrap(fault.Unavailable, "read from link", err)
+	}
+	return f, decodeErr
+}
+
 // write writes the outgoing items, and a heartbeat when there are none.
 func (c *conn[T]) write(ctx context.Context) error {
 	heartbeat := time.NewTicker(heartbeatInterval)
--- a/internal/adapter/delegate/delegate_test.go
+++ b/internal/adapter/delegate/delegate_test.go
@@ -19,6 +19,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/delegation"
 	"github.com/lentilwinch/lentilwinch/internal/fake"
 	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/ingress"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
@@ -79,7 +80,7 @@
 	for i := range delegates {
 		d := &testDelegate{workers: &countingWorkers{WorkerClient: e.pool}, clock: newClock()}
 		mux := http.NewServeMux()
-		mux.Handle(Path, NewServer(d.workers, d.clock.now, zap.NewNop()))
+		mux.Handle(Path, NewServer(d.workers, d.clock.now, zap.NewNop(), ingress.New(ingress.Derive(64<<20), zap.NewNop(), func(ingress.Reason) {})))
 		d.server = httptest.NewServer(mux)
 		e.delegates = append(e.delegates, d)
 		e.instances = append(e.instances, delegation.Instance{
--- a/internal/adapter/delegate/link.go
+++ b/internal/adapter/delegate/link.go
@@ -77,7 +77,7 @@
 // serve uses an open connection until it fails or ctx ends. All calls without a
 // reply then fail as uncertain.
 func (l *link) serve(ctx context.Context, ws *websocket.Conn) error {
-	c := newConn(ws, "calls to "+l.instance.Name, callQueueSize, callBatchDelay, l.client.cfg.Now, l.fill)
+	c := newConn(ws, "calls to "+l.instance.Name, receiveAll, callQueueSize, callBatchDelay, l.client.cfg.Now, l.fill)
 	c.greets = true
 	greeted := false
 	err := c.run(ctx, func(_ context.Context, f *frame) {
--- a/internal/adapter/delegate/server.go
+++ b/internal/adapter/delegate/server.go
@@ -3,20 +3,29 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
 	"go.uber.org/zap"
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/ingress"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 )
 
 const (
 	// maxCallsInFlight limits the calls of one link that are being carried out.
 	maxCallsInFlight = 4096
+	// maxLinks limits the open links. Each instance opens one per pool that it owns, and
+	// there are up to 147 instances.
+	maxLinks = 512
+	// frameCost is the memory that decoding a frame takes, as a multiple of its size. A
+	// call has at least 12 bytes and takes 200.
+	frameCost = 16
 	// replyBatchDelay is how long replies wait for others, which saves the owner
 	// wake-ups. It delays a result by less than a tenth of an urgent task's slack.
 	replyBatchDelay = 8 * time.Millisecond
@@ -31,23 +40,35 @@
 	workers port.WorkerClient
 	now     func() time.Duration
 	log     *zap.Logger
+	ingress *ingress.Gate
+	links   atomic.Int64 // open now
 }
 
 // NewServer returns a server that calls workers through a client. now is a monotonic
-// clock that includes time spent suspended.
-func NewServer(workers port.WorkerClient, now func() time.Duration, log *zap.Logger) *Server {
-	return &Server{workers: workers, now: now, log: log}
+// clock that includes time spent suspended. The frames of the links count towards the
+// budget of the gate.
+func NewServer(workers port.WorkerClient, now func() time.Duration, log *zap.Logger, gate *ingress.Gate) *Server {
+	return &Server{workers: workers, now: now, log: log, ingress: gate}
 }
 
 // ServeHTTP implements http.Handler for Path.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer s.links.Add(-1)
+	if s.links.Add(1) > maxLinks {
+		s.log.Warn("link refused, too many", zap.String("peer", r.RemoteAddr))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	ws, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		s.log.Info("link rejected", zap.String("peer", r.RemoteAddr), zap.Error(err))
 		return
 	}
 	l := &serverLink{server: s, slots: make(chan struct{}, maxCallsInFlight)}
-	l.conn = newConn(ws, "replies to "+r.RemoteAddr, 2*maxCallsInFlight, replyBatchDelay, s.now, func(f *frame, batch []reply) { f.Replies = batch })
+	receive := func(ctx context.Context, m io.Reader, abort func(), decode func([]byte)) error {
+		return s.ingress.Read(ctx, ingress.Message{Remote: r.RemoteAddr, Reader: m, Abort: abort, Cost: frameCost}, decode)
+	}
+	l.conn = newConn(ws, "replies to "+r.RemoteAddr, receive, 2*maxCallsInFlight, replyBatchDelay, s.now, func(f *frame, batch []reply) { f.Replies = batch })
 	s.log.Info("link of an owner opened", zap.String("peer", r.RemoteAddr))
 	err = l.conn.run(r.Context(), l.handle)
 	l.calls.Wait()
--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/lentilwinch/lentilwinch/internal/ingress"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
 )
 
@@ -31,6 +32,10 @@
 	LivePeers tally.Gauge
 	// OwnedDomains is the number of failure domains owned.
 	OwnedDomains tally.Gauge
+	// IngressBytesHeld is the size of the bodies that are being received or wait to be
+	// processed, and IngressConnections the number of accepted connections.
+	IngressBytesHeld   tally.Gauge
+	IngressConnections tally.Gauge
 	// JobsQueued is the number of jobs queued in the owned failure domains.
 	JobsQueued tally.Gauge
 
@@ -54,6 +59,8 @@
 		OutcomesUnresolved: scope.Gauge("outcomes_unsettled"),
 		LivePeers:          scope.Gauge("live_peers"),
 		OwnedDomains:       scope.Gauge("owned_domains"),
+		IngressBytesHeld:   scope.Gauge("ingress_bytes_held"),
+		IngressConnections: scope.Gauge("ingress_connections"),
 		JobsQueued:         scope.Gauge("jobs_queued"),
 		scope:              scope,
 		attemptsStopped:    scope.Counter("gang_attempts_stopped"),
@@ -93,6 +100,14 @@
 	withTags(m.scope, "domain", domain).Gauge("guarantees_unheld_gangs").Update(float64(gangs))
 }
 
+// countRefusal counts a body or connection that was refused or aborted.
+func countRefusal(scope tally.Scope, reason ingress.Reason) {
+	withTags(scope, "reason", string(reason)).Counter("ingress_refused").Inc(1)
+}
+
+// IngressRefused counts a body or connection that was refused or aborted.
+func (m *Metrics) IngressRefused(reason ingress.Reason) { countRefusal(m.scope, reason) }
+
 // newScope returns a scope and the handler that serves its metrics.
 func newScope(options prometheus.Options, interval time.Duration) (tally.Scope, http.Handler) {
 	reporter := prometheus.NewReporter(options)
--- a/internal/adapter/metrics/pool.go
+++ b/internal/adapter/metrics/pool.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/lentilwinch/lentilwinch/internal/ingress"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 )
 
@@ -36,6 +37,10 @@
 	// StoreDirectFailing is the time for which direct calls to the store have
 	// failed, in seconds, whether or not it is reachable through peers.
 	StoreDirectFailing tally.Gauge
+	// IngressBytesHeld is the size of the bodies that are being received or wait to be
+	// processed, and IngressConnections the number of accepted connections.
+	IngressBytesHeld   tally.Gauge
+	IngressConnections tally.Gauge
 	// LogLinesDropped is the number of log lines dropped because the writer was
 	// too slow.
 	LogLinesDropped tally.Gauge
@@ -58,6 +63,8 @@
 		ReplicaAge:         scope.Gauge("feed_age_seconds"),
 		StoreUnavailable:   scope.Gauge("store_away_seconds"),
 		StoreDirectFailing: scope.Gauge("store_direct_down_seconds"),
+		IngressBytesHeld:   scope.Gauge("ingress_bytes_held"),
+		IngressConnections: scope.Gauge("ingress_connections"),
 		LogLinesDropped:    scope.Gauge("log_lines_dropped"),
 		LogLinesSampledOut: scope.Gauge("log_lines_left_out"),
 		scope:              scope,
@@ -101,6 +108,9 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// IngressRefused counts a body or connection that was refused or aborted.
+func (p *Pool) IngressRefused(reason ingress.Reason) { countRefusal(p.scope, reason) }
+
 // EventLogged implements pool.Observer.
 func (p *Pool) EventLogged(event string) {
 	withTags(p.scope, "event", event).Counter("pool_events").Inc(1)
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -152,6 +152,9 @@
 // Limits of a job. They bound the memory and time that one job costs the owner of its
 // pool, and keep sums over its tasks far from overflowing.
 const (
+	// maxProblems is the number of problems from which a job's steps aren't checked
+	// further. A job may have thousands of steps, each with several problems.
+	maxProblems = 200
 	// MaxTasks limits the tasks of all occurrences of a job.
 	MaxTasks = 20000
 	// MaxAmount limits each resource that a task needs, in the unit of Resources.
@@ -192,7 +195,8 @@
 // earlier reports whether dep is a step before step.
 func earlier(dep, step int) bool { return dep >= 0 && dep < step }
 
-// Check returns the problems of a job that no pool can run, none if there are none.
+// Check returns the problems of a job that no pool can run, none if there are none. It
+// leaves out the problems of further steps once there are maxProblems.
 func (j *Job) Check() []fault.Problem {
 	var problems []fault.Problem
 	add := func(path string, value any, allowed string) {
@@ -207,6 +211,9 @@
 		add("steps", "none", "at least one")
 	}
 	for i := range j.Steps {
+		if len(problems) >= maxProblems {
+			break
+		}
 		s := &j.Steps[i]
 		path := fmt.Sprintf("steps[%d]", i)
 		if s.Count < 1 {
--- a/test/hostile/poold_test.go
+++ b/test/hostile/poold_test.go
@@ -39,6 +39,11 @@
 }
 
 func startPool(t *testing.T) *pool {
+	t.Helper()
+	return startPoolWith(t, maxFds)
+}
+
+func startPoolWith(t *testing.T, maxFds int) *pool {
 	t.Helper()
 	site := standin.NewSite()
 	t.Cleanup(site.Close)
@@ -125,6 +130,25 @@
 	}
 }
 
+// With more descriptors, the memory alone bounds the bodies: most connections of the
+// crowd stay open.
+func TestPoolWithstandsStalledBodiesOnAllowedConnections(t *testing.T) {
+	body := jobOfSize(maxBodyBytes)
+	for _, c := range []struct {
+		name string
+		crowd
+	}{
+		{"whole", crowd{}},
+		{"small chunks", crowd{chunk: 32, piece: 16 << 10}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := startPoolWith(t, 10*maxFds)
+			c.clients, c.header, c.body = poolClients, frontHeader(), body
+			p.withstands(c.crowd, p.front, bounds{residentMB: memoryMB, descriptors: 10*maxFds - reservedFds}, p.ordinary)
+		})
+	}
+}
+
 // A job of many empty steps takes a hundred times the memory of its body.
 func TestPoolWithstandsBodiesThatDecodeToMuchMore(t *testing.T) {
 	p := startPool(t)
