Lentilwinchd: ingress limits on the API and the peer links

Cause: 150 clients with messages of 4 MiB took 0.7 to 1.6 GB. A message of unknown length counted as 1 MiB, whatever arrived, and bodies were read unchecked once their Content-Length had been counted.

Change: messages are received under the gate before connect sees them, counted as they arrive; decoding waits for its expected memory, 32 times the size for a ticket. Calls that wait for their outcome count as before, to a quarter of the memory: 256 MB by default, as it was. Peer links read under the same budget. New settings limits.memory_mb (1024) and limits.max_fds (8192). The soft limit of the garbage collector is three quarters of the memory.

Existing tests: old_data_test.go expects the defaults of the new settings, as the old file doesn't have them.

--- a/cmd/lentilwinchd/main.go
+++ b/cmd/lentilwinchd/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
@@ -16,6 +17,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/lentilwinch/lentilwinch/internal/daemon"
+	"github.com/lentilwinch/lentilwinch/internal/ingress"
 	"github.com/lentilwinch/lentilwinch/internal/settings"
 	"github.com/lentilwinch/lentilwinch/internal/settings/document"
 )
@@ -49,6 +51,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitInternal
 	}
+	debug.SetMemoryLimit(ingress.MemoryLimit(s.Limits.MemoryMB << 20))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := daemon.New(s, log).Run(ctx); err != nil {
--- a/internal/adapter/api/api.go
+++ b/internal/adapter/api/api.go
@@ -129,8 +129,12 @@
 	return lentilwinchv1connect.NewSchedulerServiceHandler(s, connect.WithReadMaxBytes(s.maxMessageBytes()))
 }
 
-func (s *Server) maxMessageBytes() int {
-	return int(max(minMessageBytes, s.limits.MaxBodyBytes+envelopeBytes))
+func (s *Server) maxMessageBytes() int { return int(MaxMessageBytes(s.limits.MaxBodyBytes)) }
+
+// MaxMessageBytes returns the size of the largest message, given the size of the
+// largest body of a request.
+func MaxMessageBytes(maxBodyBytes int64) int64 {
+	return max(minMessageBytes, maxBodyBytes+envelopeBytes)
 }
 
 // Request implements SchedulerServiceHandler.
@@ -151,6 +155,7 @@
 	if m.GetTimeoutMs() > 0 {
 		req.Deadline = time.Now().Add(durationFromMillis(m.GetTimeoutMs()))
 	}
+	decoded(ctx)
 	res, err := s.requests.Do(ctx, req)
 	if err != nil {
 		return nil, toConnectError(err)
@@ -250,6 +255,7 @@
 // Watch implements SchedulerServiceHandler.
 func (s *Server) Watch(ctx context.Context, r *connect.Request[lentilwinchv1.WatchRequest], stream *connect.ServerStream[lentilwinchv1.WatchResponse]) error {
 	k := structs.JobKey{Workspace: r.Msg.GetWorkspace(), ID: r.Msg.GetJobId()}
+	decoded(ctx)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := make(chan struct{})
--- a/internal/adapter/peer/accept.go
+++ b/internal/adapter/peer/accept.go
@@ -99,9 +99,11 @@
 }
 
 func (m *Mesh) receiveHello(ctx context.Context, conn *websocket.Conn) (port.PeerHello, error) {
-	data, err := receive(ctx, conn, m.cfg.ReadDeadline)
-	if err != nil {
-		return port.PeerHello{}, err
+	var peer port.PeerHello
+	var decodeErr error
+	err := m.receive(ctx, conn, m.cfg.ReadDeadline, func(data []byte) { peer, decodeErr = decodeHello(data) })
+	if err == nil {
+		err = decodeErr
 	}
-	return decodeHello(data)
+	return peer, err
 }
--- a/internal/adapter/peer/config.go
+++ b/internal/adapter/peer/config.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"io"
 	"time"
 )
 
@@ -59,6 +61,9 @@
 	// EventQueueSize is the number of received messages that may wait to be
 	// processed.
 	EventQueueSize int
+	// Receive reads a message whole and decodes it. abort makes its reader fail. The
+	// default reads without a limit other than those above.
+	Receive func(ctx context.Context, r io.Reader, abort func(), decode func([]byte)) error
 }
 
 func (c Config) withDefaults() Config {
@@ -69,9 +74,20 @@
 	c.MaxLinks = cmp.Or(c.MaxLinks, defaultMaxLinks)
 	c.OutgoingQueueSize = cmp.Or(c.OutgoingQueueSize, defaultOutgoingQueueSize)
 	c.EventQueueSize = cmp.Or(c.EventQueueSize, defaultEventQueueSize)
+	if c.Receive == nil {
+		c.Receive = receiveAll
+	}
 	return c
 }
 
+func receiveAll(_ context.Context, r io.Reader, _ func(), decode func([]byte)) error {
+	data, err := io.ReadAll(r)
+	if err == nil {
+		decode(data)
+	}
+	return err
+}
+
 // Target identifies a peer to open a link to.
 type Target struct {
 	Instance string
--- a/internal/adapter/peer/link.go
+++ b/internal/adapter/peer/link.go
@@ -115,14 +115,16 @@
 // read deadline, so that a silent or very slow peer doesn't keep the link open.
 func (l *link) read(ctx context.Context) error {
 	for {
-		data, err := receive(ctx, l.conn, l.mesh.cfg.ReadDeadline)
-		if err != nil {
+		var msg port.PeerMessage
+		var decodeErr error
+		if err := l.mesh.receive(ctx, l.conn, l.mesh.cfg.ReadDeadline, func(data []byte) {
+			l.mesh.stats.recordReceived(len(data))
+			msg, decodeErr = decodeMessage(data)
+		}); err != nil {
 			return err
 		}
-		l.mesh.stats.recordReceived(len(data))
-		msg, err := decodeMessage(data)
-		if err != nil {
-			return err
+		if decodeErr != nil {
+			return decodeErr
 		}
 		l.markReceived(time.Now())
 		l.handle(msg)
@@ -210,19 +212,22 @@
 	return nil
 }
 
-// receive reads one binary message within timeout. It fails with fault.Invalid
-// for a text message and with fault.Unavailable otherwise.
-func receive(ctx context.Context, conn *websocket.Conn, timeout time.Duration) ([]byte, error) {
+// receive reads one binary message within timeout and decodes it. It fails with
+// fault.Invalid for a text message and with fault.Unavailable otherwise.
+func (m *Mesh) receive(ctx context.Context, conn *websocket.Conn, timeout time.Duration, decode func([]byte)) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	kind, data, err := conn.Read(ctx)
+	kind, r, err := conn.Reader(ctx)
 	if err != nil {
-		return nil, fault.Wrap(fault.Unavailable, "read from peer", err)
+		return fault.Wrap(fault.Unavailable, "read from peer", err)
 	}
 	if kind != websocket.MessageBinary {
-		return nil, fault.New(fault.Invalid, "peer sent a text message")
+		return fault.New(fault.Invalid, "peer sent a text message")
+	}
+	if err := m.cfg.Receive(ctx, r, cancel, decode); err != nil {
+		return fault.Wrap(fault.Unavailable, "read from peer", err)
 	}
-	return data, nil
+	return nil
 }
 
 // transmit writes one message within timeout. It fails with fault.Unavailable.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -27,7 +28,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/duty/requests"
 	"github.com/lentilwinch/lentilwinch/internal/duty/retention"
 	"github.com/lentilwinch/lentilwinch/internal/duty/session"
-	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/ingress"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/settings"
 	"github.com/lentilwinch/lentilwinch/internal/store"
@@ -36,6 +37,9 @@
 )
 
 const (
+	// peerMessageCost is the memory that decoding a peer's message takes, as a multiple
+	// of its size.
+	peerMessageCost   = 16
 	fleetPollInterval = 10 * time.Second
 	// placementInterval is the time between two placement decisions for gangs.
 	placementInterval = 100 * time.Millisecond
@@ -75,6 +79,9 @@
 	settings settings.Daemon
 	log      *zap.Logger
 	metrics  *metrics.Metrics
+	// ingress bounds what callers and peers can make the process use.
+	ingress       *ingress.Gate
+	ingressLimits ingress.Limits
 
 	mesh       *peer.Mesh
 	session    *session.Session
@@ -103,6 +110,8 @@
 	self := session.Self{Instance: s.InstanceID, Domain: s.FailureDomain, Address: s.AdvertiseAddress}
 	table := d.metrics.Table(platform.NewTable(d.platformSettings(s.Platform.TableAddress)))
 	st := store.New(table, store.NewWriterID(s.InstanceID))
+	d.ingressLimits = ingress.Derive(s.Limits.MemoryMB << 20)
+	d.ingress = ingress.New(d.ingressLimits, log, d.metrics.IngressRefused)
 	d.mesh = peer.New(d.peerConfig(), d.hello)
 	d.session = session.New(d.sessionConfig(), st, self)
 	d.ownership = ownership.New(d.ownershipConfig(), st, d.session, self)
@@ -139,6 +148,9 @@
 		HeartbeatInterval: p.HeartbeatMillis.Duration(),
 		ReadDeadline:      p.ReadDeadlineMillis.Duration(),
 		MaxBytes:          p.MaxMessageBytes,
+		Receive: func(ctx context.Context, r io.Reader, abort func(), decode func([]byte)) error {
+			return d.ingress.Read(ctx, ingress.Message{Remote: "a peer", Reader: r, Abort: abort, Cost: peerMessageCost}, decode)
+		},
 	}
 }
 
@@ -236,9 +248,9 @@
 // the requests in flight. It fails with fault.Unavailable when the listen
 // address can't be bound.
 func (d *Daemon) Run(ctx context.Context) error {
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", d.settings.ListenAddress)
+	listener, err := d.ingress.Listen(ctx, d.settings.ListenAddress, d.maxConns())
 	if err != nil {
-		return fault.Wrap(fault.Unavailable, "listen on "+d.settings.ListenAddress, err)
+		return err
 	}
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -23,15 +23,14 @@
 	// maxTableCalls is the number of consecutive table calls that the timeout of a
 	// caller's operation allows for, each as long as it may take. An operation that
 	// retries or scans makes more and may time out while the table is slow.
-	maxTableCalls = 3
-	// maxBodyBytesInMemory bounds the total size of callers' message bodies in
-	// memory, as counted by api.LimitBytes.
-	maxBodyBytesInMemory = 256 << 20
-	readHeaderTimeout    = 5 * time.Second
+	maxTableCalls     = 3
+	readHeaderTimeout = 5 * time.Second
 	// readTimeout bounds the time to read one request from a slow sender.
-	readTimeout    = 30 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 64 << 10
+	readTimeout = 30 * time.Second
+	idleTimeout = 60 * time.Second
+	// incomingShare is the divisor of the descriptors for incoming connections. The
+	// rest is for those to the platform, backend servers and peers.
+	incomingShare = 2
 )
 
 // httpServer returns the server for callers, operators, peers and the load
@@ -43,18 +42,19 @@
 		MaxBodyBytes: d.settings.Requests.MaxBodyBytes,
 	})
 	path, handler := server.Handler()
-	mux.Handle(path, api.LimitBytes(handler, maxBodyBytesInMemory))
+	mux.Handle(path, api.LimitBytes(handler, d.ingress, api.MaxMessageBytes(d.settings.Requests.MaxBodyBytes), d.ingressLimits.HeldBytes))
 	mux.Handle(peer.Path, d.mesh.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", d.serveReady)
 	mux.Handle("GET /metrics", d.metrics.Handler())
-	return &http.Server{
-		Handler:           mux,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	out := d.ingress.Server(mux, readHeaderTimeout)
+	out.ReadTimeout, out.IdleTimeout = readTimeout, idleTimeout
+	return out
+}
+
+// maxConns returns the limit of incoming connections.
+func (d *Daemon) maxConns() int {
+	return min(d.settings.Limits.MaxFds/incomingShare, d.ingressLimits.Conns)
 }
 
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -165,6 +165,9 @@
 		ready = 1
 	}
 	m.Ready.Update(ready)
+	held := d.ingress.Stats()
+	m.IngressBytesHeld.Update(float64(held.BytesHeld))
+	m.IngressConnections.Update(float64(held.Connections))
 	queuedJobs := 0
 	for _, s := range d.gangs.Summaries() {
 		queuedJobs += s.QueuedJobs
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -33,6 +33,8 @@
 	c.checkJobs(d.Jobs)
 	c.problems.CheckOneOf("log.level", d.Log.Level, logLevels)
 	c.checkMillis("drain.handover_timeout_ms", d.Drain.HandoverTimeoutMillis, 100, 600_000)
+	c.problems.CheckRange("limits.memory_mb", d.Limits.MemoryMB, 64, 1<<20)
+	c.problems.CheckRange("limits.max_fds", int64(d.Limits.MaxFds), 64, 1<<20)
 	c.checkCombinations(d)
 }
 
--- a/internal/settings/old_data_test.go
+++ b/internal/settings/old_data_test.go
@@ -35,6 +35,8 @@
 	Jobs:  Jobs{CheckpointTimeoutMillis: 2500, MaxAttempts: 4},
 	Log:   Log{Level: "debug"},
 	Drain: Drain{HandoverTimeoutMillis: 6000},
+	// Added later, so that the file doesn't have them.
+	Limits: Default().Limits,
 }
 
 // Settings files of earlier builds must stay readable. A renamed key would be
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,7 @@
 	Jobs             Jobs        `json:"jobs"`
 	Log              Log         `json:"log"`
 	Drain            Drain       `json:"drain"`
+	Limits           Limits      `json:"limits"`
 }
 
 // Platform holds the addresses (IP:port) of the platform's services.
@@ -127,6 +128,15 @@
 	Level string `json:"level"`
 }
 
+// Limits are those of the process's machine. The bounds of callers' bodies and
+// connections are derived from them.
+type Limits struct {
+	// MemoryMB is the memory that the process may use.
+	MemoryMB int64 `json:"memory_mb"`
+	// MaxFds is the number of descriptors that the process may open.
+	MaxFds int `json:"max_fds"`
+}
+
 // Drain configures the graceful shutdown.
 type Drain struct {
 	// HandoverTimeoutMillis bounds the handover of ownership and afterwards the
@@ -155,5 +165,7 @@
 		Jobs:  Jobs{CheckpointTimeoutMillis: 2000, MaxAttempts: 3},
 		Log:   Log{Level: "info"},
 		Drain: Drain{HandoverTimeoutMillis: 5000},
+		// The bodies of held calls may take a quarter of the memory.
+		Limits: Limits{MemoryMB: 1024, MaxFds: 8192},
 	}
 }
--- a/test/hostile/daemon_test.go
+++ b/test/hostile/daemon_test.go
@@ -64,6 +64,7 @@
 	s.Platform.TableAddress, s.Platform.ObjectsAddress = ready.Address, ready.Address
 	s.Platform.InstancesAddress, s.Platform.WorkersAddress = ready.Address, ready.Address
 	s.Ownership.Domains = []string{"north-yard"}
+	s.Limits = settings.Limits{MemoryMB: int64(daemonBounds.residentMB), MaxFds: daemonBounds.descriptors}
 	raw, err := json.Marshal(s)
 	must.NoError(t, err)
 	path := filepath.Join(dir, "settings.json")
