Lentilwinchd: keep the code for messages that are too large; test of links

Change: the code is that of connect again. test/hostile sends stalled messages over WebSocket links to a delegate.

--- a/internal/adapter/api/budget.go
+++ b/internal/adapter/api/budget.go
@@ -97,16 +97,19 @@
 
 // refuse rejects a message of which nothing was done.
 func (b *byteBudget) refuse(w http.ResponseWriter, r *http.Request, err error) {
+	out := toConnectError(err)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		err = fault.Wrap(fault.Invalid, "the message is too large", err)
+		// The code that connect uses for a message above its limit. There is no detail
+		// with a fault code, as sending the message again doesn't help.
+		out = connect.NewError(connect.CodeResourceExhausted, err)
 	case fault.Is(err, fault.Unavailable):
-		err = fault.Wrap(fault.Overloaded, "the message was not taken", err)
+		out = toConnectError(fault.Wrap(fault.Overloaded, "the message was not taken", err))
 		w.Header().Set("Retry-After", "1")
 	}
 	// The error is ignored because the caller may have disconnected.
-	_ = b.errorWriter.Write(w, r, toConnectError(err))
+	_ = b.errorWriter.Write(w, r, out)
 }
 
 // textReader reads a text and drops it at its end, because calls may wait for their
--- a/internal/adapter/api/budget_test.go
+++ b/internal/adapter/api/budget_test.go
@@ -70,12 +70,13 @@
 	}
 }
 
-func TestTooLargeMessageIsInvalid(t *testing.T) {
+// The code is that of connect for messages above its own limit.
+func TestTooLargeMessageIsRefused(t *testing.T) {
 	deps := new(fakeDeps)
 	client, _ := serveLimited(t, deps, deps, 64<<20)
 	body := make([]byte, MaxMessageBytes(testMaxBodyBytes)+framingBytes)
 	_, err := client.Request(t.Context(), connect.NewRequest(&lentilwinchv1.RequestRequest{Body: body}))
-	must.Eq(t, string(fault.Invalid), detailOf(t, err).GetCode())
+	must.Eq(t, connect.CodeResourceExhausted, connect.CodeOf(err))
 	must.SliceEmpty(t, deps.requests)
 }
 
--- a/test/hostile/main_test.go
+++ b/test/hostile/main_test.go
@@ -9,6 +9,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"net"
 	"os"
@@ -172,6 +173,9 @@
 	// chunk is the size of the chunks of a chunked body, 0 for a body with
 	// Content-Length.
 	chunk int
+	// message is set if the request opens a WebSocket, on which the body is sent as one
+	// message.
+	message bool
 	// piece is the size of the writes, 0 for the whole request at once.
 	piece int
 	// completes is set if every client sends the whole body. Otherwise all but one
@@ -185,6 +189,17 @@
 func (c *crowd) request(complete bool) []byte {
 	var out bytes.Buffer
 	out.WriteString(c.header)
+	if c.message {
+		out.WriteString("\r\n")
+		out.Write([]byte{0x82, 0xff}) // the last frame of a binary message, masked, with a length of 8 bytes
+		_ = binary.Write(&out, binary.BigEndian, uint64(len(c.body)))
+		out.Write(make([]byte, 4)) // a mask that changes nothing
+		out.Write(c.body)
+		if !complete {
+			out.Truncate(out.Len() - 1)
+		}
+		return out.Bytes()
+	}
 	if c.chunk == 0 {
 		fmt.Fprintf(&out, "Content-Length: %d\r\n\r\n", len(c.body))
 		out.Write(c.body)
--- a/test/hostile/poold_test.go
+++ b/test/hostile/poold_test.go
@@ -22,12 +22,14 @@
 	maxBodyBytes = 1 << 20
 	// The limits of the machine are lowered, so that a small crowd exceeds them. 200
 	// descriptors are reserved.
-	memoryMB     = 96
-	maxFds       = 400
-	reservedFds  = 200
-	poolClients  = 300
-	storedJobID  = "00000000000000aa"
-	ordinaryBody = `{"spec":"s","steps":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":10}]}`
+	memoryMB    = 96
+	maxFds      = 400
+	reservedFds = 200
+	poolClients = 300
+	// maxFrameBytes is the permitted size of a message of a link.
+	maxFrameBytes = 4 << 20
+	storedJobID   = "00000000000000aa"
+	ordinaryBody  = `{"spec":"s","steps":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":10}]}`
 )
 
 var poolBounds = bounds{residentMB: memoryMB, descriptors: maxFds - reservedFds}
@@ -183,6 +185,15 @@
 	})
 }
 
+// Links of owners carry messages of up to 4 MiB, each of which counts towards the memory
+// of the delegate while it arrives.
+func TestPoolWithstandsStalledMessagesOfLinks(t *testing.T) {
+	p := startPool(t)
+	upgrade := "GET /calls/v2 HTTP/1.1\r\nHost: d\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
+		"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n"
+	p.withstands(crowd{clients: poolClients, header: upgrade, body: make([]byte, maxFrameBytes), message: true}, p.control, poolBounds, p.ordinary)
+}
+
 // The largest permitted body is served under light load. Its job is too large for the
 // store, which the response says.
 func TestPoolAnswersLargestBody(t *testing.T) {
