Ingress: bound evicted connections, lower the soft memory limit

Cause: a trial with 400 clients that reconnect at once, for 6 s each with four kinds of bodies, took 93 MB of 96. The HTTP server keeps the goroutine and buffers of a connection for 500 ms after a request that it didn't read whole, and the soft limit of three quarters doesn't count the program's 20 MB.

Change: accepting waits while as many evicted connections are kept as may be open.

--- a/internal/ingress/http.go
+++ b/internal/ingress/http.go
@@ -31,7 +31,9 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Unavailable, "listen on "+address, err)
 	}
-	return &Listener{Listener: l, gate: g, maxConns: maxConns, conns: map[*Conn]struct{}{}}, nil
+	out := &Listener{Listener: l, gate: g, maxConns: maxConns, conns: map[*Conn]struct{}{}}
+	out.released.L = &out.mu
+	return out, nil
 }
 
 // Listener accepts connections. If there are too many, it closes one that makes no
@@ -43,6 +45,11 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
+	// evicted is the number of connections that were closed for new ones and that the
+	// HTTP server hasn't given up yet. It keeps their buffers for 500 ms after a
+	// response to a request that wasn't read whole.
+	evicted  int
+	released sync.Cond // signalled when evicted falls
 }
 
 // Accept implements net.Listener.
@@ -56,7 +63,7 @@
 		victim, ok := l.admit(c)
 		if victim != nil {
 			l.gate.refuse(ReasonConnections, victim.RemoteAddr().String(), 0)
-			_ = victim.Close() // it is of no use to anyone, whatever the result
+			_ = victim.Conn.Close() // the HTTP server calls victim.Close
 		}
 		if ok {
 			return c, nil
@@ -70,6 +77,11 @@
 func (l *Listener) admit(c *Conn) (victim *Conn, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	// Clients that open connections faster than the server gives them up must not make
+	// it keep ever more of them.
+	for l.evicted >= l.maxConns {
+		l.released.Wait()
+	}
 	if len(l.conns) >= l.maxConns {
 		open, infos := make([]*Conn, 0, len(l.conns)), make([]connInfo, 0, len(l.conns))
 		for o := range l.conns {
@@ -81,6 +93,8 @@
 		}
 		victim = open[i]
 		l.forget(victim)
+		victim.isEvicted = true
+		l.evicted++
 	}
 	l.conns[c] = struct{}{}
 	l.gate.conns.Add(1)
@@ -101,6 +115,8 @@
 	listener *Listener
 	state    connState // guarded by listener.mu, as is since
 	since    time.Duration
+	// isEvicted is set from its eviction to Close; guarded by listener.mu.
+	isEvicted bool
 
 	mu      sync.Mutex
 	aborted bool // reads fail at once
@@ -110,6 +126,11 @@
 func (c *Conn) Close() error {
 	c.listener.mu.Lock()
 	c.listener.forget(c)
+	if c.isEvicted {
+		c.isEvicted = false
+		c.listener.evicted--
+		c.listener.released.Signal()
+	}
 	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/ingress/http_test.go
+++ b/internal/ingress/http_test.go
@@ -27,6 +27,7 @@
 	*Gate
 	t       *testing.T
 	address string
+	accepts *Listener
 	mu      sync.Mutex
 	refused map[Reason]int
 	// deadline bounds the receiving of a body.
@@ -44,7 +45,7 @@
 	})
 	l, err := s.Listen(t.Context(), "127.0.0.1:0", maxConns)
 	must.NoError(t, err)
-	s.address = l.Addr().String()
+	s.address, s.accepts = l.Addr().String(), l
 	server := s.Server(http.HandlerFunc(s.serve), waitTimeout)
 	go func() { _ = server.Serve(l) }() // returns ErrServerClosed
 	t.Cleanup(func() { _ = server.Close() })
@@ -191,6 +192,27 @@
 	must.GreaterEq(t, 4*limit, s.refused[ReasonConnections])
 }
 
+// The HTTP server keeps a connection for 500 ms after a request that it didn't read
+// whole. Clients that reconnect at once must not make it keep ever more of them.
+func TestEvictedConnectionsAreLimited(t *testing.T) {
+	const limit = 4
+	s := newSite(t, Derive(64<<20), limit)
+	for range 5 * limit {
+		_, r := s.dial(post("/none", 2*maxBody, "xxx"))
+		status, _ := s.response(r)
+		must.EqOp(t, http.StatusNotFound, status)
+		s.accepts.mu.Lock()
+		evicted := s.accepts.evicted
+		s.accepts.mu.Unlock()
+		must.LessEq(t, limit, evicted)
+	}
+	s.eventually("closed connections", func() bool {
+		s.accepts.mu.Lock()
+		defer s.accepts.mu.Unlock()
+		return s.accepts.evicted == 0
+	})
+}
+
 func TestTooManyHeaderLinesAreRefused(t *testing.T) {
 	s := newSite(t, Derive(64<<20), 10)
 	_, r := s.dial("POST /read HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n" + strings.Repeat("a: b\r\n", maxHeaderLines) + "\r\n")
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -53,4 +53,5 @@
 }
 
 // MemoryLimit returns the soft limit from which the garbage collector runs more often.
-func MemoryLimit(memoryBytes int64) int64 { return memoryBytes / 4 * 3 }
+// It doesn't count the program itself, some 20 MB, and the receive buffers.
+func MemoryLimit(memoryBytes int64) int64 { return memoryBytes / 8 * 5 }
