Ingress: links and decoded bodies have their own part of the memory

Cause: found by reading. Messages of links waited behind callers' bodies, and a link is replaced after 0.65 s of silence. A decoded job kept the memory that only its decoding takes while a slow store was written, so that a burst of ordinary jobs might have been refused. A body that was aborted in the moment it became complete was counted as aborted and yet processed.

Change: an eighth of the processing memory is for links; a decoded job keeps a quarter of its estimate; a body that was aborted at its end is refused. Tests of each, and a hostile test of the largest body sent in pieces over 2 s.

Tests of platform, its stand-ins, adapters, daemon, settings, work, intake, cli and cmd pass; go vet ./... and gofmt are clean.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -33,8 +33,10 @@
 	first    []byte
 	rest     []*[blockBytes]byte
 	size     int64
-	release  func() // returns the processing memory
 	isClosed bool
+	// memory is the processing memory from which cost bytes are taken.
+	memory *sharedMemory
+	cost   int64
 }
 
 // Size returns the number of bytes received.
@@ -69,6 +71,10 @@
 	if b.size <= smallBodyBytes && cost <= b.gate.small.size {
 		memory = b.gate.small
 	}
+	return b.text(ctx, memory, cost)
+}
+
+func (b *Body) text(ctx context.Context, memory *sharedMemory, cost int64) ([]byte, error) {
 	cost = min(cost, memory.size)
 	if err := memory.Acquire(ctx, cost); err != nil {
 		if !errors.Is(err, context.Canceled) { // the caller is gone
@@ -76,17 +82,27 @@
 		}
 		return nil, errExhausted
 	}
-	b.release = sync.OnceFunc(func() { memory.Release(cost) })
+	b.memory, b.cost = memory, cost
 	text := make([]byte, 0, b.size)
 	b.each(func(part []byte) { text = append(text, part...) })
 	b.free()
 	return text, nil
 }
 
-// Processed returns the memory that Text took. The content then counts elsewhere.
-func (b *Body) Processed() {
-	if b.release != nil {
-		b.release()
+// decodedShare is the divisor of the processing memory that a decoded body keeps: the
+// result is smaller than the text, the buffers and the garbage of decoding together.
+const decodedShare = 4
+
+// Decoded returns the memory that only decoding took.
+func (b *Body) Decoded() { b.keep(b.cost / decodedShare) }
+
+// Processed returns all memory that Text took. The content then counts elsewhere.
+func (b *Body) Processed() { b.keep(0) }
+
+func (b *Body) keep(cost int64) {
+	if b.memory != nil && cost < b.cost {
+		b.memory.Release(b.cost - cost)
+		b.cost = cost
 	}
 }
 
@@ -119,7 +135,9 @@
 		n, err := r.Read(into)
 		b.size += int64(n)
 		if errors.Is(err, io.EOF) {
-			b.gate.complete(b)
+			if !b.gate.complete(b) {
+				return errExhausted
+			}
 			return nil
 		}
 		if err != nil {
@@ -182,7 +200,7 @@
 	if err := b.receive(m.Reader); err != nil {
 		return b.failure(err)
 	}
-	text, err := b.Text(ctx, m.Cost*b.size)
+	text, err := b.text(ctx, b.gate.links, m.Cost*b.size)
 	if err != nil {
 		return err
 	}
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -22,9 +22,11 @@
 	// refusalRetryAfter is the time after which a refused caller may retry. The
 	// budget is free again as soon as the oldest bodies have been aborted.
 	refusalRetryAfter = time.Second
-	// smallProcessingShare is the part of the processing memory reserved for small
-	// bodies, so that they don't wait for large ones.
+	// Parts of the processing memory reserved for small bodies, so that they don't wait
+	// for large ones, and for messages of links, so that they don't wait for callers: a
+	// link is replaced after 0.65 s without a message.
 	smallProcessingShare = 4
+	linkProcessingShare  = 8
 )
 
 // Gate bounds the bodies and connections of a process. All its listeners share one.
@@ -35,6 +37,7 @@
 	startedAt  time.Time
 	processing *sharedMemory // for large bodies
 	small      *sharedMemory // for small bodies
+	links      *sharedMemory // for messages of links
 	onRefusal  func(Reason)
 	conns      atomic.Int64
 
@@ -48,10 +51,11 @@
 	sample := func(core zapcore.Core) zapcore.Core {
 		return zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, 0)
 	}
-	small := limits.ProcessingBytes / smallProcessingShare
+	small, links := limits.ProcessingBytes/smallProcessingShare, limits.ProcessingBytes/linkProcessingShare
 	return &Gate{
 		limits: limits, log: log.WithOptions(zap.WrapCore(sample)), startedAt: time.Now(), onRefusal: onRefusal,
-		processing: newSharedMemory(limits.ProcessingBytes - small), small: newSharedMemory(small),
+		processing: newSharedMemory(limits.ProcessingBytes - small - links),
+		small:      newSharedMemory(small), links: newSharedMemory(links),
 		ledger: newLedger(limits.ReceivingBytes), bodies: map[*entry]*Body{},
 	}
 }
@@ -110,10 +114,13 @@
 	return errExhausted
 }
 
-func (g *Gate) complete(b *Body) {
+// complete marks a body as received. It reports false if the body was aborted just
+// before, since its bytes are then others'.
+func (g *Gate) complete(b *Body) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ledger.complete(b.entry)
+	return !b.entry.gone
 }
 
 func (g *Gate) close(b *Body) {
--- a/internal/ingress/http_test.go
+++ b/internal/ingress/http_test.go
@@ -243,6 +243,57 @@
 	second.Close()
 }
 
+// A body whose bytes were given to others just before its end must be refused, as its
+// abort was counted and its connection can't be read any more.
+func TestBodyAbortedAtItsEndIsRefused(t *testing.T) {
+	s := newSite(t, Limits{ReceivingBytes: maxBody, ProcessingBytes: 400, Conns: 10}, 10)
+	b, other := s.open("test", func() {}), s.open("test", func() {})
+	defer b.Close()
+	defer other.Close()
+	err := b.receive(readerFunc(func([]byte) (int, error) {
+		must.NoError(t, s.reserve(other, maxBody))
+		return 0, io.EOF
+	}))
+	must.True(t, fault.Is(err, fault.Unavailable))
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(into []byte) (int, error) { return f(into) }
+
+// A store that is slow keeps decoded bodies in memory for as long as their callers wait.
+// They must not hold what only decoding needs.
+func TestDecodedBodyKeepsPartOfItsMemory(t *testing.T) {
+	s := newSite(t, Limits{ReceivingBytes: maxBody, ProcessingBytes: 400, Conns: 10}, 10)
+	var open []*Body
+	for range decodedShare {
+		b := s.open("test", func() {})
+		must.NoError(t, b.receive(strings.NewReader("xxx")))
+		ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+		_, err := b.Text(ctx, 40)
+		cancel()
+		must.NoError(t, err)
+		b.Decoded()
+		open = append(open, b)
+	}
+	for _, b := range open {
+		b.Close()
+	}
+	must.True(t, s.small.TryAcquire(s.small.size), must.Sprint("all memory is returned"))
+}
+
+// Links must not wait for callers whose bodies take all of their memory.
+func TestMessagesOfLinksDoNotWaitForBodies(t *testing.T) {
+	s := newSite(t, Limits{ReceivingBytes: maxBody, ProcessingBytes: 400, Conns: 10}, 10)
+	must.True(t, s.small.TryAcquire(s.small.size))
+	must.True(t, s.processing.TryAcquire(s.processing.size))
+	got := ""
+	message := Message{Remote: "peer", Reader: strings.NewReader("xxx"), Abort: func() {}, Cost: 16}
+	must.NoError(t, s.Read(t.Context(), message, func(text []byte) { got = string(text) }))
+	must.EqOp(t, "xxx", got)
+	must.True(t, s.links.TryAcquire(s.links.size), must.Sprint("all memory is returned"))
+}
+
 // A link's message counts towards the budget of all bodies.
 func TestMessageOfLinkIsAbortedForOthers(t *testing.T) {
 	s := newSite(t, Limits{ReceivingBytes: maxBody, ProcessingBytes: 4 * maxBody, Conns: 10}, 10)
--- a/test/hostile/poold_test.go
+++ b/test/hostile/poold_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -206,3 +207,36 @@
 	}
 	must.LessEq(t, memoryMB, p.peakMB())
 }
+
+// slowReader returns the text in pieces with a pause after each.
+type slowReader struct {
+	text  string
+	piece int
+	pause time.Duration
+}
+
+func (s *slowReader) Read(into []byte) (int, error) {
+	if s.text == "" {
+		return 0, io.EOF
+	}
+	time.Sleep(s.pause)
+	n := copy(into, s.text[:min(len(s.text), s.piece)])
+	s.text = s.text[n:]
+	return n, nil
+}
+
+// A caller on a slow link takes most of its deadline to send the largest body.
+func TestPoolAnswersLargestBodySentSlowly(t *testing.T) {
+	p := startPool(t)
+	const pieces = 20
+	body := &slowReader{string(jobOfSize(maxBodyBytes)), maxBodyBytes / pieces, 100 * time.Millisecond}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+p.front+"/q/00000000000000bb", body)
+	must.NoError(t, err)
+	req.Host, req.ContentLength = "h.example", maxBodyBytes
+	req.Header.Set("X-Api-Key", standin.Key)
+	req.Header.Set("Deadline-Ms", "30000") // more than the 3 s of callers, as the machine may be busy
+	resp, err := (&http.Client{Timeout: waitTimeout}).Do(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	must.EqOp(t, http.StatusBadRequest, resp.StatusCode, must.Sprint("the job is too large for the store, not the body"))
+}
