--- a/internal/adapter/metrics/pool_test.go
+++ b/internal/adapter/metrics/pool_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/ingress"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 )
 
@@ -32,6 +33,7 @@
 	calls.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("BREW", "/", nil))
 	_, err := p.RowStore(fake.NewRows()).Commit(context.Background(), port.RowTxn{})
 	must.NoError(t, err)
+	p.IngressRefused(ingress.ReasonBudget)
 	p.EventLogged("preempted")
 	p.JobStarted(0, 20*time.Millisecond)
 	p.JobEnded(0, "completed", time.Second)
@@ -46,6 +48,7 @@
 		`lentilwinch_call_seconds_count{method="POST",status="503"} 1`,
 		`lentilwinch_call_seconds_count{method="other",status="503"} 1`,
 		`lentilwinch_store_call_seconds_count{call="commit",result="ok"} 1`,
+		`lentilwinch_ingress_refused{reason="budget"} 1`,
 		`lentilwinch_pool_events{event="preempted"} 1`,
 		`lentilwinch_job_wait_seconds_count{priority="0"} 1`,
 		`lentilwinch_job_seconds_count{priority="0",state="completed"} 1`,
