Speed: gang members aren't blamed for a slow one that has gone

A gang's observation lost a member that restarted, or that had eight newer runs. An observation now keeps all its workers; one that has restarted explains the duration as it was known then.

--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -74,9 +74,12 @@
 
 // observation is an Observation as it is kept.
 type observation struct {
-	run     Run
-	step    work.StepID
+	run  Run
+	step work.StepID
+	// workers are those that ran it. One that has restarted since explains its duration as
+	// it was then.
 	workers []*worker
+	holders int     // workers that still have it in recent
 	log     float64 // logarithm of the observed factor
 	at      time.Duration
 }
@@ -130,7 +133,7 @@
 	e.byRun[o.Run] = obs
 	for _, id := range o.Workers {
 		w := e.worker(id)
-		obs.workers = append(obs.workers, w)
+		obs.workers, obs.holders = append(obs.workers, w), obs.holders+1
 		w.recent = append(w.recent, obs)
 		if len(w.recent) > maxPerWorker {
 			e.drop(w, w.recent[0])
@@ -147,11 +150,13 @@
 	return w
 }
 
-// drop removes an observation from one worker, and altogether once no worker has it.
+// drop removes an observation from the recent ones of a worker, and altogether once no
+// worker has it.
 func (e *Estimator) drop(w *worker, obs *observation) {
+	before := len(w.recent)
 	w.recent = slices.DeleteFunc(w.recent, func(o *observation) bool { return o == obs })
-	obs.workers = slices.DeleteFunc(obs.workers, func(other *worker) bool { return other == w })
-	if len(obs.workers) == 0 {
+	obs.holders -= before - len(w.recent)
+	if obs.holders == 0 {
 		delete(e.byRun, obs.run)
 	}
 }
@@ -234,8 +239,8 @@
 func (e *Estimator) dropOld(now time.Duration) {
 	for _, obs := range e.byRun {
 		if now-obs.at > maxAge {
-			for len(obs.workers) > 0 {
-				e.drop(obs.workers[0], obs)
+			for _, w := range obs.workers {
+				e.drop(w, obs)
 			}
 		}
 	}
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -162,3 +162,31 @@
 	must.Between(t, p.e.Factor("w00")-0.02, next.Factor("w00"), p.e.Factor("w00")+0.02)
 	must.Eq(t, 1, next.Factor("w02"))
 }
+
+// Guards against members of past gangs that are blamed for a slow one once that has
+// restarted, or has newer runs.
+func TestMembersArentBlamedForFormerSlowOne(t *testing.T) {
+	for _, restarted := range []bool{true, false} {
+		p := newPool(1, 0.7, 0.7, 1.7)
+		for step := range 60 {
+			p.runStep(0.2, p.worker(step), p.worker(step+1), p.worker(step+2), p.worker(step+3))
+		}
+		p.finish()
+		must.Less(t, 0.85, p.e.Factor("w00"))
+		for range maxPerWorker {
+			p.steps++
+			p.e.Observe(p.now, Observation{Run: Run{work.TaskID{Job: fmt.Sprint(p.steps)}, 1}, Workers: []string{"w00", "w02"}, Factor: 1.7})
+		}
+		p.finish()
+		if restarted {
+			p.e.Forget("w02")
+		} else {
+			for range maxPerWorker {
+				p.runStep(0, "w02")
+			}
+		}
+		p.e.Observe(p.now, Observation{Run: Run{work.TaskID{Job: "new"}, 1}, Workers: []string{"w01"}, Factor: 0.7})
+		p.finish()
+		must.Less(t, 1.2, p.e.Factor("w00"), must.Sprintf("restarted %v", restarted))
+	}
+}
