Speed: stored factors outlast the first observation of a new owner

The spread of the factors wasn't stored. A new owner took the pool for an even one until it had seen runs on eight workers, so its first update drew the stored factors to 1 (0.7 became 0.96 in the test) and its next write replaced the row by them. The row now holds the spread too; rows without it are read as before.

--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -190,3 +190,28 @@
 		must.Less(t, 1.2, p.e.Factor("w00"), must.Sprintf("restarted %v", restarted))
 	}
 }
+
+// Guards against a new owner that loses the stored factors with its first observation,
+// because it takes the pool for an even one until it has seen runs on many workers.
+func TestStoredFactorsOutlastTheFirstObservation(t *testing.T) {
+	p := newPool(1, 0.7, 0.7, 1.7)
+	for step := range 60 {
+		p.runStep(0.2, p.worker(step), p.worker(step+1), p.worker(step+2), p.worker(step+3))
+	}
+	p.finish()
+	var workers []Identity
+	for i := range 48 {
+		workers = append(workers, Identity{p.worker(i), 7})
+	}
+	next := New()
+	restorer := NewRestorer(p.e.Store(workers))
+	for _, id := range workers {
+		restorer.Restore(next, id)
+	}
+	next.Observe(p.now, Observation{Run: Run{work.TaskID{Job: "new"}, 1}, Workers: []string{"w03"}, Factor: p.factors["w03"]})
+	must.True(t, next.Update(p.now))
+	must.Less(t, 0.85, next.Factor("w00"))
+	must.Less(t, 1.3, next.UpperFactor("w00"))
+	must.Greater(t, 1.3, next.Factor("w02"))
+	must.Greater(t, 1.6, next.UpperFactor("unknown"))
+}
--- a/internal/speed/stored.go
+++ b/internal/speed/stored.go
@@ -24,6 +24,8 @@
 	Workers []uint32 `cbor:"1,keyasint,omitempty"`
 	// Factors holds the logarithms of the factors, in the order of Workers.
 	Factors []byte `cbor:"2,keyasint,omitempty"`
+	// Spread is the variance of the factors' logarithms.
+	Spread float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Identity is a worker with its current incarnation, 0 if it isn't known.
@@ -46,7 +48,7 @@
 
 // Store returns the factors of the given workers that differ from 1.
 func (e *Estimator) Store(workers []Identity) Stored {
-	var out Stored
+	out := Stored{Spread: e.spread}
 	for _, id := range workers {
 		w := e.workers[id.ID]
 		if w == nil || id.Incarnation == 0 || math.Abs(w.log) < minStored {
@@ -76,11 +78,17 @@
 
 // Restorer gives the stored factors back to the workers as their incarnations become
 // known.
-type Restorer struct{ factors map[uint32]float64 }
+type Restorer struct {
+	factors map[uint32]float64
+	spread  float64
+}
 
 // NewRestorer returns a restorer of the stored factors.
 func NewRestorer(s Stored) *Restorer {
 	r := &Restorer{factors: make(map[uint32]float64, len(s.Workers))}
+	if s.Spread > 0 { // not NaN either
+		r.spread = min(s.Spread, maxSpread)
+	}
 	for i, h := range s.Workers {
 		if i < len(s.Factors) {
 			r.factors[h] = float64(int8(s.Factors[i])) * storedUnit
@@ -96,6 +104,9 @@
 		return
 	}
 	if factor, ok := r.factors[id.hash()]; ok {
+		// In a pool that is taken for even, the restored factors would be drawn to 1 with the
+		// next update. The spread is learned anew from runs on enough workers.
+		e.spread = max(e.spread, r.spread)
 		w := e.worker(id.ID)
 		w.prior, w.priorWeight, w.log = factor, storedWeight, factor
 	}
