Speed: a factor near 1 is no reason to store the factors again

Two lists of stored workers differed as soon as one factor crossed the bound from which factors are stored, which noise does in a large even pool. All instances read each such write. Workers that aren't stored now count as of factor 1, so only a change of about a tenth causes a write.

--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -215,3 +215,22 @@
 	must.Greater(t, 1.3, next.Factor("w02"))
 	must.Greater(t, 1.6, next.UpperFactor("unknown"))
 }
+
+// Guards against a write every few seconds because a factor near 1 is stored at one time
+// and left out at the next.
+func TestFactorNearOneIsNoReasonToStore(t *testing.T) {
+	e := New()
+	worker := Identity{"w00", 7}
+	e.worker("w00").log = minStored * 1.1
+	with := e.Store([]Identity{worker})
+	e.worker("w00").log = minStored * 0.9
+	without := e.Store([]Identity{worker})
+	must.Len(t, 1, with.Workers)
+	must.Len(t, 0, without.Workers)
+	must.False(t, with.DiffersFrom(&without))
+	must.False(t, without.DiffersFrom(&with))
+	e.worker("w00").log = 0.3
+	slow := e.Store([]Identity{worker})
+	must.True(t, slow.DiffersFrom(&without))
+	must.True(t, without.DiffersFrom(&slow))
+}
--- a/internal/speed/stored.go
+++ b/internal/speed/stored.go
@@ -3,7 +3,6 @@
 import (
 	"hash/fnv"
 	"math"
-	"slices"
 )
 
 const (
@@ -63,13 +62,18 @@
 // minStoredChange is the change of a stored factor that is worth a write, about a tenth.
 const minStoredChange = 6
 
-// DiffersFrom reports whether other workers are stored, or noticeably other factors.
+// DiffersFrom reports whether noticeably other factors are stored. A worker that isn't
+// stored has the factor 1.
 func (s *Stored) DiffersFrom(o *Stored) bool {
-	if !slices.Equal(s.Workers, o.Workers) {
-		return true
+	changes := make(map[uint32]int, len(s.Workers))
+	for i, h := range s.Workers {
+		changes[h] += int(int8(s.Factors[i]))
+	}
+	for i, h := range o.Workers {
+		changes[h] -= int(int8(o.Factors[i]))
 	}
-	for i := range s.Factors {
-		if d := int(int8(s.Factors[i])) - int(int8(o.Factors[i])); d > minStoredChange || d < -minStoredChange {
+	for _, d := range changes {
+		if d > minStoredChange || d < -minStoredChange {
 			return true
 		}
 	}
