Planner: lost answers and reports tell nothing of a worker's speed

A run whose first report told of 50% progress, because the answer to its start was lost, counted as started at that report: a worker of nominal speed was taken for 0.52. Its start is now estimated from the progress, as that of an adopted run is, which also corrects its remaining time. A result that arrived after 5 s of silence, as after a suspension of the owner, counted as the time of the run's end: 1.62 instead of 1. A report that follows more than 1.2 s on the previous one is no observation now. Both tests failed before.

--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -14,6 +14,10 @@
 	// its workers' speed. Progress is reported in whole percents.
 	minObservedTime     = 500 * time.Millisecond
 	minObservedPercents = 10
+	// maxReportGap is the time since a worker's previous report above which a report tells
+	// nothing of its speed: reports were lost, or this process was suspended, and the
+	// progress is older than its arrival. Workers answer holds at least every second.
+	maxReportGap = 1200 * time.Millisecond
 	// completionOverhead is the time from the decision to start a unit to the moment at which
 	// callers see its completion, in addition to its run time: the record, the start, the
 	// result, the record again and the replica's delay.
@@ -33,7 +37,10 @@
 	if u == nil || u.phase != unitActive || u.spec().LongLived || u.spec().BestEffort || r.phase != runRunning || len(u.runs) == 0 {
 		return
 	}
-	if r.observedAt == 0 { // the run has continued from a checkpoint, or was adopted
+	if now-r.worker.reportedAt > maxReportGap {
+		return
+	}
+	if r.observedAt == 0 { // the run has continued from a checkpoint, or its start is estimated
 		if r.basePercent == 0 && r.startedAt == r.confirmedAt {
 			r.observedAt, r.observedPercent = r.startedAt, 0
 		} else {
--- a/internal/planner/speed_test.go
+++ b/internal/planner/speed_test.go
@@ -160,3 +160,56 @@
 	h.p.WorkerRestarted(h.now, "w02")
 	must.Eq(t, 1, h.p.SpeedFactor("w02"))
 }
+
+// startLong starts a run that takes its estimate of 4 s on a worker of nominal speed.
+func (h *harness) startLong(id string) (work.TaskID, Order) {
+	h.add(h.job(id, 1, step(1, 8, 4)))
+	for _, o := range h.p.Plan(h.now) {
+		if o.Task.Job == id {
+			h.runs[o.Task] = o
+			return o.Task, o
+		}
+	}
+	h.t.Fatal("not started")
+	return work.TaskID{}, Order{}
+}
+
+// Guards against a worker that is taken for a fast one because the answer to its start was
+// lost and its first report tells of much progress.
+func TestLateFirstReportTellsNoSpeed(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	for k := range 8 {
+		task, o := h.startLong(fmt.Sprint("job", k))
+		h.now += 2 * time.Second
+		h.report(o.Worker, port.RunState{Task: task, Run: o.Run, ProgressPercent: 50})
+		h.now += time.Second
+		h.report(o.Worker, port.RunState{Task: task, Run: o.Run, ProgressPercent: 75})
+		h.now += time.Second
+		h.endRun(task, port.ResultSucceeded)
+		h.p.Plan(h.now)
+	}
+	h.now += time.Second
+	h.p.Plan(h.now)
+	must.Between(t, 0.9, h.p.SpeedFactor("w00"), 1.1)
+}
+
+// Guards against a worker that is taken for a slow one because its reports didn't arrive
+// while this process was suspended or the link to the worker was cut: its run ended long
+// before the result arrived.
+func TestSilenceTellsNoSpeed(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	for k := range 8 {
+		task, o := h.startLong(fmt.Sprint("job", k))
+		h.p.StartAnswered(h.now, o.Worker, o.Task, o.Run, port.NotRejected)
+		for percent := 25; percent <= 50; percent += 25 {
+			h.now += time.Second
+			h.report(o.Worker, port.RunState{Task: task, Run: o.Run, ProgressPercent: percent})
+		}
+		h.now += 5 * time.Second
+		h.endRun(task, port.ResultSucceeded)
+		h.p.Plan(h.now)
+	}
+	h.now += time.Second
+	h.p.Plan(h.now)
+	must.Between(t, 0.9, h.p.SpeedFactor("w00"), 1.1)
+}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -154,7 +154,8 @@
 	phase  runPhase
 	// confirmedAt is the time at which the worker confirmed or first reported the
 	// run. startedAt is the same, except that it is estimated from the progress of
-	// an adopted run. Before the confirmation both are the time of the order.
+	// an adopted run and of one whose first report tells of some. Before the
+	// confirmation both are the time of the order.
 	startedAt       time.Duration
 	confirmedAt     time.Duration
 	resent          bool // a copy of the start got no answer
@@ -223,6 +224,7 @@
 	// evacuated is set while the worker's failure domain is evacuated.
 	evacuated   bool
 	coldUntil   time.Duration // the worker is slow until then, after a restart
+	reportedAt  time.Duration // when its last report was handled
 	incarnation int           // counts the observed restarts
 	// longLeaseUntil is the time until which its lease may exceed what this owner asked
 	// for, as another incarnation or owner was the one that asked.
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -236,6 +236,7 @@
 		}
 	}
 	p.handleReportedRuns(now, sentAt, w, &reply)
+	w.reportedAt = now
 	p.recovery.learned(id, "reported")
 	p.recovery.contacted(id)
 	return newResults
@@ -294,6 +295,9 @@
 	r.reported = true
 	if r.phase == runStarting {
 		r.phase, r.startedAt, r.confirmedAt = runRunning, now, now
+		if gained := s.ProgressPercent - r.basePercent; gained > 0 { // the answer to its start was lost
+			r.startedAt -= scaled(r.unit.spec().Estimate, r.timeFactor()) * time.Duration(gained) / 100
+		}
 		p.markStarted(r.unit.job, now)
 	}
 	if s.ProgressPercent > r.percent {
