Metrics: gauge of the spread of the learned speeds

The design note names lentilwinch_pool_speed_spread, which nothing reported. The owner reports it every second with the lengths of its queues.

--- a/internal/adapter/metrics/pool.go
+++ b/internal/adapter/metrics/pool.go
@@ -150,6 +150,11 @@
 	scope.Gauge("jobs_running").Update(float64(running))
 }
 
+// ReportSpeedSpread implements pool.Observer.
+func (p *Pool) ReportSpeedSpread(pool string, spread float64) {
+	withTags(p.scope, "pool", pool).Gauge("pool_speed_spread").Update(spread)
+}
+
 // SubmissionRefused implements intake.Observer.
 func (p *Pool) SubmissionRefused(priority int, reason string) {
 	withTags(p.scope, "priority", strconv.Itoa(priority), "reason", reason).Counter("submissions_refused").Inc(1)
--- a/internal/adapter/metrics/pool_test.go
+++ b/internal/adapter/metrics/pool_test.go
@@ -40,6 +40,7 @@
 	p.LeaseMargin(-time.Second)
 	p.TakeoverFinished(time.Second)
 	p.ReportOwnership("triage", true, 3, 4)
+	p.ReportSpeedSpread("triage", 0.25)
 	p.SubmissionRefused(1, "accelerators")
 	p.ReportForecast("triage", 1, 90*time.Second)
 	p.ReportForecastAge("triage", 500*time.Millisecond)
@@ -57,6 +58,7 @@
 		`lentilwinch_lease_margin_seconds_count 1`,
 		`lentilwinch_takeover_seconds_count 1`,
 		`lentilwinch_jobs_waiting{pool="triage"} 3`,
+		`lentilwinch_pool_speed_spread{pool="triage"} 0.25`,
 		`lentilwinch_submissions_refused{priority="1",reason="accelerators"} 1`,
 		`lentilwinch_forecast_wait_seconds{pool="triage",priority="1"} 90`,
 		`lentilwinch_forecast_age_seconds{pool="triage"} 0.5`,
--- a/internal/duty/pool/observer.go
+++ b/internal/duty/pool/observer.go
@@ -26,6 +26,10 @@
 	// of waiting and running jobs. An owner calls it every second, and with zeros
 	// when it ends.
 	ReportOwnership(pool string, owns bool, waiting, running int)
+	// ReportSpeedSpread records how much the learned speeds of a pool's workers differ, as
+	// the standard deviation of the logarithms of their time factors. An owner calls it
+	// every second, and with zero when it ends.
+	ReportSpeedSpread(pool string, spread float64)
 }
 
 // NoObserver discards all events.
@@ -54,3 +58,6 @@
 
 // ReportOwnership implements Observer.
 func (NoObserver) ReportOwnership(string, bool, int, int) {}
+
+// ReportSpeedSpread implements Observer.
+func (NoObserver) ReportSpeedSpread(string, float64) {}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -247,6 +247,7 @@
 	report := time.NewTicker(queueReportInterval)
 	defer report.Stop()
 	defer o.deps.Observer.ReportOwnership(o.pool, false, 0, 0)
+	defer o.deps.Observer.ReportSpeedSpread(o.pool, 0)
 	o.lastActiveAt = o.now()
 	for {
 		select {
@@ -257,8 +258,7 @@
 		case <-tick.C:
 		case <-o.nextPlan.C:
 		case <-report.C:
-			waiting, running := o.planner.Counts()
-			o.deps.Observer.ReportOwnership(o.pool, true, waiting, running)
+			o.reportMetrics()
 			o.planner.ReportWaiting(o.now())
 			o.recordLeases(o.now())
 			o.storeSpeeds(ctx, o.now())
@@ -275,6 +275,12 @@
 	}
 }
 
+func (o *Owner) reportMetrics() {
+	waiting, running := o.planner.Counts()
+	o.deps.Observer.ReportOwnership(o.pool, true, waiting, running)
+	o.deps.Observer.ReportSpeedSpread(o.pool, o.planner.SpeedSpread())
+}
+
 // applyQueued applies the queued events, so that one plan covers them all.
 func (o *Owner) applyQueued(ctx context.Context) {
 	for range eventQueueSize {
