Pool: no speed is stored for an incarnation that isn't applied yet

A session knows a worker's new incarnation before the owner's loop has applied the restart and the planner has forgotten the speed. A write in between stored the speed of the previous incarnation under the new one, and the next owner would have placed by it. The test failed before.

--- a/internal/duty/pool/speeds.go
+++ b/internal/duty/pool/speeds.go
@@ -33,12 +33,34 @@
 // restoreSpeed takes over what the previous owner learned of a worker, once its
 // incarnation is known.
 func (o *Owner) restoreSpeed(s *session) {
-	if incarnation, _ := s.identity(); incarnation != 0 && !s.speedRestored {
+	if incarnation := s.identityApplied(); incarnation != 0 && !s.speedRestored {
 		s.speedRestored = true
 		o.planner.RestoreSpeed(o.speeds.restorer, speed.Identity{ID: s.target.ID, Incarnation: incarnation})
 	}
 }
 
+// identityApplied returns the worker's incarnation, 0 if it isn't known or the owner's loop
+// hasn't applied the restart that began it: what the planner knows is of the previous one.
+func (s *session) identityApplied() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.incarnation != s.appliedIncarnation {
+		return 0
+	}
+	return s.incarnationID
+}
+
+// speedIdentities returns the workers whose speeds may be stored, sorted by ID.
+func (o *Owner) speedIdentities() []speed.Identity {
+	var workers []speed.Identity
+	for _, id := range slices.Sorted(maps.Keys(o.sessions)) {
+		if incarnation := o.sessions[id].identityApplied(); incarnation != 0 {
+			workers = append(workers, speed.Identity{ID: id, Incarnation: incarnation})
+		}
+	}
+	return workers
+}
+
 // storeSpeeds stores the learned speeds if they have changed noticeably. A write that fails
 // is replaced by the next one.
 func (o *Owner) storeSpeeds(ctx context.Context, now time.Duration) {
@@ -47,12 +69,7 @@
 		return
 	}
 	k.nextAt = now + speedStoreInterval
-	var workers []speed.Identity
-	for _, id := range slices.Sorted(maps.Keys(o.sessions)) {
-		incarnation, _ := o.sessions[id].identity()
-		workers = append(workers, speed.Identity{ID: id, Incarnation: incarnation})
-	}
-	stored := o.planner.StoredSpeeds(workers)
+	stored := o.planner.StoredSpeeds(o.speedIdentities())
 	if !k.failed.Load() && !stored.DiffersFrom(&k.stored) {
 		return
 	}
--- a/internal/duty/pool/speeds_test.go
+++ b/internal/duty/pool/speeds_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lentilwinch/lentilwinch/internal/planner"
+	"github.com/lentilwinch/lentilwinch/internal/speed"
 )
 
 type spreadObserver struct {
@@ -27,3 +28,17 @@
 		must.Greater(t, 0, observer.spread)
 	})
 }
+
+// Guards against the speed of a previous incarnation that is stored for the one that has
+// just answered, before the owner's loop has applied the restart.
+func TestSpeedIsntStoredForAnIncarnationNotYetApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, s := ownerOfOneWorker()
+		s.incarnationID = 7
+		must.Eq(t, []speed.Identity{{ID: s.target.ID, Incarnation: 7}}, o.speedIdentities())
+		s.incarnationID, s.incarnation = 8, 1
+		must.Len(t, 0, o.speedIdentities())
+		s.appliedIncarnation = 1
+		must.Eq(t, []speed.Identity{{ID: s.target.ID, Incarnation: 8}}, o.speedIdentities())
+	})
+}
