--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -162,3 +162,75 @@
 	must.Between(t, p.e.Factor("w00")-0.02, next.Factor("w00"), p.e.Factor("w00")+0.02)
 	must.Eq(t, 1, next.Factor("w02"))
 }
+
+// Guards against members of past gangs that are blamed for a slow one once that has
+// restarted, or has newer runs.
+func TestMembersArentBlamedForFormerSlowOne(t *testing.T) {
+	for _, restarted := range []bool{true, false} {
+		p := newPool(1, 0.7, 0.7, 1.7)
+		for step := range 60 {
+			p.runStep(0.2, p.worker(step), p.worker(step+1), p.worker(step+2), p.worker(step+3))
+		}
+		p.finish()
+		must.Less(t, 0.85, p.e.Factor("w00"))
+		for range maxPerWorker {
+			p.steps++
+			p.e.Observe(p.now, Observation{Run: Run{work.TaskID{Job: fmt.Sprint(p.steps)}, 1}, Workers: []string{"w00", "w02"}, Factor: 1.7})
+		}
+		p.finish()
+		if restarted {
+			p.e.Forget("w02")
+		} else {
+			for range maxPerWorker {
+				p.runStep(0, "w02")
+			}
+		}
+		p.e.Observe(p.now, Observation{Run: Run{work.TaskID{Job: "new"}, 1}, Workers: []string{"w01"}, Factor: 0.7})
+		p.finish()
+		must.Less(t, 1.2, p.e.Factor("w00"), must.Sprintf("restarted %v", restarted))
+	}
+}
+
+// Guards against a new owner that loses the stored factors with its first observation,
+// because it takes the pool for an even one until it has seen runs on many workers.
+func TestStoredFactorsOutlastTheFirstObservation(t *testing.T) {
+	p := newPool(1, 0.7, 0.7, 1.7)
+	for step := range 60 {
+		p.runStep(0.2, p.worker(step), p.worker(step+1), p.worker(step+2), p.worker(step+3))
+	}
+	p.finish()
+	var workers []Identity
+	for i := range 48 {
+		workers = append(workers, Identity{p.worker(i), 7})
+	}
+	next := New()
+	restorer := NewRestorer(p.e.Store(workers))
+	for _, id := range workers {
+		restorer.Restore(next, id)
+	}
+	next.Observe(p.now, Observation{Run: Run{work.TaskID{Job: "new"}, 1}, Workers: []string{"w03"}, Factor: p.factors["w03"]})
+	must.True(t, next.Update(p.now))
+	must.Less(t, 0.85, next.Factor("w00"))
+	must.Less(t, 1.3, next.UpperFactor("w00"))
+	must.Greater(t, 1.3, next.Factor("w02"))
+	must.Greater(t, 1.6, next.UpperFactor("unknown"))
+}
+
+// Guards against a write every few seconds because a factor near 1 is stored at one time
+// and left out at the next.
+func TestFactorNearOneIsNoReasonToStore(t *testing.T) {
+	e := New()
+	worker := Identity{"w00", 7}
+	e.worker("w00").log = minStored * 1.1
+	with := e.Store([]Identity{worker})
+	e.worker("w00").log = minStored * 0.9
+	without := e.Store([]Identity{worker})
+	must.Len(t, 1, with.Workers)
+	must.Len(t, 0, without.Workers)
+	must.False(t, with.DiffersFrom(&without))
+	must.False(t, without.DiffersFrom(&with))
+	e.worker("w00").log = 0.3
+	slow := e.Store([]Identity{worker})
+	must.True(t, slow.DiffersFrom(&without))
+	must.True(t, without.DiffersFrom(&slow))
+}
