Planner: dry run of a planning pass with a job that isn't submitted

Cause: nothing told where a job would be placed, or why it would wait, without submitting it. Change: Plan is split into the decisions on the units (pass, decide, findEviction), which have no effect, and carrying them out (carryOut, preempt). Decisions and their order are unchanged.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -34,6 +34,9 @@
 	index      map[*worker]int
 	// claimed counts the tasks of a step for which capacity of a worker is set aside.
 	claimed map[claimKey]int
+	// stopping holds the units that a trial has chosen to stop. It is nil in a planning
+	// pass, which stops them.
+	stopping map[*unit]bool
 	// mostlyIdle is that of Planner.mostlyIdle at the beginning of the pass.
 	mostlyIdle bool
 	// factor and class hold the time factors of the workers and their speed classes, by
@@ -406,10 +409,10 @@
 	}
 }
 
-// setAside subtracts the capacity that the unit claims.
-func (v *view) setAside(u *unit) {
-	v.consume(u, u.claim)
-	for _, pl := range u.claim {
+// setAside subtracts the capacity of a placement that the unit claims.
+func (v *view) setAside(u *unit, claim []placement) {
+	v.consume(u, claim)
+	for _, pl := range claim {
 		v.claimed[claimKey{pl.worker, u.stepKey()}] += pl.count
 	}
 }
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -27,6 +27,31 @@
 		p.failUnplannable(now, age, rec)
 		return
 	}
+	j := p.newJob(now, age, rec, inherited)
+	p.jobs[rec.Job.ID] = j
+	p.jobsByArrival = append(p.jobsByArrival, j)
+	meanWeight := p.queueMeanWeight[rec.Job.Queue]
+	if meanWeight == nil {
+		meanWeight = &mean{}
+		p.queueMeanWeight[rec.Job.Queue] = meanWeight
+	}
+	meanWeight.add(j.weight)
+	if rec.Job.Priority == 0 && !inherited && rec.Job.Schedule.Count == 0 {
+		p.urgentDemand.add(now, j.initialCores())
+	}
+	for i := range j.perStep {
+		j.unblock(i)
+	}
+	if slices.ContainsFunc(j.units, func(u *unit) bool { return u.phase == unitAbandoned }) {
+		p.finish(j, work.Failed, now)
+	}
+	p.checkCompletion(j, now)
+	p.takeUnknown(j, now)
+}
+
+// newJob returns a plannable job that the planner doesn't know yet, with all its units
+// blocked.
+func (p *Planner) newJob(now, age time.Duration, rec work.Record, inherited bool) *job {
 	criticalPaths := rec.Job.CriticalPaths()
 	j := &job{
 		rec:           rec,
@@ -47,25 +72,7 @@
 	for i := range j.perStep {
 		p.addUnits(j, i, inherited)
 	}
-	p.jobs[rec.Job.ID] = j
-	p.jobsByArrival = append(p.jobsByArrival, j)
-	meanWeight := p.queueMeanWeight[rec.Job.Queue]
-	if meanWeight == nil {
-		meanWeight = &mean{}
-		p.queueMeanWeight[rec.Job.Queue] = meanWeight
-	}
-	meanWeight.add(j.weight)
-	if rec.Job.Priority == 0 && !inherited && rec.Job.Schedule.Count == 0 {
-		p.urgentDemand.add(now, j.initialCores())
-	}
-	for i := range j.perStep {
-		j.unblock(i)
-	}
-	if slices.ContainsFunc(j.units, func(u *unit) bool { return u.phase == unitAbandoned }) {
-		p.finish(j, work.Failed, now)
-	}
-	p.checkCompletion(j, now)
-	p.takeUnknown(j, now)
+	return j
 }
 
 // failUnplannable adds a job that was stored without the checks of work.Job.Check as
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -56,9 +56,18 @@
 	p.awaitingTickets, p.reservations = nil, nil
 	v := p.newView(now)
 	p.placeClaims(v)
+	p.pass(v, p.carryOut)
+	orders := p.orders
+	p.orders = nil
+	return orders
+}
+
+// pass decides on the units that may be placed, most urgent first, and passes those
+// decisions to apply that aren't to wait. apply must take the capacity used off the view.
+func (p *Planner) pass(v *view, apply func(*unit, *view, decision)) {
 	reservations := 0
 	unplaceable, failed := map[stepKey]bool{}, 0
-	ranking := p.ranking(now)
+	ranking := p.ranking(v.now)
 	for k := 0; k < len(ranking); k++ {
 		r := ranking[k]
 		u := r.unit
@@ -70,20 +79,11 @@
 			p.nextRank = k
 			break
 		}
-		spread := p.maySpread(u, now)
 		ability := v.ability(u)
-		if u.claim == nil && ability == canHold {
-			if placements := v.place(u, spread); placements != nil {
-				p.start(u, v, placements, "fits")
-				continue
-			}
-		}
-		if ability == canHold {
-			if placements := v.placeOnIdle(u); placements != nil {
-				u.claim = nil
-				p.start(u, v, placements, "most capacity is idle")
-				continue
-			}
+		d := p.decide(u, v, ability)
+		if d.placements != nil {
+			apply(u, v, d)
+			continue
 		}
 		if u.claim != nil {
 			continue
@@ -91,7 +91,8 @@
 		if u.job.rec.Job.PolicyControlled && ability != ineligible {
 			p.awaitingTickets = append(p.awaitingTickets, u)
 		}
-		if u.job.rec.Job.Priority == 0 && ability != ineligible && p.reclaim(u, v, p.withinGuarantee(u), spread) {
+		if d.eviction != nil {
+			apply(u, v, d)
 			continue
 		}
 		unplaceable[key] = true
@@ -106,9 +107,43 @@
 			reservations++
 		}
 	}
-	orders := p.orders
-	p.orders = nil
-	return orders
+}
+
+// decision is what a pass does with a unit: it starts the unit, stops others for it or, if
+// neither is set, lets it wait.
+type decision struct {
+	placements []placement // of the start
+	why        string      // short reason for the start, for the log
+	eviction   *eviction
+}
+
+// decide returns the decision on a ready unit. It has no effect.
+func (p *Planner) decide(u *unit, v *view, ability ability) decision {
+	spread := p.maySpread(u, v.now)
+	if u.claim == nil && ability == canHold {
+		if placements := v.place(u, spread); placements != nil {
+			return decision{placements: placements, why: "fits"}
+		}
+	}
+	if ability == canHold {
+		if placements := v.placeOnIdle(u); placements != nil {
+			return decision{placements: placements, why: "most capacity is idle"}
+		}
+	}
+	if u.claim != nil || u.job.rec.Job.Priority != 0 || ability == ineligible {
+		return decision{}
+	}
+	return decision{eviction: p.findEviction(u, v, p.withinGuarantee(u), spread)}
+}
+
+// carryOut starts the unit or stops others for it.
+func (p *Planner) carryOut(u *unit, v *view, d decision) {
+	if d.eviction != nil {
+		p.preempt(u, v, d.eviction)
+		return
+	}
+	u.claim = nil
+	p.start(u, v, d.placements, d.why)
 }
 
 // maySpread reports whether a single-rack gang may use several racks because its
@@ -126,7 +161,7 @@
 			if u.claim == nil {
 				continue
 			}
-			if u.phase != unitReady || v.now-u.claimedAt > claimExpiry {
+			if u.claimExpired(v.now) {
 				u.claim = nil
 				continue
 			}
@@ -136,11 +171,17 @@
 				p.start(u, v, placements, "reclaimed")
 				continue
 			}
-			v.setAside(u)
+			v.setAside(u, u.claim)
 		}
 	}
 }
 
+// claimExpired reports whether the unit no longer needs the capacity that it claims, or
+// has waited for it for too long.
+func (u *unit) claimExpired(now time.Duration) bool {
+	return u.phase != unitReady || now-u.claimedAt > claimExpiry
+}
+
 func (p *Planner) start(u *unit, v *view, placements []placement, why string) {
 	v.consume(u, placements)
 	number := u.nextRun
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -12,11 +12,11 @@
 // victims don't report their results, for instance because a worker is unreachable.
 const claimExpiry = 2500 * time.Millisecond
 
-// reclaim frees capacity for a unit by stopping cheaper work. Units within their
-// workspace's guarantee may also reclaim what other workspaces have borrowed. It
-// reports false if no work may be stopped that frees enough capacity or, outside
-// the guarantee, if stopping it costs more than the unit's own work.
-func (p *Planner) reclaim(u *unit, v *view, withinGuarantee, spread bool) bool {
+// findEviction chooses cheaper work to stop for a unit. Units within their workspace's
+// guarantee may also reclaim what other workspaces have borrowed. It returns nil if no work
+// may be stopped that frees enough capacity or, outside the guarantee, if stopping it costs
+// more than the unit's own work.
+func (p *Planner) findEviction(u *unit, v *view, withinGuarantee, spread bool) *eviction {
 	avoid := v.mayAvoid(u, spread)
 	var best *eviction
 	for _, members := range v.groups(u, spread) {
@@ -26,18 +26,22 @@
 		}
 	}
 	if best == nil {
-		return false
+		return nil
 	}
 	if gain := u.cores() * u.estimate().Seconds(); !withinGuarantee && best.cost > gain {
-		return false
+		return nil
 	}
-	for _, victim := range best.victims {
+	return best
+}
+
+// preempt stops the victims of an eviction and claims their capacity for the unit.
+func (p *Planner) preempt(u *unit, v *view, e *eviction) {
+	for _, victim := range e.victims {
 		p.log(LogEntry{Event: EventPreempted, Job: victim.job.rec.Job.ID, Detail: "for " + u.job.rec.Job.ID, Count: len(victim.runs)})
 		p.stopAttempt(victim, v.now, "preempted")
 	}
-	u.claim, u.claimedAt = best.placements, v.now
-	v.setAside(u)
-	return true
+	u.claim, u.claimedAt = e.placements, v.now
+	v.setAside(u, u.claim)
 }
 
 // eviction is a choice of victims for a unit.
@@ -104,7 +108,7 @@
 	free := s.v.free[i]
 	s.siblings[i] = s.v.claimed[claimKey{s.v.workers[i], s.u.stepKey()}]
 	for _, r := range s.v.workers[i].runs {
-		if r.phase == runStopping || r.unit == nil || r.unit.phase == unitStopping || r.unit.phase == unitDone {
+		if r.phase == runStopping || r.unit == nil || r.unit.phase == unitStopping || r.unit.phase == unitDone || s.v.stopping[r.unit] {
 			free = free.Add(r.need)
 			continue
 		}
