Intake: examine a submission without storing it

Cause: a dry run needs the checks of Submit without their effects. Change: Submit's checks before the write are split into newJob, check and refusalOf, which Examine calls too; logging and counting stay in Submit. Result: tests of internal/duty/intake pass; a test compares Examine with Submit for an accepted, an invalid and a refused job and during an outage.

--- a/internal/duty/intake/admission.go
+++ b/internal/duty/intake/admission.go
@@ -98,26 +98,41 @@
 // refused because of the forecast. A job that is stored, or may be, is never refused: its
 // caller sends it again because the response was lost.
 func (in *Intake) checkForecast(ctx context.Context, caller Caller, job *work.Job) error {
+	r, epoch := in.refusalOf(ctx, caller.Queue, job)
+	if r == nil {
+		return nil
+	}
+	in.observer.SubmissionRefused(job.Priority, r.scarcest.String())
+	in.log.Info(EventRefused, zap.String("job", job.ID), zap.String("queue", job.Queue), zap.Int("priority", job.Priority),
+		zap.String("why", fmt.Sprintf("it can't start within %v for lack of %v", r.wait.Round(time.Millisecond), r.scarcest)),
+		zap.Duration("forecast", r.wait), zap.Duration("forecast_age", r.age), zap.Int64("epoch", epoch),
+		zap.Duration("critical_path", r.criticalPath), zap.Duration("useful_until", r.useful),
+		zap.Float64("relative_size", math.Round(r.relativeSize*100)/100), zap.Duration("retry_after", r.retryAfter))
+	return r.err()
+}
+
+// refusalOf returns why the job is refused because of the forecast, nil if it isn't, and
+// the epoch of the forecast.
+func (in *Intake) refusalOf(ctx context.Context, q *work.Queue, job *work.Job) (*refusal, int64) {
 	view := in.replica.Pool(job.Pool)
 	forecast := view.Forecast()
 	if forecast == nil {
-		return nil
+		return nil, 0
 	}
 	r := refuse(job, in.guarantee(job.Workspace), forecast, job.SubmittedAt-forecast.At)
 	if r == nil {
-		return nil
+		return nil, 0
 	}
 	// The replica may lag behind, so the store is asked too, which costs calls only for
 	// jobs that are refused.
-	if _, err := in.find(ctx, caller.Queue, job.ID); !fault.Is(err, fault.NotFound) {
-		return nil
+	if _, err := in.find(ctx, q, job.ID); !fault.Is(err, fault.NotFound) {
+		return nil, 0
 	}
-	in.observer.SubmissionRefused(job.Priority, r.scarcest.String())
-	in.log.Info(EventRefused, zap.String("job", job.ID), zap.String("queue", job.Queue), zap.Int("priority", job.Priority),
-		zap.String("why", fmt.Sprintf("it can't start within %v for lack of %v", r.wait.Round(time.Millisecond), r.scarcest)),
-		zap.Duration("forecast", r.wait), zap.Duration("forecast_age", r.age), zap.Int64("epoch", view.Epoch.Number),
-		zap.Duration("critical_path", r.criticalPath), zap.Duration("useful_until", r.useful),
-		zap.Float64("relative_size", math.Round(r.relativeSize*100)/100), zap.Duration("retry_after", r.retryAfter))
+	return r, view.Epoch.Number
+}
+
+// err returns the error that tells the caller of the refusal.
+func (r *refusal) err() error {
 	return &fault.RetryError{RetryAfter: r.retryAfter, Err: fault.New(fault.Overloaded,
 		fmt.Sprintf("the job can't start within %v, and would complete too late", r.wait.Round(time.Second)))}
 }
--- /dev/null
+++ b/internal/duty/intake/examine_test.go
@@ -0,0 +1,68 @@
+package intake
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
+	"github.com/lentilwinch/lentilwinch/internal/work"
+)
+
+// Guards against an answer that differs from what Submit does, and against a query that
+// stores, counts or refuses something.
+func TestExaminationFailsLikeTheSubmissionAndHasNoEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		counted := countedRefusals{}
+		env.intake.observer = counted
+		q := *env.queue
+		q.Priority, q.Stretch, q.Target = 1, 2, time.Second
+		caller := Caller{Queue: &q, Workspace: "ws", key: "key"}
+		same := func(code fault.Code, id string, sub work.Submission) {
+			t.Helper()
+			_, examined := env.intake.Examine(t.Context(), caller, id, sub)
+			must.EqOp(t, code, fault.CodeOf(examined))
+			_, err := env.intake.State(t.Context(), env.caller(), id)
+			must.True(t, fault.Is(err, fault.NotFound) || code == fault.Unavailable)
+			must.MapEmpty(t, counted)
+			submitted := env.intake.Submit(t.Context(), caller, id, sub)
+			must.EqOp(t, fault.CodeOf(submitted), fault.CodeOf(examined))
+			var one, other *fault.RetryError
+			if errors.As(examined, &one) && errors.As(submitted, &other) {
+				must.EqOp(t, other.RetryAfter, one.RetryAfter)
+			}
+			clear(counted)
+		}
+		same("", "a", work.Submission{Steps: oneTask})
+		same(fault.Invalid, "b", work.Submission{})
+		env.publish(t, owned, loadedForecast(8*32))
+		same(fault.Overloaded, "c", work.Submission{Steps: newJob(1, 5*time.Second).Steps})
+		age, known := env.intake.ForecastAge("p")
+		must.True(t, known && age > 0)
+		env.rows.SetFaults(fake.Faults{Down: true})
+		_ = env.submit("away") // by which the outage is noticed
+		time.Sleep(time.Second)
+		same(fault.Unavailable, "d", work.Submission{Steps: oneTask})
+	})
+}
+
+// Guards against a query in the name of a caller that couldn't submit.
+func TestQueryNamesAQueueAndAWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newTestEnv(t).intake
+		c, err := in.CallerOf("q", "ws")
+		must.NoError(t, err)
+		must.EqOp(t, "ws", c.Workspace)
+		for code, names := range map[fault.Code][2]string{fault.NotFound: {"none", "ws"}, fault.Unauthenticated: {"q", ""}} {
+			_, err := in.CallerOf(names[0], names[1])
+			must.EqOp(t, code, fault.CodeOf(err))
+		}
+		_, err = in.CallerOf("q", "none")
+		must.True(t, fault.Is(err, fault.NotFound))
+	})
+}
--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -131,21 +131,12 @@
 // errors of Authorize if nothing was stored. A configuration must be in force.
 func (in *Intake) Submit(ctx context.Context, caller Caller, id string, sub work.Submission) error {
 	q := caller.Queue
-	storeNow, clockKnown := in.store.Now()
-	job := work.Job{
-		ID: id, Pool: q.Pool, Queue: q.Name, Workspace: caller.Workspace, Priority: q.Priority,
-		MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target, Spec: sub.Spec, Steps: sub.Steps, Schedule: sub.Schedule, PolicyControlled: q.PolicyControlled,
-		SubmittedAt: storeNow,
-	}
-	if err := in.validate(&job); err != nil {
-		in.log.Info(EventRejected, zap.String("job", id), zap.String("queue", q.Name), zap.Error(err))
+	job, clockKnown := in.newJob(caller, id, sub)
+	value, away, err := in.check(&job, clockKnown)
+	if errors.Is(err, errStoreUnavailable) {
+		in.log.Info(EventRejected, zap.String("job", id), zap.String("queue", q.Name), zap.String("why", "the store is away"), zap.Duration("away", away))
 		return err
 	}
-	if unavailableFor := in.health.UnavailableFor(); unavailableFor > 0 || !clockKnown {
-		in.log.Info(EventRejected, zap.String("job", id), zap.String("queue", q.Name), zap.String("why", "the store is away"), zap.Duration("away", unavailableFor))
-		return errStoreUnavailable
-	}
-	value, err := in.encode(&job)
 	if err != nil {
 		in.log.Info(EventRejected, zap.String("job", id), zap.String("queue", q.Name), zap.Error(err))
 		return err
@@ -173,6 +164,31 @@
 	return in.verifyDone(caller)
 }
 
+// newJob returns the job of a submission, and whether the store's clock is known, by which
+// the job is dated.
+func (in *Intake) newJob(caller Caller, id string, sub work.Submission) (work.Job, bool) {
+	q := caller.Queue
+	storeNow, clockKnown := in.store.Now()
+	return work.Job{
+		ID: id, Pool: q.Pool, Queue: q.Name, Workspace: caller.Workspace, Priority: q.Priority,
+		MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target, Spec: sub.Spec, Steps: sub.Steps, Schedule: sub.Schedule, PolicyControlled: q.PolicyControlled,
+		SubmittedAt: storeNow,
+	}, clockKnown
+}
+
+// check returns the row of a new job. It fails with fault.Invalid or, during a store
+// outage, with errStoreUnavailable and the time for which the store has been away.
+func (in *Intake) check(job *work.Job, clockKnown bool) (value []byte, away time.Duration, err error) {
+	if err := in.validate(job); err != nil {
+		return nil, 0, err
+	}
+	if away := in.health.UnavailableFor(); away > 0 || !clockKnown {
+		return nil, away, errStoreUnavailable
+	}
+	value, err = in.encode(job)
+	return value, 0, err
+}
+
 // errStoreUnavailable rejects a job before any write was sent.
 var errStoreUnavailable = &fault.RetryError{RetryAfter: outageRetryAfter, Err: fault.New(fault.Unavailable, "the store is away")}
 
