--- a/internal/duty/pool/cluster_test.go
+++ b/internal/duty/pool/cluster_test.go
@@ -79,6 +79,7 @@
 	evacuation     func() work.Evacuation
 	evacuateWithin time.Duration
 	replica        *replica.Replica
+	election       *Election
 	cancel         context.CancelFunc
 	done           sync.WaitGroup
 }
@@ -145,7 +146,8 @@
 	if c.policy != nil {
 		deps.PolicyClient = c.policy
 	}
-	in.done.Go(func() { NewElection(deps, testPool).Run(ctx) })
+	in.election = NewElection(deps, testPool)
+	in.done.Go(func() { in.election.Run(ctx) })
 	return in
 }
 
--- a/internal/duty/pool/election.go
+++ b/internal/duty/pool/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,9 +45,10 @@
 // Election ensures that a pool has an owner: it monitors the owner's heartbeat and
 // takes the pool over when the owner has stopped.
 type Election struct {
-	deps Deps
-	pool string
-	log  *zap.Logger
+	deps  Deps
+	pool  string
+	log   *zap.Logger
+	owner atomic.Pointer[Owner] // nil while this instance doesn't own the pool
 }
 
 // NewElection returns the election of a pool.
@@ -166,9 +168,11 @@
 	o.previous.silentAfter, o.previous.heardBy = heartbeat.after, heartbeat.by
 	o.previous.stopped, o.previous.settled = e.hasStopped(&view), settled(&view)
 	o.previous.state = view.Owner
+	e.owner.Store(o)
 	if err := o.run(ctx); err != nil {
 		e.log.Warn("takeover failed", zap.Error(err))
 	}
+	e.owner.Store(nil)
 	if ctx.Err() != nil || o.yielded {
 		e.handOver(epoch, version)
 	}
--- a/internal/duty/pool/events.go
+++ b/internal/duty/pool/events.go
@@ -26,6 +26,7 @@
 	evCaughtUp                                  // err: the replica holds what the previous owner stored, or catching up failed
 	evRecordsRead                               // commit: the replica holds a transaction with placements
 	evJobsRead                                  // sentAt, err: the replica holds all jobs that were stored by then, or reading failed
+	evTry                                       // try: a dry run was asked for
 	evEarlyStartsAnnounced                      // commit, complete: early starts were announced, or the announcement withdrawn if complete is set, or the write failed
 )
 
@@ -44,5 +45,6 @@
 	commit      commitResult
 	job         string
 	policy      policyResult
+	try         *tryQuery
 	err         error
 }
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -108,7 +108,9 @@
 	planSequence    int64           // number of the last plan with orders; matches held starts with stored records
 	pacer           planPacer
 	forecaster      forecaster
-	nextPlan        *time.Timer // fires when a delayed planning pass may run
+	tryer           tryer
+	plannedAt       time.Duration // when the last planning pass began, 0 for none
+	nextPlan        *time.Timer   // fires when a delayed planning pass may run
 	lastActiveAt    time.Duration
 	confirmAfter    time.Duration // a heartbeat sent at or after this must be confirmed before starts are sent
 	config          *work.Config
@@ -304,6 +306,7 @@
 	if pause := o.pacer.pause(now); pause > 0 {
 		o.nextPlan.Reset(pause)
 	} else if o.mayStart() {
+		o.plannedAt = now
 		o.handleOrders(ctx, o.planner.Plan(now))
 		o.queryPolicy(ctx, now)
 		o.pacer.passed(now, o.now())
@@ -451,6 +454,8 @@
 		o.jobsRead(ev)
 	case evPolicyAnswered:
 		o.policyAnswered(now, ev.policy)
+	case evTry:
+		o.answerTry(ev.try)
 	case evCommitDone:
 		o.commitDone(ctx, ev.commit)
 	}
