explain -job: ask an instance where a job would be placed

Cause: operators could see why a job waited only after it was submitted. Change: lentilwinch explain -job FILE -queue Q -server ADDRESS sends the submission to the peers' listener of an instance of lentilwinch-poold. Counter lentilwinch_dry_runs by verdict.

--- a/internal/adapter/metrics/pool.go
+++ b/internal/adapter/metrics/pool.go
@@ -155,6 +155,14 @@
 	withTags(p.scope, "priority", strconv.Itoa(priority), "reason", reason).Counter("submissions_refused").Inc(1)
 }
 
+// DryRun counts the answer to a dry run. verdict is empty if there was none.
+func (p *Pool) DryRun(verdict string) {
+	if verdict == "" {
+		verdict = "none"
+	}
+	withTags(p.scope, "verdict", verdict).Counter("dry_runs").Inc(1)
+}
+
 // ReportForecast records the longest wait that is forecast for new jobs of a priority in a
 // pool.
 func (p *Pool) ReportForecast(pool string, priority int, wait time.Duration) {
--- a/internal/adapter/metrics/pool_test.go
+++ b/internal/adapter/metrics/pool_test.go
@@ -41,6 +41,7 @@
 	p.TakeoverFinished(time.Second)
 	p.ReportOwnership("triage", true, 3, 4)
 	p.SubmissionRefused(1, "accelerators")
+	p.DryRun("wait")
 	p.ReportForecast("triage", 1, 90*time.Second)
 	p.ReportForecastAge("triage", 500*time.Millisecond)
 	p.ReplicaAge.Update(0.5)
@@ -57,6 +58,7 @@
 		`lentilwinch_lease_margin_seconds_count 1`,
 		`lentilwinch_takeover_seconds_count 1`,
 		`lentilwinch_jobs_waiting{pool="triage"} 3`,
+		`lentilwinch_dry_runs{verdict="wait"} 1`,
 		`lentilwinch_submissions_refused{priority="1",reason="accelerators"} 1`,
 		`lentilwinch_forecast_wait_seconds{pool="triage",priority="1"} 90`,
 		`lentilwinch_forecast_age_seconds{pool="triage"} 0.5`,
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -14,21 +14,39 @@
 func (a *app) explainCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("explain", flag.ContinueOnError)
 	a.common.registerOutput(fs)
+	fs.Var(&a.common.servers, "server", "with -job: `IP:port` of an instance's listener for peers; repeat or separate by commas")
+	fs.DurationVar(&a.common.timeout, "timeout", defaultTimeout, "with -job: timeout of the call of one server")
+	var query dryRunFlags
+	query.register(fs)
 	return newCommand(&a.help, commandSpec{
 		name:  "explain",
-		usage: "explain [flags] <job> [<log file>...]",
-		short: "Show a job's history from the instances' logs.",
+		usage: "explain [flags] <job> [<log file>...] | explain -job <file> -queue <queue> -server <IP:port> [flags]",
+		short: "Show a job's history from the instances' logs, or where a job would be placed.",
 		long: `Reads the logs of all instances, from files or from standard input, and prints
 the events of one job in order of time, with concurrent events of its pool and its
 workers, its outcome and where its time was spent. Text before the JSON of a line
-is ignored.`,
+is ignored.
+
+With -job, asks an instance of lentilwinch-poold where the job would be placed now,
+or why it would wait or be refused. Nothing is submitted and nothing changes. The
+file holds the body of a submission.`,
 		examples: []string{
 			"lentilwinch explain 5c0e7a21d94b36f8 north-1.log north-2.log",
 			"collect-logs -since 10m | lentilwinch explain -json 5c0e7a21d94b36f8",
+			"lentilwinch explain -job job.json -queue app.example/jobs/ -workspace ws -server 10.0.0.7:7421",
 		},
-		minArgs: 1, maxArgs: 1000,
+		minArgs: 0, maxArgs: 1000,
 		flags: fs,
-		run: func(_ context.Context, args []string) error {
+		run: func(ctx context.Context, args []string) error {
+			if query.job != "" {
+				if len(args) > 0 {
+					return fault.New(fault.Invalid, "explain -job takes no arguments")
+				}
+				return a.dryRun(ctx, &query)
+			}
+			if len(args) == 0 {
+				return fault.New(fault.Invalid, "explain needs the ID of a job, or -job and a file")
+			}
 			return a.explain(args[0], args[1:])
 		},
 	})
--- a/internal/dryrun/dryrun.go
+++ b/internal/dryrun/dryrun.go
@@ -107,8 +107,11 @@
 	RetryAfterMs int64           `json:"retry_after_ms,omitempty"`
 }
 
-// NewFailure returns the failure that tells of an error.
+// NewFailure returns the failure that tells of an error, nil for none.
 func NewFailure(err error) *Failure {
+	if err == nil {
+		return nil
+	}
 	f := &Failure{Code: fault.CodeOf(err), Message: err.Error()}
 	var typed *fault.Error
 	if errors.As(err, &typed) {
