--- a/internal/duty/pool/dryrun.go
+++ b/internal/duty/pool/dryrun.go
@@ -24,7 +24,7 @@
 	errNoAnswer = fault.New(fault.Unavailable, "the owner didn't answer in time")
 	errMayNot   = &fault.RetryError{RetryAfter: tryRetryAfter,
 		Err: fault.New(fault.Unavailable, "the owner may start nothing now, its ownership or the evacuations aren't confirmed")}
-	errTrying = &fault.RetryError{RetryAfter: tryRetryAfter, Err: fault.New(fault.Overloaded, "the owner is answering another query")}
+	errTrying = &fault.RetryError{RetryAfter: tryRetryAfter, Err: fault.New(fault.Overloaded, "the owner is answering another query, or has just done so")}
 )
 
 // tryer limits the dry runs of an owner. The load that it answers is any number of queries:
