--- a/internal/cli/dryrun.go
+++ b/internal/cli/dryrun.go
@@ -63,6 +63,11 @@
 			break
 		}
 	}
+	var retry *fault.RetryError
+	if errors.As(err, &retry) {
+		exit, _ := classify(err)
+		return &commandError{exit: exit, cause: err, hint: "ask again after " + retry.RetryAfter.String()}
+	}
 	if err != nil {
 		return err
 	}
