--- a/internal/duty/pool/unread_row_test.go
+++ b/internal/duty/pool/unread_row_test.go
@@ -33,8 +33,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 4)
 		var unreadable atomic.Bool
-		var successor *instance
-		c.drops = func(in *instance, target port.WorkerTarget) bool { return in == successor && target.ID == "w00" }
+		var successor atomic.Pointer[instance]
+		c.drops = func(in *instance, target port.WorkerTarget) bool { return in == successor.Load() && target.ID == "w00" }
 		first := c.launch()
 		time.Sleep(time.Second)
 		c.setDuration("long", 30, 0)
@@ -44,9 +44,9 @@
 		must.Positive(t, c.pool.RunningOn(address(0)))
 		unreadable.Store(true)
 		partition := replica.JobKeys(testPool, "long")[0].Partition
-		successor = c.launchWith(func(in *instance) {
+		successor.Store(c.launchWith(func(in *instance) {
 			in.wrapStore = func(next port.RowStore) port.RowStore { return &unreadPartStore{next, partition, &unreadable} }
-		})
+		}))
 		time.Sleep(2 * time.Second)
 		first.kill()
 		time.Sleep(1500 * time.Millisecond)
