Evacuation: a failure after a suspension is no outage

Starts go on by the last known evacuations once readings have failed for 400 ms, so that a single failure after a suspension doesn't count. Where readings had failed before the suspension too, the time since the first failure included the suspension, and the first failure after it sufficed: starts could go into a domain that was evacuated meanwhile. A failure that follows more than 3.5 s on the previous one now begins anew. The test failed before (failing since 2 s instead of 25 s).

--- a/internal/duty/intake/evacuation.go
+++ b/internal/duty/intake/evacuation.go
@@ -29,13 +29,18 @@
 	in.evacuation.Store(&next)
 }
 
+// maxFailureGap is the time after a failed reading from which on another failure isn't of the
+// same outage: the process was suspended in between. In an outage a reading fails after its
+// wait and 2 s at the latest, and is repeated within half a second.
+const maxFailureGap = 3500 * time.Millisecond
+
 // ReadingFailed records that a reading of the configuration and of the evacuated failure
 // domains failed at the given time. The last known ones stay in force.
 func (in *Intake) ReadingFailed(at time.Duration) {
 	in.applying.Lock()
 	defer in.applying.Unlock()
 	next := in.Evacuation()
-	if next.FailedAt == 0 {
+	if next.FailedAt == 0 || at-next.FailedAt > maxFailureGap {
 		next.FailingSince = at
 	}
 	next.FailedAt = at
--- a/internal/duty/intake/evacuation_test.go
+++ b/internal/duty/intake/evacuation_test.go
@@ -57,3 +57,15 @@
 	must.EqOp(t, 5*time.Second, in.Evacuation().ReadAt)
 	must.EqOp(t, 0, in.Evacuation().FailedAt)
 }
+
+// Guards against starts by evacuations from before a suspension: the first reading after it
+// may fail on a connection that was closed meanwhile, which tells of no outage.
+func TestFailureAfterASuspensionBeginsAnew(t *testing.T) {
+	in := New(Deps{Log: zap.NewNop(), KeyPolicy: func() keylease.Policy { return keylease.Policy{} }, Now: func() time.Duration { return 0 }})
+	in.ApplyReading(port.ConfigReading{Complete: true}, time.Second)
+	in.ReadingFailed(2 * time.Second)
+	in.ReadingFailed(5 * time.Second)
+	must.EqOp(t, 2*time.Second, in.Evacuation().FailingSince)
+	in.ReadingFailed(25 * time.Second)
+	must.EqOp(t, 25*time.Second, in.Evacuation().FailingSince)
+}
--- a/internal/work/evacuation.go
+++ b/internal/work/evacuation.go
@@ -14,6 +14,6 @@
 	// to have been complete.
 	ReadAt time.Duration
 	// FailedAt is when the last reading failed, 0 if it succeeded. FailingSince is when the
-	// first one failed since the last that succeeded.
+	// first one failed since the last that succeeded, or since a suspension.
 	FailedAt, FailingSince time.Duration
 }
