Admission: a job without an objective isn't refused

A queue whose configuration sets neither a stretch nor a target has the objective 0, and each of its jobs counted as worthless on arrival: any forecast of a second refused them. Such queues had no refusals before admission existed, and the planner's placement takes 0 for no limit. The test failed before.

--- a/internal/duty/intake/admission.go
+++ b/internal/duty/intake/admission.go
@@ -49,6 +49,9 @@
 	}
 	paths := job.CriticalPaths()
 	objective := job.Objective(paths)
+	if objective <= 0 { // none is set, and its caller waits as long as it takes
+		return nil
+	}
 	first := 0 // the step with which the critical path begins
 	for i := range paths {
 		if paths[i] > paths[first] {
--- a/internal/duty/intake/admission_test.go
+++ b/internal/duty/intake/admission_test.go
@@ -223,3 +223,11 @@
 		must.True(t, fault.Is(env.submitRefusable("d"), fault.Overloaded))
 	})
 }
+
+// Guards against refusing jobs of a queue for which the operator has set no objective: their
+// callers wait as long as it takes.
+func TestJobWithoutObjectiveIsNotRefused(t *testing.T) {
+	job := newJob(1, 5*time.Second)
+	job.Stretch, job.Target = 0, 0
+	must.Nil(t, refuse(job, 0, loadedForecast(8*32), time.Second))
+}
