Planner: single-rack gangs use racks of cold workers last

Cold workers were put last within a rack, but the choice among racks didn't ask. After an evacuation whole racks are cold, and a gang was placed on one of them although another rack had warm workers with room. Racks whose warm workers don't hold the gang now come after the others. The test failed before; without cold workers nothing changes.

--- a/internal/planner/evacuation_test.go
+++ b/internal/planner/evacuation_test.go
@@ -181,3 +181,27 @@
 	h.plan()
 	must.EqOp(t, cold, h.runs[work.TaskID{Job: "d"}].Worker, must.Sprint("it is warm again, and has the least free capacity"))
 }
+
+// Guards against a gang in a single rack that is placed on cold workers while another rack
+// has warm ones with room: after an evacuation all racks of the failure domain are cold.
+func TestSingleRackGangAvoidsColdRacks(t *testing.T) {
+	h := newHarness(t, 2, 4)
+	for i := range 4 {
+		h.p.SetCold(fmt.Sprintf("w%02d", i), h.now+time.Minute)
+	}
+	for _, id := range []string{"first", "second"} {
+		s := gangOf(2, 8, 5)
+		s.SameRack = true
+		h.add(h.job(id, 1, s))
+	}
+	h.plan()
+	must.MapLen(t, 4, h.runs)
+	for task, o := range h.runs {
+		must.GreaterEq(t, "w04", o.Worker, must.Sprint(task))
+	}
+	s := gangOf(2, 8, 5)
+	s.SameRack = true
+	h.add(h.job("third", 1, s))
+	h.plan()
+	must.MapLen(t, 6, h.runs) // the cold ones are better than waiting
+}
--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -279,8 +279,8 @@
 }
 
 // placeAvoiding tries the step's data rack first. A single-rack gang is placed on the rack
-// whose workers suit it best by their speed, and among those on the one with the least free
-// capacity that fits it, unless spread is set.
+// whose workers suit it best by their speed, one with cold workers last, and among those on
+// the one with the least free capacity that fits it, unless spread is set.
 func (v *view) placeAvoiding(u *unit, spread, avoid bool) []placement {
 	s := u.spec()
 	limit := v.planner.maxTimeFactor(u, v.now)
@@ -305,7 +305,7 @@
 	bestFree := 0.0
 	for _, members := range v.racks {
 		free := v.rackFree(members)
-		if best != nil && free >= bestFree && !v.uneven {
+		if best != nil && free >= bestFree && !v.uneven && !best.cold {
 			continue
 		}
 		f := v.fitOn(u, members, avoid, limit)
@@ -365,7 +365,11 @@
 	if warmSlots < u.count {
 		candidates = append(candidates, cold...)
 	}
-	return chooseBySpeed(u, candidates, limit)
+	f := chooseBySpeed(u, candidates, limit)
+	if f != nil {
+		f.cold = warmSlots < u.count
+	}
+	return f
 }
 
 // pack packs the unit onto those of the chosen workers that have the least free capacity
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -142,23 +142,30 @@
 	// wait for slower ones.
 	class int
 	mixed bool
+	// cold is set if the warm workers among the candidates don't hold the unit.
+	cold bool
 }
 
-// compare orders choices by preference: those in time first, then those that leave faster
+// compare orders choices by preference: those without cold workers first, then those in
+// time, then those that leave faster
 // workers to others or, where the time is short, those that complete the unit first.
 func (f *fit) compare(o *fit) int {
 	byClass := cmp.Compare(o.class, f.class)
 	if f.timeliness != surelyInTime {
 		byClass = -byClass
 	}
-	mixed := 0
-	if f.mixed != o.mixed {
-		mixed = 1
-		if o.mixed {
-			mixed = -1
-		}
+	return cmp.Or(compareBool(f.cold, o.cold), cmp.Compare(f.timeliness, o.timeliness), compareBool(f.mixed, o.mixed), byClass)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
 	}
-	return cmp.Or(cmp.Compare(f.timeliness, o.timeliness), mixed, byClass)
+	return -1
 }
 
 // chooseBySpeed returns those of the candidates on which the unit should run: the slowest
