Planner: runs on cold workers tell nothing of their speed

A worker that is cold after a restart takes longer for a time that the registry tells. Its runs counted as observations (2.56 for a worker of factor 1 in the test), so it was taken for a slow one for up to a minute after it had become warm. The test failed before.

--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -21,6 +21,7 @@
 	r := &run{
 		unit: u, task: taskID(u, index), number: number, worker: w,
 		need: u.spec().Need, phase: phase, startedAt: now, confirmedAt: now, progressAt: now,
+		cold: now < w.coldUntil,
 	}
 	u.runs[index] = r
 	w.runs[r.task] = r
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -37,7 +37,7 @@
 	if u == nil || u.phase != unitActive || u.spec().LongLived || u.spec().BestEffort || r.phase != runRunning || len(u.runs) == 0 {
 		return
 	}
-	if now-r.worker.reportedAt > maxReportGap {
+	if now-r.worker.reportedAt > maxReportGap || u.startedCold() {
 		return
 	}
 	if r.observedAt == 0 { // the run has continued from a checkpoint, or its start is estimated
@@ -66,6 +66,17 @@
 	})
 }
 
+// startedCold reports whether one of the unit's workers was cold at the start, which makes
+// the run slower than later ones there.
+func (u *unit) startedCold() bool {
+	for _, r := range u.runs {
+		if r.cold {
+			return true
+		}
+	}
+	return false
+}
+
 // timeFactor returns the time factor expected of the run, 1 if it was adopted.
 func (r *run) timeFactor() float64 {
 	if r.factor == 0 {
--- a/internal/planner/speed_test.go
+++ b/internal/planner/speed_test.go
@@ -213,3 +213,23 @@
 	h.p.Plan(h.now)
 	must.Between(t, 0.9, h.p.SpeedFactor("w00"), 1.1)
 }
+
+// Guards against a worker that is taken for a slow one long after it has become warm.
+func TestColdRunTellsNoSpeed(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	h.p.SetCold("w00", h.now+100*time.Second)
+	for k := range 8 {
+		task, o := h.startLong(fmt.Sprint("job", k))
+		h.p.StartAnswered(h.now, o.Worker, o.Task, o.Run, port.NotRejected)
+		for percent := 10; percent < 100; percent += 10 { // almost three times the estimate
+			h.now += 1100 * time.Millisecond
+			h.report(o.Worker, port.RunState{Task: task, Run: o.Run, ProgressPercent: percent})
+		}
+		h.now += time.Second
+		h.endRun(task, port.ResultSucceeded)
+		h.p.Plan(h.now)
+	}
+	h.now += time.Second
+	h.p.Plan(h.now)
+	must.Between(t, 0.9, h.p.SpeedFactor("w00"), 1.1)
+}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -173,6 +173,7 @@
 	observedPercent int
 	// factor is the time factor that was expected of the attempt when the run was placed.
 	factor float64
+	cold   bool // the worker was cold when the run was placed or adopted
 	// needUnknown is set for a run without a unit whose need isn't known.
 	needUnknown bool
 }
