--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -75,13 +75,22 @@
 // observation is an Observation as it is kept.
 type observation struct {
 	run  Run
-	step work.StepID
+	step *step
 	// workers are those that ran it. One that has restarted since explains its duration as
 	// it was then.
 	workers []*worker
 	holders int     // workers that still have it in recent
 	log     float64 // logarithm of the observed factor
 	at      time.Duration
+	weight  float64 // by its age, as of the last Update
+}
+
+// step is a step of which runs are observed.
+type step struct {
+	id           work.StepID
+	observations int
+	bias         stepBias
+	residuals    []weighted // reused by each round
 }
 
 type worker struct {
@@ -102,6 +111,7 @@
 type Estimator struct {
 	workers map[string]*worker
 	byRun   map[Run]*observation
+	steps   map[work.StepID]*step
 	// spread is the variance of the workers' factors, in logarithms.
 	spread float64
 	// errors is the variance of the estimates' errors, in logarithms.
@@ -112,7 +122,7 @@
 
 // New returns an estimator that takes all workers for equally fast.
 func New() *Estimator {
-	return &Estimator{workers: map[string]*worker{}, byRun: map[Run]*observation{}, spread: minSpread, errors: initialErrors}
+	return &Estimator{workers: map[string]*worker{}, byRun: map[Run]*observation{}, steps: map[work.StepID]*step{}, spread: minSpread, errors: initialErrors}
 }
 
 // Observe adds an observation, or replaces the one of the same run.
@@ -126,10 +136,8 @@
 		known.log, known.at = logFactor, now
 		return
 	}
-	obs := &observation{
-		run: o.Run, step: work.StepID{Job: o.Run.Task.Job, Occurrence: o.Run.Task.Occurrence, Step: o.Run.Task.Step},
-		log: logFactor, at: now,
-	}
+	obs := &observation{run: o.Run, step: e.step(&o.Run.Task), log: logFactor, at: now}
+	obs.step.observations++
 	e.byRun[o.Run] = obs
 	for _, id := range o.Workers {
 		w := e.worker(id)
@@ -150,14 +158,29 @@
 	return w
 }
 
+func (e *Estimator) step(task *work.TaskID) *step {
+	id := work.StepID{Job: task.Job, Occurrence: task.Occurrence, Step: task.Step}
+	s := e.steps[id]
+	if s == nil {
+		s = &step{id: id}
+		e.steps[id] = s
+	}
+	return s
+}
+
 // drop removes an observation from the recent ones of a worker, and altogether once no
 // worker has it.
 func (e *Estimator) drop(w *worker, obs *observation) {
 	before := len(w.recent)
 	w.recent = slices.DeleteFunc(w.recent, func(o *observation) bool { return o == obs })
-	obs.holders -= before - len(w.recent)
-	if obs.holders == 0 {
+	if len(w.recent) == before {
+		return
+	}
+	if obs.holders -= before - len(w.recent); obs.holders == 0 {
 		delete(e.byRun, obs.run)
+		if obs.step.observations--; obs.step.observations == 0 {
+			delete(e.steps, obs.step.id)
+		}
 	}
 }
 
@@ -205,18 +228,23 @@
 	}
 	e.changed, e.updatedAt = false, now
 	e.dropOld(now)
+	for _, obs := range e.byRun {
+		obs.weight = obs.weightAt(now)
+	}
+	for _, s := range e.steps {
+		s.bias = stepBias{}
+	}
 	// The workers explain first what they can. Placement by speed runs whole steps on workers
 	// of one class, and the steps' errors would then take the workers' factors over.
-	var bias map[work.StepID]stepBias
 	for range rounds {
 		for _, w := range e.workers {
-			w.observe(now, bias, e.errors)
+			w.observe(e.errors)
 		}
 		e.learnSpread()
 		for _, w := range e.workers {
 			w.log = (w.prior*w.priorWeight + w.observed*w.weight) / (1/w.spread(e.spread) + w.priorWeight + w.weight)
 		}
-		bias = e.stepBiases(now)
+		e.learnBiases()
 	}
 	return true
 }
@@ -252,31 +280,31 @@
 	runs float64
 }
 
-// stepBiases estimates the errors of the steps' estimates from what the workers' factors
+// learnBiases estimates the errors of the steps' estimates from what the workers' factors
 // leave unexplained. With few runs of a step the error is taken for smaller.
-func (e *Estimator) stepBiases(now time.Duration) map[work.StepID]stepBias {
-	residuals := map[work.StepID][]weighted{}
+func (e *Estimator) learnBiases() {
+	for _, s := range e.steps {
+		s.residuals = s.residuals[:0]
+	}
 	for _, obs := range e.byRun {
-		residuals[obs.step] = append(residuals[obs.step], weighted{obs.log - obs.slowest().log, obs.weight(now)})
+		obs.step.residuals = append(obs.step.residuals, weighted{obs.log - obs.slowest().log, obs.weight})
 	}
-	out := make(map[work.StepID]stepBias, len(residuals))
-	sum, steps := 0.0, 0.0
-	for step, list := range residuals {
-		n, median := float64(len(list)), weightedMedian(list)
-		out[step] = stepBias{median, n}
+	sum, known := 0.0, 0.0
+	for _, s := range e.steps {
+		n, median := float64(len(s.residuals)), weightedMedian(s.residuals)
+		s.bias = stepBias{median, n}
 		if n >= minStepRuns {
 			sum += median*median - runVariance/n
-			steps++
+			known++
 		}
 	}
-	if steps >= minKnownSteps {
-		e.errors = min(max(sum/steps, minSpread), maxSpread)
+	if known >= minKnownSteps {
+		e.errors = min(max(sum/known, minSpread), maxSpread)
 	}
-	for step, b := range out {
+	for _, s := range e.steps {
+		b := &s.bias
 		b.log *= b.runs * e.errors / (b.runs*e.errors + runVariance)
-		out[step] = b
 	}
-	return out
 }
 
 // slowest returns the worker that is taken for the slowest of those of the run.
@@ -292,22 +320,22 @@
 	return slices.ContainsFunc(o.workers, func(other *worker) bool { return other != w && other.log >= value-explainedWithin })
 }
 
-func (o *observation) weight(now time.Duration) float64 {
+func (o *observation) weightAt(now time.Duration) float64 {
 	return math.Exp2(-float64(now-o.at) / float64(halfLife))
 }
 
 // observe estimates the worker's factor from its runs, given the errors of the estimates.
-func (w *worker) observe(now time.Duration, bias map[work.StepID]stepBias, errors float64) {
+func (w *worker) observe(errors float64) {
 	list := make([]weighted, 0, maxPerWorker)
 	total := 0.0
 	for _, obs := range w.recent {
-		b := bias[obs.step]
+		b := &obs.step.bias
 		value := obs.log - b.log
 		if value > w.log && obs.explainedWithout(w, value) {
 			continue
 		}
 		biasVariance := 1 / (1/errors + max(b.runs-1, 0)/runVariance)
-		weight := obs.weight(now) / (runVariance + biasVariance)
+		weight := obs.weight / (runVariance + biasVariance)
 		if value > w.log {
 			weight /= float64(len(obs.workers)) // any of them may be the slow one
 		}
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -234,3 +234,30 @@
 	must.True(t, slow.DiffersFrom(&without))
 	must.True(t, without.DiffersFrom(&slow))
 }
+
+// Guards against state that grows with the steps that have run, and against gangs that are
+// counted out more than once.
+func TestForgetsOldSteps(t *testing.T) {
+	e := New()
+	observe := func(now time.Duration, job string, workers ...string) {
+		e.Observe(now, Observation{Run: Run{work.TaskID{Job: job}, 1}, Workers: workers, Factor: 1})
+	}
+	observe(time.Second, "gang", "c", "a", "b")
+	e.Observe(time.Second, Observation{Run: Run{work.TaskID{Job: "gang", Index: 9}, 1}, Workers: []string{"d"}, Factor: 1})
+	for k := range maxPerWorker {
+		observe(time.Second, fmt.Sprint("a", k), "a")
+	}
+	e.Forget("b")
+	must.MapLen(t, 1+maxPerWorker, e.steps)
+	observe(time.Second+maxAge, "gang", "c")
+	observe(time.Second+maxAge, "new", "e")
+	e.Forget("d")
+	must.True(t, e.Update(time.Second+maxAge+maxAge/2))
+	must.MapLen(t, 2, e.byRun)
+	must.MapLen(t, 2, e.steps)
+	must.True(t, e.steps[work.StepID{Job: "gang"}].observations == 1)
+	e.Observe(time.Second+3*maxAge, Observation{Run: Run{work.TaskID{Job: "gang", Index: 10}, 1}, Workers: []string{"e"}, Factor: 1})
+	e.Update(time.Second + 3*maxAge)
+	must.MapLen(t, 1, e.byRun)
+	must.MapLen(t, 1, e.steps)
+}
