Planner: even workers are of one speed class where all estimates are wrong alike

The classes were counted from the factor 1. If all steps take 1.2 times their estimates, even workers of 48 were learned as 1.02 to 1.39, 33 in one class and 15 in the next, and gangs were placed by that noise; the learned spread rose to 0.14 to 0.49. A pool whose workers differ from their median by no more than the lower bound of the spread now counts as even: only a worker that deviates by a class width is of another class. Uneven pools (1, 1, 1.3; 0.8, 1, 1.25; 0.7, 0.7, 1.7; one slow worker) keep their classes. The factors, by which ends are forecast, are unchanged.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -72,7 +72,7 @@
 		v.lasting = append(v.lasting, w.lastingCapacity())
 		v.colocated = append(v.colocated, w.colocation())
 		factor := p.speeds.Factor(id)
-		v.factor, v.class = append(v.factor, factor), append(v.class, speedClass(factor))
+		v.factor, v.class = append(v.factor, factor), append(v.class, p.speedClass(id, factor))
 		v.upper = append(v.upper, p.speeds.UpperFactor(id))
 		v.uneven = v.uneven || v.class[i] != v.class[0]
 	}
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -102,6 +102,19 @@
 	return int(min(max(math.Round(math.Log(factor)/classWidth), -maxClass), maxClass))
 }
 
+// speedClass returns the speed class of a worker with a time factor. In a pool of even
+// workers, all but exceptions are of one class, also where the estimates are wrong alike.
+func (p *Planner) speedClass(id string, factor float64) int {
+	if !p.speeds.Even() {
+		return speedClass(factor)
+	}
+	deviation := p.speeds.Deviation(id)
+	if math.Abs(deviation) < classWidth {
+		return 0
+	}
+	return speedClass(math.Exp(deviation))
+}
+
 // maxTimeFactor returns the largest time factor with which the unit still completes within
 // its job's objective if it starts now. It is infinite for a unit without an end.
 func (p *Planner) maxTimeFactor(u *unit, now time.Duration) float64 {
--- a/internal/planner/speed_test.go
+++ b/internal/planner/speed_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -233,3 +236,43 @@
 	h.p.Plan(h.now)
 	must.Between(t, 0.9, h.p.SpeedFactor("w00"), 1.1)
 }
+
+// runSteps has the planner learn from runs of 200 steps of 8 tasks. The workers need the
+// given time factors in turn, and tasks of a step differ by a fifth.
+func (h *harness) runSteps(factors ...float64) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for s := range 200 {
+		for k := range 8 {
+			i := (s*5 + k) % len(h.p.workerIDs)
+			h.p.speeds.Observe(h.now, speed.Observation{
+				Run: speed.Run{Task: work.TaskID{Job: fmt.Sprint(s), Index: k}}, Workers: []string{h.p.workerIDs[i]},
+				Factor: factors[i%len(factors)] * math.Exp(0.2*(2*rng.Float64()-1)+0.1*rng.NormFloat64()),
+			})
+		}
+		h.now += 200 * time.Millisecond
+		h.p.speeds.Update(h.now)
+	}
+}
+
+// Guards against even workers that are told apart because the estimates of all steps are
+// wrong alike.
+func TestEvenWorkersAreOfOneClass(t *testing.T) {
+	for _, common := range []float64{0.6, 0.86, 1, 1.16, 1.25, 1.57} {
+		h := newHarness(t, 6, 8)
+		h.runSteps(common)
+		must.False(t, h.p.newView(h.now).uneven, must.Sprint(common))
+		h.addWorker("unknown", "r5")
+		must.False(t, h.p.newView(h.now).uneven, must.Sprint(common))
+	}
+}
+
+// Guards against uneven workers, or a single slow one, that are taken for even.
+func TestUnevenWorkersAreOfSeveralClasses(t *testing.T) {
+	one := slices.Repeat([]float64{1}, 48)
+	one[5] = 2
+	for _, factors := range [][]float64{{1, 1, 1.3}, {0.8, 1, 1.25}, {0.7, 0.7, 1.7}, one} {
+		h := newHarness(t, 6, 8)
+		h.runSteps(factors...)
+		must.True(t, h.p.newView(h.now).uneven, must.Sprint(factors))
+	}
+}
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -114,6 +114,10 @@
 	steps   map[work.StepID]*step
 	// spread is the variance of the workers' factors, in logarithms.
 	spread float64
+	// center is the median of the workers' factors, and even tells that they hardly differ
+	// from it. Estimates that are wrong alike make all workers look slow or fast.
+	center float64 // in logarithms
+	even   bool
 	// errors is the variance of the estimates' errors, in logarithms.
 	errors    float64
 	changed   bool
@@ -216,6 +220,18 @@
 	return math.Exp(mean + 2*math.Sqrt(1/weight))
 }
 
+// Even reports whether the workers' factors are known to differ little.
+func (e *Estimator) Even() bool { return e.even }
+
+// Deviation returns the logarithm of the worker's factor relative to the median of the
+// workers, 0 if nothing is known of it.
+func (e *Estimator) Deviation(id string) float64 {
+	if w := e.workers[id]; w != nil && w.weight+w.priorWeight > 0 {
+		return w.log - e.center
+	}
+	return 0
+}
+
 // Spread returns how much the workers' factors differ, as the standard deviation of their
 // logarithms.
 func (e *Estimator) Spread() float64 { return math.Sqrt(e.spread) }
@@ -252,16 +268,25 @@
 // learnSpread estimates how much the workers' factors differ, without what the noise of the
 // runs contributes.
 func (e *Estimator) learnSpread() {
-	sum, n := 0.0, 0.0
+	sum := 0.0
+	var known []weighted
 	for _, w := range e.workers {
 		if w.weight >= minKnownWeight {
 			sum += w.observed*w.observed - 1/w.weight
-			n++
+			known = append(known, weighted{w.observed, w.weight})
 		}
 	}
-	if n >= minKnownWorkers {
-		e.spread = min(max(sum/n, minSpread), maxSpread)
+	n := float64(len(known))
+	if n < minKnownWorkers {
+		return
+	}
+	e.spread = min(max(sum/n, minSpread), maxSpread)
+	e.center = weightedMedian(known)
+	around := 0.0
+	for _, w := range known {
+		around += (w.value-e.center)*(w.value-e.center) - 1/w.weight
 	}
+	e.even = around/n <= minSpread
 }
 
 func (e *Estimator) dropOld(now time.Duration) {
