Pool: a new owner doesn't replace the stored speeds at first

Its first write, a second after the takeover, held only the workers that had answered by then. If the pool changed hands again, the speeds of the others were lost. It now writes from 5 s on, as often as before.

--- a/internal/duty/pool/speeds.go
+++ b/internal/duty/pool/speeds.go
@@ -62,10 +62,11 @@
 }
 
 // storeSpeeds stores the learned speeds if they have changed noticeably. A write that fails
-// is replaced by the next one.
+// is replaced by the next one. A new owner doesn't write at first: the row holds the speeds
+// of workers that haven't answered it yet.
 func (o *Owner) storeSpeeds(ctx context.Context, now time.Duration) {
 	k := &o.speeds
-	if now < k.nextAt || k.writing.Load() || !o.mayStart() {
+	if now < max(k.nextAt, o.startedAt+speedStoreInterval) || k.writing.Load() || !o.mayStart() {
 		return
 	}
 	k.nextAt = now + speedStoreInterval
