Planner: an idle evacuated failure domain is no room

Units that wait for 2 s while most of the capacity is idle ignore reservations and headroom. Idle workers of an evacuated failure domain counted as such capacity, so units took what is kept for others although the usable workers were mostly in use. The test failed before.

--- a/internal/planner/evacuation_test.go
+++ b/internal/planner/evacuation_test.go
@@ -205,3 +205,15 @@
 	h.plan()
 	must.MapLen(t, 6, h.runs) // the cold ones are better than waiting
 }
+
+// Guards against the idle capacity of an evacuated failure domain that counts as room: units
+// would use what is reserved for others on the workers that are left.
+func TestIdleEvacuatedDomainIsNoRoom(t *testing.T) {
+	h := newZonedHarness(t, 3, 4)
+	h.p.SetEvacuated([]string{"z0", "z1"})
+	h.add(h.job("busy", 1, step(3, 8, 60)))
+	must.EqOp(t, 3, starts(h.plan()))
+	must.False(t, h.p.mostlyIdle(), must.Sprint("3 of 4 usable workers are in use"))
+	h.p.SetEvacuated(nil)
+	must.True(t, h.p.mostlyIdle())
+}
--- a/internal/planner/idle.go
+++ b/internal/planner/idle.go
@@ -11,12 +11,12 @@
 // 3 s while there is room for it, and a long-lived task for 6 s.
 const idleStartAfter = 2 * time.Second
 
-// mostlyIdle reports whether less than half of each resource of the listed workers is in
-// use.
+// mostlyIdle reports whether less than half of each resource is in use of the listed workers
+// outside of the evacuated failure domains.
 func (p *Planner) mostlyIdle() bool {
 	var free, capacity work.Resources
 	for _, w := range p.workers {
-		if w.listed {
+		if w.listed && !w.evacuated {
 			free, capacity = free.Add(w.free), capacity.Add(w.info.Capacity)
 		}
 	}
