--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -37,7 +37,7 @@
 	if u == nil || u.phase != unitActive || u.spec().LongLived || u.spec().BestEffort || r.phase != runRunning || len(u.runs) == 0 {
 		return
 	}
-	if now-r.worker.reportedAt > maxReportGap {
+	if now-r.worker.reportedAt > maxReportGap || u.startedCold() {
 		return
 	}
 	if r.observedAt == 0 { // the run has continued from a checkpoint, or its start is estimated
@@ -66,6 +66,17 @@
 	})
 }
 
+// startedCold reports whether one of the unit's workers was cold at the start, which makes
+// the run slower than later ones there.
+func (u *unit) startedCold() bool {
+	for _, r := range u.runs {
+		if r.cold {
+			return true
+		}
+	}
+	return false
+}
+
 // timeFactor returns the time factor expected of the run, 1 if it was adopted.
 func (r *run) timeFactor() float64 {
 	if r.factor == 0 {
@@ -91,6 +102,19 @@
 	return int(min(max(math.Round(math.Log(factor)/classWidth), -maxClass), maxClass))
 }
 
+// speedClass returns the speed class of a worker with a time factor. In a pool of even
+// workers, all but exceptions are of one class, also where the estimates are wrong alike.
+func (p *Planner) speedClass(id string, factor float64) int {
+	if !p.speeds.Even() {
+		return speedClass(factor)
+	}
+	deviation := p.speeds.Deviation(id)
+	if math.Abs(deviation) < classWidth {
+		return 0
+	}
+	return speedClass(math.Exp(deviation))
+}
+
 // maxTimeFactor returns the largest time factor with which the unit still completes within
 // its job's objective if it starts now. It is infinite for a unit without an end.
 func (p *Planner) maxTimeFactor(u *unit, now time.Duration) float64 {
@@ -142,23 +166,30 @@
 	// wait for slower ones.
 	class int
 	mixed bool
+	// cold is set if the warm workers among the candidates don't hold the unit.
+	cold bool
 }
 
-// compare orders choices by preference: those in time first, then those that leave faster
+// compare orders choices by preference: those without cold workers first, then those in
+// time, then those that leave faster
 // workers to others or, where the time is short, those that complete the unit first.
 func (f *fit) compare(o *fit) int {
 	byClass := cmp.Compare(o.class, f.class)
 	if f.timeliness != surelyInTime {
 		byClass = -byClass
 	}
-	mixed := 0
-	if f.mixed != o.mixed {
-		mixed = 1
-		if o.mixed {
-			mixed = -1
-		}
+	return cmp.Or(compareBool(f.cold, o.cold), cmp.Compare(f.timeliness, o.timeliness), compareBool(f.mixed, o.mixed), byClass)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
 	}
-	return cmp.Or(cmp.Compare(f.timeliness, o.timeliness), mixed, byClass)
+	return -1
 }
 
 // chooseBySpeed returns those of the candidates on which the unit should run: the slowest
