Forecast: work ahead counts as if on the fastest workers

Cause: the forecast took a run for 1/1.9 of its estimate at least, while admission took the new job for 0.7/1.9. On workers of factor 0.7 with estimates 1.9 times too long, a forecast said 10 s and the start came after 7 s (scratch test of the review). Change: one constant for both.

--- a/internal/duty/intake/admission.go
+++ b/internal/duty/intake/admission.go
@@ -18,9 +18,6 @@
 	// maxForecastAge is the age up to which a forecast is used. An owner renews it about
 	// twice a second while jobs wait.
 	maxForecastAge = 2 * time.Second
-	// shortestRun is the shortest run time relative to the estimate: submitters estimate
-	// up to 90% too much, and the fastest workers take 0.7 of the nominal time.
-	shortestRun = 0.7 / 1.9
 	// maxRetryAfter bounds the time after which a caller may retry. What arrives and ends
 	// meanwhile isn't known further ahead.
 	maxRetryAfter = time.Minute
@@ -60,7 +57,7 @@
 	}
 	r := &refusal{
 		scarcest: forecast.Scarcest, age: max(age, 0), useful: utility.LastUseful(objective),
-		criticalPath: time.Duration(float64(paths[first]) * shortestRun),
+		criticalPath: time.Duration(float64(paths[first]) * work.ShortestRun),
 	}
 	if mean := forecast.MeanWeights[job.Queue]; mean > 0 {
 		r.relativeSize = job.Weight() / mean
--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// estimateDoubt divides the estimated run times in a forecast, since submitters
-	// estimate up to 90% too much. Runs that take longer than estimated only delay
-	// others more.
-	estimateDoubt = 1.9
 	// maxForecast is the longest wait that is forecast.
 	maxForecast = 10 * time.Minute
 	// minForecast is the shortest wait that is forecast. No caller finds a job worthless
@@ -227,7 +223,7 @@
 	if u.spec().LongLived {
 		return forever
 	}
-	return time.Duration(float64(u.estimate()) / estimateDoubt)
+	return scaled(u.estimate(), work.ShortestRun)
 }
 
 // shortestLeft returns the shortest time that the run may still take, 0 if it may end at
@@ -247,7 +243,7 @@
 	} else {
 		left = float64(r.unit.estimate())
 	}
-	return max(time.Duration(left/estimateDoubt)-since, 0)
+	return max(time.Duration(left*work.ShortestRun)-since, 0)
 }
 
 // bounds returns the bounds from minForecast on. It leaves out those that another one, which
--- a/internal/work/forecast.go
+++ b/internal/work/forecast.go
@@ -50,6 +50,11 @@
 	return s.Need.Amount(k)
 }
 
+// ShortestRun is the shortest run time of a task relative to its estimate: submitters
+// estimate up to 90% too much, and the fastest workers take 0.7 of the nominal time. Tasks
+// that take longer than estimated only delay others more.
+const ShortestRun = 0.7 / 1.9
+
 // Forecast holds lower bounds of the time until jobs that arrive at a pool now can start.
 // The pool's owner publishes it for the admission checks of all instances.
 type Forecast struct {
