Ingress: memory of aborted bodies is given to others once it is returned

Cause: an abort returned a body's bytes to the budget at once, but its goroutine held the blocks until its read had failed. Change: aborted bytes count until the body is closed, and a reservation waits for them, at most 1 s. The test of a body that is aborted at its end asserts that order, too.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -118,11 +118,11 @@
 		return
 	}
 	b.isClosed = true
-	b.gate.close(b)
 	for _, block := range b.rest {
 		blocks.Put(block)
 	}
 	b.first, b.rest = nil, nil
+	b.gate.close(b)
 }
 
 // receive reads r to its end.
--- a/internal/ingress/budget.go
+++ b/internal/ingress/budget.go
@@ -34,7 +34,9 @@
 	// above smallBytes may use.
 	limit, largeLimit, smallBytes int64
 
-	held       int64
+	held int64
+	// aborting is what aborted bodies hold until they are closed.
+	aborting   int64
 	incomplete list.List // of *entry, oldest first
 }
 
@@ -44,6 +46,7 @@
 	held     int64
 	element  *list.Element // nil once the body is complete or has left the ledger
 	gone     bool
+	aborting bool // aborted and not closed yet
 }
 
 func newLedger(limit int64) *ledger {
@@ -75,7 +78,7 @@
 			return aborted, false
 		}
 		victim := oldest.Value.(*entry)
-		l.close(victim)
+		l.abort(victim)
 		aborted = append(aborted, victim)
 	}
 	e.held += n
@@ -99,8 +102,24 @@
 	}
 }
 
+// abort takes a body out of the ledger. Its memory isn't free before it is closed.
+func (l *ledger) abort(e *entry) {
+	l.complete(e)
+	e.gone, e.aborting = true, true
+	l.held -= e.held
+	l.aborting += e.held
+}
+
+// overdrawn reports whether bodies hold more than the budget because some that were
+// aborted haven't been closed yet.
+func (l *ledger) overdrawn() bool { return l.aborting > 0 && l.held+l.aborting > l.limit }
+
 // close returns a body's bytes to the budget.
 func (l *ledger) close(e *entry) {
+	if e.aborting {
+		e.aborting = false
+		l.aborting -= e.held
+	}
 	if e.gone {
 		return
 	}
--- a/internal/ingress/budget_test.go
+++ b/internal/ingress/budget_test.go
@@ -137,3 +137,21 @@
 	all := l.ReceivingBytes + l.ProcessingBytes + int64(l.Conns)*(receiveBufferBytes+connBytes)
 	must.LessEq(t, 144<<20/2, all, must.Sprint("half is left for the process itself"))
 }
+
+// Guards against memory that is given to a body while aborted bodies still hold it: their
+// reads fail only once their goroutines run, which takes long in a busy process.
+func TestAbortedBodiesHoldTheirMemoryUntilTheyAreClosed(t *testing.T) {
+	l := newLedger(4 * smallBodyBytes)
+	old := l.open(0)
+	_, ok := l.reserve(old, 3*smallBodyBytes)
+	must.True(t, ok)
+	aborted, ok := l.reserve(l.open(1), 2*smallBodyBytes)
+	must.True(t, ok)
+	must.Eq(t, []*entry{old}, aborted)
+	must.True(t, l.overdrawn())
+	l.close(old)
+	must.False(t, l.overdrawn())
+	l.close(old)
+	must.EqOp(t, 2*smallBodyBytes, l.held)
+	must.EqOp(t, 0, l.aborting)
+}
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -44,6 +44,7 @@
 	mu     sync.Mutex
 	ledger *ledger
 	bodies map[*entry]*Body
+	freed  chan struct{} // closed when an aborted body returns its memory
 }
 
 // New returns a gate. onRefusal is called for each refusal.
@@ -56,7 +57,7 @@
 		limits: limits, log: log.WithOptions(zap.WrapCore(sample)), startedAt: time.Now(), onRefusal: onRefusal,
 		processing: newSharedMemory(limits.ProcessingBytes - small - links),
 		small:      newSharedMemory(small), links: newSharedMemory(links),
-		ledger: newLedger(limits.ReceivingBytes), bodies: map[*entry]*Body{},
+		ledger: newLedger(limits.ReceivingBytes), bodies: map[*entry]*Body{}, freed: make(chan struct{}),
 	}
 }
 
@@ -105,7 +106,7 @@
 		g.refuse(ReasonBudget, v.remote, v.entry.held)
 		v.abort()
 	}
-	if ok {
+	if ok && g.awaitAborted(b) {
 		return nil
 	}
 	if !b.wasAborted() {
@@ -114,6 +115,31 @@
 	return errExhausted
 }
 
+// abortTimeout bounds the wait for aborted bodies to return their memory. Their reads fail
+// at once, so that it is only reached by a process that gets no processor time.
+const abortTimeout = time.Second
+
+// awaitAborted waits until the memory that was given to a body is free, as aborted bodies
+// hold theirs until their reads have failed. It reports false if that takes too long or the
+// body is aborted meanwhile.
+func (g *Gate) awaitAborted(b *Body) bool {
+	timeout := time.NewTimer(abortTimeout)
+	defer timeout.Stop()
+	for {
+		g.mu.Lock()
+		overdrawn, gone, freed := g.ledger.overdrawn(), b.entry.gone, g.freed
+		g.mu.Unlock()
+		if gone || !overdrawn {
+			return !gone
+		}
+		select {
+		case <-freed:
+		case <-timeout.C:
+			return false
+		}
+	}
+}
+
 // complete marks a body as received. It reports false if the body was aborted just
 // before, since its bytes are then others'.
 func (g *Gate) complete(b *Body) bool {
@@ -126,6 +152,10 @@
 func (g *Gate) close(b *Body) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if b.entry.aborting {
+		close(g.freed)
+		g.freed = make(chan struct{})
+	}
 	g.ledger.close(b.entry)
 	delete(g.bodies, b.entry)
 }
--- a/internal/ingress/http_test.go
+++ b/internal/ingress/http_test.go
@@ -247,14 +247,23 @@
 // abort was counted and its connection can't be read any more.
 func TestBodyAbortedAtItsEndIsRefused(t *testing.T) {
 	s := newSite(t, Limits{ReceivingBytes: maxBody, ProcessingBytes: 400, Conns: 10}, 10)
-	b, other := s.open("test", func() {}), s.open("test", func() {})
-	defer b.Close()
+	aborted := make(chan struct{})
+	b, other := s.open("test", func() { close(aborted) }), s.open("test", func() {})
 	defer other.Close()
+	reserved := make(chan error, 1)
 	err := b.receive(readerFunc(func([]byte) (int, error) {
-		must.NoError(t, s.reserve(other, maxBody))
+		go func() { reserved <- s.reserve(other, maxBody) }()
+		<-aborted
 		return 0, io.EOF
 	}))
 	must.True(t, fault.Is(err, fault.Unavailable))
+	select {
+	case <-reserved:
+		t.Fatal("the memory was given to another body before it was returned")
+	case <-time.After(20 * time.Millisecond):
+	}
+	b.Close()
+	must.NoError(t, <-reserved)
 }
 
 type readerFunc func([]byte) (int, error)
