Fake: test processes reserve the ports that they use

Cause: FreeAddress chose ports by the process ID and checked only whether a port has a listener. Two test processes whose IDs differ by 12 start 36 ports apart.

Change: each process reserves blocks of ports by listening on a block's first port for as long as it lives.

--- a/internal/fake/ports.go
+++ b/internal/fake/ports.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"net"
-	"os"
+	"strconv"
 	"sync"
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
@@ -17,34 +17,66 @@
 	lastPort  = 32_000
 )
 
-// portStride spreads the concurrent test processes over the port range.
-const portStride = 997
+// portBlock is the number of ports that an allocator reserves at once, the guard
+// port included.
+const portBlock = 50
 
-var ports = struct {
-	mu   sync.Mutex
-	next int
-}{next: firstPort + os.Getpid()*portStride%(lastPort-firstPort)}
+// portAllocator returns each port at most once. It reserves ports in blocks against
+// the allocators of other processes: it listens on the first port of a block, the
+// guard port, for as long as the process lives. A check whether a port has a listener
+// isn't enough: another test would get the port of an instance that is down, and its
+// callers would reach the wrong program.
+type portAllocator struct {
+	mu       sync.Mutex
+	guards   []net.Listener
+	scanned  int // first port of the next block to try
+	next     int // next port of the reserved block
+	blockEnd int // end of the reserved block, excluded
+}
+
+var ports = newPortAllocator()
+
+func newPortAllocator() *portAllocator { return &portAllocator{scanned: firstPort} }
 
-// FreeAddress returns a loopback address without a listener. It fails with
+// FreeAddress returns a loopback address without a listener that no other process
+// that uses this function returns as long as this process lives. It fails with
 // fault.Unavailable if no port is free, and with fault.Internal if the listener
 // that it opens as a check can't be closed.
-func FreeAddress() (string, error) {
-	ports.mu.Lock()
-	defer ports.mu.Unlock()
-	for range lastPort - firstPort {
-		ports.next++
-		if ports.next >= lastPort {
-			ports.next = firstPort
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
+func FreeAddress() (string, error) { return ports.freeAddress() }
+
+func (p *portAllocator) freeAddress() (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.next < p.blockEnd || p.reserveBlock() {
+		address := loopback(p.next)
+		p.next++
 		l, err := net.Listen("tcp", address)
 		if err != nil {
-			continue // in use
+			continue // in use by another program
 		}
 		if err := l.Close(); err != nil {
 			return "", fault.Wrap(fault.Internal, "close "+address, err)
 		}
 		return address, nil
 	}
-	return "", fault.New(fault.Unavailable, "no free port")
+	return "", fault.New(fault.Unavailable, fmt.Sprintf("no free block of ports between %d and %d", firstPort, lastPort))
 }
+
+// reserveBlock reserves the next block whose guard port is free. It returns false if
+// there is none.
+func (p *portAllocator) reserveBlock() bool {
+	for p.scanned+portBlock <= lastPort {
+		start := p.scanned
+		p.scanned += portBlock
+		guard, err := net.Listen("tcp", loopback(start))
+		if err != nil {
+			continue // reserved by another process
+		}
+		p.guards = append(p.guards, guard)
+		p.next, p.blockEnd = start+1, start+portBlock
+		return true
+	}
+	return false
+}
+
+func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
