Ingress: refusals of unread bodies are not followed by a reset

Cause: the guard makes reads fail once a request is refused, so that its body isn't drained. The HTTP server then closes the connection at once if at most 256 KB are unread or the body is chunked. Closing with unread bytes resets the connection, and the caller's write may fail before it reads the response: its "has not run" is lost.

Change: such a connection ends the response, keeps its place among the listener's connections for 500 ms, as the HTTP server does in the other cases, and is closed then.

--- a/internal/ingress/http.go
+++ b/internal/ingress/http.go
@@ -115,15 +115,36 @@
 	listener *Listener
 	state    connState // guarded by listener.mu, as is since
 	since    time.Duration
-	// isEvicted is set from its eviction to Close; guarded by listener.mu.
+	// isEvicted is set from its eviction until it is closed; guarded by listener.mu.
 	isEvicted bool
 
 	mu      sync.Mutex
 	aborted bool // reads fail at once
+	// lingers is set if the last request wasn't read whole. isHalfClosed is set once
+	// nothing more can be written.
+	lingers, isHalfClosed bool
 }
 
-// Close implements net.Conn.
+// lingerTimeout is the time that a client has to read the response to a request that
+// wasn't read whole. It is that of the HTTP server, which waits only for some of them.
+const lingerTimeout = 500 * time.Millisecond
+
+// Close implements net.Conn. If the last request wasn't read whole, only the response
+// ends at once: a connection with unread bytes is reset when it is closed, and the client
+// might not read the response.
 func (c *Conn) Close() error {
+	c.mu.Lock()
+	linger := c.lingers && !c.isHalfClosed
+	c.mu.Unlock()
+	if linger && c.CloseWrite() == nil {
+		time.AfterFunc(lingerTimeout, func() { _ = c.closeNow() }) // fails only if it is closed already
+		return nil
+	}
+	return c.closeNow()
+}
+
+// closeNow closes the connection and frees its place in the listener.
+func (c *Conn) closeNow() error {
 	c.listener.mu.Lock()
 	c.listener.forget(c)
 	if c.isEvicted {
@@ -138,16 +159,31 @@
 // CloseWrite ends the response before the connection is closed, so that the peer gets
 // all of it. The HTTP server calls it.
 func (c *Conn) CloseWrite() error {
+	c.mu.Lock()
+	c.isHalfClosed = true
+	c.mu.Unlock()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		return tcp.CloseWrite()
 	}
 	return nil
 }
 
-func (c *Conn) setState(s connState) {
+// setState returns the state before.
+func (c *Conn) setState(s connState) connState {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
+	before := c.state
 	c.state, c.since = s, c.listener.gate.now()
+	return before
+}
+
+// end makes all further reads fail once the last response has been written.
+func (c *Conn) end() {
+	isUnread := c.setState(connClosing) == connReceiving
+	c.abort()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingers = isUnread
 }
 
 // setReadDeadline sets the deadline unless the connection was aborted.
@@ -221,8 +257,7 @@
 		}
 		switch w.Header().Get("Connection") {
 		case "close":
-			conn.setState(connClosing)
-			conn.abort()
+			conn.end()
 		case "": // otherwise the connection has become a link
 			conn.setState(connSending)
 		}
--- a/internal/ingress/http_test.go
+++ b/internal/ingress/http_test.go
@@ -141,6 +141,27 @@
 	s.eventually("closed connections", func() bool { return s.Stats().Connections == 0 })
 }
 
+// Guards against a refusal that the caller doesn't see: a connection that is closed while
+// bytes of the body are unread is reset, and the caller's write fails before it reads the
+// response.
+func TestRefusalOfUnreadBodyIsNotFollowedByReset(t *testing.T) {
+	s := newSite(t, Derive(64<<20), 10)
+	body := strings.Repeat("x", 100<<10)
+	for name, request := range map[string]string{
+		"known length": post("/none", len(body)+1, body),
+		"chunked":      fmt.Sprintf("POST /none HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", len(body)+1, body),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, r := s.dial(request)
+			status, _ := s.response(r)
+			must.EqOp(t, http.StatusNotFound, status)
+			_, err := r.ReadByte()
+			must.ErrorIs(t, err, io.EOF)
+		})
+	}
+	s.eventually("closed connections", func() bool { return s.Stats().Connections == 0 })
+}
+
 func TestTooLargeChunkedBodyIsRefused(t *testing.T) {
 	s := newSite(t, Derive(64<<20), 10)
 	c, r := s.dial("POST /read HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
