Config: the test harness has no data races

The tests changed the partition, the table's reachability and the keeper of a simulated instance while the goroutines of the keepers read them. These fields are atomic now. go test -race ./internal/duty/config reported three races before and passes now.

--- a/internal/duty/config/evacuation_test.go
+++ b/internal/duty/config/evacuation_test.go
@@ -17,12 +17,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	doc := fmt.Appendf(nil, `{"number":%d,"author":"ana","domains":[{"name":"north","evacuated":%v}]}`, number, evacuated)
-	_, err := inst.keeper.Accept(ctx, doc)
+	_, err := inst.keeper.Load().Accept(ctx, doc)
 	return err
 }
 
 func (inst *instance) evacuated() []string {
-	return inst.keeper.Current().EvacuatedDomains()
+	return inst.keeper.Load().Current().EvacuatedDomains()
 }
 
 // Guards against an instance that hears of an evacuation or a restoration late, by
@@ -38,17 +38,17 @@
 		must.NoError(t, g.instances[1].accept(2, "operator"))
 		time.Sleep(inForceBound)
 		must.SliceEmpty(t, late.evacuated())
-		must.False(t, late.keeper.Fresh(time.Now()))
+		must.False(t, late.keeper.Load().Fresh(time.Now()))
 		must.Eq(t, []string{"north"}, g.instances[2].evacuated())
 
-		late.partition, late.tableUnreachable = 0, false
+		late.connect(0, true)
 		time.Sleep(inForceBound)
 		must.Eq(t, []string{"north"}, late.evacuated())
-		must.True(t, late.keeper.Fresh(time.Now()))
+		must.True(t, late.keeper.Load().Fresh(time.Now()))
 
 		g.partition(0)
 		must.NoError(t, g.instances[1].setEvacuated(3, false))
-		late.partition, late.tableUnreachable = 0, false
+		late.connect(0, true)
 		time.Sleep(inForceBound)
 		must.SliceEmpty(t, late.evacuated())
 	})
@@ -68,7 +68,7 @@
 		must.Eq(t, []string{"north"}, g.instances[1].evacuated())
 		g.instances[0].restart()
 		time.Sleep(3 * time.Second)
-		must.True(t, g.instances[0].keeper.Fresh(time.Now()))
+		must.True(t, g.instances[0].keeper.Load().Fresh(time.Now()))
 		must.Eq(t, []string{"north"}, g.instances[0].evacuated())
 	})
 }
@@ -100,7 +100,7 @@
 		g.instances[1].restart()
 		time.Sleep(2 * time.Second)
 		must.SliceEmpty(t, g.instances[1].evacuated())
-		must.Eq(t, next-1, g.instances[1].keeper.Current().Number)
+		must.Eq(t, next-1, g.instances[1].keeper.Load().Current().Number)
 	})
 }
 
@@ -111,8 +111,8 @@
 		g := newGroup(1)
 		defer g.close()
 		synctest.Wait()
-		must.NotNil(t, g.instances[0].keeper.State().EvacuatedDomains)
+		must.NotNil(t, g.instances[0].keeper.Load().State().EvacuatedDomains)
 		must.NoError(t, g.instances[0].setEvacuated(1, true))
-		must.Eq(t, []string{"north"}, g.instances[0].keeper.State().EvacuatedDomains)
+		must.Eq(t, []string{"north"}, g.instances[0].keeper.Load().State().EvacuatedDomains)
 	})
 }
--- a/internal/duty/config/keeper_test.go
+++ b/internal/duty/config/keeper_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,19 +44,19 @@
 }
 
 // instance is a simulated instance. Tests can cut it off from its peers and from
-// the table.
+// the table. The fields that a test changes while keepers run are atomic.
 type instance struct {
 	group  *group
 	id     string
-	keeper *Keeper
+	keeper atomic.Pointer[Keeper]
 	cancel context.CancelFunc
 	// partition is the network partition that the instance belongs to.
-	partition        int
-	tableUnreachable bool
+	partition        atomic.Int32
+	tableUnreachable atomic.Bool
 }
 
 // isolated is the partition of an instance without connections to its peers.
-const isolated = -1
+const isolated int32 = -1
 
 func newGroup(size int) *group {
 	g := &group{table: fake.NewTable()}
@@ -81,13 +82,19 @@
 func (inst *instance) create() {
 	st := store.New(inst, store.NewWriterID(inst.id))
 	none := func() Fleet { return Fleet{} }
-	inst.keeper = New(testSettings, st, inst, inst, none, zap.NewNop())
+	inst.keeper.Store(New(testSettings, st, inst, inst, none, zap.NewNop()))
+}
+
+// connect puts the instance into a partition and makes the table reachable or not.
+func (inst *instance) connect(partition int32, tableReachable bool) {
+	inst.partition.Store(partition)
+	inst.tableUnreachable.Store(!tableReachable)
 }
 
 func (inst *instance) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	inst.cancel = cancel
-	k := inst.keeper
+	k := inst.keeper.Load()
 	inst.group.wg.Go(func() { _ = k.Run(ctx) })
 }
 
@@ -102,8 +109,9 @@
 // instance is isolated.
 func (inst *instance) reachable() []*instance {
 	var out []*instance
+	partition := inst.partition.Load()
 	for _, o := range inst.group.instances {
-		if o != inst && inst.partition != isolated && inst.partition == o.partition {
+		if o != inst && partition != isolated && partition == o.partition.Load() {
 			out = append(out, o)
 		}
 	}
@@ -127,7 +135,7 @@
 	for _, o := range inst.reachable() {
 		out = append(out, port.PeerInfo{
 			Hello:     port.PeerHello{Instance: o.id},
-			Heartbeat: port.PeerHeartbeat{ConfigNumber: o.keeper.Current().Number},
+			Heartbeat: port.PeerHeartbeat{ConfigNumber: o.keeper.Load().Current().Number},
 		})
 	}
 	return out
@@ -153,14 +161,14 @@
 
 func (inst *instance) deliver(to *instance, m port.PeerMessage) {
 	e := port.PeerEvent{From: port.PeerHello{Instance: inst.id}, Message: m}
-	inst.group.wg.Go(func() { to.keeper.HandlePeer(context.Background(), e) })
+	inst.group.wg.Go(func() { to.keeper.Load().HandlePeer(context.Background(), e) })
 }
 
 var errTableUnreachable = fault.New(fault.Unavailable, "table is unavailable")
 
 // Get implements port.Table.
 func (inst *instance) Get(ctx context.Context, keys ...string) ([]port.Row, error) {
-	if inst.tableUnreachable {
+	if inst.tableUnreachable.Load() {
 		return nil, errTableUnreachable
 	}
 	return inst.group.table.Get(ctx, keys...)
@@ -168,7 +176,7 @@
 
 // Scan implements port.Table.
 func (inst *instance) Scan(ctx context.Context, prefix, after string, limit int) ([]port.Row, bool, error) {
-	if inst.tableUnreachable {
+	if inst.tableUnreachable.Load() {
 		return nil, false, errTableUnreachable
 	}
 	return inst.group.table.Scan(ctx, prefix, after, limit)
@@ -176,7 +184,7 @@
 
 // Commit implements port.Table.
 func (inst *instance) Commit(ctx context.Context, txn port.Txn) (int64, error) {
-	if inst.tableUnreachable {
+	if inst.tableUnreachable.Load() {
 		return 0, errTableUnreachable
 	}
 	return inst.group.table.Commit(ctx, txn)
@@ -190,7 +198,7 @@
 func (inst *instance) accept(number int64, author string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	_, err := inst.keeper.Accept(ctx, document(number, author))
+	_, err := inst.keeper.Load().Accept(ctx, document(number, author))
 	return err
 }
 
@@ -224,7 +232,7 @@
 		must.Eq(t, fault.Conflict, fault.CodeOf(g.instances[1].accept(1, "other")))
 		g.table.SetFaults(fake.TableFaults{})
 		must.NoError(t, g.instances[1].accept(1, "operator"))
-		must.Eq(t, 1, g.instances[1].keeper.Current().Number)
+		must.Eq(t, 1, g.instances[1].keeper.Load().Current().Number)
 	})
 }
 
@@ -233,10 +241,10 @@
 		g := newGroup(3)
 		defer g.close()
 		time.Sleep(time.Second)
-		must.True(t, g.instances[0].keeper.Fresh(time.Now()))
-		g.instances[0].partition, g.instances[0].tableUnreachable = isolated, true
+		must.True(t, g.instances[0].keeper.Load().Fresh(time.Now()))
+		g.instances[0].connect(isolated, false)
 		time.Sleep(testSettings.StaleAfter + 2*testSettings.PollInterval)
-		must.False(t, g.instances[0].keeper.Fresh(time.Now()))
+		must.False(t, g.instances[0].keeper.Load().Fresh(time.Now()))
 		must.NoError(t, g.instances[1].accept(1, "operator"))
 	})
 }
@@ -249,8 +257,8 @@
 		g.partition(0, 1)
 		must.NoError(t, g.instances[2].accept(1, "operator"))
 		time.Sleep(inForceBound)
-		must.False(t, g.instances[0].keeper.Fresh(time.Now()))
-		must.True(t, g.instances[2].keeper.Fresh(time.Now()))
+		must.False(t, g.instances[0].keeper.Load().Fresh(time.Now()))
+		must.True(t, g.instances[2].keeper.Load().Fresh(time.Now()))
 	})
 }
 
@@ -265,7 +273,7 @@
 		g.partition(2, 3, 4)
 		must.Eq(t, fault.Unavailable, fault.CodeOf(g.instances[0].accept(1, "operator")))
 		time.Sleep(inForceBound)
-		must.True(t, g.instances[2].keeper.Fresh(time.Now()))
+		must.True(t, g.instances[2].keeper.Load().Fresh(time.Now()))
 	})
 }
 
@@ -273,7 +281,7 @@
 // other.
 func (g *group) partition(instances ...int) {
 	for _, i := range instances {
-		g.instances[i].partition, g.instances[i].tableUnreachable = 1, true
+		g.instances[i].connect(1, false)
 	}
 }
 
@@ -285,15 +293,15 @@
 		must.NoError(t, g.instances[1].accept(1, "operator"))
 		time.Sleep(2 * time.Second)
 		g.table.SetFaults(fake.TableFaults{Down: true})
-		g.instances[0].partition = isolated
+		g.instances[0].partition.Store(isolated)
 		g.instances[0].restart()
 		time.Sleep(time.Minute)
-		must.False(t, g.instances[0].keeper.Fresh(time.Now()))
-		must.True(t, g.instances[1].keeper.Fresh(time.Now()))
-		g.instances[0].partition = 0
+		must.False(t, g.instances[0].keeper.Load().Fresh(time.Now()))
+		must.True(t, g.instances[1].keeper.Load().Fresh(time.Now()))
+		g.instances[0].partition.Store(0)
 		time.Sleep(3 * time.Second)
-		must.True(t, g.instances[0].keeper.Fresh(time.Now()))
-		must.Eq(t, 1, g.instances[0].keeper.Current().Number)
+		must.True(t, g.instances[0].keeper.Load().Fresh(time.Now()))
+		must.Eq(t, 1, g.instances[0].keeper.Load().Current().Number)
 	})
 }
 
@@ -303,7 +311,7 @@
 		defer g.close()
 		synctest.Wait()
 		must.NoError(t, g.instances[0].accept(1, "operator"))
-		k := g.instances[0].keeper
+		k := g.instances[0].keeper.Load()
 		k.HandlePeer(context.Background(), port.PeerEvent{Message: port.PeerMessage{Config: &port.PeerConfig{Number: 0}}})
 		must.Eq(t, 1, k.Current().Number)
 		must.MapLen(t, 1, k.Current().Workspaces)
@@ -320,8 +328,8 @@
 		}
 		g.instances[1].restart()
 		time.Sleep(2 * time.Second)
-		must.Eq(t, maxDeltaTickets+2, g.instances[1].keeper.Current().Number)
-		must.Eq(t, g.instances[0].keeper.Current().Workspaces, g.instances[1].keeper.Current().Workspaces)
+		must.Eq(t, maxDeltaTickets+2, g.instances[1].keeper.Load().Current().Number)
+		must.Eq(t, g.instances[0].keeper.Load().Current().Workspaces, g.instances[1].keeper.Load().Current().Workspaces)
 	})
 }
 
@@ -401,7 +409,7 @@
 	}
 	m.table.SetFaults(fake.TableFaults{})
 	for _, inst := range m.instances {
-		inst.partition, inst.tableUnreachable = 0, false
+		inst.connect(0, true)
 	}
 	time.Sleep(inForceBound)
 	m.check()
@@ -415,13 +423,13 @@
 	case actAccept:
 		m.accept(inst, fmt.Sprint("author-", i))
 	case actIsolate:
-		inst.partition = isolated
+		inst.partition.Store(isolated)
 	case actPartition:
-		inst.partition = 1
+		inst.partition.Store(1)
 	case actDisconnectTable:
-		inst.tableUnreachable = true
+		inst.tableUnreachable.Store(true)
 	case actReconnect:
-		inst.partition, inst.tableUnreachable = 0, false
+		inst.connect(0, true)
 	case actRestart:
 		inst.restart()
 	case actTableDown:
@@ -434,7 +442,7 @@
 }
 
 func (m *model) accept(inst *instance, author string) {
-	number := inst.keeper.Current().Number + 1
+	number := inst.keeper.Load().Current().Number + 1
 	if inst.accept(number, author) != nil {
 		return
 	}
@@ -448,13 +456,14 @@
 func (m *model) check() {
 	now := time.Now()
 	for _, inst := range m.instances {
-		number := inst.keeper.Current().Number
-		if number < m.lastNumber[inst.keeper] {
-			m.violations = append(m.violations, fmt.Sprintf("%s went back from configuration %d to %d", inst.id, m.lastNumber[inst.keeper], number))
+		keeper := inst.keeper.Load()
+		number := keeper.Current().Number
+		if number < m.lastNumber[keeper] {
+			m.violations = append(m.violations, fmt.Sprintf("%s went back from configuration %d to %d", inst.id, m.lastNumber[keeper], number))
 		}
-		m.lastNumber[inst.keeper] = number
+		m.lastNumber[keeper] = number
 		for accepted, at := range m.accepted {
-			if accepted > number && now.Sub(at) > inForceBound && inst.keeper.Fresh(now) {
+			if accepted > number && now.Sub(at) > inForceBound && keeper.Fresh(now) {
 				m.violations = append(m.violations, fmt.Sprintf("%s reports configuration %d as fresh %v after ticket %d was accepted", inst.id, number, now.Sub(at), accepted))
 			}
 		}
@@ -463,8 +472,8 @@
 
 func (m *model) checkRecovered() {
 	for _, inst := range m.instances {
-		number := inst.keeper.Current().Number
-		if !inst.keeper.Fresh(time.Now()) || number < int64(len(m.accepted)) {
+		number := inst.keeper.Load().Current().Number
+		if !inst.keeper.Load().Fresh(time.Now()) || number < int64(len(m.accepted)) {
 			m.violations = append(m.violations, fmt.Sprintf("%s has configuration %d of %d after recovery", inst.id, number, len(m.accepted)))
 		}
 	}
