--- a/internal/planner/speed_test.go
+++ b/internal/planner/speed_test.go
@@ -196,45 +196,41 @@
 	must.Between(t, 0.9, h.p.SpeedFactor("w00"), 1.1)
 }
 
-// Guards against a worker that is taken for a slow one because its reports didn't arrive
-// while this process was suspended or the link to the worker was cut: its run ended long
-// before the result arrived.
-func TestSilenceTellsNoSpeed(t *testing.T) {
-	h := newHarness(t, 1, 1)
+// runAnswered runs jobs of 4 s whose starts are answered. Each run reports 1% of progress
+// per perPercent from step to last percent, each step percent, and then is silent until its
+// result arrives. It returns the learned factor of the worker.
+func (h *harness) runAnswered(step, last int, perPercent, silence time.Duration) float64 {
+	h.t.Helper()
 	for k := range 8 {
 		task, o := h.startLong(fmt.Sprint("job", k))
 		h.p.StartAnswered(h.now, o.Worker, o.Task, o.Run, port.NotRejected)
-		for percent := 25; percent <= 50; percent += 25 {
-			h.now += time.Second
+		for percent := step; percent <= last; percent += step {
+			h.now += time.Duration(step) * perPercent
 			h.report(o.Worker, port.RunState{Task: task, Run: o.Run, ProgressPercent: percent})
 		}
-		h.now += 5 * time.Second
+		h.now += silence
 		h.endRun(task, port.ResultSucceeded)
 		h.p.Plan(h.now)
 	}
 	h.now += time.Second
 	h.p.Plan(h.now)
-	must.Between(t, 0.9, h.p.SpeedFactor("w00"), 1.1)
+	return h.p.SpeedFactor("w00")
+}
+
+// Guards against a worker that is taken for a slow one because its reports didn't arrive
+// while this process was suspended or the link to the worker was cut: its run ended long
+// before the result arrived.
+func TestSilenceTellsNoSpeed(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	must.Between(t, 0.9, h.runAnswered(25, 50, 40*time.Millisecond, 5*time.Second), 1.1)
 }
 
-// Guards against a worker that is taken for a slow one long after it has become warm.
+// Guards against a worker that is taken for a slow one long after it has become warm. Its
+// runs take almost three times the estimate.
 func TestColdRunTellsNoSpeed(t *testing.T) {
 	h := newHarness(t, 1, 1)
 	h.p.SetCold("w00", h.now+100*time.Second)
-	for k := range 8 {
-		task, o := h.startLong(fmt.Sprint("job", k))
-		h.p.StartAnswered(h.now, o.Worker, o.Task, o.Run, port.NotRejected)
-		for percent := 10; percent < 100; percent += 10 { // almost three times the estimate
-			h.now += 1100 * time.Millisecond
-			h.report(o.Worker, port.RunState{Task: task, Run: o.Run, ProgressPercent: percent})
-		}
-		h.now += time.Second
-		h.endRun(task, port.ResultSucceeded)
-		h.p.Plan(h.now)
-	}
-	h.now += time.Second
-	h.p.Plan(h.now)
-	must.Between(t, 0.9, h.p.SpeedFactor("w00"), 1.1)
+	must.Between(t, 0.9, h.runAnswered(10, 90, 110*time.Millisecond, time.Second), 1.1)
 }
 
 // runSteps has the planner learn from runs of 200 steps of 8 tasks. The workers need the
