--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -26,6 +26,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/standin/backend"
 	"github.com/lentilwinch/lentilwinch/internal/standin/control"
 	"github.com/lentilwinch/lentilwinch/internal/standin/platform"
+	"github.com/lentilwinch/lentilwinch/test/programs"
 )
 
 const (
@@ -42,27 +43,7 @@
 var binDir string
 
 func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "lentilwinch-e2e-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	binDir = dir
-	cmd := exec.Command("go", "build", "-o", dir+"/",
-		"github.com/lentilwinch/lentilwinch/cmd/lentilwinch",
-		"github.com/lentilwinch/lentilwinch/cmd/lentilwinchd",
-		"github.com/lentilwinch/lentilwinch/cmd/standin-platform",
-		"github.com/lentilwinch/lentilwinch/cmd/standin-backend")
-	if out, err := cmd.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(programs.Run(m, &binDir, "lentilwinch", "lentilwinchd", "standin-platform", "standin-backend"))
 }
 
 // cluster is a stand-in platform with backend servers and entry instances.
--- a/test/hostile/main_test.go
+++ b/test/hostile/main_test.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/lentilwinch/lentilwinch/test/programs"
 )
 
 const (
@@ -35,25 +37,8 @@
 // binDir is the directory of the built programs.
 var binDir string
 
-func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
-
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "lentilwinch-hostile-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	binDir = dir
-	cmd := exec.Command("go", "build", "-o", dir+"/",
-		"github.com/lentilwinch/lentilwinch/cmd/lentilwinchd",
-		"github.com/lentilwinch/lentilwinch/cmd/lentilwinch-poold",
-		"github.com/lentilwinch/lentilwinch/cmd/standin-platform")
-	if out, err := cmd.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
-		return 1
-	}
-	return m.Run()
+func TestMain(m *testing.M) {
+	os.Exit(programs.Run(m, &binDir, "lentilwinchd", "lentilwinch-poold", "standin-platform"))
 }
 
 // bounds are the limits that a process must keep.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -21,6 +20,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/test/programs"
 )
 
 var (
@@ -46,22 +46,10 @@
 	217: "a task started twice: an owner resumed from suspension repeated a start to a worker that had restarted in the meantime",
 }
 
-var programPath string
+// binDir is the directory of the built program.
+var binDir string
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	dir, err := os.MkdirTemp("", "soak")
-	if err != nil {
-		panic(err)
-	}
-	programPath = filepath.Join(dir, "lentilwinch-poold")
-	if out, err := exec.Command("go", "build", "-o", programPath, "../../cmd/lentilwinch-poold").CombinedOutput(); err != nil {
-		panic(string(out))
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir) // a leftover temporary directory is harmless
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(programs.Run(m, &binDir, "lentilwinch-poold")) }
 
 func TestSoak(t *testing.T) {
 	var seeds []uint64
@@ -88,7 +76,7 @@
 }
 
 func runSoak(t *testing.T, seed uint64, cpuShare float64) {
-	c := newCluster(t, programPath, *instanceCount, *workerCount, cpuShare)
+	c := newCluster(t, filepath.Join(binDir, "lentilwinch-poold"), *instanceCount, *workerCount, cpuShare)
 	t.Cleanup(func() {
 		if t.Failed() && *logDir != "" {
 			path := filepath.Join(*logDir, fmt.Sprintf("soak-%d.log", seed))
