Delegate: the tests run in virtual time

Cause: links end after 650 ms of silence and calls of the tests after 400 ms. A process that waited that long for a core lost them, so that TestCallsInFlightAreUncertainWhenDelegateIsLost failed in 1 of 9 runs at a load average of 49 on 7 cores ("the link to the delegate was lost" on the link that was left). TestCallsAreCarriedOutByDelegate and TestLinkThatFallsSilentIsReplaced have failed by the same bounds before.

Change: the tests connect client and delegates by pipes and run in synctest bubbles. All checks and bounds stay as they are.

A longer linkTimeout, pending calls that aren't closed with the link, and links that open without a greeting are still found.

--- a/internal/adapter/delegate/delegate_test.go
+++ b/internal/adapter/delegate/delegate_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/coder/websocket"
@@ -59,6 +59,7 @@
 // env is an owner's client with some delegates.
 type env struct {
 	t         *testing.T
+	network   *network
 	pool      *fake.Pool
 	direct    *countingWorkers
 	client    *Client
@@ -74,14 +75,14 @@
 }
 
 func newEnv(t *testing.T, delegates int) *env {
-	e := &env{t: t, pool: fake.NewPool(), clock: newClock()}
+	e := &env{t: t, network: newNetwork(), pool: fake.NewPool(), clock: newClock()}
 	e.pool.Add(work.Worker{ID: target.ID, Address: target.Address, Pool: "p", Capacity: work.Resources{CPU: 8000}})
 	e.direct = &countingWorkers{WorkerClient: e.pool}
 	for i := range delegates {
 		d := &testDelegate{workers: &countingWorkers{WorkerClient: e.pool}, clock: newClock()}
 		mux := http.NewServeMux()
 		mux.Handle(Path, NewServer(d.workers, d.clock.now, zap.NewNop(), ingress.New(ingress.Derive(64<<20), zap.NewNop(), func(ingress.Reason) {})))
-		d.server = httptest.NewServer(mux)
+		d.server = e.serve(mux)
 		e.delegates = append(e.delegates, d)
 		e.instances = append(e.instances, delegation.Instance{
 			Name: fmt.Sprintf("d%d", i), Domain: target.Domain, Address: strings.TrimPrefix(d.server.URL, "http://"), Cores: 1,
@@ -91,8 +92,15 @@
 	return e
 }
 
+// serve starts a server in the environment's network.
+func (e *env) serve(h http.Handler) *httptest.Server {
+	server := &httptest.Server{Listener: e.network.listen(), Config: &http.Server{Handler: h}}
+	server.Start()
+	return server
+}
+
 func (e *env) begin() {
-	transport := &http.Transport{}
+	transport := &http.Transport{DialContext: e.network.dial}
 	e.client = NewClient(Config{Direct: e.direct, HTTPClient: &http.Client{Transport: transport}, Now: e.clock.now, Cores: 1, Log: zap.NewNop(),
 		Instances: func() []delegation.Instance { return e.instances }})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -134,95 +142,109 @@
 }
 
 func TestCallsAreCarriedOutByDelegate(t *testing.T) {
-	e := newEnv(t, 1)
-	e.pool.SetProfile("s", fake.Profile{RunTime: 200 * time.Millisecond})
-	task := work.TaskID{Job: "a", Occurrence: 2, Step: 1, Index: 7}
-	rejected, err := e.start(1, task)
-	must.NoError(t, err)
-	must.EqOp(t, port.NotRejected, rejected)
-	reply, err := e.hold(0)
-	must.NoError(t, err)
-	must.Len(t, 1, reply.Running)
-	must.EqOp(t, task, reply.Running[0].Task)
-	must.NotEqOp(t, 0, reply.Clock.Incarnation)
-	reply, err = e.hold(time.Second)
-	must.NoError(t, err)
-	must.Len(t, 1, reply.Results)
-	must.EqOp(t, port.RunResult{Sequence: 1, Task: task, Run: 1, Kind: port.ResultSucceeded}, reply.Results[0])
-	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-	defer cancel()
-	_, err = e.client.Stop(ctx, target, task, 1, 1)
-	must.NoError(t, err)
-	must.EqOp(t, 0, e.direct.calls.Load())
-	must.EqOp(t, 2, e.delegates[0].workers.calls.Load())
+	synctest.Test(t, func(t *testing.T) {
+		e := newEnv(t, 1)
+		e.pool.SetProfile("s", fake.Profile{RunTime: 200 * time.Millisecond})
+		task := work.TaskID{Job: "a", Occurrence: 2, Step: 1, Index: 7}
+		rejected, err := e.start(1, task)
+		must.NoError(t, err)
+		must.EqOp(t, port.NotRejected, rejected)
+		reply, err := e.hold(0)
+		must.NoError(t, err)
+		must.Len(t, 1, reply.Running)
+		must.EqOp(t, task, reply.Running[0].Task)
+		must.NotEqOp(t, 0, reply.Clock.Incarnation)
+		reply, err = e.hold(time.Second)
+		must.NoError(t, err)
+		must.Len(t, 1, reply.Results)
+		must.EqOp(t, port.RunResult{Sequence: 1, Task: task, Run: 1, Kind: port.ResultSucceeded}, reply.Results[0])
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = e.client.Stop(ctx, target, task, 1, 1)
+		must.NoError(t, err)
+		must.EqOp(t, 0, e.direct.calls.Load())
+		must.EqOp(t, 2, e.delegates[0].workers.calls.Load())
+	})
 }
 
 func TestRejectionsAndErrorsKeepTheirMeaning(t *testing.T) {
-	e := newEnv(t, 1)
-	_, err := e.hold(0)
-	must.NoError(t, err)
-	_, err = e.start(5, work.TaskID{Job: "a"})
-	must.NoError(t, err)
-	rejected, err := e.start(4, work.TaskID{Job: "b"})
-	must.NoError(t, err)
-	must.EqOp(t, port.RejectedFencingToken, rejected)
-	_, err = e.hold(0) // has a lower fencing token
-	must.True(t, fault.Is(err, fault.Fenced))
-	e.pool.SetFaults(target.Address, fake.PoolFaults{DropCalls: true})
-	_, err = e.start(6, work.TaskID{Job: "c"})
-	must.True(t, fault.Is(err, fault.Uncertain))
+	synctest.Test(t, func(t *testing.T) {
+		e := newEnv(t, 1)
+		_, err := e.hold(0)
+		must.NoError(t, err)
+		_, err = e.start(5, work.TaskID{Job: "a"})
+		must.NoError(t, err)
+		rejected, err := e.start(4, work.TaskID{Job: "b"})
+		must.NoError(t, err)
+		must.EqOp(t, port.RejectedFencingToken, rejected)
+		_, err = e.hold(0) // has a lower fencing token
+		must.True(t, fault.Is(err, fault.Fenced))
+		e.pool.SetFaults(target.Address, fake.PoolFaults{DropCalls: true})
+		_, err = e.start(6, work.TaskID{Job: "c"})
+		must.True(t, fault.Is(err, fault.Uncertain))
+	})
 }
 
 func TestSmallPoolIsCalledDirectly(t *testing.T) {
-	e := newEnv(t, 0)
-	_, err := e.hold(0)
-	must.NoError(t, err)
-	must.EqOp(t, 1, e.direct.calls.Load())
+	synctest.Test(t, func(t *testing.T) {
+		e := newEnv(t, 0)
+		_, err := e.hold(0)
+		must.NoError(t, err)
+		must.EqOp(t, 1, e.direct.calls.Load())
+	})
 }
 
 func TestCallsInFlightAreUncertainWhenDelegateIsLost(t *testing.T) {
-	e := newEnv(t, 2)
-	route := e.client.route(t.Context(), target)
-	lost := 0
-	if route.instance.Name == "d1" {
-		lost = 1
-	}
-	result := make(chan error, 1)
-	go func() {
-		_, err := e.hold(time.Second)
-		result <- err
-	}()
-	time.Sleep(100 * time.Millisecond)
-	e.delegates[lost].server.Listener.Close()
-	e.delegates[lost].server.CloseClientConnections()
-	route.conn.ws.CloseNow()
-	closedAt := time.Now()
-	must.True(t, fault.Is(<-result, fault.Uncertain))
-	must.Less(t, 500*time.Millisecond, time.Since(closedAt))
-	e.awaitLinks(1)
-	_, err := e.hold(0)
-	must.NoError(t, err)
-	must.EqOp(t, 1, e.delegates[1-lost].workers.calls.Load())
+	synctest.Test(t, func(t *testing.T) {
+		e := newEnv(t, 2)
+		route := e.client.route(t.Context(), target)
+		lost := 0
+		if route.instance.Name == "d1" {
+			lost = 1
+		}
+		result := make(chan error, 1)
+		go func() {
+			_, err := e.hold(time.Second)
+			result <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		e.delegates[lost].server.Listener.Close()
+		e.delegates[lost].server.CloseClientConnections()
+		route.conn.ws.CloseNow()
+		closedAt := time.Now()
+		must.True(t, fault.Is(<-result, fault.Uncertain))
+		must.Less(t, 500*time.Millisecond, time.Since(closedAt))
+		e.awaitLinks(1)
+		_, err := e.hold(0)
+		must.NoError(t, err)
+		must.EqOp(t, 1, e.delegates[1-lost].workers.calls.Load())
+	})
 }
 
 // A listener that accepts connections and says nothing, like a suspended process.
 func TestSilentDelegateGetsNoCalls(t *testing.T) {
-	e := newEnv(t, 0)
-	silent, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer silent.Close()
-	e.instances = []delegation.Instance{{Name: "silent", Domain: target.Domain, Address: silent.Addr().String(), Cores: 1}}
-	e.begin()
-	began := time.Now()
-	_, err = e.hold(0)
-	must.NoError(t, err)
-	must.Less(t, 2*firstLinkWait, time.Since(began))
-	must.EqOp(t, 1, e.direct.calls.Load())
+	synctest.Test(t, func(t *testing.T) {
+		e := newEnv(t, 0)
+		silent := e.network.listen()
+		go func() {
+			for conn, err := silent.Accept(); err == nil; conn, err = silent.Accept() {
+				t.Cleanup(func() { must.Close(t, conn) })
+			}
+		}()
+		defer silent.Close()
+		e.instances = []delegation.Instance{{Name: "silent", Domain: target.Domain, Address: silent.Addr().String(), Cores: 1}}
+		e.begin()
+		began := time.Now()
+		_, err := e.hold(0)
+		must.NoError(t, err)
+		must.Less(t, 2*firstLinkWait, time.Since(began))
+		must.EqOp(t, 1, e.direct.calls.Load())
+	})
 }
 
 // scriptedDelegate accepts links, sends the given frames and then says nothing.
 func (e *env) scriptedDelegate(frames ...frame) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := e.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ws, err := websocket.Accept(w, r, nil)
 		if err != nil {
 			return // the client has given up
@@ -251,37 +273,43 @@
 // A delegate that falls silent on an open link is dropped before its workers count
 // as unreachable, and the calls that it holds fail with the link.
 func TestLinkThatFallsSilentIsReplaced(t *testing.T) {
-	e := newEnv(t, 0)
-	e.scriptedDelegate(frame{Replies: []reply{{ID: greetingID}}})
-	e.begin()
-	e.awaitLinks(1)
-	began := time.Now()
-	_, err := e.hold(2 * time.Second)
-	must.True(t, fault.Is(err, fault.Uncertain))
-	must.Less(t, 900*time.Millisecond, time.Since(began))
-	must.EqOp(t, 0, e.direct.calls.Load())
+	synctest.Test(t, func(t *testing.T) {
+		e := newEnv(t, 0)
+		e.scriptedDelegate(frame{Replies: []reply{{ID: greetingID}}})
+		e.begin()
+		e.awaitLinks(1)
+		began := time.Now()
+		_, err := e.hold(2 * time.Second)
+		must.True(t, fault.Is(err, fault.Uncertain))
+		must.Less(t, 900*time.Millisecond, time.Since(began))
+		must.EqOp(t, 0, e.direct.calls.Load())
+	})
 }
 
 // A delegate that sends heartbeats may not have read anything yet.
 func TestDelegateThatHasNotAnsweredTheFirstFrameGetsNoCalls(t *testing.T) {
-	e := newEnv(t, 0)
-	e.scriptedDelegate(frame{}, frame{}, frame{})
-	e.begin()
-	_, err := e.hold(0)
-	must.NoError(t, err)
-	must.EqOp(t, 1, e.direct.calls.Load())
+	synctest.Test(t, func(t *testing.T) {
+		e := newEnv(t, 0)
+		e.scriptedDelegate(frame{}, frame{}, frame{})
+		e.begin()
+		_, err := e.hold(0)
+		must.NoError(t, err)
+		must.EqOp(t, 1, e.direct.calls.Load())
+	})
 }
 
 // The delegate was suspended between the arrival of a call and its execution, by
 // its clock.
 func TestDelayedCallIsNotCarriedOut(t *testing.T) {
-	e := newEnv(t, 1)
-	_, err := e.hold(0)
-	must.NoError(t, err)
-	e.delegates[0].clock.ahead.Store(int64(3 * time.Second))
-	rejected, err := e.start(1, work.TaskID{Job: "a"})
-	must.True(t, fault.Is(err, fault.Unavailable), must.Sprint(rejected, err))
-	must.False(t, e.pool.HasStarted("a"))
+	synctest.Test(t, func(t *testing.T) {
+		e := newEnv(t, 1)
+		_, err := e.hold(0)
+		must.NoError(t, err)
+		e.delegates[0].clock.ahead.Store(int64(3 * time.Second))
+		rejected, err := e.start(1, work.TaskID{Job: "a"})
+		must.True(t, fault.Is(err, fault.Unavailable), must.Sprint(rejected, err))
+		must.False(t, e.pool.HasStarted("a"))
+	})
 }
 
 // The owner was suspended while a call waited to be written.
@@ -295,29 +323,34 @@
 }
 
 func TestPanicFailsOnlyItsCall(t *testing.T) {
-	e := newEnv(t, 1)
-	e.delegates[0].workers.panic.Store(true)
-	_, err := e.hold(0)
-	must.True(t, fault.Is(err, fault.Uncertain))
-	e.delegates[0].workers.panic.Store(false)
-	_, err = e.hold(0)
-	must.NoError(t, err)
-	must.EqOp(t, 0, e.direct.calls.Load())
+	synctest.Test(t, func(t *testing.T) {
+		e := newEnv(t, 1)
+		e.delegates[0].workers.panic.Store(true)
+		_, err := e.hold(0)
+		must.True(t, fault.Is(err, fault.Uncertain))
+		e.delegates[0].workers.panic.Store(false)
+		_, err = e.hold(0)
+		must.NoError(t, err)
+		must.EqOp(t, 0, e.direct.calls.Load())
+	})
 }
 
 func TestMalformedFrameClosesOnlyItsLink(t *testing.T) {
-	e := newEnv(t, 1)
-	url := "ws://" + e.instances[0].Address + Path
-	ws, _, err := websocket.Dial(t.Context(), url, nil)
-	must.NoError(t, err)
-	must.NoError(t, ws.Write(t.Context(), websocket.MessageBinary, []byte("\xff\x00 no frame")))
-	_, _, err = ws.Read(t.Context())
-	must.Error(t, err)
-	_ = ws.CloseNow()
-	http.DefaultClient.CloseIdleConnections()
-	_, err = e.hold(0)
-	must.NoError(t, err)
-	must.EqOp(t, 0, e.direct.calls.Load())
+	synctest.Test(t, func(t *testing.T) {
+		e := newEnv(t, 1)
+		url := "ws://" + e.instances[0].Address + Path
+		transport := &http.Transport{DialContext: e.network.dial}
+		ws, _, err := websocket.Dial(t.Context(), url, &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}})
+		must.NoError(t, err)
+		must.NoError(t, ws.Write(t.Context(), websocket.MessageBinary, []byte("\xff\x00 no frame")))
+		_, _, err = ws.Read(t.Context())
+		must.Error(t, err)
+		_ = ws.CloseNow()
+		transport.CloseIdleConnections()
+		_, err = e.hold(0)
+		must.NoError(t, err)
+		must.EqOp(t, 0, e.direct.calls.Load())
+	})
 }
 
 func TestFrameNeedsOneOrderPerCall(t *testing.T) {
