Replica: tells whether a job's row can't exist

Cause: an instance that refuses a job must know that the job isn't stored. The replica tells only which jobs it holds; it leaves out rows that it can't decode and partitions that it hasn't read. Change: Absent counts both as possibly stored, and Hurry ends the delay before the next watch, as a new subscription already did.

--- a/internal/duty/replica/apply.go
+++ b/internal/duty/replica/apply.go
@@ -113,6 +113,7 @@
 
 func (r *Replica) applyJob(row *port.VersionedRow, id string) error {
 	v := r.jobs[id]
+	delete(r.undecodable, row.RowKey)
 	if row.Deleted {
 		if v != nil {
 			v.Rows = slices.DeleteFunc(slices.Clone(v.Rows), func(o JobRow) bool { return o.Partition == row.Partition })
@@ -124,6 +125,7 @@
 	}
 	fresh := JobRow{Partition: row.Partition, Version: row.Version, encoded: row.Value}
 	if err := fresh.decode(len(r.subs) > 0); err != nil {
+		r.undecodable[row.RowKey] = struct{}{}
 		return err
 	}
 	if v == nil {
@@ -169,6 +171,7 @@
 			if row.encoded != nil {
 				if err := row.decode(true); err != nil {
 					r.log.Error("row ignored", zap.String("part", row.Partition), zap.String("job", id), zap.Error(err))
+					r.undecodable[JobKeyIn(row.Partition, id)] = struct{}{}
 					continue
 				}
 			}
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -50,9 +50,12 @@
 	cancelled map[string]bool
 	instances map[string]Instance
 	subs      map[*Subscription]struct{}
-	// subscribed is signaled by new subscriptions, as a takeover waits for the next
-	// watch.
-	subscribed chan struct{}
+	// undecodable holds the jobs' rows that this build can't decode. Another build may
+	// carry out their jobs.
+	undecodable map[port.RowKey]struct{}
+	// hurry ends the delay before the next watch. New subscriptions signal it, as a
+	// takeover waits for the next watch.
+	hurry chan struct{}
 	// missingPartitions holds the partitions that couldn't be read yet.
 	missingPartitions []string
 	ready             bool
@@ -66,7 +69,7 @@
 
 // New returns an empty replica, which Run fills. now is a monotonic clock.
 func New(store port.RowStore, log *zap.Logger, now func() time.Duration) *Replica {
-	r := &Replica{store: store, log: log, now: now, subs: map[*Subscription]struct{}{}, failedAt: now(), advanced: make(chan struct{}), subscribed: make(chan struct{}, 1)}
+	r := &Replica{store: store, log: log, now: now, subs: map[*Subscription]struct{}{}, failedAt: now(), advanced: make(chan struct{}), hurry: make(chan struct{}, 1)}
 	r.reset()
 	return r
 }
@@ -74,12 +77,13 @@
 func (r *Replica) reset() {
 	r.pools, r.jobs = map[string]*PoolView{}, map[string]*JobView{}
 	r.cancelled, r.instances = map[string]bool{}, map[string]Instance{}
+	r.undecodable = map[port.RowKey]struct{}{}
 }
 
 // Run follows the store's changes until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	follow.Run(ctx, r.log, follow.Source{
-		Name: "jobs", MinWatchInterval: r.minWatchInterval, Hurry: r.subscribed,
+		Name: "jobs", MinWatchInterval: r.minWatchInterval, Hurry: r.hurry,
 		List:  func(ctx context.Context) (int64, error) { return r.recordFailure(r.list(ctx)) },
 		Watch: func(ctx context.Context, after int64) (int64, error) { return r.recordFailure(r.watch(ctx, after)) },
 	})
@@ -257,6 +261,29 @@
 	}
 }
 
+// Hurry ends the delay before the next watch, for a caller of Await.
+func (r *Replica) Hurry() {
+	select {
+	case r.hurry <- struct{}{}:
+	default: // a signal is already pending
+	}
+}
+
+// Absent reports whether the store had no row of the job at the version that the replica
+// holds. It returns false if that isn't known: before Ready, or if a row may be in a
+// partition that couldn't be read yet or can't be decoded.
+func (r *Replica) Absent(pool, id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.ready || r.jobs[id] != nil {
+		return false
+	}
+	return !slices.ContainsFunc(JobKeys(pool, id), func(key port.RowKey) bool {
+		_, undecodable := r.undecodable[key]
+		return undecodable || slices.Contains(r.missingPartitions, key.Partition)
+	})
+}
+
 // Ready reports whether the initial read has finished. Partitions may still be
 // missing; see Complete.
 func (r *Replica) Ready() bool {
--- a/internal/duty/replica/subscribe.go
+++ b/internal/duty/replica/subscribe.go
@@ -18,10 +18,7 @@
 	defer r.mu.Unlock()
 	r.subs[s] = struct{}{}
 	r.decodeAll()
-	select {
-	case r.subscribed <- struct{}{}:
-	default: // a signal is already pending
-	}
+	r.Hurry()
 	return s
 }
 
