Intake: one read confirms all refusals that wait for it

Cause: each submission that the forecast refuses read the store three times for its ID. A flood of them became a flood of reads, of which the store serves a few thousand a second for all instances. Change: a read of the store's version, shared by all submissions that arrived before it is sent and at least 0.2 s after the previous one, and the replica, which has to reach that version, take the place of these reads. What isn't confirmed within a second is not refused.

--- a/internal/duty/intake/admission.go
+++ b/internal/duty/intake/admission.go
@@ -98,7 +98,7 @@
 // refused because of the forecast. A job that is stored, or may be, is never refused: its
 // caller sends it again because the response was lost.
 func (in *Intake) checkForecast(ctx context.Context, caller Caller, job *work.Job) error {
-	r, epoch := in.refusalOf(ctx, caller.Queue, job)
+	r, epoch := in.refusalOf(ctx, job)
 	if r == nil {
 		return nil
 	}
@@ -113,7 +113,7 @@
 
 // refusalOf returns why the job is refused because of the forecast, nil if it isn't, and
 // the epoch of the forecast.
-func (in *Intake) refusalOf(ctx context.Context, q *work.Queue, job *work.Job) (*refusal, int64) {
+func (in *Intake) refusalOf(ctx context.Context, job *work.Job) (*refusal, int64) {
 	view := in.replica.Pool(job.Pool)
 	forecast := view.Forecast()
 	if forecast == nil {
@@ -123,9 +123,7 @@
 	if r == nil {
 		return nil, 0
 	}
-	// The replica may lag behind, so the store is asked too, which costs calls only for
-	// jobs that are refused.
-	if _, err := in.find(ctx, q, job.ID); !fault.Is(err, fault.NotFound) {
+	if !in.confirmAbsent(ctx, job) {
 		return nil, 0
 	}
 	return r, view.Epoch.Number
--- a/internal/duty/intake/examine.go
+++ b/internal/duty/intake/examine.go
@@ -16,7 +16,7 @@
 	if _, _, err := in.check(&job, clockKnown); err != nil {
 		return job, err
 	}
-	if r, _ := in.refusalOf(ctx, caller.Queue, &job); r != nil {
+	if r, _ := in.refusalOf(ctx, &job); r != nil {
 		return job, r.err()
 	}
 	return job, nil
--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -39,6 +39,9 @@
 	EventRefused     = "job refused"      // because of the forecast, before a write was sent
 	EventNotAccepted = "job not accepted" // the write failed, or its outcome is unknown
 	EventCancelled   = "cancellation stored"
+	// EventUnconfirmed tells of submissions that weren't refused because the store couldn't
+	// be read in time.
+	EventUnconfirmed = "refusals not confirmed"
 )
 
 // Deps are the dependencies of an intake.
@@ -63,7 +66,8 @@
 	log     *zap.Logger
 	health  Health
 	// observer is never nil.
-	observer Observer
+	observer      Observer
+	confirmations confirmations
 
 	applying    sync.Mutex // serializes ApplyReading
 	inForce     atomic.Pointer[inForce]
