Replica: tells how old what a version wrote is at least

Cause: entries of the worker registry state times that count from their writing, and nothing tells when that was.

--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -61,6 +61,7 @@
 	ready             bool
 	version           int64         // version of the store up to which changes are applied
 	advanced          chan struct{} // closed when version grows
+	held              heldVersions
 	updatedAt         time.Duration
 	// failedAt is when a full read or a watch last failed. It starts at the
 	// replica's creation, as earlier failures are unknown.
@@ -238,6 +239,7 @@
 	r.updatedAt = r.now()
 	if version > r.version {
 		r.version = version
+		r.held.add(version, r.updatedAt)
 		close(r.advanced)
 		r.advanced = make(chan struct{})
 	}
