Pool: a worker's cold time counts from when its entry was written

Cause: ColdFor was added to the time at which an entry was applied, each time it was read. A new owner that reads the entry of a worker that is cut off from the store, or an owner that reads it again after a gap of its watch, took the worker for cold although it wasn't. It was used last, and runs placed on it told nothing of its speed. Change: entries have their row's version. The cold time counts from when the replica held that version, or from the reading, whichever is earlier, and not from the application. What is left: an instance that has just started counts older entries from its start.

--- a/internal/duty/pool/events.go
+++ b/internal/duty/pool/events.go
@@ -19,7 +19,7 @@
 	evStartUnanswered                           // session, order: a start was not answered
 	evStartWithdrawn                            // session, order: a start wasn't sent, its failure domain is evacuated
 	evStopConfirmed                             // session, incarnation, order: a stop was confirmed
-	evWorkersListed                             // workers, complete: the registry's workers or changes to them
+	evWorkersListed                             // workers, complete, readAt: the registry's workers or changes to them
 	evCommitDone                                // commit: a transaction finished
 	evJobRemoved                                // job: the rows of an ended job were removed
 	evPolicyAnswered                            // policy: the policy service answered or failed
@@ -41,7 +41,8 @@
 	rejected    port.StartRejection
 	resent      bool // an earlier copy of the start got no answer
 	workers     []port.WorkerChange
-	complete    bool // workers is the whole list, or all placements are stored
+	readAt      time.Duration // when the response with workers arrived
+	complete    bool          // workers is the whole list, or all placements are stored
 	commit      commitResult
 	job         string
 	policy      policyResult
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -67,7 +67,7 @@
 	o.previous.workers, o.previous.byID = view.Workers, inheritedWorkersOf(&view)
 	for i := range workers {
 		if w := workers[i]; w.Pool == o.pool {
-			o.putWorker(ctx, w)
+			o.putWorker(ctx, w, o.firstHoldAt)
 		}
 	}
 	if o.epoch > 1 {
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -30,6 +30,7 @@
 			ctx, cancel := context.WithTimeout(ctx, registryTimeout)
 			defer cancel()
 			list, version, err := o.deps.Registry.Workers(ctx)
+			readAt := o.now()
 			if err != nil {
 				return 0, err
 			}
@@ -37,7 +38,7 @@
 			for i := range list {
 				changes[i] = port.WorkerChange{ID: list[i].ID, Worker: &list[i]}
 			}
-			o.send(ctx, event{kind: evWorkersListed, workers: changes, complete: true})
+			o.send(ctx, event{kind: evWorkersListed, workers: changes, complete: true, readAt: readAt})
 			return version, nil
 		},
 		Watch: func(ctx context.Context, after int64) (int64, error) {
@@ -45,7 +46,7 @@
 			defer cancel()
 			changes, next, err := o.deps.Registry.WatchWorkers(ctx, after, registryWatchWait)
 			if err == nil && len(changes) > 0 {
-				o.send(ctx, event{kind: evWorkersListed, workers: changes})
+				o.send(ctx, event{kind: evWorkersListed, workers: changes, readAt: o.now()})
 			}
 			return next, err
 		},
@@ -57,7 +58,7 @@
 	for _, c := range ev.workers {
 		listed[c.ID] = true
 		if c.Worker != nil && c.Worker.Pool == o.pool {
-			o.putWorker(ctx, *c.Worker)
+			o.putWorker(ctx, *c.Worker, ev.readAt)
 			continue
 		}
 		o.handleUnlisted(c.ID)
@@ -130,7 +131,22 @@
 	}
 }
 
-func (o *Owner) putWorker(ctx context.Context, w work.Worker) {
+// coldUntil returns when the worker of an entry that was read at readAt stops being slow, or
+// a later time. ColdFor counts from the time at which the worker wrote the entry, which it
+// rewrites every second or two. A new owner, or one whose watch had a gap, may read one that is
+// older than that. The replica tells how old it is at least, by its version.
+func (o *Owner) coldUntil(w *work.Worker, readAt time.Duration) time.Duration {
+	if w.ColdFor <= 0 {
+		return 0
+	}
+	if heldAt, ok := o.deps.Replica.HeldAt(w.EntryVersion); ok {
+		readAt = min(readAt, heldAt)
+	}
+	return readAt + w.ColdFor
+}
+
+// putWorker takes over a registry entry that was read at readAt.
+func (o *Owner) putWorker(ctx context.Context, w work.Worker, readAt time.Duration) {
 	s := o.sessions[w.ID]
 	if s != nil && s.target.Address != w.Address {
 		o.endSession(s, "address changed")
@@ -140,7 +156,7 @@
 		o.log.Info("worker draining", zap.String("worker", w.ID))
 	}
 	o.planner.PutWorker(w)
-	o.planner.SetCold(w.ID, o.now()+w.ColdFor)
+	o.planner.SetCold(w.ID, o.coldUntil(&w, readAt))
 	if s != nil && !o.unlisted[w.ID] {
 		o.updateLeft(w.ID)
 		return
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -394,6 +394,8 @@
 	// ColdFor is for how long the worker stays slow after a restart, as of its last
 	// registry entry.
 	ColdFor time.Duration
+	// EntryVersion is the store's version that wrote this entry, 0 if it isn't known.
+	EntryVersion int64
 }
 
 // HasLabel reports whether the worker has the label.
