Speed: whether a pool is even is stored for the next owner

Cause: a new owner got the workers' factors, but had to learn anew that they hardly differ. Until runs on eight workers were observed, an even pool whose estimates were wrong alike had two speed classes, for which each placement compares all racks. Change: the row of the learned speeds says whether the pool is even and around which factor. It holds with the first restored worker, until the owner has learned it from runs. Result: TestEvenWorkersAreOfOneClassAfterATakeover failed before.

--- a/internal/planner/speed_test.go
+++ b/internal/planner/speed_test.go
@@ -266,6 +266,43 @@
 	}
 }
 
+// restored returns the harness of a new owner that has restored the learned speeds.
+func (h *harness) restored(t *testing.T, racks, perRack int) *harness {
+	var workers []speed.Identity
+	for _, id := range h.p.workerIDs {
+		workers = append(workers, speed.Identity{ID: id, Incarnation: 7})
+	}
+	next, restorer := newHarness(t, racks, perRack), speed.NewRestorer(h.p.StoredSpeeds(workers))
+	next.now = h.now
+	for _, id := range workers {
+		next.p.RestoreSpeed(restorer, id)
+	}
+	return next
+}
+
+// Guards against a new owner that tells even workers apart, for which each pass over a full
+// queue takes several times longer, until runs on eight of them have been observed.
+func TestEvenWorkersAreOfOneClassAfterATakeover(t *testing.T) {
+	for _, common := range []float64{0.6, 0.86, 1, 1.16, 1.25, 1.57} {
+		h := newHarness(t, 6, 8)
+		h.runSteps(common)
+		next := h.restored(t, 6, 8)
+		must.False(t, next.p.newView(next.now).uneven, must.Sprint(common))
+	}
+}
+
+// Guards against a new owner that takes uneven workers, or a single slow one, for even.
+func TestUnevenWorkersAreOfSeveralClassesAfterATakeover(t *testing.T) {
+	one := slices.Repeat([]float64{1.25}, 48)
+	one[5] = 2.5
+	for _, factors := range [][]float64{{1, 1, 1.3}, {0.8, 1, 1.25}, {0.7, 0.7, 1.7}, one} {
+		h := newHarness(t, 6, 8)
+		h.runSteps(factors...)
+		next := h.restored(t, 6, 8)
+		must.True(t, next.p.newView(next.now).uneven, must.Sprint(factors))
+	}
+}
+
 // Guards against uneven workers, or a single slow one, that are taken for even.
 func TestUnevenWorkersAreOfSeveralClasses(t *testing.T) {
 	one := slices.Repeat([]float64{1}, 48)
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -118,6 +118,8 @@
 	// from it. Estimates that are wrong alike make all workers look slow or fast.
 	center float64 // in logarithms
 	even   bool
+	// spreadLearned is set once spread, center and even come from runs.
+	spreadLearned bool
 	// errors is the variance of the estimates' errors, in logarithms.
 	errors    float64
 	changed   bool
@@ -280,6 +282,7 @@
 	if n < minKnownWorkers {
 		return
 	}
+	e.spreadLearned = true
 	e.spread = min(max(sum/n, minSpread), maxSpread)
 	e.center = weightedMedian(known)
 	around := 0.0
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -261,3 +261,62 @@
 	must.MapLen(t, 1, e.byRun)
 	must.MapLen(t, 1, e.steps)
 }
+
+// evenPool returns what is stored of 48 even workers whose estimates are all too short.
+func evenPool(t *testing.T) (*pool, Stored, []Identity) {
+	t.Helper()
+	p := newPool(1, 1.4)
+	var workers []Identity
+	for i := range 48 {
+		workers = append(workers, Identity{p.worker(i), 7})
+	}
+	for step := range 60 {
+		p.runStep(0.2, p.worker(step), p.worker(step+1), p.worker(step+2), p.worker(step+3))
+	}
+	p.finish()
+	must.True(t, p.e.Even())
+	return p, p.e.Store(workers), workers
+}
+
+// Guards against a stored evenness that overrides what the new owner has learned from runs
+// itself, that outlives all workers it was learned of, or that comes from a damaged row.
+func TestStoredEvennessHoldsUntilItIsLearned(t *testing.T) {
+	_, stored, workers := evenPool(t)
+	fresh := New()
+	NewRestorer(stored).Restore(fresh, workers[0])
+	must.True(t, fresh.Even())
+	must.Between(t, -0.1, fresh.Deviation(workers[0].ID), 0.1)
+
+	replaced := New()
+	NewRestorer(stored).Restore(replaced, Identity{workers[0].ID, 8})
+	must.False(t, replaced.Even())
+
+	uneven := newPool(1, 0.7, 0.7, 1.7)
+	for step := range 60 {
+		uneven.runStep(0.2, uneven.worker(step), uneven.worker(step+1), uneven.worker(step+2), uneven.worker(step+3))
+	}
+	uneven.finish()
+	must.False(t, uneven.e.Even())
+	NewRestorer(stored).Restore(uneven.e, workers[0])
+	must.False(t, uneven.e.Even())
+
+	stored.Center = math.NaN()
+	damaged := New()
+	NewRestorer(stored).Restore(damaged, workers[0])
+	must.False(t, damaged.Even())
+}
+
+// Guards against an evenness that the next owner doesn't get because no factor changed, and
+// against a write every few seconds for a median that moves a little.
+func TestEvennessIsAReasonToStore(t *testing.T) {
+	_, even, _ := evenPool(t)
+	uneven := even
+	uneven.Even, uneven.Center = false, 0
+	must.True(t, even.DiffersFrom(&uneven))
+	must.True(t, uneven.DiffersFrom(&even))
+	moved := even
+	moved.Center += 0.05
+	must.False(t, moved.DiffersFrom(&even))
+	moved.Center += 0.1
+	must.True(t, moved.DiffersFrom(&even))
+}
--- a/internal/speed/stored.go
+++ b/internal/speed/stored.go
@@ -25,6 +25,10 @@
 	Factors []byte `cbor:"2,keyasint,omitempty"`
 	// Spread is the variance of the factors' logarithms.
 	Spread float64 `cbor:"3,keyasint,omitempty"`
+	// Even tells that the factors differ little from their median, of which Center is the
+	// logarithm. Rows of earlier builds lack both.
+	Even   bool    `cbor:"4,keyasint,omitempty"`
+	Center float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Identity is a worker with its current incarnation, 0 if it isn't known.
@@ -47,7 +51,10 @@
 
 // Store returns the factors of the given workers that differ from 1.
 func (e *Estimator) Store(workers []Identity) Stored {
-	out := Stored{Spread: e.spread}
+	out := Stored{Spread: e.spread, Even: e.even}
+	if e.even {
+		out.Center = e.center
+	}
 	for _, id := range workers {
 		w := e.workers[id.ID]
 		if w == nil || id.Incarnation == 0 || math.Abs(w.log) < minStored {
@@ -62,9 +69,12 @@
 // minStoredChange is the change of a stored factor that is worth a write, about a tenth.
 const minStoredChange = 6
 
-// DiffersFrom reports whether noticeably other factors are stored. A worker that isn't
-// stored has the factor 1.
+// DiffersFrom reports whether noticeably other factors are stored, or another evenness. A
+// worker that isn't stored has the factor 1.
 func (s *Stored) DiffersFrom(o *Stored) bool {
+	if s.Even != o.Even || math.Abs(s.Center-o.Center) > minStoredChange*storedUnit {
+		return true
+	}
 	changes := make(map[uint32]int, len(s.Workers))
 	for i, h := range s.Workers {
 		changes[h] += int(int8(s.Factors[i]))
@@ -85,6 +95,8 @@
 type Restorer struct {
 	factors map[uint32]float64
 	spread  float64
+	even    bool
+	center  float64
 }
 
 // NewRestorer returns a restorer of the stored factors.
@@ -93,6 +105,9 @@
 	if s.Spread > 0 { // not NaN either
 		r.spread = min(s.Spread, maxSpread)
 	}
+	if math.Abs(s.Center) <= math.Log(maxFactor) { // not NaN either
+		r.even, r.center = s.Even, s.Center
+	}
 	for i, h := range s.Workers {
 		if i < len(s.Factors) {
 			r.factors[h] = float64(int8(s.Factors[i])) * storedUnit
@@ -111,6 +126,9 @@
 		// In a pool that is taken for even, the restored factors would be drawn to 1 with the
 		// next update. The spread is learned anew from runs on enough workers.
 		e.spread = max(e.spread, r.spread)
+		if !e.spreadLearned {
+			e.even, e.center = r.even, r.center
+		}
 		w := e.worker(id.ID)
 		w.prior, w.priorWeight, w.log = factor, storedWeight, factor
 	}
