--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -1,10 +1,55 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/lentilwinch/lentilwinch/internal/structs"
+)
 
 // scanInterval is the time between scans of the queues for expired items.
 const scanInterval = 20 * time.Millisecond
 
+// admission is what the decision to accept an item is based on.
+type admission struct {
+	service  *service
+	level    uint8
+	deadline time.Duration
+	// ahead is the number of queued items of the workspace that are expected to start
+	// first, and wait the forecast of the time that this takes. forecast is set once both
+	// are known.
+	ahead    int
+	wait     time.Duration
+	forecast bool
+}
+
+// examine decides whether an item is accepted now. It fails with the errors of Enqueue,
+// and then returns what was known until then.
+func (d *Dispatcher) examine(it Item) (admission, error) {
+	q, ok := d.services[structs.ServiceKey{Workspace: it.Workspace, Name: it.Service}]
+	if !ok || q.removed {
+		return admission{}, errUnknownService
+	}
+	if _, exists := d.pool.find(it.ID); exists {
+		return admission{}, errDuplicate
+	}
+	class := it.Class
+	if class == "" {
+		class = q.class
+	}
+	a := admission{service: q, level: q.levelFor(class), deadline: it.Deadline.Sub(d.origin)}
+	w := q.workspace
+	if w.queuedItems() >= w.queueLimit {
+		return a, errQueueFull
+	}
+	a.ahead = d.itemsAhead(q, a.level, a.deadline)
+	a.wait = d.forecastWait(q, a.level, a.ahead)
+	a.forecast = true
+	if !d.admits(q, a.level, a.deadline, a.wait) {
+		return a, errDeadline
+	}
+	return a, nil
+}
+
 // admits reports whether an item that is queued now with the forecast wait is
 // expected to meet its deadline: with a low run time if it needn't wait or run
 // times aren't learned, otherwise with a high one and a wait beyond the forecast.
@@ -17,21 +62,30 @@
 	return d.now+wait+e.High < deadline
 }
 
+// itemsAhead estimates how many queued items of the workspace are ahead of an item
+// that is queued now.
+func (d *Dispatcher) itemsAhead(q *service, level uint8, deadline time.Duration) int {
+	if q.workspace.queued[level] == 0 {
+		return 0
+	}
+	ahead := q.fifo[level].len
+	for _, other := range q.workspace.services {
+		if other != q {
+			ahead += d.countBefore(other, level, deadline)
+		}
+	}
+	return ahead
+}
+
 // forecastWait returns the expected wait of an item that is queued now: the
 // time to start the items ahead of it in its workspace. It follows from the
 // queue's drain rate or, until that is measured, from levelSlots and the expected
 // run times.
-func (d *Dispatcher) forecastWait(q *service, level uint8, deadline time.Duration) time.Duration {
+func (d *Dispatcher) forecastWait(q *service, level uint8, ahead int) time.Duration {
 	w := q.workspace
 	if w.queued[level] == 0 {
 		return 0
 	}
-	ahead := q.fifo[level].len
-	for _, other := range w.services {
-		if other != q {
-			ahead += d.countBefore(other, level, deadline)
-		}
-	}
 	if wait, ok := w.drain[level].timeToDrain(d.now, ahead); ok {
 		return wait
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,6 +55,8 @@
 	retryBudget  breaker.RetryBudget
 	// expired is the buffer of Expire's result.
 	expired []uint64
+	// tryItems is the buffer of Try's copy of the items.
+	tryItems []item
 	// scanAt is the time of the next scan for expired items.
 	scanAt   time.Duration
 	counters Stats
@@ -89,48 +91,33 @@
 // rejected item was not run and is not kept.
 func (d *Dispatcher) Enqueue(now time.Time, it Item) error {
 	d.advance(now)
-	q, ok := d.services[structs.ServiceKey{Workspace: it.Workspace, Name: it.Service}]
-	if !ok || q.removed {
-		return d.reject(errUnknownService)
+	a, err := d.examine(it)
+	if err != nil {
+		d.counters.Refused++
+		return err
 	}
-	if _, exists := d.pool.find(it.ID); exists {
-		return d.reject(errDuplicate)
-	}
-	w := q.workspace
-	if w.queuedItems() >= w.queueLimit {
-		return d.reject(errQueueFull)
-	}
-	class := it.Class
-	if class == "" {
-		class = q.class
-	}
-	level := q.levelFor(class)
-	deadline := it.Deadline.Sub(d.origin)
-	wait := d.forecastWait(q, level, deadline)
-	if !d.admits(q, level, deadline, wait) {
-		return d.reject(errDeadline)
-	}
-	expected := wait
-	if !d.forecastComplete(q, level, deadline) {
+	d.add(it, a)
+	return nil
+}
+
+// add queues an accepted item and returns its index.
+func (d *Dispatcher) add(it Item, a admission) int32 {
+	expected := a.wait
+	if !d.forecastComplete(a.service, a.level, a.deadline) {
 		expected = 0
 	}
 	i := d.pool.add(item{
 		id:           it.ID,
-		service:      q,
-		deadline:     deadline,
+		service:      a.service,
+		deadline:     a.deadline,
 		arrivedAt:    d.now,
 		expectedWait: expected,
 		attempt:      it.Attempt,
-		level:        level,
+		level:        a.level,
 		repeatable:   it.Repeatable,
 	})
 	d.queue(i, false)
-	return nil
-}
-
-func (d *Dispatcher) reject(err *fault.Error) error {
-	d.counters.Refused++
-	return err
+	return i
 }
 
 // queue adds an item to its service's queue, at the front after a retry.
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -34,6 +34,20 @@
 	return level > 0
 }
 
+var (
+	shortKinds = []slotKind{shortOwn, shortBorrowed}
+	longKinds  = []slotKind{longOwn}
+)
+
+// kindsFor returns the kinds of slots that a level's items may use, the preferred one
+// first.
+func kindsFor(level uint8) []slotKind {
+	if isLong(level) {
+		return longKinds
+	}
+	return shortKinds
+}
+
 // server is the state of a backend server.
 type server struct {
 	id       string
@@ -76,16 +90,28 @@
 // use now: none if the server is leaving, removed or evacuated or its circuit is
 // open, one for a trial request, and fewer than all during slow start.
 func (s *server) usableSlots(now time.Duration) int {
-	if s.leaving || s.removed || s.evacuated {
+	if s.excluded(now) != Usable {
 		return 0
 	}
-	switch s.circuit.State(now) {
-	case breaker.Open:
-		return 0
-	case breaker.HalfOpen:
+	if s.circuit.State(now) == breaker.HalfOpen {
 		return min(1, s.slots)
+	}
+	return s.slowStart.Limit(now, s.slots)
+}
+
+// excluded returns why the server gets no work whatever its load, or Usable.
+func (s *server) excluded(now time.Duration) Reason {
+	switch {
+	case s.removed:
+		return NotListed
+	case s.evacuated:
+		return Evacuated
+	case s.leaving:
+		return Draining
+	case s.circuit.State(now) == breaker.Open:
+		return Quarantined
 	default:
-		return s.slowStart.Limit(now, s.slots)
+		return Usable
 	}
 }
 
@@ -194,21 +220,22 @@
 // chooseServer returns a server with a free slot that offers the service. It
 // prefers slots of this instance's own share; short work may borrow others.
 func (d *Dispatcher) chooseServer(level uint8, name string) (*server, bool) {
-	if isLong(level) {
-		return d.leastLoaded(d.available[longOwn], name)
-	}
-	if v, ok := d.leastLoaded(d.available[shortOwn], name); ok {
-		return v, true
+	for _, k := range kindsFor(level) {
+		if v, ok := d.leastLoaded(d.available[k], name); ok {
+			return v, true
+		}
 	}
-	return d.leastLoaded(d.available[shortBorrowed], name)
+	return nil, false
 }
 
 // hasFreeServer reports whether a server with a free slot offers the service.
 func (d *Dispatcher) hasFreeServer(level uint8, name string) bool {
-	if isLong(level) {
-		return d.anyOffers(d.available[longOwn], name)
+	for _, k := range kindsFor(level) {
+		if d.anyOffers(d.available[k], name) {
+			return true
+		}
 	}
-	return d.anyOffers(d.available[shortOwn], name) || d.anyOffers(d.available[shortBorrowed], name)
+	return false
 }
 
 func (d *Dispatcher) anyOffers(servers []*server, name string) bool {
