Daemon: queries about requests that aren't sent

Cause: the trial of the dispatcher has to reach operators without a change to the messages of the connect API.

Change: lentilwinchd answers POST /lentilwinch/dry-run/request on its listener, under the limits of internal/ingress. The loop of the requests duty answers one query at a time, followed by a pause, and doesn't dispatch because of it. The checks of a request, its ID, its body and its deadline are those of Do.

--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -108,6 +108,16 @@
 	withTags(scope, "reason", string(reason)).Counter("ingress_refused").Inc(1)
 }
 
+// DryRun counts the answer to a dry run. verdict is empty if there was none.
+func (m *Metrics) DryRun(verdict string) { countDryRun(m.scope, verdict) }
+
+func countDryRun(scope tally.Scope, verdict string) {
+	if verdict == "" {
+		verdict = "none"
+	}
+	withTags(scope, "verdict", verdict).Counter("dry_runs").Inc(1)
+}
+
 // IngressRefused counts a body or connection that was refused or aborted.
 func (m *Metrics) IngressRefused(reason ingress.Reason) { countRefusal(m.scope, reason) }
 
--- a/internal/adapter/metrics/pool.go
+++ b/internal/adapter/metrics/pool.go
@@ -171,12 +171,7 @@
 }
 
 // DryRun counts the answer to a dry run. verdict is empty if there was none.
-func (p *Pool) DryRun(verdict string) {
-	if verdict == "" {
-		verdict = "none"
-	}
-	withTags(p.scope, "verdict", verdict).Counter("dry_runs").Inc(1)
-}
+func (p *Pool) DryRun(verdict string) { countDryRun(p.scope, verdict) }
 
 // ReportForecast records the longest wait that is forecast for new jobs of a priority in a
 // pool.
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -8,6 +8,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/adapter/api"
 	"github.com/lentilwinch/lentilwinch/internal/adapter/peer"
 	"github.com/lentilwinch/lentilwinch/internal/dispatch"
+	"github.com/lentilwinch/lentilwinch/internal/dryrun"
 	"github.com/lentilwinch/lentilwinch/internal/duty/config"
 	"github.com/lentilwinch/lentilwinch/internal/duty/gangs"
 	"github.com/lentilwinch/lentilwinch/internal/duty/membership"
@@ -44,6 +45,7 @@
 	path, handler := server.Handler()
 	mux.Handle(path, api.LimitBytes(handler, d.ingress, api.MaxMessageBytes(d.settings.Requests.MaxBodyBytes), d.ingressLimits.HeldBytes))
 	mux.Handle(peer.Path, d.mesh.Handler())
+	mux.HandleFunc("POST "+dryrun.RequestPath, d.serveDryRun)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", d.serveReady)
 	mux.Handle("GET /metrics", d.metrics.Handler())
--- a/internal/dryrun/dryrun.go
+++ b/internal/dryrun/dryrun.go
@@ -1,5 +1,5 @@
-// Package dryrun defines the query where a job would be placed now, and its answer. The
-// command-line tool sends the query to an instance of the pool daemon.
+// Package dryrun defines the queries where a job would be placed now and where a request
+// would be dispatched, and their answers. The command-line tool sends them to an instance.
 package dryrun
 
 import (
@@ -37,8 +37,12 @@
 	Preempt Verdict = "preempt"
 	// Wait means that some of them would wait.
 	Wait Verdict = "wait"
-	// Refused means that the submission would fail.
+	// Refused means that the submission or the request would fail.
 	Refused Verdict = "refused"
+	// Dispatch means that the request would be sent to a backend server.
+	Dispatch Verdict = "dispatch"
+	// Queue means that the request would wait for a slot of a backend server.
+	Queue Verdict = "queue"
 )
 
 // Answer is the answer to a query.
--- a/internal/duty/requests/loop.go
+++ b/internal/duty/requests/loop.go
@@ -45,6 +45,9 @@
 			r.applyUpdates()
 		case <-r.reload.C():
 			r.applyUpdates()
+		case q := <-r.queries.C():
+			r.answer(q)
+			continue // a query causes no dispatch
 		case <-wake.C:
 		case <-stats.C:
 			r.dispatcher.SetDemand(r.demandByInstance())
@@ -112,14 +115,7 @@
 }
 
 func (r *Requests) enqueue(c *call) {
-	err := r.dispatcher.Enqueue(time.Now(), dispatch.Item{
-		ID:         c.id,
-		Workspace:  c.req.Key.Workspace,
-		Service:    c.req.Service,
-		Class:      c.service.Class,
-		Repeatable: c.service.Repeatable,
-		Deadline:   c.req.Deadline,
-	})
+	err := r.dispatcher.Enqueue(time.Now(), itemOf(c.id, c.req, c.service))
 	if err != nil {
 		c.reply <- structs.Result{Outcome: structs.OutcomeNotRun, Reason: err.Error()}
 		return
@@ -131,6 +127,17 @@
 	}
 }
 
+func itemOf(id uint64, req structs.Request, service structs.Service) dispatch.Item {
+	return dispatch.Item{
+		ID:         id,
+		Workspace:  req.Key.Workspace,
+		Service:    req.Service,
+		Class:      service.Class,
+		Repeatable: service.Repeatable,
+		Deadline:   req.Deadline,
+	}
+}
+
 // cancel drops a queued request whose caller has cancelled it.
 func (r *Requests) cancel(id uint64) {
 	c, ok := r.calls[id]
--- a/internal/duty/requests/requests.go
+++ b/internal/duty/requests/requests.go
@@ -27,6 +27,12 @@
 	maxDeadline = time.Hour
 )
 
+// The reasons of rejections by the limits of Requests itself.
+const (
+	reasonHeld     = "too many requests are held"
+	reasonArrivals = "too many requests arrive"
+)
+
 // Settings configures Requests.
 type Settings struct {
 	// QueueLimit bounds the number of requests that this instance holds.
@@ -74,6 +80,8 @@
 	cancellations *ring.Ring[uint64]
 	results       *ring.Ring[attemptResult]
 	reload        *ring.Ring[struct{}]
+	queries       *ring.Ring[*query]
+	querying      atomic.Bool
 	nextID        atomic.Uint64
 	held          atomic.Int64
 	attempts      sync.WaitGroup
@@ -87,6 +95,8 @@
 	serverByID map[string]structs.Instance
 	// appliedNumber is the number of the configuration that the dispatcher uses.
 	appliedNumber int64
+	// nextQueryAt is the earliest time of the next query.
+	nextQueryAt time.Time
 }
 
 // call is a request that is being processed.
@@ -120,6 +130,7 @@
 		cancellations:    ring.New[uint64]("request cancellations", s.QueueLimit),
 		results:          ring.New[attemptResult]("attempt results", s.QueueLimit),
 		reload:           ring.New[struct{}]("request reload", 1),
+		queries:          ring.New[*query]("request queries", 1),
 		dispatcher:       dispatch.New(s.Dispatch),
 		calls:            make(map[uint64]*call),
 		serverByID:       make(map[string]structs.Instance),
@@ -142,12 +153,12 @@
 	// held counts the callers in Do, so that a graceful shutdown waits for them.
 	if r.held.Add(1) > int64(r.settings.QueueLimit) {
 		defer r.held.Add(-1)
-		return r.reject(ctx, c, "too many requests are held")
+		return r.reject(ctx, c, reasonHeld)
 	}
 	defer r.held.Add(-1)
 	c.cancelled.Store(ctx.Err() != nil)
 	if err := r.arrivals.Push(c); err != nil {
-		return r.reject(ctx, c, "too many requests arrive")
+		return r.reject(ctx, c, reasonArrivals)
 	}
 	res, err := r.recordResult(c, r.await(ctx, c))
 	r.logUnknown(c, res)
@@ -200,17 +211,27 @@
 // the requested one, up to maxDeadline, or by default that of the service. It
 // fails with fault.Invalid or fault.NotFound.
 func (r *Requests) newCall(req structs.Request) (*call, error) {
+	req, svc, err := r.check(req, int64(len(req.Body)))
+	if err != nil {
+		return nil, err
+	}
+	return &call{id: r.nextID.Add(1), req: req, service: svc, reply: make(chan structs.Result, 1)}, nil
+}
+
+// check validates a request with a body of a size, and returns it with the call's
+// deadline and its service. It fails with the errors of newCall.
+func (r *Requests) check(req structs.Request, bodyBytes int64) (structs.Request, structs.Service, error) {
 	if req.Key.ID == "" || len(req.Key.ID) > maxIDBytes {
 		p := fault.Problem{Path: "request_id", Value: req.Key.ID, Allowed: fmt.Sprintf("1 to %d bytes", maxIDBytes)}
-		return nil, fault.InvalidDocument("request is refused", []fault.Problem{p})
+		return req, structs.Service{}, fault.InvalidDocument("request is refused", []fault.Problem{p})
 	}
 	svc, ok := r.config().Services[structs.ServiceKey{Workspace: req.Key.Workspace, Name: req.Service}]
 	if !ok {
-		return nil, fault.New(fault.NotFound, fmt.Sprintf("workspace %q has no service %q", req.Key.Workspace, req.Service))
+		return req, svc, fault.New(fault.NotFound, fmt.Sprintf("workspace %q has no service %q", req.Key.Workspace, req.Service))
 	}
-	if limit := r.bodyLimit(svc); int64(len(req.Body)) > limit {
-		p := fault.Problem{Path: "body", Value: fmt.Sprintf("%d bytes", len(req.Body)), Allowed: fmt.Sprintf("at most %d bytes", limit)}
-		return nil, fault.InvalidDocument("request is refused", []fault.Problem{p})
+	if limit := r.bodyLimit(svc); bodyBytes > limit {
+		p := fault.Problem{Path: "body", Value: fmt.Sprintf("%d bytes", bodyBytes), Allowed: fmt.Sprintf("at most %d bytes", limit)}
+		return req, svc, fault.InvalidDocument("request is refused", []fault.Problem{p})
 	}
 	now := time.Now()
 	if req.Deadline.IsZero() {
@@ -219,7 +240,7 @@
 	if latest := now.Add(maxDeadline); req.Deadline.After(latest) {
 		req.Deadline = latest
 	}
-	return &call{id: r.nextID.Add(1), req: req, service: svc, reply: make(chan structs.Result, 1)}, nil
+	return req, svc, nil
 }
 
 func (r *Requests) bodyLimit(svc structs.Service) int64 {
