Command line: explain -request asks what would happen to a request

Cause: lentilwinchd answers queries about requests, and no command sends them.

Change: explain takes -request with the flags of request. It prints the verdict, the forecast that admission uses, and the servers by the reason why they aren't used; -json prints the answer. A rejection exits with 3, other failures with the codes of explain -job. The call is shared with -job.

Result: TestExplainRequest runs the built command against an instance: a dispatch, an unknown service, a rejection, wrong usage, a query that is too large, an evacuated domain and an instance without a configuration (not_ready, exit code 7).

--- a/internal/cli/dryrun.go
+++ b/internal/cli/dryrun.go
@@ -20,22 +20,28 @@
 )
 
 // dryRunFlags are the flags of explain that ask an instance about a job that isn't
-// submitted.
+// submitted, or about a request that isn't sent.
 type dryRunFlags struct {
-	job     string
-	request dryrun.Request
+	job       string
+	isRequest bool
+	queue     string
+	request   requestFlags
 }
 
 func (f *dryRunFlags) register(fs *flag.FlagSet) {
 	fs.StringVar(&f.job, "job", "", "ask where the submission in a `file` would be placed now, - for stdin")
-	fs.StringVar(&f.request.Queue, "queue", "", "with -job: host and prefix of the `queue`, such as app.example/jobs/")
-	fs.StringVar(&f.request.Workspace, "workspace", "", "with -job: `workspace` of the caller; empty for an anonymous one")
-	fs.StringVar(&f.request.ID, "id", "", "with -job: `ID` of the job, which the time after which to retry depends on")
+	fs.StringVar(&f.queue, "queue", "", "with -job: host and prefix of the `queue`, such as app.example/jobs/")
+	fs.BoolVar(&f.isRequest, "request", false, "ask which backend server a request would be sent to now")
+	fs.StringVar(&f.request.workspace, "workspace", "", "`workspace` of the caller; empty for an anonymous one with -job")
+	fs.StringVar(&f.request.service, "service", "", "with -request: `name` of the service")
+	fs.StringVar(&f.request.id, "id", "", "`ID` of the job or request. With -job, the time after which to retry depends on it")
+	fs.DurationVar(&f.request.deadline, "deadline", 0, "with -request: time until the answer is due; 0 means the service's deadline")
+	f.request.body.register(fs, "body", "with -request: body of the request, of which only the size is sent,")
 }
 
-// dryRun asks the first of the servers that can answer, and prints the answer.
-func (a *app) dryRun(ctx context.Context, f *dryRunFlags) error {
-	if err := errors.Join(require("queue", f.request.Queue), require("server", a.common.servers.String())); err != nil {
+// dryRunJob asks where a job would be placed, and prints the answer.
+func (a *app) dryRunJob(ctx context.Context, f *dryRunFlags) error {
+	if err := errors.Join(require("queue", f.queue), require("server", a.common.servers.String())); err != nil {
 		return fault.Wrap(fault.Invalid, "a query about a job needs a queue and a server", err)
 	}
 	body, err := readInput(a.stdin, f.job)
@@ -45,17 +51,25 @@
 	if !json.Valid(body) {
 		return fault.New(fault.Invalid, f.job+" isn't JSON")
 	}
-	f.request.Job = body
-	query, err := json.Marshal(f.request)
+	query := dryrun.Request{Queue: f.queue, Workspace: f.request.workspace, ID: f.request.id, Job: body}
+	var answer dryrun.Answer
+	if err := a.askDryRun(ctx, a.common.servers.addresses, dryrun.Path, query, &answer); err != nil {
+		return err
+	}
+	return a.printDryRun(&answer)
+}
+
+// askDryRun asks the first of the servers that can answer.
+func (a *app) askDryRun(ctx context.Context, servers []string, path string, query, answer any) error {
+	text, err := json.Marshal(query)
 	if err != nil {
 		return fault.Wrap(fault.Invalid, "encode the query", err)
 	}
 	client := &http.Client{Timeout: a.common.timeout, Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableKeepAlives: true,
 	}}
-	var answer *dryrun.Answer
-	for _, address := range a.common.servers.addresses {
-		answer, err = askDryRun(ctx, client, address, query)
+	for _, address := range servers {
+		err = postDryRun(ctx, client, address, path, text, answer)
 		if ctx.Err() != nil {
 			return &interruptedError{}
 		}
@@ -68,41 +82,37 @@
 		exit, _ := classify(err)
 		return &commandError{exit: exit, cause: err, hint: "ask again after " + retry.RetryAfter.String()}
 	}
-	if err != nil {
-		return err
-	}
-	return a.printDryRun(answer)
+	return err
 }
 
-// askDryRun asks an instance. It fails with the instance's error, or with
+// postDryRun asks an instance. It fails with the instance's error, or with
 // fault.Unavailable if there is no valid answer, since a query has no effect.
-func askDryRun(ctx context.Context, client *http.Client, address string, query []byte) (*dryrun.Answer, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+dryrun.Path, bytes.NewReader(query))
+func postDryRun(ctx context.Context, client *http.Client, address, path string, query []byte, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(query))
 	if err != nil {
-		return nil, fault.Wrap(fault.Internal, "build request", err)
+		return fault.Wrap(fault.Internal, "build request", err)
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, fault.Wrap(fault.Unavailable, "no answer from "+address, err)
+		return fault.Wrap(fault.Unavailable, "no answer from "+address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
-		return nil, fault.Wrap(fault.Unavailable, "answer of "+address+" is incomplete", err)
+		return fault.Wrap(fault.Unavailable, "answer of "+address+" is incomplete", err)
 	}
 	if resp.StatusCode == http.StatusOK {
-		answer := &dryrun.Answer{}
 		if err := json.Unmarshal(text, answer); err != nil {
-			return nil, fault.Wrap(fault.Unavailable, "answer of "+address, err)
+			return fault.Wrap(fault.Unavailable, "answer of "+address, err)
 		}
-		return answer, nil
+		return nil
 	}
 	var failure dryrun.Failure
 	if err := json.Unmarshal(text, &failure); err != nil || failure.Code == "" {
-		return nil, fault.New(fault.Unavailable, address+" doesn't answer such queries (status "+strconv.Itoa(resp.StatusCode)+"); is it the address of an instance's listener for peers?")
+		return fault.New(fault.Unavailable, address+" doesn't answer such queries (status "+strconv.Itoa(resp.StatusCode)+"); -job needs the address of an instance's listener for peers, -request that for callers")
 	}
-	return nil, failure.Err()
+	return failure.Err()
 }
 
 // printDryRun prints an answer. It fails with a *reportedError if the job would be refused.
@@ -123,13 +133,7 @@
 	printf := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
 	switch answer.Verdict {
 	case dryrun.Refused:
-		printf("would be refused: %s: %s\n", answer.Refusal.Code, answer.Refusal.Message)
-		for _, p := range answer.Refusal.Problems {
-			printf("  %s: %s, allowed: %s\n", p.Path, p.Value, p.Allowed)
-		}
-		if answer.Refusal.RetryAfterMs > 0 {
-			printf("  retry after %v\n", millis(answer.Refusal.RetryAfterMs))
-		}
+		printRefusal(printf, answer.Refusal)
 	case dryrun.Start, dryrun.Preempt, dryrun.Wait:
 		printf("would %s: %d of %d tasks have a place\n", answer.Verdict, answer.Placed, answer.Tasks)
 	}
@@ -156,6 +160,16 @@
 	_ = w.Flush() // like all output, lost if stdout is closed
 }
 
+func printRefusal(printf func(string, ...any), refusal *dryrun.Failure) {
+	printf("would be refused: %s: %s\n", refusal.Code, refusal.Message)
+	for _, p := range refusal.Problems {
+		printf("  %s: %s, allowed: %s\n", p.Path, p.Value, p.Allowed)
+	}
+	if refusal.RetryAfterMs > 0 {
+		printf("  retry after %v\n", millis(refusal.RetryAfterMs))
+	}
+}
+
 func (a *app) printBasis(printf func(string, ...any), b *dryrun.Basis) {
 	printf("checked by %s, replica %v old, configuration %v", b.Instance, millis(b.ReplicaAgeMs), millis(b.ConfigAgeMs))
 	if b.ForecastAgeMs != nil {
--- /dev/null
+++ b/test/e2e/dryrun_test.go
@@ -0,0 +1,46 @@
+package e2e
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lentilwinch/lentilwinch/internal/standin/platform"
+)
+
+// Guards against a command that an instance answers otherwise than it would decide, with
+// another exit code than documented, or by sending the request.
+func TestExplainRequest(t *testing.T) {
+	c := startCluster(t, options{instances: 1, servers: 4})
+	in := c.instances[0]
+	c.applyFirstTicket()
+	explain := func(code int, texts []string, args ...string) {
+		t.Helper()
+		args = append([]string{"explain", "-request", "-server", in.address, "-workspace", "saw-bench", "-service", "moisture-check"}, args...)
+		// An instance answers no query shortly after another one.
+		c.eventually(strings.Join(texts, " and "), func() bool {
+			out, got := c.runCLI(args...)
+			return got == code && !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(out, text) })
+		})
+	}
+	explain(0, []string{"would be dispatched to server-", "usable: server-0, server-1, server-2, server-3", "decided by entry-0, configuration of ticket 1"})
+	explain(0, []string{`"verdict": "dispatch"`, `"domain": "north-yard"`, `"timeout_ms": 1`}, "-json", "-deadline", "2s")
+	explain(8, []string{"not_found"}, "-service", "none")
+	explain(3, []string{"would be refused: invalid", "request_id"}, "-id", strings.Repeat("x", 200))
+	explain(2, []string{"exclude each other"}, "-job", "-")
+	explain(2, []string{"exceeds"}, "-service", strings.Repeat("x", 5000))
+
+	out, code := c.runCLI("evacuate", "-server", in.address, "-author", "ana", "north-yard")
+	must.Eq(t, 0, code, must.Sprint(out))
+	c.awaitTicket(2)
+	explain(0, []string{"evacuated: server-0", "usable: server-1, server-2, server-3"})
+
+	// An instance that can't read its configuration has none.
+	c.setTableFaults(platform.FaultsDocument{Refuse: true})
+	c.crash(in)
+	c.launch(in)
+	explain(7, []string{"not_ready"})
+	must.Eq(t, 0, c.runCount())
+}
