Docs: dry run of requests

Cause: the dry run of requests isn't documented, and the command printed a wait of 0 for a request that is the first of its workspace in the queue, for which nothing is forecast.

The command says that there is no forecast where none is ahead.

TestExplainRequest and the tests of the command line pass.

--- a/internal/cli/dryrun_request.go
+++ b/internal/cli/dryrun_request.go
@@ -54,7 +54,11 @@
 	case dryrun.LongLimit:
 		printf("  requests that aren't short occupy all %d slots that this instance may use for them\n", answer.LongSlots)
 	}
-	if answer.Ahead != nil && answer.ExpectedWaitMs != nil {
+	switch {
+	case answer.Ahead == nil || answer.ExpectedWaitMs == nil || answer.Verdict == dryrun.Dispatch:
+	case *answer.Ahead == 0:
+		printf("  none ahead in the workspace, no forecast of the time until a slot is free\n")
+	default:
 		printf("  %d ahead in the workspace, expected wait for them %v\n", *answer.Ahead, millis(*answer.ExpectedWaitMs))
 	}
 	if answer.TimeoutMs > 0 {
--- a/internal/dryrun/request.go
+++ b/internal/dryrun/request.go
@@ -26,8 +26,9 @@
 	TimeoutMs int64  `json:"timeout_ms,omitempty"`
 	// Ahead is the estimated number of queued requests of the workspace and the class that
 	// would be dispatched first, and ExpectedWaitMs the forecast of the time until they
-	// have been, by which a request is accepted or rejected. Both are missing if the
-	// request would be rejected before they are determined.
+	// have been, by which a request is accepted or rejected. It doesn't include the time
+	// until the next slot is free. Both are missing if the request would be rejected
+	// before they are determined.
 	Ahead          *int   `json:"ahead,omitempty"`
 	ExpectedWaitMs *int64 `json:"expected_wait_ms,omitempty"`
 	// Cause tells why the request would wait.
