Jobs of lentilwinchd: explain -submit asks where a job would be placed

Cause: lentilwinchd answers such queries for requests only.

Change: POST /lentilwinch/dry-run/submission. The asked instance checks the specification and chooses the failure domain by the code of Submit, without counting the choice, and redirects to the domain's owner (HTTP 307). The command takes the flags of submit.

--- a/internal/cli/dryrun.go
+++ b/internal/cli/dryrun.go
@@ -24,19 +24,35 @@
 type dryRunFlags struct {
 	job       string
 	isRequest bool
+	isSubmit  bool
 	queue     string
 	request   requestFlags
+	// submit has the flags that request lacks.
+	submit submitFlags
+}
+
+// count returns how many kinds of queries are asked for.
+func (f *dryRunFlags) count() int {
+	n := 0
+	for _, set := range []bool{f.job != "", f.isRequest, f.isSubmit} {
+		if set {
+			n++
+		}
+	}
+	return n
 }
 
 func (f *dryRunFlags) register(fs *flag.FlagSet) {
 	fs.StringVar(&f.job, "job", "", "ask where the submission in a `file` would be placed now, - for stdin")
 	fs.StringVar(&f.queue, "queue", "", "with -job: host and prefix of the `queue`, such as app.example/jobs/")
 	fs.BoolVar(&f.isRequest, "request", false, "ask which backend server a request would be sent to now")
+	fs.BoolVar(&f.isSubmit, "submit", false, "ask where a job of submit would be placed now")
 	fs.StringVar(&f.request.workspace, "workspace", "", "`workspace` of the caller; empty for an anonymous one with -job")
-	fs.StringVar(&f.request.service, "service", "", "with -request: `name` of the service")
+	fs.StringVar(&f.request.service, "service", "", "with -request or -submit: `name` of the service")
 	fs.StringVar(&f.request.id, "id", "", "`ID` of the job or request. With -job, the time after which to retry depends on it")
 	fs.DurationVar(&f.request.deadline, "deadline", 0, "with -request: time until the answer is due; 0 means the service's deadline")
 	f.request.body.register(fs, "body", "with -request: body of the request, of which only the size is sent,")
+	f.submit.registerGang(fs)
 }
 
 // dryRunJob asks where a job would be placed, and prints the answer.
--- a/internal/cli/jobs.go
+++ b/internal/cli/jobs.go
@@ -36,6 +36,14 @@
 func (f *submitFlags) register(fs *flag.FlagSet) {
 	fs.StringVar(&f.workspace, "workspace", "", "`name` of the workspace")
 	fs.StringVar(&f.id, "id", "", "job `ID`, unique in the workspace; generated if empty")
+	fs.StringVar(&f.service, "service", "", "`name` of the service, for run time estimates")
+	fs.BoolVar(&f.wait, "wait", false, "wait until the job has ended")
+	f.registerGang(fs)
+}
+
+// registerGang registers the flags that explain has too, and that aren't those of a
+// request.
+func (f *submitFlags) registerGang(fs *flag.FlagSet) {
 	fs.IntVar(&f.members, "members", 1, "members of the gang; all run at once or none")
 	fs.IntVar(&f.accelerators, "accelerators", 1, "accelerators of each member")
 	fs.StringVar(&f.adjacency, "adjacency", string(structs.AdjacencyRack), "how near members must run: worker, rack or domain")
@@ -43,8 +51,6 @@
 	fs.BoolVar(&f.preemptible, "preemptible", false, "may be checkpointed, stopped and moved")
 	fs.DurationVar(&f.declaredRun, "declared-run", 0, "expected run time, a hint")
 	fs.StringVar(&f.domain, "domain", "", "failure `domain` to run in; empty leaves the choice to the scheduler")
-	fs.StringVar(&f.service, "service", "", "`name` of the service, for run time estimates")
-	fs.BoolVar(&f.wait, "wait", false, "wait until the job has ended")
 	f.payload.register(fs, "payload", "payload of the task")
 }
 
--- a/internal/daemon/dryrun.go
+++ b/internal/daemon/dryrun.go
@@ -31,15 +31,8 @@
 
 // serveDryRun answers what would happen to a request now.
 func (d *Daemon) serveDryRun(w http.ResponseWriter, r *http.Request) {
-	cost := func(b *ingress.Body) int64 { return dryRunCost * b.Size() }
-	body, done, err := query.Read(d.ingress, w, r, maxDryRunBytes, dryRunTimeout, cost)
-	defer done()
 	var asked dryrun.RequestQuery
-	if err == nil {
-		if err = json.Unmarshal(body, &asked); err != nil {
-			err = fault.Wrap(fault.Invalid, "the query can't be decoded", err)
-		}
-	}
+	err := d.readQuery(w, r, &asked)
 	var answer dryrun.RequestAnswer
 	if err == nil {
 		answer, err = d.explainRequest(r.Context(), asked)
@@ -52,6 +45,21 @@
 	}
 }
 
+// readQuery decodes the body of a query. It fails with fault.Invalid, and with
+// fault.Unavailable if the body can't be received.
+func (d *Daemon) readQuery(w http.ResponseWriter, r *http.Request, into any) error {
+	cost := func(b *ingress.Body) int64 { return dryRunCost * b.Size() }
+	body, done, err := query.Read(d.ingress, w, r, maxDryRunBytes, dryRunTimeout, cost)
+	defer done()
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return fault.Wrap(fault.Invalid, "the query can't be decoded", err)
+	}
+	return nil
+}
+
 // explainRequest answers a query. It fails with fault.NotReady while the instance doesn't
 // know the configuration in force, as a request does, with fault.Invalid for a negative
 // number, and with the errors of requests.Explain.
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -46,6 +46,7 @@
 	mux.Handle(path, api.LimitBytes(handler, d.ingress, api.MaxMessageBytes(d.settings.Requests.MaxBodyBytes), d.ingressLimits.HeldBytes))
 	mux.Handle(peer.Path, d.mesh.Handler())
 	mux.HandleFunc("POST "+dryrun.RequestPath, d.serveDryRun)
+	mux.HandleFunc("POST "+dryrun.SubmissionPath, d.serveJobDryRun)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", d.serveReady)
 	mux.Handle("GET /metrics", d.metrics.Handler())
--- a/internal/dryrun/dryrun.go
+++ b/internal/dryrun/dryrun.go
@@ -39,6 +39,9 @@
 	Wait Verdict = "wait"
 	// Refused means that the submission or the request would fail.
 	Refused Verdict = "refused"
+	// Unplaceable means that the job can't run in the failure domain that it names or
+	// would be queued in.
+	Unplaceable Verdict = "unplaceable"
 	// Dispatch means that the request would be sent to a backend server.
 	Dispatch Verdict = "dispatch"
 	// Queue means that the request would wait for a slot of a backend server.
--- a/internal/duty/gangs/events.go
+++ b/internal/duty/gangs/events.go
@@ -19,6 +19,7 @@
 	done   *operationDone
 	inbox  *inboxRead
 	leases *leaseReport
+	try    *tryQuery
 }
 
 // operationDone is the result of an operation.
@@ -42,6 +43,8 @@
 		r.handleInbox(ctx, ev.inbox)
 	case ev.leases != nil:
 		r.handleReport(ctx, ev.leases)
+	case ev.try != nil:
+		r.answerTry(ev.try)
 	}
 	return nil
 }
--- a/internal/duty/gangs/manager.go
+++ b/internal/duty/gangs/manager.go
@@ -34,6 +34,9 @@
 	deps     Deps
 	grants   Grants
 
+	// tries limits the queries about jobs that aren't submitted.
+	tries tryLimit
+
 	mu      sync.Mutex
 	runners map[string]*managedRunner
 }
--- a/internal/duty/jobs/check.go
+++ b/internal/duty/jobs/check.go
@@ -19,6 +19,11 @@
 // validate rejects an invalid specification and reports all problems at once. It
 // fails with fault.Invalid, or with fault.NotFound for an unknown workspace.
 func (js *Jobs) validate(spec structs.JobSpec) error {
+	return js.check(spec, int64(len(spec.Payload)))
+}
+
+// check validates a specification with a payload of a size.
+func (js *Jobs) check(spec structs.JobSpec, payloadBytes int64) error {
 	var p problems
 	p.require(validID(spec.Key.ID), "job_id", spec.Key.ID, fmt.Sprintf("1 to %d bytes without slash or white space", maxIDBytes))
 	p.require(inRange(spec.Members, 1, maxMembers), "members", strconv.Itoa(spec.Members), fmt.Sprintf("1 to %d", maxMembers))
@@ -26,7 +31,7 @@
 	p.require(validAdjacency(spec.Adjacency), "adjacency", string(spec.Adjacency), "worker, rack or domain")
 	p.require(validClass(spec.Class), "class", string(spec.Class), "urgent, normal or batch")
 	p.require(spec.DeclaredRun >= 0, "declared_run_ms", spec.DeclaredRun.String(), "0 or more")
-	p.require(len(spec.Payload) <= maxPayloadBytes, "payload", fmt.Sprintf("%d bytes", len(spec.Payload)), fmt.Sprintf("at most %d bytes", maxPayloadBytes))
+	p.require(payloadBytes <= maxPayloadBytes, "payload", fmt.Sprintf("%d bytes", payloadBytes), fmt.Sprintf("at most %d bytes", maxPayloadBytes))
 	p.require(validDomain(js.domains, spec.Domain), "domain", spec.Domain, strings.Join(js.domains, ", "))
 	if len(p) > 0 {
 		return fault.InvalidDocument("job specification is invalid", p)
--- a/internal/duty/jobs/choose.go
+++ b/internal/duty/jobs/choose.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -49,6 +50,13 @@
 	js.mu.Lock()
 	defer js.mu.Unlock()
 	now := time.Now()
+	domain := js.pickWeighted(js.bestCandidates(spec, summaries, now))
+	js.recentDemand.Add(now, domain, spec.Size())
+	return domain
+}
+
+// bestCandidates returns the failure domains of the best rank.
+func (js *Jobs) bestCandidates(spec structs.JobSpec, summaries map[string]port.DomainSummary, now time.Time) []candidate {
 	var best []candidate
 	for _, name := range js.openDomains() {
 		c := js.candidate(spec, name, summaries[name], now)
@@ -60,9 +68,7 @@
 		}
 		best = append(best, c)
 	}
-	domain := js.pickWeighted(best)
-	js.recentDemand.Add(now, domain, spec.Size())
-	return domain
+	return best
 }
 
 // openDomains returns the failure domains that aren't evacuated, or all if all
@@ -138,3 +144,18 @@
 	}
 	return out
 }
+
+// Examine returns the failure domain in which a submission would be queued now, whose
+// payload has payloadBytes bytes: of several, which Submit chooses at random, the most
+// likely one. It fails with fault.Invalid or fault.NotFound as Submit does. Nothing is
+// submitted or counted, and the store isn't asked whether the ID is in use.
+func (js *Jobs) Examine(spec structs.JobSpec, payloadBytes int64) (domain string, err error) {
+	if err := js.check(spec, payloadBytes); err != nil || spec.Domain != "" {
+		return spec.Domain, err
+	}
+	summaries := js.summaries()
+	js.mu.Lock()
+	defer js.mu.Unlock()
+	best := js.bestCandidates(spec, summaries, time.Now())
+	return slices.MaxFunc(best, func(a, b candidate) int { return cmp.Compare(a.weight, b.weight) }).domain, nil
+}
--- a/test/e2e/dryrun_test.go
+++ b/test/e2e/dryrun_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lentilwinch/lentilwinch/internal/fake"
 	"github.com/lentilwinch/lentilwinch/internal/standin/platform"
 )
 
@@ -44,3 +45,31 @@
 	explain(7, []string{"not_ready"})
 	must.Eq(t, 0, c.runCount())
 }
+
+// Guards against an answer that depends on the instance that is asked, and against a query
+// that submits the job.
+func TestExplainSubmit(t *testing.T) {
+	c := startCluster(t, options{instances: 2, servers: 4})
+	c.applyFirstTicket()
+	owner := c.ownerOf("saw-hall")
+	for _, in := range c.instances {
+		explain := func(code int, texts []string, args ...string) {
+			t.Helper()
+			args = append([]string{"explain", "-submit", "-server", in.address, "-workspace", "saw-bench", "-accelerators", "4"}, args...)
+			// An instance answers no query shortly after another one.
+			c.eventually(strings.Join(texts, " and "), func() bool {
+				out, got := c.runCLI(args...)
+				return got == code && !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(out, text) })
+			})
+		}
+		explain(0, []string{"would start in saw-hall", "rack", "decided by " + owner.id}, "-domain", "saw-hall")
+		explain(0, []string{`"verdict": "start"`}, "-json")
+		explain(3, []string{"can't run in saw-hall"}, "-domain", "saw-hall", "-members", "200")
+		explain(3, []string{"would be refused: invalid", "adjacency"}, "-adjacency", "near")
+		explain(8, []string{"not_found"}, "-workspace", "none")
+	}
+	out, code := c.runCLI("jobs", "-server", owner.address, "-workspace", "saw-bench")
+	must.Eq(t, 0, code, must.Sprint(out))
+	must.StrNotContains(t, out, "job-")
+	must.Eq(t, 0, c.eventCount(fake.EventTaskStarted))
+}
