Jobs: test that a query about a job isn't counted

Cause: no test guards Examine, which chooses a failure domain like Submit.

Change: TestExamineCountsNothing.

Result: it passes, and fails if Examine counts the chosen domain.

--- a/internal/duty/jobs/choose_test.go
+++ b/internal/duty/jobs/choose_test.go
@@ -6,6 +6,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lentilwinch/lentilwinch/internal/fake"
+	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/store"
 	"github.com/lentilwinch/lentilwinch/internal/structs"
@@ -42,3 +43,24 @@
 		}
 	}
 }
+
+// Guards against a query that counts as a submission, and would send later jobs elsewhere.
+func TestExamineCountsNothing(t *testing.T) {
+	s := spec("scan")
+	s.Domain = ""
+	cfg := &structs.Config{Workspaces: map[string]structs.Workspace{s.Key.Workspace: {}}}
+	summaries := func() []port.DomainSummary {
+		return []port.DomainSummary{{Domain: "north", FreeAccelerators: 16, LargestBlock: 16}, {Domain: "south", FreeAccelerators: 9, LargestBlock: 9}}
+	}
+	js := New(store.New(fake.NewTable(), "entry"), noPeers{}, []string{"north", "south"}, func() *structs.Config { return cfg }, summaries, func(string) {})
+	for range 3 {
+		domain, err := js.Examine(s, maxPayloadBytes)
+		must.NoError(t, err)
+		must.Eq(t, "north", domain)
+	}
+	_, err := js.Examine(s, maxPayloadBytes+1)
+	must.EqOp(t, fault.Invalid, fault.CodeOf(err))
+	s.Key.Workspace = "none"
+	_, err = js.Examine(s, 0)
+	must.EqOp(t, fault.NotFound, fault.CodeOf(err))
+}
