--- a/test/e2e/dryrun_test.go
+++ b/test/e2e/dryrun_test.go
@@ -11,6 +11,16 @@
 	"github.com/lentilwinch/lentilwinch/internal/standin/platform"
 )
 
+// awaitExplanation repeats a query until its exit code and its output are as expected. An
+// instance answers none shortly after another one.
+func (c *cluster) awaitExplanation(code int, texts, args []string) {
+	c.t.Helper()
+	c.eventually(strings.Join(texts, " and "), func() bool {
+		out, got := c.runCLI(append([]string{"explain"}, args...)...)
+		return got == code && !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(out, text) })
+	})
+}
+
 // Guards against a command that an instance answers otherwise than it would decide, with
 // another exit code than documented, or by sending the request.
 func TestExplainRequest(t *testing.T) {
@@ -19,12 +29,7 @@
 	c.applyFirstTicket()
 	explain := func(code int, texts []string, args ...string) {
 		t.Helper()
-		args = append([]string{"explain", "-request", "-server", in.address, "-workspace", "saw-bench", "-service", "moisture-check"}, args...)
-		// An instance answers no query shortly after another one.
-		c.eventually(strings.Join(texts, " and "), func() bool {
-			out, got := c.runCLI(args...)
-			return got == code && !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(out, text) })
-		})
+		c.awaitExplanation(code, texts, append([]string{"-request", "-server", in.address, "-workspace", "saw-bench", "-service", "moisture-check"}, args...))
 	}
 	explain(0, []string{"would be dispatched to server-", "usable: server-0, server-1, server-2, server-3", "decided by entry-0, configuration of ticket 1"})
 	explain(0, []string{`"verdict": "dispatch"`, `"domain": "north-yard"`, `"timeout_ms": 1`}, "-json", "-deadline", "2s")
@@ -55,12 +60,7 @@
 	for _, in := range c.instances {
 		explain := func(code int, texts []string, args ...string) {
 			t.Helper()
-			args = append([]string{"explain", "-submit", "-server", in.address, "-workspace", "saw-bench", "-accelerators", "4"}, args...)
-			// An instance answers no query shortly after another one.
-			c.eventually(strings.Join(texts, " and "), func() bool {
-				out, got := c.runCLI(args...)
-				return got == code && !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(out, text) })
-			})
+			c.awaitExplanation(code, texts, append([]string{"-submit", "-server", in.address, "-workspace", "saw-bench", "-accelerators", "4"}, args...))
 		}
 		explain(0, []string{"would start in saw-hall", "rack", "decided by " + owner.id}, "-domain", "saw-hall")
 		explain(0, []string{`"verdict": "start"`}, "-json")
