Planner: reports of wide gangs are ignored without collecting their workers

Cause: observeSpeed collected, sorted and deduplicated the workers of a gang at each report of a member. The result is used only for gangs on at most 16 workers, and of those only for the first observation of a run.

Change: wide gangs are recognized by at most 17 distinct workers, before any other look at their runs. A run that has been observed is revised without its workers (speed.Estimator.Revise).

--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -37,7 +37,7 @@
 	if u == nil || u.phase != unitActive || u.spec().LongLived || u.spec().BestEffort || r.phase != runRunning || len(u.runs) == 0 {
 		return
 	}
-	if now-r.worker.reportedAt > maxReportGap || u.startedCold() {
+	if now-r.worker.reportedAt > maxReportGap || u.count > 1 && u.hasMoreWorkersThan(speed.MaxGangWorkers) || u.startedCold() {
 		return
 	}
 	if r.observedAt == 0 { // the run has continued from a checkpoint, or its start is estimated
@@ -52,18 +52,43 @@
 	if gained < minObservedPercents || taken < minObservedTime || u.spec().Estimate <= 0 {
 		return
 	}
+	if u.count > 1 && u.spec().SameRack && u.racks() > 1 {
+		return // slowed down by the distance
+	}
+	nominal := float64(u.spec().Estimate) * float64(gained) / 100
+	id, factor := speed.Run{Task: taskID(u, u.first), Number: r.number}, float64(taken)/nominal
+	if p.speeds.Revise(now, id, factor) {
+		return
+	}
 	workers := []string{r.worker.info.ID}
 	if u.count > 1 {
 		workers = u.workers()
-		if u.racks() > 1 && u.spec().SameRack {
-			return // slowed down by the distance
+	}
+	p.speeds.Observe(now, speed.Observation{Run: id, Workers: workers, Factor: factor})
+}
+
+// hasMoreWorkersThan reports whether the unit's workers are more than limit. It looks at no
+// more runs than needed, as wide gangs have thousands and each of them reports.
+func (u *unit) hasMoreWorkersThan(limit int) bool {
+	if len(u.runs)+len(u.previousWorkers) <= limit {
+		return false
+	}
+	seen := make([]string, 0, limit+1)
+	add := func(id string) bool {
+		if !slices.Contains(seen, id) {
+			seen = append(seen, id)
 		}
+		return len(seen) > limit
 	}
-	nominal := float64(u.spec().Estimate) * float64(gained) / 100
-	p.speeds.Observe(now, speed.Observation{
-		Run:     speed.Run{Task: taskID(u, u.first), Number: r.number},
-		Workers: workers, Factor: float64(taken) / nominal,
-	})
+	if slices.ContainsFunc(u.previousWorkers, add) {
+		return true
+	}
+	for _, r := range u.runs {
+		if add(r.worker.info.ID) {
+			return true
+		}
+	}
+	return false
 }
 
 // startedCold reports whether one of the unit's workers was cold at the start, which makes
--- a/internal/planner/speed_test.go
+++ b/internal/planner/speed_test.go
@@ -237,6 +237,37 @@
 	must.Between(t, 0.9, h.p.SpeedFactor("w00"), 1.1)
 }
 
+// Guards against gangs that tell nothing of their workers' speed although few run them, or
+// that tell of them although too many do. Tasks outnumber the workers in both.
+func TestOnlyNarrowGangsTellSpeed(t *testing.T) {
+	for workers, tells := range map[int]bool{16: true, 17: false} {
+		h := newHarness(t, 1, workers)
+		for k := range 8 {
+			id := fmt.Sprint("gang", k)
+			h.add(h.job(id, 1, gangOf(2*workers, 4, 5)))
+			must.EqOp(t, 2*workers, starts(h.plan()))
+			for percent := 25; percent <= 75; percent += 25 { // twice the estimate
+				h.now += time.Second
+				for _, w := range h.p.workerIDs {
+					running := h.running(w)
+					for i := range running {
+						running[i].ProgressPercent = percent / 2
+					}
+					h.report(w, running...)
+				}
+			}
+			for index := range 2 * workers {
+				h.endRun(work.TaskID{Job: id, Index: index}, port.ResultSucceeded)
+			}
+			h.p.Plan(h.now)
+			h.p.DropEndedJobs()
+		}
+		h.now += time.Second
+		h.p.Plan(h.now)
+		must.EqOp(t, tells, h.p.SpeedFactor("w00") != 1, must.Sprint(workers, " workers"))
+	}
+}
+
 // runSteps has the planner learn from runs of 200 steps of 8 tasks. The workers need the
 // given time factors in turn, and tasks of a step differ by a fifth.
 func (h *harness) runSteps(factors ...float64) {
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -52,11 +52,12 @@
 	// explainedWithin is the difference of logarithms within which a slow worker explains the
 	// duration of its gang.
 	explainedWithin = 0.25
-	// maxGangWorkers limits the workers of a gang that tells of its workers. In a wide gang
-	// the slowest one is mostly unknown.
-	maxGangWorkers = 16
 )
 
+// MaxGangWorkers limits the workers of a gang that tells of its workers. In a wide gang
+// the slowest one is mostly unknown.
+const MaxGangWorkers = 16
+
 // Run identifies a run of a task, or of a gang by its first task.
 type Run struct {
 	Task   work.TaskID
@@ -131,16 +132,11 @@
 
 // Observe adds an observation, or replaces the one of the same run.
 func (e *Estimator) Observe(now time.Duration, o Observation) {
-	if len(o.Workers) == 0 || len(o.Workers) > maxGangWorkers || !(o.Factor > 0) {
+	if len(o.Workers) == 0 || len(o.Workers) > MaxGangWorkers || !(o.Factor > 0) || e.Revise(now, o.Run, o.Factor) {
 		return
 	}
-	logFactor := math.Log(min(max(o.Factor, minFactor), maxFactor))
 	e.changed = true
-	if known := e.byRun[o.Run]; known != nil {
-		known.log, known.at = logFactor, now
-		return
-	}
-	obs := &observation{run: o.Run, step: e.step(&o.Run.Task), log: logFactor, at: now}
+	obs := &observation{run: o.Run, step: e.step(&o.Run.Task), log: logFactor(o.Factor), at: now}
 	obs.step.observations++
 	e.byRun[o.Run] = obs
 	for _, id := range o.Workers {
@@ -153,6 +149,19 @@
 	}
 }
 
+// Revise replaces the factor of a run that has been observed. It reports whether it has.
+func (e *Estimator) Revise(now time.Duration, run Run, factor float64) bool {
+	known := e.byRun[run]
+	if known == nil || !(factor > 0) {
+		return false
+	}
+	known.log, known.at, e.changed = logFactor(factor), now, true
+	return true
+}
+
+// logFactor returns the logarithm of an observed factor within its bounds.
+func logFactor(factor float64) float64 { return math.Log(min(max(factor, minFactor), maxFactor)) }
+
 func (e *Estimator) worker(id string) *worker {
 	w := e.workers[id]
 	if w == nil {
