Planner: a pass keeps failed placements, fits by rack and ends of runs

Cause: each waiting gang was compared with each rack of an uneven pool, also where the pass had compared an equal one before. Each reservation sorted the ends of all runs of a rack or of the pool again.

Decisions are the same.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -44,6 +44,12 @@
 	factor, upper []float64
 	class         []int
 	uneven        bool // the workers belong to several speed classes
+	// cache holds what the pass has learned about placements. It is nil in a view on which
+	// the free capacity or the reservations don't only change as within a pass.
+	cache *placementCache
+	// candidates and cold are memory that fitOn reuses.
+	candidates, cold []candidate
+	releases         releases
 }
 
 // claimKey identifies a step's claims on a worker.
@@ -80,6 +86,7 @@
 		v.uneven = v.uneven || v.class[i] != v.class[0]
 	}
 	v.reservedFrom = make([]time.Duration, len(v.workers))
+	v.cache = newPlacementCache(len(v.racks))
 	p.reserveHeadroom(v)
 	return v
 }
@@ -285,50 +292,62 @@
 // whose workers suit it best by their speed, one with cold workers last, and among those on
 // the one with the least free capacity that fits it, unless spread is set.
 func (v *view) placeAvoiding(u *unit, spread, avoid bool) []placement {
-	s := u.spec()
+	oneRack := u.spec().PrefersOneRack() && !spread
+	if v.cache.hasFailed(u, oneRack) {
+		return nil
+	}
+	out := v.findPlace(u, oneRack, avoid)
+	if out == nil {
+		v.cache.addFailure(u, oneRack, avoid)
+	}
+	return out
+}
+
+func (v *view) findPlace(u *unit, oneRack, avoid bool) []placement {
 	limit := v.planner.maxTimeFactor(u, v.now)
-	if rack := s.DataRack; rack != "" {
+	if rack := u.spec().DataRack; rack != "" {
 		for _, members := range v.racks {
 			if v.workers[members[0]].info.Rack == rack {
-				if f := v.fitOn(u, members, avoid, limit); f != nil {
+				if f := v.fitOn(u, members, avoid, limit, nil); f != nil {
 					return v.pack(u, members, f)
 				}
 			}
 		}
 	}
-	if !s.PrefersOneRack() || spread {
+	if !oneRack {
 		members := v.allWorkers()
-		if f := v.fitOn(u, members, avoid, limit); f != nil {
+		if f := v.fitOn(u, members, avoid, limit, nil); f != nil {
 			return v.pack(u, members, f)
 		}
 		return nil
 	}
+	best := v.bestRack(u, avoid, limit)
+	if best < 0 {
+		return nil
+	}
+	members := v.racks[best]
+	return v.pack(u, members, v.fitOn(u, members, avoid, limit, nil))
+}
+
+// bestRack returns the rack that suits the unit best, or -1 if it fits on none.
+func (v *view) bestRack(u *unit, avoid bool, limit float64) int {
+	known := v.cache.rackFits(u, avoid)
+	if known != nil && v.uneven {
+		return v.bestKnownRack(u, avoid, limit, known)
+	}
 	var best *fit
-	var bestMembers []int
-	bestFree := 0.0
-	for _, members := range v.racks {
-		free := v.rackFree(members)
+	bestRack, bestFree := -1, 0.0
+	for k := range v.racks {
+		free := v.rackFree(k)
 		if best != nil && free >= bestFree && !v.uneven && !best.cold {
 			continue
 		}
-		f := v.fitOn(u, members, avoid, limit)
+		f := v.compareOnRack(u, k, avoid, limit, known)
 		if f != nil && (best == nil || cmp.Or(f.compare(best), cmp.Compare(free, bestFree)) < 0) {
-			best, bestMembers, bestFree = f, members, free
+			best, bestRack, bestFree = f, k, free
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return v.pack(u, bestMembers, best)
-}
-
-// rackFree returns the free capacity of a rack's workers in cores.
-func (v *view) rackFree(members []int) float64 {
-	sum := 0.0
-	for _, i := range members {
-		sum += v.free[i].Cores()
-	}
-	return sum
+	return bestRack
 }
 
 // rackFreeWeight is the weight of a rack's free capacity against the worker's own
@@ -338,8 +357,10 @@
 
 // fitOn chooses those of the given workers that suit the unit best by their speed,
 // cold ones only if the others don't hold it. It returns nil if the whole unit doesn't fit.
-func (v *view) fitOn(u *unit, members []int, avoid bool, limit float64) *fit {
-	var candidates, cold []candidate
+// It narrows valid, unless that is nil, to the limits and estimates that give the same. The
+// candidates are valid until the next call.
+func (v *view) fitOn(u *unit, members []int, avoid bool, limit float64, valid *validFor) *fit {
+	candidates, cold := v.candidates[:0], v.cold[:0]
 	warmSlots := 0
 	estimate := u.estimate()
 	for _, i := range members {
@@ -350,8 +371,14 @@
 		if u.spec().LongLived {
 			until = v.now + forever
 		}
-		if v.reservedFrom[i] > 0 && until > v.reservedFrom[i] {
-			continue
+		if v.reservedFrom[i] > 0 {
+			used := until <= v.reservedFrom[i]
+			if valid != nil {
+				valid.limitEstimate(estimate, used)
+			}
+			if !used {
+				continue
+			}
 		}
 		n := v.slots(u, i, v.free[i])
 		if n == 0 {
@@ -368,6 +395,13 @@
 	if warmSlots < u.count {
 		candidates = append(candidates, cold...)
 	}
+	v.candidates, v.cold = candidates, cold
+	if valid != nil {
+		for k := range candidates {
+			valid.limitTo(candidates[k].factor, limit)
+			valid.limitTo(candidates[k].upper, limit)
+		}
+	}
 	f := chooseBySpeed(u, candidates, limit)
 	if f != nil {
 		f.cold = warmSlots < u.count
@@ -381,8 +415,8 @@
 	candidates := f.candidates
 	if len(members) == len(v.workers) {
 		rackFree := make([]float64, len(v.racks))
-		for k, m := range v.racks {
-			rackFree[k] = v.rackFree(m)
+		for k := range v.racks {
+			rackFree[k] = v.rackFree(k)
 		}
 		for k := range candidates {
 			candidates[k].freeCores += rackFreeWeight * rackFree[v.rackOf[candidates[k].i]]
@@ -409,6 +443,7 @@
 			for range pl.count {
 				v.free[i] = v.free[i].Sub(u.spec().Need)
 			}
+			v.cache.changed(v.rackOf[i])
 		}
 	}
 }
@@ -417,7 +452,7 @@
 func (v *view) setAside(u *unit, claim []placement) {
 	v.consume(u, claim)
 	for _, pl := range claim {
-		v.claimed[claimKey{pl.worker, u.stepKey()}] += pl.count
+		v.claimed[claimKey{pl.worker, u.stepKey()}] += pl.count // consume has recorded the change
 	}
 }
 
--- a/internal/planner/idle.go
+++ b/internal/planner/idle.go
@@ -35,6 +35,7 @@
 		return nil
 	}
 	open := *v
+	open.cache = nil // failures that are due to reservations and headroom don't hold
 	open.reservedFrom, open.urgentOnly = make([]time.Duration, len(v.workers)), make([]bool, len(v.workers))
 	room := 0
 	for i := range open.workers {
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -26,6 +26,7 @@
 	u.runs[index] = r
 	w.runs[r.task] = r
 	w.free = w.free.Sub(r.need)
+	w.runChanges++
 	return r
 }
 
@@ -33,6 +34,7 @@
 	if r.worker.runs[r.task] == r {
 		delete(r.worker.runs, r.task)
 		r.worker.free = r.worker.free.Add(r.need)
+		r.worker.runChanges++
 		if r.needUnknown {
 			r.worker.unknownNeeds--
 		}
@@ -62,6 +64,7 @@
 
 func (p *Planner) orderStop(r *run, why string) {
 	r.phase, r.stopConfirmedAt, r.stopReason = runStopping, 0, why
+	r.worker.runChanges++
 	p.orders = append(p.orders, Order{Kind: OrderStop, Worker: r.worker.info.ID, Task: r.task, Run: r.number, Why: why})
 }
 
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -214,6 +214,9 @@
 	info work.Worker
 	runs map[work.TaskID]*run
 	free work.Resources
+	// runChanges counts the changes within planning passes: runs that are added, dropped or
+	// ordered to stop.
+	runChanges int
 	// unknownNeeds counts the runs whose need isn't known and not taken off free.
 	unknownNeeds int
 	// contacted is set once the worker has received this owner's fencing token.
