Planner: fits by rack are compared by number and kept by class of time limits

Cause: with gangs of different objectives the kept fits replaced each other, and comparing two of them took most of a pass over equal gangs.

Change: the order of fits is a number; TestOrderOfFits holds it to the previous comparison.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -331,20 +331,19 @@
 
 // bestRack returns the rack that suits the unit best, or -1 if it fits on none.
 func (v *view) bestRack(u *unit, avoid bool, limit float64) int {
-	known := v.cache.rackFits(u, avoid)
+	known := v.cache.rackFits(u, avoid, limit)
 	if known != nil && v.uneven {
 		return v.bestKnownRack(u, avoid, limit, known)
 	}
-	var best *fit
-	bestRack, bestFree := -1, 0.0
+	bestRack, best, bestFree := -1, 0, 0.0
 	for k := range v.racks {
 		free := v.rackFree(k)
-		if best != nil && free >= bestFree && !v.uneven && !best.cold {
+		if bestRack >= 0 && free >= bestFree && !v.uneven && best < coldOrder {
 			continue
 		}
-		f := v.compareOnRack(u, k, avoid, limit, known)
-		if f != nil && (best == nil || cmp.Or(f.compare(best), cmp.Compare(free, bestFree)) < 0) {
-			best, bestRack, bestFree = f, k, free
+		order, fits := v.orderOnRack(u, k, avoid, limit, known)
+		if fits && (bestRack < 0 || order < best || order == best && free < bestFree) {
+			bestRack, best, bestFree = k, order, free
 		}
 	}
 	return bestRack
--- a/internal/planner/placement_cache.go
+++ b/internal/planner/placement_cache.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"cmp"
 	"math"
 	"time"
 
@@ -9,9 +8,9 @@
 )
 
 const (
-	// maxCachedKinds limits the kinds of units whose fits are kept by rack. A kind takes 16 KB
+	// maxCachedKinds limits the kinds of units whose fits are kept by rack. A kind takes 8 KB
 	// at 1,100 workers in racks of 8.
-	maxCachedKinds = 128
+	maxCachedKinds = 512
 	// maxRescans limits how often bestKnownRack looks for the next best rack before it
 	// computes all fits again. A scan costs as much as the fits on a few racks.
 	maxRescans = 8
@@ -22,12 +21,12 @@
 // the pass. How a unit fits on a rack holds until the rack changes.
 type placementCache struct {
 	failures []failure
-	racks    []rackState                 // by index of the rack
-	fits     map[placementKind][]rackFit // by index of the rack
+	racks    []rackState           // by index of the rack
+	fits     map[fitKind][]rackFit // by index of the rack
 }
 
 func newPlacementCache(racks int) *placementCache {
-	return &placementCache{racks: make([]rackState, racks), fits: map[placementKind][]rackFit{}}
+	return &placementCache{racks: make([]rackState, racks), fits: map[fitKind][]rackFit{}}
 }
 
 // rackState is the state of a rack's workers in a view.
@@ -50,6 +49,13 @@
 	longLived  bool
 }
 
+// fitKind is a kind of units with similar time limits. The fits for other limits are kept
+// apart, as they would replace each other.
+type fitKind struct {
+	placementKind
+	limitClass int
+}
+
 func kindOf(u *unit) placementKind {
 	s := u.spec()
 	return placementKind{need: s.Need, count: u.count, label: s.RequiredLabel, urgent: u.job.rec.Job.Priority <= 0,
@@ -113,7 +119,7 @@
 	known   bool
 	changes int // of the rack, when the fit was computed
 	fits    bool
-	fit     fit // without candidates
+	order   int // fit.order of the fit
 	validFor
 }
 
@@ -151,11 +157,14 @@
 }
 
 // rackFits returns the fits of the unit's kind by rack, or nil if they aren't kept.
-func (c *placementCache) rackFits(u *unit, avoid bool) []rackFit {
+func (c *placementCache) rackFits(u *unit, avoid bool, limit float64) []rackFit {
 	if c == nil || u.isOwnCase(avoid) {
 		return nil
 	}
-	kind := kindOf(u)
+	kind := fitKind{kindOf(u), -maxClass}
+	if limit > 0 {
+		kind.limitClass = speedClass(limit)
+	}
 	fits, ok := c.fits[kind]
 	if !ok && len(c.fits) < maxCachedKinds {
 		fits = make([]rackFit, len(c.racks))
@@ -168,35 +177,35 @@
 func (v *view) refresh(r *rackFit, u *unit, rack int, avoid bool, limit float64) {
 	*r = rackFit{known: true, changes: v.cache.racks[rack].changes, validFor: validForAll()}
 	if f := v.fitOn(u, v.racks[rack], avoid, limit, &r.validFor); f != nil {
-		r.fits, r.fit = true, *f
-		r.fit.candidates = nil
+		r.fits, r.order = true, f.order()
 		return
 	}
 	// The workers don't hold the unit, whatever the limit, and hold a longer one no better.
 	r.minLimit, r.maxLimit, r.maxEstimate = math.Inf(-1), math.Inf(1), math.MaxInt64
 }
 
-// compareOnRack returns how the unit fits on a rack as fitOn does, but without the
-// candidates. known holds the fits of the unit's kind by rack, or is nil.
-func (v *view) compareOnRack(u *unit, rack int, avoid bool, limit float64, known []rackFit) *fit {
+// orderOnRack returns the order of the unit's fit on a rack, or false if it doesn't fit.
+// known holds the fits of the unit's kind by rack, or is nil.
+func (v *view) orderOnRack(u *unit, rack int, avoid bool, limit float64, known []rackFit) (int, bool) {
 	if known == nil {
-		return v.fitOn(u, v.racks[rack], avoid, limit, nil)
+		f := v.fitOn(u, v.racks[rack], avoid, limit, nil)
+		if f == nil {
+			return 0, false
+		}
+		return f.order(), true
 	}
 	r := &known[rack]
 	current := r.changes == v.cache.racks[rack].changes || !r.fits
 	if !r.known || !current || !r.includes(limit, u.estimate()) {
 		v.refresh(r, u, rack, avoid, limit)
 	}
-	if !r.fits {
-		return nil
-	}
-	return &r.fit
+	return r.order, r.fits
 }
 
 // bestKnownRack returns the rack that suits the unit best, as findPlace chooses it in an
 // uneven pool, or -1. A fit only gets worse as the rack's workers are taken or reserved: it
 // is as good as the last known one at best. So only those are computed again that would be
-// the best. That is true of the order of fit.compare with a given limit; the free capacity,
+// the best. That is true of fit.order with a given limit; the free capacity,
 // of which less is better, is known.
 func (v *view) bestKnownRack(u *unit, avoid bool, limit float64, known []rackFit) int {
 	estimate := u.estimate()
@@ -218,7 +227,7 @@
 				}
 			}
 			free := v.rackFree(k)
-			if best < 0 || cmp.Or(r.fit.compare(&known[best].fit), cmp.Compare(free, bestFree)) < 0 {
+			if best < 0 || r.order < known[best].order || r.order == known[best].order && free < bestFree {
 				best, bestFree = k, free
 			}
 		}
--- a/internal/planner/placement_cache_test.go
+++ b/internal/planner/placement_cache_test.go
@@ -291,3 +291,38 @@
 	}
 	must.Positive(t, fits)
 }
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// Guards against an order of choices other than the one by cold workers, timeliness, mixed
+// classes and class, of which slower ones are preferred only where the unit is surely in time.
+func TestOrderOfFits(t *testing.T) {
+	var fits []*fit
+	for class := -maxClass; class <= maxClass; class++ {
+		for _, late := range []timeliness{surelyInTime, probablyInTime, late} {
+			for bits := range 4 {
+				fits = append(fits, &fit{timeliness: late, class: class, mixed: bits&1 > 0, cold: bits&2 > 0})
+			}
+		}
+	}
+	for _, a := range fits {
+		must.EqOp(t, a.cold, a.order() >= coldOrder)
+		for _, b := range fits {
+			byClass := cmp.Compare(b.class, a.class)
+			if a.timeliness != surelyInTime {
+				byClass = -byClass
+			}
+			want := cmp.Or(compareBool(a.cold, b.cold), cmp.Compare(a.timeliness, b.timeliness), compareBool(a.mixed, b.mixed), byClass)
+			must.EqOp(t, want, cmp.Compare(a.order(), b.order()))
+		}
+	}
+}
--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -195,26 +194,25 @@
 	cold bool
 }
 
-// compare orders choices by preference: those without cold workers first, then those in
-// time, then those that leave faster
-// workers to others or, where the time is short, those that complete the unit first.
-func (f *fit) compare(o *fit) int {
-	byClass := cmp.Compare(o.class, f.class)
-	if f.timeliness != surelyInTime {
-		byClass = -byClass
-	}
-	return cmp.Or(compareBool(f.cold, o.cold), cmp.Compare(f.timeliness, o.timeliness), compareBool(f.mixed, o.mixed), byClass)
-}
+// coldOrder is the least order of a fit with cold workers.
+const coldOrder = 8 * (2*maxClass + 1)
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
+// order returns the preference for a choice, less being better: those without cold workers
+// first, then those in time, then those of one class, then those that leave faster workers to
+// others or, where the time is short, those that complete the unit first.
+func (f *fit) order() int {
+	byClass := f.class + maxClass
+	if f.timeliness == surelyInTime {
+		byClass = maxClass - f.class
+	}
+	order := byClass + 2*(2*maxClass+1)*int(f.timeliness)
+	if f.mixed {
+		order += 2*maxClass + 1
+	}
+	if f.cold {
+		order += coldOrder
 	}
-	return -1
+	return order
 }
 
 // chooseBySpeed returns those of the candidates on which the unit should run: the slowest
