--- a/internal/planner/speed.go
+++ b/internal/planner/speed.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -37,7 +36,7 @@
 	if u == nil || u.phase != unitActive || u.spec().LongLived || u.spec().BestEffort || r.phase != runRunning || len(u.runs) == 0 {
 		return
 	}
-	if now-r.worker.reportedAt > maxReportGap || u.startedCold() {
+	if now-r.worker.reportedAt > maxReportGap || u.count > 1 && u.hasMoreWorkersThan(speed.MaxGangWorkers) || u.startedCold() {
 		return
 	}
 	if r.observedAt == 0 { // the run has continued from a checkpoint, or its start is estimated
@@ -52,18 +51,43 @@
 	if gained < minObservedPercents || taken < minObservedTime || u.spec().Estimate <= 0 {
 		return
 	}
+	if u.count > 1 && u.spec().SameRack && u.racks() > 1 {
+		return // slowed down by the distance
+	}
+	nominal := float64(u.spec().Estimate) * float64(gained) / 100
+	id, factor := speed.Run{Task: taskID(u, u.first), Number: r.number}, float64(taken)/nominal
+	if p.speeds.Revise(now, id, factor) {
+		return
+	}
 	workers := []string{r.worker.info.ID}
 	if u.count > 1 {
 		workers = u.workers()
-		if u.racks() > 1 && u.spec().SameRack {
-			return // slowed down by the distance
+	}
+	p.speeds.Observe(now, speed.Observation{Run: id, Workers: workers, Factor: factor})
+}
+
+// hasMoreWorkersThan reports whether the unit's workers are more than limit. It looks at no
+// more runs than needed, as wide gangs have thousands and each of them reports.
+func (u *unit) hasMoreWorkersThan(limit int) bool {
+	if len(u.runs)+len(u.previousWorkers) <= limit {
+		return false
+	}
+	seen := make([]string, 0, limit+1)
+	add := func(id string) bool {
+		if !slices.Contains(seen, id) {
+			seen = append(seen, id)
 		}
+		return len(seen) > limit
 	}
-	nominal := float64(u.spec().Estimate) * float64(gained) / 100
-	p.speeds.Observe(now, speed.Observation{
-		Run:     speed.Run{Task: taskID(u, u.first), Number: r.number},
-		Workers: workers, Factor: float64(taken) / nominal,
-	})
+	if slices.ContainsFunc(u.previousWorkers, add) {
+		return true
+	}
+	for _, r := range u.runs {
+		if add(r.worker.info.ID) {
+			return true
+		}
+	}
+	return false
 }
 
 // startedCold reports whether one of the unit's workers was cold at the start, which makes
@@ -170,26 +194,25 @@
 	cold bool
 }
 
-// compare orders choices by preference: those without cold workers first, then those in
-// time, then those that leave faster
-// workers to others or, where the time is short, those that complete the unit first.
-func (f *fit) compare(o *fit) int {
-	byClass := cmp.Compare(o.class, f.class)
-	if f.timeliness != surelyInTime {
-		byClass = -byClass
-	}
-	return cmp.Or(compareBool(f.cold, o.cold), cmp.Compare(f.timeliness, o.timeliness), compareBool(f.mixed, o.mixed), byClass)
-}
+// coldOrder is the least order of a fit with cold workers.
+const coldOrder = 8 * (2*maxClass + 1)
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
+// order returns the preference for a choice, less being better: those without cold workers
+// first, then those in time, then those of one class, then those that leave faster workers to
+// others or, where the time is short, those that complete the unit first.
+func (f *fit) order() int {
+	byClass := f.class + maxClass
+	if f.timeliness == surelyInTime {
+		byClass = maxClass - f.class
+	}
+	order := byClass + 2*(2*maxClass+1)*int(f.timeliness)
+	if f.mixed {
+		order += 2*maxClass + 1
+	}
+	if f.cold {
+		order += coldOrder
 	}
-	return -1
+	return order
 }
 
 // chooseBySpeed returns those of the candidates on which the unit should run: the slowest
