Pool: the test of cold times has no data race

Cause: its replica's goroutine read the owner's field that one test replaces (go test -race). Change: the goroutine has its own reference. Result: three runs of the tests with -race pass; one of them failed before.

--- a/internal/duty/pool/cold_test.go
+++ b/internal/duty/pool/cold_test.go
@@ -26,10 +26,11 @@
 func newColdEnv(t *testing.T) *coldEnv {
 	o, _ := ownerOfOneWorker()
 	env := &coldEnv{t, o, fake.NewRows()}
-	o.deps.Replica = replica.New(env.store, zap.NewNop(), o.now)
+	rep := replica.New(env.store, zap.NewNop(), o.now)
+	o.deps.Replica = rep
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	go func() { defer close(done); o.deps.Replica.Run(ctx) }()
+	go func() { defer close(done); rep.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
 	o.sessions["other"] = newSession(o, port.WorkerTarget{ID: "other"})
 	env.apply(work.Worker{ID: "w"}, o.now())
