Utility: the value that a job loses by a stop

Cause: StopCost knows neither the deadline of the victim's job nor what remains of it, so that stopping a job with slack and one that becomes late cost the same.

Change: Job.StopLoss returns the job's value as it completes without the stop minus that after it: 0.7 of the value if the job becomes late, all that is left if it becomes worthless, 0 otherwise. The value is that of RefusalCost. StopCost is unchanged.

Result: the two new tests fail with a loss of 0 and pass; the existing tests of the package pass unchanged.

--- a/internal/utility/utility.go
+++ b/internal/utility/utility.go
@@ -106,20 +106,39 @@
 // value for its caller.
 func LastUseful(objective time.Duration) time.Duration { return lateLimit * objective }
 
+// StopLoss returns the value that the caller of the job loses if the rest of its work, in
+// all of work core-seconds, takes remaining because a unit is stopped.
+func (j Job) StopLoss(work float64, remaining time.Duration) float64 {
+	after := j
+	after.Remaining = remaining
+	lost := max(j.callerShare()-after.callerShare(), 0)
+	return WorkValue(j.Priority) * work * valuePerWork(j.Size) * lost
+}
+
+// callerShare is timeliness without the order of jobs of which nothing is left.
+func (j Job) callerShare() float64 {
+	if share := j.timeliness(); share > OverdueFactor {
+		return share
+	}
+	return 0
+}
+
 // WorkValue returns the value of a core-second of a job of a priority.
 func WorkValue(priority int) float64 { return math.Pow(priorityRatio, -float64(priority)) }
 
-// sizeFactor returns the square root of a job's value per unit of work relative to that of
-// a job of size 1. It favours small jobs.
-func sizeFactor(size float64) float64 {
+// sizeFactor returns the square root of valuePerWork. It favours small jobs.
+func sizeFactor(size float64) float64 { return math.Sqrt(valuePerWork(size)) }
+
+// valuePerWork returns a job's value per unit of work relative to that of a job of size 1.
+func valuePerWork(size float64) float64 {
 	if size <= 0 {
 		return 1
 	}
-	return math.Sqrt((fixedValueShare + (1-fixedValueShare)*size) / size)
+	return (fixedValueShare + (1-fixedValueShare)*size) / size
 }
 
 // StopCost returns the cost of stopping a unit of a job of a priority, which uses cores and
-// whose runs lose discarded core-seconds.
+// whose runs lose discarded core-seconds. What the job loses by the delay, StopLoss tells.
 func StopCost(priority int, discarded, cores float64) float64 {
 	return (WorkValue(priority)+discardCost)*discarded + disruptionCost*cores
 }
--- a/internal/utility/utility_test.go
+++ b/internal/utility/utility_test.go
@@ -101,3 +101,31 @@
 	must.GreaterEq(t, 10*time.Second, urgent.RetryDelay(10*time.Second, 0))
 	must.GreaterEq(t, urgent.RetryDelay(0, 0)+2*time.Second, urgent.RetryDelay(0, 1))
 }
+
+// Guards against stops that count as harmless although the caller gets nothing any more,
+// and against losses charged to jobs that have none left.
+func TestStopLossFigures(t *testing.T) {
+	const objective, work = 10 * time.Second, 100.0
+	loss := func(age, remaining, after time.Duration) float64 {
+		return utility.Job{Objective: objective, Age: age * time.Second, Remaining: remaining * time.Second}.StopLoss(work, after*time.Second)
+	}
+	must.Eq(t, 0, loss(1, 4, 9))                    // still on time
+	must.Eq(t, 0, loss(8, 4, 9))                    // late either way
+	must.Eq(t, 0, loss(28, 4, 9))                   // worthless either way
+	must.Eq(t, 0, loss(8, 4, 1))                    // a wrong estimate is no gain
+	must.InDelta(t, 0.7*work, loss(4, 4, 9), 1e-9)  // becomes late
+	must.InDelta(t, 0.3*work, loss(24, 4, 9), 1e-9) // becomes worthless
+	must.InDelta(t, work, loss(4, 4, 60), 1e-9)     // loses all at once
+	must.InDelta(t, work/6, utility.Job{Priority: 1, Objective: objective}.StopLoss(work, 31*time.Second), 1e-9)
+	must.Eq(t, 0, utility.Job{LongLived: true, Objective: objective}.StopLoss(work, time.Hour))
+}
+
+// Guards against a second definition of value: of jobs of one queue, the loss of the whole
+// value is in the same proportion as the cost of a refusal.
+func TestStopLossAgreesWithRefusalCost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		mean, size := 40.0, rapid.Float64Range(0.01, 100).Draw(t, "size")
+		j := utility.Job{Priority: rapid.IntRange(0, 3).Draw(t, "priority"), Objective: time.Second, Size: size}
+		must.InDelta(t, 1, j.StopLoss(size*mean, time.Minute)/(mean*j.RefusalCost()), 1e-9)
+	})
+}
