Planner: victims are those that lose least, and work about to end isn't stopped

Cause: victims were chosen by discarded work alone. Of equal ones, the first was stopped, also where its job became late and another had slack. Work that was to end within the duration of a stop was stopped, which discards it and gains nothing.

Change: the cost of a victim includes StopLoss, once for each job. Work of a lower priority that by its progress ends before a stop would take effect is awaited: the urgent unit claims its capacity at no cost. If it hasn't ended after the time of a stop, stopOverdue stops it. Within a guarantee, an end is awaited only if the wait and a later stop fit into ReclaimWithin. What is expected of a unit is computed once for all searches of a pass.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -52,6 +52,7 @@
 	p.finishRecovery(now)
 	p.stopRemainingRuns(now)
 	p.stopStalled(now)
+	p.stopOverdue(now)
 	p.speeds.Update(now)
 	p.awaitingTickets, p.reservations = nil, nil
 	v := p.newView(now)
@@ -65,6 +66,7 @@
 // pass decides on the units that may be placed, most urgent first, and passes those
 // decisions to apply that aren't to wait. apply must take the capacity used off the view.
 func (p *Planner) pass(v *view, apply func(*unit, *view, decision)) {
+	p.stopCosts = newStopCosts(p, v.now)
 	reservations := 0
 	unplaceable, failed := map[stepKey]bool{}, 0
 	ranking := p.ranking(v.now)
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -1,10 +1,10 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
-	"github.com/lentilwinch/lentilwinch/internal/utility"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -37,20 +37,33 @@
 // preempt stops the victims of an eviction and claims their capacity for the unit.
 func (p *Planner) preempt(u *unit, v *view, e *eviction) {
 	for _, victim := range e.victims {
-		p.log(LogEntry{Event: EventPreempted, Job: victim.job.rec.Job.ID, Detail: "for " + u.job.rec.Job.ID, Count: len(victim.runs)})
-		p.stopAttempt(victim, v.now, "preempted")
+		p.stopVictim(victim, u, v.now)
 	}
-	u.claim, u.claimedAt = e.placements, v.now
+	u.claim, u.claimedAt, u.awaited = e.placements, v.now, e.awaited
 	v.setAside(u, u.claim)
 }
 
+func (p *Planner) stopVictim(victim, u *unit, now time.Duration) {
+	p.log(LogEntry{Event: EventPreempted, Job: victim.job.rec.Job.ID, Detail: "for " + u.job.rec.Job.ID, Count: len(victim.runs)})
+	p.stopAttempt(victim, now, "preempted")
+}
+
 // eviction is a choice of victims for a unit.
 type eviction struct {
 	victims    []*unit
+	awaited    []attempt   // of units that are expected to end before a stop would take effect
 	placements []placement // of the unit once the victims have stopped
 	cost       float64     // of stopping the victims, in core-seconds of a job of priority 0
 }
 
+// victim is a unit that may be stopped. If it is expected to end before a stop would take
+// effect, its end is awaited instead, at no cost.
+type victim struct {
+	*unit
+	cost    stopCost
+	awaited bool
+}
+
 // victimSearch is the state of one search for victims.
 type victimSearch struct {
 	p               *Planner
@@ -61,8 +74,8 @@
 	placed          map[int]int            // tasks of u, by worker index
 	siblings        map[int]int            // tasks of u's step that stay, by worker index
 	chosen          map[*unit]bool
-	cost            map[*unit]float64 // of stopping a unit, in core-seconds of a job of priority 0
-	candidates      map[int][]*unit   // units that may be stopped, by worker index
+	lost            map[occurrence]float64 // by the chosen victims
+	candidates      map[int][]victim       // by worker index
 	// disrupted counts the chosen victims by step, for steps with a limit of
 	// disruptions.
 	disrupted map[stepKey]int
@@ -74,7 +87,7 @@
 func (p *Planner) findVictims(u *unit, v *view, members []int, withinGuarantee, avoid bool) *eviction {
 	s := &victimSearch{p: p, u: u, v: v, withinGuarantee: withinGuarantee,
 		free: map[int]work.Resources{}, placed: map[int]int{}, siblings: map[int]int{}, chosen: map[*unit]bool{},
-		cost: map[*unit]float64{}, candidates: map[int][]*unit{}, disrupted: map[stepKey]int{}}
+		lost: map[occurrence]float64{}, candidates: map[int][]victim{}, disrupted: map[stepKey]int{}}
 	for _, i := range members {
 		if v.allowed(u, i, avoid) {
 			s.prepare(i)
@@ -87,8 +100,12 @@
 			return nil
 		}
 		for _, victim := range victims {
-			s.choose(victim)
-			out.victims = append(out.victims, victim)
+			s.choose(&victim)
+			if victim.awaited {
+				out.awaited = append(out.awaited, attempt{victim.unit, victim.nextRun})
+				continue
+			}
+			out.victims = append(out.victims, victim.unit)
 		}
 		out.cost += cost
 		s.free[i] = s.free[i].Sub(u.spec().Need)
@@ -115,30 +132,44 @@
 		if r.unit.stepKey() == s.u.stepKey() {
 			s.siblings[i]++
 		}
-		if s.mayStop(r.unit) && !slices.Contains(s.candidates[i], r.unit) {
-			s.candidates[i] = append(s.candidates[i], r.unit)
-			s.cost[r.unit] = s.p.stopCost(r.unit, s.v.now)
+		known := slices.ContainsFunc(s.candidates[i], func(c victim) bool { return c.unit == r.unit })
+		if known || !s.mayStop(r.unit) {
+			continue
+		}
+		c := victim{unit: r.unit, awaited: s.mayAwait(r.unit)}
+		if !c.awaited {
+			c.cost = s.p.stopCosts.of(r.unit, s.u)
 		}
+		s.candidates[i] = append(s.candidates[i], c)
 	}
 	s.free[i] = free
-	slices.SortFunc(s.candidates[i], func(a, b *unit) int {
-		switch ca, cb := s.cost[a], s.cost[b]; {
-		case ca < cb:
-			return -1
-		case ca > cb:
-			return 1
-		}
-		return int(a.nextRun-b.nextRun) + a.step - b.step
+	slices.SortFunc(s.candidates[i], func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.cost.total(), b.cost.total()), int(a.nextRun-b.nextRun)+a.step-b.step)
 	})
 }
 
+// costBesides returns the cost of choosing the victim besides the chosen ones and others. A
+// job's loss counts once: its other units may then be stopped without a further loss.
+func (s *victimSearch) costBesides(victim *victim, others []victim) float64 {
+	if victim.cost.loss == 0 {
+		return victim.cost.stop
+	}
+	lost := s.lost[victim.occurrenceKey()]
+	for _, o := range others {
+		if o.cost.loss > lost && o.occurrenceKey() == victim.occurrenceKey() {
+			lost = o.cost.loss
+		}
+	}
+	return victim.cost.stop + max(victim.cost.loss-lost, 0)
+}
+
 // mayStop reports whether the victim may be stopped for the unit. A victim of
 // lower priority may be stopped within its step's limit of disruptions. A victim
 // of priority 0 must also belong to another workspace that borrows capacity, and
 // the unit must be within its guarantee and have waited longer than half of
 // ReclaimWithin.
 func (s *victimSearch) mayStop(victim *unit) bool {
-	if victim.phase != unitActive || s.p.awaitsRecovery(victim, s.v.now) || victim.job.disruptionsAllowed(victim) <= 0 {
+	if !s.p.mayDisrupt(victim, s.v.now) {
 		return false
 	}
 	mine, theirs := &s.u.job.rec.Job, &victim.job.rec.Job
@@ -149,11 +180,18 @@
 	return nearDeadline && s.withinGuarantee && theirs.Workspace != mine.Workspace && theirs.Priority == 0 && s.p.isBorrowing(theirs.Workspace)
 }
 
+// mayDisrupt reports whether the unit may be stopped for others at all: it isn't in
+// recovery, and its step's limit of disruptions allows it.
+func (p *Planner) mayDisrupt(victim *unit, now time.Duration) bool {
+	return victim.phase == unitActive && !p.awaitsRecovery(victim, now) && victim.job.disruptionsAllowed(victim) > 0
+}
+
 // cheapest returns the worker on which another task costs least, the additional
-// victims and their cost, or -1 if no worker fits.
-func (s *victimSearch) cheapest(members []int) (int, []*unit, float64) {
-	best, bestCost := -1, 0.0
-	var bestVictims []*unit
+// victims and their cost, or -1 if no worker fits. At the same cost it takes the worker where
+// fewest ends are awaited.
+func (s *victimSearch) cheapest(members []int) (int, []victim, float64) {
+	best, bestCost, bestAwaited := -1, 0.0, 0
+	var bestVictims []victim
 	limit := s.u.spec().MaxPerWorker
 	fits := func(i int, free work.Resources) bool { return s.u.slotsIn(free, s.siblings[i]+s.placed[i], 1) > 0 }
 	for _, i := range members {
@@ -161,21 +199,24 @@
 		if !ok || limit > 0 && s.siblings[i]+s.placed[i] >= limit {
 			continue
 		}
-		cost := 0.0
-		var victims []*unit
+		cost, awaited := 0.0, 0
+		var victims []victim
 		for _, victim := range s.candidates[i] {
 			if fits(i, free) {
 				break
 			}
-			if s.chosen[victim] || s.exceedsDisruptions(victim) {
+			if s.chosen[victim.unit] || s.exceedsDisruptions(victim.unit) {
 				continue
 			}
 			free = free.Add(victim.usageOn(s.v.workers[i]))
-			cost += s.cost[victim]
+			cost += s.costBesides(&victim, victims)
+			if victim.awaited {
+				awaited++
+			}
 			victims = append(victims, victim)
 		}
-		if fits(i, free) && (best < 0 || cost < bestCost) {
-			best, bestCost, bestVictims = i, cost, victims
+		if fits(i, free) && (best < 0 || cmp.Or(cmp.Compare(cost, bestCost), cmp.Compare(awaited, bestAwaited)) < 0) {
+			best, bestCost, bestAwaited, bestVictims = i, cost, awaited, victims
 		}
 	}
 	return best, bestVictims, bestCost
@@ -187,8 +228,12 @@
 	return victim.spec().MaxUnavailable > 0 && s.disrupted[victim.stepKey()] >= victim.job.disruptionsAllowed(victim)
 }
 
-func (s *victimSearch) choose(victim *unit) {
-	s.chosen[victim] = true
+func (s *victimSearch) choose(victim *victim) {
+	s.chosen[victim.unit] = true
+	if loss := victim.cost.loss; loss > 0 {
+		key := victim.occurrenceKey()
+		s.lost[key] = max(s.lost[key], loss)
+	}
 	if victim.spec().MaxUnavailable > 0 {
 		s.disrupted[victim.stepKey()]++
 	}
@@ -211,16 +256,6 @@
 	return sum
 }
 
-// stopCost returns the cost of stopping the unit, in core-seconds of a job of
-// priority 0.
-func (p *Planner) stopCost(u *unit, now time.Duration) float64 {
-	discarded := 0.0
-	for _, r := range u.runs {
-		discarded += discardedWork(u, r, now)
-	}
-	return utility.StopCost(u.job.rec.Job.Priority, discarded, u.cores())
-}
-
 // isBorrowing reports whether the workspace's jobs of priority 0 use more
 // accelerators than its guarantee.
 func (p *Planner) isBorrowing(workspace string) bool {
--- a/internal/planner/runs.go
+++ b/internal/planner/runs.go
@@ -89,6 +89,11 @@
 
 // discardedWork returns the work that stopping a run discards, in core-seconds.
 func discardedWork(u *unit, r *run, now time.Duration) float64 {
+	return discardedTime(u, r, now).Seconds() * r.need.Cores()
+}
+
+// discardedTime returns the run time that stopping a run discards.
+func discardedTime(u *unit, r *run, now time.Duration) time.Duration {
 	elapsed := now - r.startedAt
 	if u.spec().LongLived {
 		elapsed = min(elapsed, startupTime)
@@ -96,7 +101,7 @@
 	if u.spec().Checkpointable {
 		elapsed = min(elapsed, time.Second) // assumes that the last checkpoint is at most 1 s old
 	}
-	return elapsed.Seconds() * r.need.Cores()
+	return elapsed
 }
 
 // endAttempt ends the unit's attempt. The unit may be placed again once it has no
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -22,6 +22,9 @@
 	// guarantee must run. It counts from the job's acceptance, or from the due time
 	// of a scheduled occurrence.
 	ReclaimWithin time.Duration
+	// StopDelay is the longest time that a stop takes to free a run's capacity, 0 if it
+	// isn't known. Longer times than maxStopDelay count as that.
+	StopDelay time.Duration
 	// NoForecast turns off Forecast, and so the refusal of new jobs because of it.
 	NoForecast bool
 }
@@ -110,6 +113,7 @@
 	arrivedInRecovery bool
 	claim             []placement // placement for which capacity is being freed
 	claimedAt         time.Duration
+	awaited           []attempt // whose end the claim awaits
 }
 
 func (u *unit) spec() *work.Step { return &u.job.rec.Job.Steps[u.step] }
@@ -305,6 +309,7 @@
 	awaitingTickets []*unit
 	orders          []Order
 	reservations    []reservation // of the last pass
+	stopCosts       *stopCosts    // of the last pass
 	nextRank        int           // rank from which the second half of a pass's unplaceable steps is taken
 	// unrecorded lists the jobs of which a run was adopted whose placement no record tells.
 	unrecorded []string
