Planner: workers are reserved for more waiting units of a large pool

Cause: a pass reserved workers for two waiting units in all, on pools of any size, and these were mostly of priority 0.

Change: reservations are counted for each priority, and lower priorities get one for each 40 workers, at least two. Priority 0 keeps two. What a search for victims knows of costs belongs to the view of a pass.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -29,6 +29,7 @@
 	// reservedFrom holds the time at which the reservation of a worker begins, by
 	// worker index; 0 means none. Tasks that end earlier may use the worker.
 	reservedFrom []time.Duration
+	stopCosts    *stopCosts
 	// urgentOnly marks workers reserved for jobs of priority 0.
 	urgentOnly []bool
 	index      map[*worker]int
@@ -59,7 +60,7 @@
 }
 
 func (p *Planner) newView(now time.Duration) *view {
-	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.workerIDs)), claimed: map[claimKey]int{}, abilities: map[shape]ability{}, mostlyIdle: p.mostlyIdle()}
+	v := &view{planner: p, now: now, index: make(map[*worker]int, len(p.workerIDs)), claimed: map[claimKey]int{}, stopCosts: newStopCosts(p, now), abilities: map[shape]ability{}, mostlyIdle: p.mostlyIdle()}
 	rackIndex := map[string]int{}
 	for _, id := range p.workerIDs {
 		w := p.workers[id]
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -8,9 +8,13 @@
 )
 
 const (
-	// maxReservations limits the waiting units that get workers reserved in one
-	// pass. More would leave too little capacity to backfill.
+	// maxReservations limits the waiting units of a priority that get workers reserved in
+	// one pass. More would leave too little capacity to backfill.
 	maxReservations = 2
+	// workersPerReservation is the number of workers for each reservation of a larger pool.
+	// With two reservations on 350 workers, gangs of ten workers and more hardly ever
+	// started while single tasks were waiting, which took each accelerator that became free.
+	workersPerReservation = 40
 	// maxUnplaceable limits the waiting steps that one pass fails to place although the
 	// workers could hold them. It bounds the time of a pass over a long queue. The last
 	// half of them are those that follow on the ones of the pass before, so that all steps
@@ -66,8 +70,7 @@
 // pass decides on the units that may be placed, most urgent first, and passes those
 // decisions to apply that aren't to wait. apply must take the capacity used off the view.
 func (p *Planner) pass(v *view, apply func(*unit, *view, decision)) {
-	p.stopCosts = newStopCosts(p, v.now)
-	reservations := 0
+	reservations := map[int]int{} // by priority
 	unplaceable, failed := map[stepKey]bool{}, 0
 	ranking := p.ranking(v.now)
 	for k := 0; k < len(ranking); k++ {
@@ -105,8 +108,9 @@
 			k = max(k, p.nextRank-1)
 			p.nextRank = 0
 		}
-		if reservations < maxReservations && r.score > utility.OverdueFactor && v.reserve(u) {
-			reservations++
+		priority := u.job.rec.Job.Priority
+		if reservations[priority] < v.maxReservations(priority) && r.score > utility.OverdueFactor && v.reserve(u) {
+			reservations[priority]++
 		}
 	}
 }
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -138,7 +138,7 @@
 		}
 		c := victim{unit: r.unit, awaited: s.mayAwait(r.unit)}
 		if !c.awaited {
-			c.cost = s.p.stopCosts.of(r.unit, s.u)
+			c.cost = s.v.stopCosts.of(r.unit, s.u)
 		}
 		s.candidates[i] = append(s.candidates[i], c)
 	}
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -9,6 +9,16 @@
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
+// maxReservations returns how many waiting units of a priority get workers reserved. Units
+// of priority 0 don't get more in a larger pool: they may preempt, and would keep each other
+// from the reserved workers, which those of lower priorities leave to them.
+func (v *view) maxReservations(priority int) int {
+	if priority == 0 {
+		return maxReservations
+	}
+	return max(maxReservations, len(v.workers)/workersPerReservation)
+}
+
 // reserve reserves the workers on which a waiting unit is estimated to fit first.
 // Shorter work may use them until then; longer work can't delay the unit
 // indefinitely. It reports whether there are such workers.
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -312,7 +312,6 @@
 	awaitingTickets []*unit
 	orders          []Order
 	reservations    []reservation // of the last pass
-	stopCosts       *stopCosts    // of the last pass
 	nextRank        int           // rank from which the second half of a pass's unplaceable steps is taken
 	// unrecorded lists the jobs of which a run was adopted whose placement no record tells.
 	unrecorded []string
--- a/internal/planner/stopcost.go
+++ b/internal/planner/stopcost.go
@@ -129,7 +129,7 @@
 // be stopped later in any case. Within a guarantee, the wait and a later stop must both fit
 // into the time that it leaves.
 func (s *victimSearch) mayAwait(victim *unit) bool {
-	if victim.job.rec.Job.Priority <= s.u.job.rec.Job.Priority || !s.p.stopCosts.estimate(victim).endsSoon {
+	if victim.job.rec.Job.Priority <= s.u.job.rec.Job.Priority || !s.v.stopCosts.estimate(victim).endsSoon {
 		return false
 	}
 	return !s.withinGuarantee || s.p.waited(s.u, s.v.now)+2*s.p.stopDelay() <= s.p.settings.ReclaimWithin
--- a/internal/planner/trial.go
+++ b/internal/planner/trial.go
@@ -102,7 +102,7 @@
 	for _, victim := range d.eviction.victims {
 		t.victims = append(t.victims, dryrun.Victim{
 			Job: victim.job.rec.Job.ID, Priority: victim.job.rec.Job.Priority, Workers: victim.workers(),
-			Cost: t.planner.stopCosts.of(victim, u).total(),
+			Cost: v.stopCosts.of(victim, u).total(),
 		})
 	}
 }
