Planner: ends of work are not awaited instead of stopping it

Cause: an independent review showed with tests that the ends awaited at no cost make wrong stops: once it overran, a nearly finished gang of 64 accelerators was stopped for a task of 0.2 s, which the limit of a stop's cost forbids; and work was stopped for claims that were free by then, had expired, belonged to a unit that was done, or were on workers that drain. It also showed that a job that the first stop of a pass made late was charged its loss again.

Change: the waiting is removed, and so is what it needed. A stop drops what the pass knows of the job. Names and comments of the placement cache follow the review.

--- a/internal/planner/fit.go
+++ b/internal/planner/fit.go
@@ -45,8 +45,8 @@
 	factor, upper []float64
 	class         []int
 	uneven        bool // the workers belong to several speed classes
-	// cache holds what the pass has learned about placements. It is nil in a view on which
-	// the free capacity or the reservations don't only change as within a pass.
+	// cache holds what the pass has learned about placements. It is nil in a view where
+	// that doesn't hold, as in placeOnIdle.
 	cache *placementCache
 	// candidates and cold are memory that fitOn reuses.
 	candidates, cold []candidate
@@ -374,7 +374,7 @@
 		if v.reservedFrom[i] > 0 {
 			used := until <= v.reservedFrom[i]
 			if valid != nil {
-				valid.limitEstimate(estimate, used)
+				valid.narrowEstimates(estimate, used)
 			}
 			if !used {
 				continue
@@ -398,8 +398,8 @@
 	v.candidates, v.cold = candidates, cold
 	if valid != nil {
 		for k := range candidates {
-			valid.limitTo(candidates[k].factor, limit)
-			valid.limitTo(candidates[k].upper, limit)
+			valid.narrowLimits(candidates[k].factor, limit)
+			valid.narrowLimits(candidates[k].upper, limit)
 		}
 	}
 	f := chooseBySpeed(u, candidates, limit)
--- a/internal/planner/placement_cache.go
+++ b/internal/planner/placement_cache.go
@@ -73,7 +73,7 @@
 type failure struct {
 	placementKind
 	estimate time.Duration
-	oneRack  bool // it may have found place on several racks
+	oneRack  bool // it was looked for on single racks only; several together might hold it
 }
 
 // covers reports whether the failure implies that a unit finds no place either: it needs no
@@ -133,8 +133,8 @@
 	return validFor{minLimit: math.Inf(-1), maxLimit: math.Inf(1), maxEstimate: math.MaxInt64}
 }
 
-// limitTo narrows the range of limits to those on the same side of a time factor as limit.
-func (r *validFor) limitTo(factor, limit float64) {
+// narrowLimits narrows the range of limits to those on the same side of a time factor as limit.
+func (r *validFor) narrowLimits(factor, limit float64) {
 	if factor <= limit {
 		r.minLimit = max(r.minLimit, factor)
 	} else {
@@ -142,9 +142,10 @@
 	}
 }
 
-// limitEstimate narrows the range of estimates to those for which a worker with a
-// reservation is surely used as it is for the given one.
-func (r *validFor) limitEstimate(estimate time.Duration, used bool) {
+// narrowEstimates narrows the range of estimates to those for which a worker with a
+// reservation is surely used as it is for the given one. A worker that is used is also used
+// for shorter estimates, one that isn't isn't for longer ones.
+func (r *validFor) narrowEstimates(estimate time.Duration, used bool) {
 	if used {
 		r.maxEstimate = estimate
 	} else {
@@ -180,7 +181,8 @@
 		r.fits, r.order = true, f.order()
 		return
 	}
-	// The workers don't hold the unit, whatever the limit, and hold a longer one no better.
+	// If the workers don't hold the unit, no other limit helps, and a longer estimate doesn't
+	// either.
 	r.minLimit, r.maxLimit, r.maxEstimate = math.Inf(-1), math.Inf(1), math.MaxInt64
 }
 
@@ -205,8 +207,7 @@
 // bestKnownRack returns the rack that suits the unit best, as findPlace chooses it in an
 // uneven pool, or -1. A fit only gets worse as the rack's workers are taken or reserved: it
 // is as good as the last known one at best. So only those are computed again that would be
-// the best. That is true of fit.order with a given limit; the free capacity,
-// of which less is better, is known.
+// the best. The free capacity, of which less is better, is known.
 func (v *view) bestKnownRack(u *unit, avoid bool, limit float64, known []rackFit) int {
 	estimate := u.estimate()
 	for k := range known {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	// maxReservations limits the waiting units of a priority that get workers reserved in
-	// one pass. More would leave too little capacity to backfill.
-	maxReservations = 2
-	// workersPerReservation is the number of workers for each reservation of a larger pool.
-	// With two reservations on 350 workers, gangs of ten workers and more hardly ever
+	// minReservations is the number of waiting units of each priority that get workers
+	// reserved in a pool of any size. More would leave a small pool too little capacity to
+	// backfill; see view.maxReservations.
+	minReservations = 2
+	// workersPerReservation is the number of workers for each reservation in pools of more
+	// than 80 workers. With two reservations on 350 workers, gangs of ten workers and more hardly ever
 	// started while single tasks were waiting, which took each accelerator that became free.
 	workersPerReservation = 40
 	// maxUnplaceable limits the waiting steps that one pass fails to place although the
@@ -56,7 +57,6 @@
 	p.finishRecovery(now)
 	p.stopRemainingRuns(now)
 	p.stopStalled(now)
-	p.stopOverdue(now)
 	p.speeds.Update(now)
 	p.awaitingTickets, p.reservations = nil, nil
 	v := p.newView(now)
--- a/internal/planner/reclaim.go
+++ b/internal/planner/reclaim.go
@@ -37,31 +37,25 @@
 // preempt stops the victims of an eviction and claims their capacity for the unit.
 func (p *Planner) preempt(u *unit, v *view, e *eviction) {
 	for _, victim := range e.victims {
-		p.stopVictim(victim, u, v.now)
+		p.log(LogEntry{Event: EventPreempted, Job: victim.job.rec.Job.ID, Detail: "for " + u.job.rec.Job.ID, Count: len(victim.runs)})
+		p.stopAttempt(victim, v.now, "preempted")
+		v.stopCosts.forget(victim.occurrenceKey())
 	}
-	u.claim, u.claimedAt, u.awaited = e.placements, v.now, e.awaited
+	u.claim, u.claimedAt = e.placements, v.now
 	v.setAside(u, u.claim)
 }
 
-func (p *Planner) stopVictim(victim, u *unit, now time.Duration) {
-	p.log(LogEntry{Event: EventPreempted, Job: victim.job.rec.Job.ID, Detail: "for " + u.job.rec.Job.ID, Count: len(victim.runs)})
-	p.stopAttempt(victim, now, "preempted")
-}
-
 // eviction is a choice of victims for a unit.
 type eviction struct {
 	victims    []*unit
-	awaited    []attempt   // of units that are expected to end before a stop would take effect
 	placements []placement // of the unit once the victims have stopped
 	cost       float64     // of stopping the victims, in core-seconds of a job of priority 0
 }
 
-// victim is a unit that may be stopped. If it is expected to end before a stop would take
-// effect, its end is awaited instead, at no cost.
+// victim is a unit that may be stopped.
 type victim struct {
 	*unit
-	cost    stopCost
-	awaited bool
+	cost stopCost
 }
 
 // victimSearch is the state of one search for victims.
@@ -101,10 +95,6 @@
 		}
 		for _, victim := range victims {
 			s.choose(&victim)
-			if victim.awaited {
-				out.awaited = append(out.awaited, attempt{victim.unit, victim.nextRun})
-				continue
-			}
 			out.victims = append(out.victims, victim.unit)
 		}
 		out.cost += cost
@@ -136,11 +126,7 @@
 		if known || !s.mayStop(r.unit) {
 			continue
 		}
-		c := victim{unit: r.unit, awaited: s.mayAwait(r.unit)}
-		if !c.awaited {
-			c.cost = s.v.stopCosts.of(r.unit, s.u)
-		}
-		s.candidates[i] = append(s.candidates[i], c)
+		s.candidates[i] = append(s.candidates[i], victim{r.unit, s.v.stopCosts.of(r.unit, s.u)})
 	}
 	s.free[i] = free
 	slices.SortFunc(s.candidates[i], func(a, b victim) int {
@@ -169,7 +155,7 @@
 // the unit must be within its guarantee and have waited longer than half of
 // ReclaimWithin.
 func (s *victimSearch) mayStop(victim *unit) bool {
-	if !s.p.mayDisrupt(victim, s.v.now) {
+	if victim.phase != unitActive || s.p.awaitsRecovery(victim, s.v.now) || victim.job.disruptionsAllowed(victim) <= 0 {
 		return false
 	}
 	mine, theirs := &s.u.job.rec.Job, &victim.job.rec.Job
@@ -180,17 +166,10 @@
 	return nearDeadline && s.withinGuarantee && theirs.Workspace != mine.Workspace && theirs.Priority == 0 && s.p.isBorrowing(theirs.Workspace)
 }
 
-// mayDisrupt reports whether the unit may be stopped for others at all: it isn't in
-// recovery, and its step's limit of disruptions allows it.
-func (p *Planner) mayDisrupt(victim *unit, now time.Duration) bool {
-	return victim.phase == unitActive && !p.awaitsRecovery(victim, now) && victim.job.disruptionsAllowed(victim) > 0
-}
-
 // cheapest returns the worker on which another task costs least, the additional
-// victims and their cost, or -1 if no worker fits. At the same cost it takes the worker where
-// fewest ends are awaited.
+// victims and their cost, or -1 if no worker fits.
 func (s *victimSearch) cheapest(members []int) (int, []victim, float64) {
-	best, bestCost, bestAwaited := -1, 0.0, 0
+	best, bestCost := -1, 0.0
 	var bestVictims []victim
 	limit := s.u.spec().MaxPerWorker
 	fits := func(i int, free work.Resources) bool { return s.u.slotsIn(free, s.siblings[i]+s.placed[i], 1) > 0 }
@@ -199,7 +178,7 @@
 		if !ok || limit > 0 && s.siblings[i]+s.placed[i] >= limit {
 			continue
 		}
-		cost, awaited := 0.0, 0
+		cost := 0.0
 		var victims []victim
 		for _, victim := range s.candidates[i] {
 			if fits(i, free) {
@@ -210,13 +189,10 @@
 			}
 			free = free.Add(victim.usageOn(s.v.workers[i]))
 			cost += s.costBesides(&victim, victims)
-			if victim.awaited {
-				awaited++
-			}
 			victims = append(victims, victim)
 		}
-		if fits(i, free) && (best < 0 || cmp.Or(cmp.Compare(cost, bestCost), cmp.Compare(awaited, bestAwaited)) < 0) {
-			best, bestCost, bestAwaited, bestVictims = i, cost, awaited, victims
+		if fits(i, free) && (best < 0 || cost < bestCost) {
+			best, bestCost, bestVictims = i, cost, victims
 		}
 	}
 	return best, bestVictims, bestCost
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -14,9 +14,9 @@
 // from the reserved workers, which those of lower priorities leave to them.
 func (v *view) maxReservations(priority int) int {
 	if priority == 0 {
-		return maxReservations
+		return minReservations
 	}
-	return max(maxReservations, len(v.workers)/workersPerReservation)
+	return max(minReservations, len(v.workers)/workersPerReservation)
 }
 
 // reserve reserves the workers on which a waiting unit is estimated to fit first.
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -23,7 +23,7 @@
 	// of a scheduled occurrence.
 	ReclaimWithin time.Duration
 	// StopDelay is the longest time that a stop takes to free a run's capacity, 0 if it
-	// isn't known. Longer times than maxStopDelay count as that.
+	// isn't known. It is part of the time that a stop costs a job.
 	StopDelay time.Duration
 	// NoForecast turns off Forecast, and so the refusal of new jobs because of it.
 	NoForecast bool
@@ -113,7 +113,6 @@
 	arrivedInRecovery bool
 	claim             []placement // placement for which capacity is being freed
 	claimedAt         time.Duration
-	awaited           []attempt // whose end the claim awaits
 }
 
 func (u *unit) spec() *work.Step { return &u.job.rec.Job.Steps[u.step] }
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -151,7 +151,8 @@
 	}
 }
 
-// Revise replaces the factor of a run that has been observed. It reports whether it has.
+// Revise replaces the factor of a run that has been observed before. It reports whether the
+// run has been.
 func (e *Estimator) Revise(now time.Duration, run Run, factor float64) bool {
 	known := e.byRun[run]
 	if known == nil || !(factor > 0) {
