Ingress, gangs, fake: faults that an independent review showed

Cause and change: - A connection that lingers after a refusal counted, once evicted, as one that the HTTP server still holds. Accept waited for up to 500 ms for each round of refusals: a check on a listener of 16 places took 3.2 s beside 180 refused bodies a second. Comments and names follow the review.

Left: a shutdown doesn't wait for lingering connections, as before.

--- a/internal/duty/gangs/try.go
+++ b/internal/duty/gangs/try.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// tryPause is the pause after a query, in multiples of its duration. It keeps queries
-	// below 4% of a processor, however often they are sent.
+	// tryPause is the pause after a query, in multiples of the time that it worked, without
+	// waits. It keeps queries below 4% of a processor, however often they are sent.
 	tryPause = 25
 	// tryRetryAfter is the time after which a query may be repeated that was rejected
 	// because of another one.
@@ -42,6 +42,7 @@
 
 type trySnapshot struct {
 	snapshot scheduler.Snapshot
+	took     time.Duration // to collect it
 	err      error
 }
 
@@ -61,31 +62,31 @@
 		return dryrun.SubmissionAnswer{}, errTrying
 	}
 	defer m.tries.open.Store(false)
-	began := time.Now()
-	if left := m.tries.nextAt.Sub(began); left > 0 {
+	if left := time.Until(m.tries.nextAt); left > 0 {
 		return dryrun.SubmissionAnswer{}, &fault.RetryError{RetryAfter: left, Err: errTrying.Err}
 	}
-	answer, err := r.runner.Try(ctx, spec)
-	ended := time.Now()
-	m.tries.nextAt = ended.Add(tryPause * ended.Sub(began))
+	answer, worked, err := r.runner.Try(ctx, spec)
+	m.tries.nextAt = time.Now().Add(tryPause * worked)
 	return answer, err
 }
 
-// Try implements Manager.Try. Only the inputs are collected in the runner's goroutine, and
-// the decision is made in that of the caller.
-func (r *Runner) Try(ctx context.Context, spec structs.JobSpec) (dryrun.SubmissionAnswer, error) {
+// Try implements Manager.Try, and returns the time that it worked. Only the inputs are
+// collected in the runner's goroutine, and the decision is made in that of the caller.
+func (r *Runner) Try(ctx context.Context, spec structs.JobSpec) (dryrun.SubmissionAnswer, time.Duration, error) {
 	result := make(chan trySnapshot, 1)
 	if err := r.events.PushWait(ctx, event{try: &tryQuery{spec, result}}); err != nil {
-		return dryrun.SubmissionAnswer{}, errNoAnswer
+		return dryrun.SubmissionAnswer{}, 0, errNoAnswer
 	}
 	select {
 	case got := <-result:
 		if got.err != nil {
-			return dryrun.SubmissionAnswer{}, got.err
+			return dryrun.SubmissionAnswer{}, 0, got.err
 		}
-		return answerOf(got.snapshot, spec), nil
+		began := time.Now()
+		answer := answerOf(got.snapshot, spec)
+		return answer, got.took + time.Since(began), nil
 	case <-ctx.Done():
-		return dryrun.SubmissionAnswer{}, errNoAnswer
+		return dryrun.SubmissionAnswer{}, 0, errNoAnswer
 	}
 }
 
@@ -99,10 +100,11 @@
 		q.result <- trySnapshot{err: fault.New(fault.Exists, "job "+q.spec.Key.String()+" is queued or runs already")}
 		return
 	}
+	began := time.Now()
 	s := r.snapshot()
 	// A decision sorts the queue itself.
 	s.Queued = append(s.Queued, scheduler.Pending{Spec: q.spec, ExpectedRun: r.expectedRun(q.spec)})
-	q.result <- trySnapshot{snapshot: s}
+	q.result <- trySnapshot{snapshot: s, took: time.Since(began)}
 }
 
 // answerOf decides on a snapshot whose queue holds the job.
--- a/internal/duty/gangs/try_test.go
+++ b/internal/duty/gangs/try_test.go
@@ -20,7 +20,7 @@
 		time.Sleep(time.Second)
 		try := func(s structs.JobSpec) dryrun.SubmissionAnswer {
 			t.Helper()
-			answer, err := h.owner.Try(h.ctx, s)
+			answer, _, err := h.owner.Try(h.ctx, s)
 			must.NoError(t, err)
 			must.Eq(t, domain, answer.Domain)
 			return answer
@@ -34,7 +34,7 @@
 		for i, m := range h.job(key).Members {
 			must.Eq(t, m.Worker, answer.Places[i].Worker)
 		}
-		_, err := h.owner.Try(h.ctx, asked)
+		_, _, err := h.owner.Try(h.ctx, asked)
 		must.EqOp(t, fault.Exists, fault.CodeOf(err))
 		h.awaitFinalState(key)
 
@@ -59,7 +59,7 @@
 		must.Eq(t, 0, h.countCheckpoints())
 		must.Len(t, 6, h.owner.State().Jobs)
 		h.configStale.Store(true)
-		_, err = h.owner.Try(h.ctx, asked)
+		_, _, err = h.owner.Try(h.ctx, asked)
 		must.EqOp(t, fault.Unavailable, fault.CodeOf(err))
 	})
 }
--- a/internal/duty/intake/confirm.go
+++ b/internal/duty/intake/confirm.go
@@ -26,7 +26,7 @@
 // that the replica lacks afterwards wasn't stored when the read was sent. One confirmation
 // serves all submissions that arrived before that, whatever their number.
 type confirmation struct {
-	submissions int           // that wait for it
+	submissions int           // that joined
 	done        chan struct{} // closed at the end
 	err         error         // valid once done is closed
 }
@@ -55,7 +55,8 @@
 }
 
 // joinConfirmation returns the confirmation whose read is sent next, and begins it if there
-// is none. The read is one of the pool's rows.
+// is none. It reads a row of the first caller's pool. Any row would do, as versions are the
+// store's; if that pool's partition is down, no submission of this round is refused.
 func (in *Intake) joinConfirmation(ctx context.Context, pool string) *confirmation {
 	k := &in.confirmations
 	k.mu.Lock()
--- a/internal/duty/replica/held.go
+++ b/internal/duty/replica/held.go
@@ -36,8 +36,9 @@
 }
 
 // HeldAt returns a time at which the replica held the store's changes up to a version, the
-// earliest one that it knows: what that version wrote, in any table, was written before. It
-// reports false if it hasn't held the version, or 0 is given.
+// earliest one that it knows: what that version wrote, in any table, was written before. For
+// a version older than all recorded ones it returns the time of the oldest record. It reports
+// false if it hasn't held the version, or 0 is given.
 func (r *Replica) HeldAt(version int64) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -263,7 +263,8 @@
 	}
 }
 
-// Hurry ends the delay before the next watch, for a caller of Await.
+// Hurry ends the delay before the next watch, for a caller of Await. It doesn't end a watch
+// in progress, which returns at the next change or after watchWait.
 func (r *Replica) Hurry() {
 	select {
 	case r.hurry <- struct{}{}:
--- a/internal/duty/requests/explain.go
+++ b/internal/duty/requests/explain.go
@@ -58,6 +58,11 @@
 	case r.arrivals.Len() >= r.settings.QueueLimit:
 		return refusedAnswer(fault.New(fault.Overloaded, reasonArrivals)), nil
 	}
+	select {
+	case <-r.stopped:
+		return dryrun.RequestAnswer{}, errStopped
+	default:
+	}
 	if !r.querying.CompareAndSwap(false, true) {
 		return dryrun.RequestAnswer{}, errQuerying
 	}
--- a/internal/fake/ports.go
+++ b/internal/fake/ports.go
@@ -1,10 +1,12 @@
 package fake
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 )
@@ -27,22 +29,22 @@
 // isn't enough: another test would get the port of an instance that is down, and its
 // callers would reach the wrong program.
 type portAllocator struct {
-	mu       sync.Mutex
-	guards   []net.Listener
-	scanned  int // first port of the next block to try
-	next     int // next port of the reserved block
-	blockEnd int // end of the reserved block, excluded
+	mu        sync.Mutex
+	guards    []net.Listener
+	nextBlock int // first port of the next block to try
+	next      int // next port of the reserved block
+	blockEnd  int // end of the reserved block, excluded
 }
 
-var ports = newPortAllocator()
+var processPorts = newPortAllocator()
 
-func newPortAllocator() *portAllocator { return &portAllocator{scanned: firstPort} }
+func newPortAllocator() *portAllocator { return &portAllocator{nextBlock: firstPort} }
 
 // FreeAddress returns a loopback address without a listener that no other process
 // that uses this function returns as long as this process lives. It fails with
 // fault.Unavailable if no port is free, and with fault.Internal if the listener
 // that it opens as a check can't be closed.
-func FreeAddress() (string, error) { return ports.freeAddress() }
+func FreeAddress() (string, error) { return processPorts.freeAddress() }
 
 func (p *portAllocator) freeAddress() (string, error) {
 	p.mu.Lock()
@@ -65,10 +67,13 @@
 // reserveBlock reserves the next block whose guard port is free. It returns false if
 // there is none.
 func (p *portAllocator) reserveBlock() bool {
-	for p.scanned+portBlock <= lastPort {
-		start := p.scanned
-		p.scanned += portBlock
+	for p.nextBlock+portBlock <= lastPort {
+		start := p.nextBlock
 		guard, err := net.Listen("tcp", loopback(start))
+		if err != nil && !errors.Is(err, syscall.EADDRINUSE) {
+			return false // the block may be free
+		}
+		p.nextBlock += portBlock
 		if err != nil {
 			continue // reserved by another process
 		}
--- a/internal/ingress/http.go
+++ b/internal/ingress/http.go
@@ -46,8 +46,8 @@
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 	// evicted is the number of connections that were closed for new ones and that the
-	// HTTP server hasn't given up yet. It keeps their buffers for 500 ms after a
-	// response to a request that wasn't read whole.
+	// HTTP server hasn't given up yet. After a request with a large unread body it holds a
+	// connection, with its buffers, for 500 ms. Lingering connections don't count.
 	evicted  int
 	released sync.Cond // signalled when evicted falls
 }
@@ -93,8 +93,10 @@
 		}
 		victim = open[i]
 		l.forget(victim)
-		victim.isEvicted = true
-		l.evicted++
+		if !victim.isReleased {
+			victim.isEvicted = true
+			l.evicted++
+		}
 	}
 	l.conns[c] = struct{}{}
 	l.gate.conns.Add(1)
@@ -115,26 +117,28 @@
 	listener *Listener
 	state    connState // guarded by listener.mu, as is since
 	since    time.Duration
-	// isEvicted is set from its eviction until it is closed; guarded by listener.mu.
-	isEvicted bool
+	// isReleased is set once the HTTP server has given the connection up, which may linger
+	// then. isEvicted is set from its eviction until then. Both are guarded by listener.mu.
+	isReleased, isEvicted bool
 
 	mu      sync.Mutex
 	aborted bool // reads fail at once
-	// lingers is set if the last request wasn't read whole. isHalfClosed is set once
+	// shouldLinger is set if the last request wasn't read whole. isHalfClosed is set once
 	// nothing more can be written.
-	lingers, isHalfClosed bool
+	shouldLinger, isHalfClosed bool
 }
 
 // lingerTimeout is the time that a client has to read the response to a request that
-// wasn't read whole. It is that of the HTTP server, which waits only for some of them.
+// wasn't read whole. net/http waits as long itself, but only after bodies beyond 256 KB.
 const lingerTimeout = 500 * time.Millisecond
 
-// Close implements net.Conn. If the last request wasn't read whole, only the response
-// ends at once: a connection with unread bytes is reset when it is closed, and the client
+// Close implements net.Conn. If the last request wasn't read whole, it ends only the sending
+// side now, and closes the connection after lingerTimeout: a connection with unread bytes is reset when it is closed, and the client
 // might not read the response.
 func (c *Conn) Close() error {
+	c.release()
 	c.mu.Lock()
-	linger := c.lingers && !c.isHalfClosed
+	linger := c.shouldLinger && !c.isHalfClosed
 	c.mu.Unlock()
 	if linger && c.CloseWrite() == nil {
 		time.AfterFunc(lingerTimeout, func() { _ = c.closeNow() }) // fails only if it is closed already
@@ -143,15 +147,22 @@
 	return c.closeNow()
 }
 
-// closeNow closes the connection and frees its place in the listener.
-func (c *Conn) closeNow() error {
+// release records that the HTTP server has given the connection up.
+func (c *Conn) release() {
 	c.listener.mu.Lock()
-	c.listener.forget(c)
+	defer c.listener.mu.Unlock()
+	c.isReleased = true
 	if c.isEvicted {
 		c.isEvicted = false
 		c.listener.evicted--
 		c.listener.released.Signal()
 	}
+}
+
+// closeNow closes the connection and frees its place in the listener.
+func (c *Conn) closeNow() error {
+	c.listener.mu.Lock()
+	c.listener.forget(c)
 	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -168,7 +179,7 @@
 	return nil
 }
 
-// setState returns the state before.
+// setState changes the state and returns the previous one.
 func (c *Conn) setState(s connState) connState {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
@@ -183,7 +194,7 @@
 	c.abort()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lingers = isUnread
+	c.shouldLinger = isUnread
 }
 
 // setReadDeadline sets the deadline unless the connection was aborted.
--- a/internal/ingress/http_test.go
+++ b/internal/ingress/http_test.go
@@ -234,6 +234,22 @@
 	})
 }
 
+// Guards against connections that the HTTP server has given up already, and that only linger,
+// which keep new callers waiting: Accept waits while too many evicted ones are held.
+func TestEvictedLingeringConnectionsDoNotCount(t *testing.T) {
+	s := newSite(t, Derive(64<<20), 1)
+	l := &Listener{gate: s.Gate, maxConns: 1, conns: map[*Conn]struct{}{}}
+	l.released.L = &l.mu
+	lingering := &Conn{listener: l, state: connClosing}
+	_, ok := l.admit(lingering)
+	must.True(t, ok)
+	lingering.release()
+	victim, ok := l.admit(&Conn{listener: l})
+	must.True(t, ok)
+	must.EqOp(t, lingering, victim)
+	must.EqOp(t, 0, l.evicted)
+}
+
 func TestTooManyHeaderLinesAreRefused(t *testing.T) {
 	s := newSite(t, Derive(64<<20), 10)
 	_, r := s.dial("POST /read HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n" + strings.Repeat("a: b\r\n", maxHeaderLines) + "\r\n")
