Ingress: bodies beyond 8 KiB are parsed in turn

What callers saw: with clients that send bodies in chunks of one byte, ordinary requests got no answer for as long as the clients were there (a process with a fifth of a core), and the instance lost the store and its pools' ownership.

Cause: bodies are bounded in bytes, but not in the work of parsing them. One of 1 MiB in chunks of one byte is 6 MiB to parse, all that had bytes were parsed at the same time, and each step of an ordinary request waited for all of them.

Change: once a request has had 8 KiB on the wire, its bytes are parsed in turn: as many bodies at the same time as half of the cores, that of which least has been parsed first. A turn ends with the next read from the connection, so a client that sends nothing holds none. A wait ends with the body's deadline or abort. Ordinary bodies are complete before they need a turn.

Evidence: TestPoolAnswersAmidBodiesInChunksOfOneByte (250 clients, fixed before the change; the process is suspended for 80 ms of every 100 with one core): before, 3 of 3 runs had no answer in 60 s; now 3 of 3 pass in 1.0 to 1.1 s, 21 MB of 96.

The harness of crowds gains clients that come back and the suspension; crowds and bounds of the other tests are as they were. Their connections are closed at the end of the test's context instead of in a cleanup.

--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -4,6 +4,7 @@
 package ingress
 
 import (
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,8 @@
 	// link is replaced after 0.65 s without a message.
 	smallProcessingShare = 4
 	linkProcessingShare  = 8
+	// parsingShare is the divisor of the processor cores that parse large bodies.
+	parsingShare = 2
 )
 
 // Gate bounds the bodies and connections of a process. All its listeners share one.
@@ -40,6 +43,7 @@
 	links      *sharedMemory // for messages of links
 	onRefusal  func(Reason)
 	conns      atomic.Int64
+	turns      *turns
 
 	mu     sync.Mutex
 	ledger *ledger
@@ -57,6 +61,7 @@
 		limits: limits, log: log.WithOptions(zap.WrapCore(sample)), startedAt: time.Now(), onRefusal: onRefusal,
 		processing: newSharedMemory(limits.ProcessingBytes - small - links),
 		small:      newSharedMemory(small), links: newSharedMemory(links),
+		turns:  newTurns(max(runtime.GOMAXPROCS(0)/parsingShare, 1)),
 		ledger: newLedger(limits.ReceivingBytes), bodies: map[*entry]*Body{}, freed: make(chan struct{}),
 	}
 }
--- a/internal/ingress/http.go
+++ b/internal/ingress/http.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -126,6 +127,32 @@
 	// shouldLinger is set if the last request wasn't read whole. isHalfClosed is set once
 	// nothing more can be written.
 	shouldLinger, isHalfClosed bool
+
+	// receiving is the body that is being received, nil if none is.
+	receiving atomic.Pointer[reception]
+}
+
+// reception is the receiving of a body over a connection.
+type reception struct {
+	ctx  context.Context // ends when the body is aborted, and at its deadline
+	turn *turn
+}
+
+// Read implements net.Conn. What it returns for a body is parsed in turn with others.
+func (c *Conn) Read(into []byte) (int, error) {
+	r := c.receiving.Load()
+	if r == nil {
+		return c.Conn.Read(into)
+	}
+	r.turn.release()
+	n, err := c.Conn.Read(into)
+	if n == 0 {
+		return n, err
+	}
+	if turnErr := r.turn.take(r.ctx, n); turnErr != nil {
+		return 0, turnErr
+	}
+	return n, err
 }
 
 // lingerTimeout is the time that a client has to read the response to a request that
@@ -289,9 +316,18 @@
 	abort := func() {}
 	var reader io.Reader = http.MaxBytesReader(w, r.Body, limit)
 	if conn != nil { // nil in tests without a listener
-		abort = conn.abort
+		ctx, cancel := context.WithDeadline(r.Context(), deadline)
+		defer cancel()
+		abort = func() {
+			conn.abort()
+			cancel()
+		}
 		reader = &progress{reader, conn, deadline}
 		defer conn.setReadDeadline(time.Time{})
+		turn := g.turns.open()
+		defer turn.close()
+		conn.receiving.Store(&reception{ctx, turn})
+		defer conn.receiving.Store(nil)
 	}
 	b := g.open(r.RemoteAddr, abort)
 	err := b.receive(reader)
--- a/test/hostile/main_test.go
+++ b/test/hostile/main_test.go
@@ -9,14 +9,17 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -150,6 +153,44 @@
 	must.LessEq(p.t, b.descriptors, peakDescriptors, must.Sprint("open descriptors"))
 }
 
+// oneCore is the environment variable that makes a process use one core.
+const oneCore = "GOMAXPROCS=1"
+
+// heldShare is the percentage of the time for which answersAmid lets a process run.
+const heldShare = 20
+
+// answersAmid holds a process with oneCore to heldShare of it, sends the load of a crowd that
+// returns, and checks that an ordinary request is answered while the crowd sends.
+func (p *process) answersAmid(c crowd, address string, b bounds, ordinary func() bool) {
+	p.t.Helper()
+	p.hold()
+	<-c.start(p.t, address)
+	p.eventually("response amid the crowd", ordinary)
+	p.t.Logf("peak resident %d MB of %d, descriptors %d of %d", p.peakMB(), b.residentMB, p.descriptors(), b.descriptors)
+	must.LessEq(p.t, b.residentMB, p.peakMB(), must.Sprint("peak resident memory in MB"))
+	must.LessEq(p.t, b.descriptors, p.descriptors(), must.Sprint("open descriptors"))
+}
+
+// hold suspends the process for most of each tenth of a second until the test ends, as
+// the quota of a machine does.
+func (p *process) hold() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var holding sync.WaitGroup
+	holding.Go(func() {
+		for ctx.Err() == nil {
+			// Signals fail only once the process has ended.
+			_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+			time.Sleep((100 - heldShare) * time.Millisecond)
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			time.Sleep(heldShare * time.Millisecond)
+		}
+	})
+	p.t.Cleanup(func() {
+		cancel()
+		holding.Wait()
+	})
+}
+
 // crowd is a number of clients that each send the same request.
 type crowd struct {
 	clients int
@@ -166,6 +207,8 @@
 	// completes is set if every client sends the whole body. Otherwise all but one
 	// in ten stop one byte short of its end.
 	completes bool
+	// returns is set if a client whose connection ends opens another one.
+	returns bool
 }
 
 const completingShare = 10
@@ -205,9 +248,13 @@
 	return out.Bytes()
 }
 
+// returningStart is how much each client of a crowd that returns sends before the crowd
+// counts as there.
+const returningStart = 256 << 10
+
 // start connects the clients and returns a channel that is closed once each has sent
-// its request, or can't because its connection was refused or closed. The connections
-// stay open until the test ends.
+// its request, or returningStart bytes of it if the crowd returns, or can't because its
+// connection was refused or closed. The connections stay open until the test ends.
 func (c *crowd) start(t *testing.T, address string) <-chan struct{} {
 	whole, short := c.request(true), c.request(c.completes)
 	done := make(chan struct{})
@@ -218,22 +265,11 @@
 			request = whole
 		}
 		go func() {
-			defer func() { sent <- struct{}{} }()
-			conn, err := net.Dial("tcp", address)
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { conn.Close() })
-			_ = conn.SetWriteDeadline(time.Now().Add(waitTimeout))
-			for len(request) > 0 {
-				n := len(request)
-				if c.piece > 0 {
-					n = min(n, c.piece)
-				}
-				if _, err := conn.Write(request[:n]); err != nil {
-					return
-				}
-				request = request[n:]
+			isThere := sync.OnceFunc(func() { sent <- struct{}{} })
+			c.send(t, address, request, isThere)
+			isThere()
+			for c.returns && t.Context().Err() == nil {
+				c.send(t, address, request, func() {})
 			}
 		}()
 	}
@@ -245,3 +281,30 @@
 	}()
 	return done
 }
+
+// send opens a connection and sends a request. A crowd that returns calls isThere after
+// returningStart bytes, and waits for the connection's end.
+func (c *crowd) send(t *testing.T, address string, request []byte, isThere func()) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	context.AfterFunc(t.Context(), func() { conn.Close() })
+	_ = conn.SetWriteDeadline(time.Now().Add(waitTimeout))
+	for sent := 0; sent < len(request); {
+		n := len(request) - sent
+		if c.piece > 0 {
+			n = min(n, c.piece)
+		}
+		if _, err := conn.Write(request[sent : sent+n]); err != nil {
+			break
+		}
+		if sent += n; c.returns && sent >= returningStart {
+			isThere()
+		}
+	}
+	if c.returns {
+		_, _ = io.Copy(io.Discard, conn) // ends with the connection
+		conn.Close()
+	}
+}
--- a/test/hostile/poold_test.go
+++ b/test/hostile/poold_test.go
@@ -46,7 +46,8 @@
 	return startPoolWith(t, maxFds)
 }
 
-func startPoolWith(t *testing.T, maxFds int) *pool {
+// startPoolWith starts a pool with variables that are added to its environment.
+func startPoolWith(t *testing.T, maxFds int, env ...string) *pool {
 	t.Helper()
 	site := standin.NewSite()
 	t.Cleanup(site.Close)
@@ -61,7 +62,7 @@
 	path := filepath.Join(t.TempDir(), "settings")
 	text := settings.Text() + fmt.Sprintf("\nlimits.memoryMb=%d\nlimits.maxFds=%d\n", memoryMB, maxFds)
 	must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
-	p.process = startProcess(t, []string{standin.BootVariable + "=" + path}, "lentilwinch-poold")
+	p.process = startProcess(t, append(env, standin.BootVariable+"="+path), "lentilwinch-poold")
 	p.eventually("readiness", func() bool {
 		resp, err := http.Get("http://" + p.ready)
 		if err != nil {
@@ -152,6 +153,15 @@
 	}
 }
 
+// A body in chunks of one byte takes six times its size to parse. Ordinary requests waited
+// behind every body that had bytes to parse.
+func TestPoolAnswersAmidBodiesInChunksOfOneByte(t *testing.T) {
+	p := startPoolWith(t, 10*maxFds, oneCore)
+	p.answersAmid(crowd{
+		clients: 250, header: frontHeader(), body: jobOfSize(maxBodyBytes), chunk: 1, piece: 64 << 10, returns: true,
+	}, p.front, bounds{residentMB: memoryMB, descriptors: 10*maxFds - reservedFds}, p.ordinary)
+}
+
 // A job of many empty steps takes a hundred times the memory of its body.
 func TestPoolWithstandsBodiesThatDecodeToMuchMore(t *testing.T) {
 	p := startPool(t)
