API: large messages in progress leave memory to small ones

What callers saw: while a few clients sent compressed messages to lentilwinchd, every other message was refused as overloaded, also one of 20 bytes.

Cause: a compressed message counts as the largest permitted one (4 MiB) until its call returns, and all messages shared one limit (a quarter of the memory): 11 of them took all of it in a process of 192 MB. Refused messages counted, too, while their refusal was sent.

Change: messages above 16 KiB take at most three quarters of the limit, as bodies that are being received do. A refused message is never counted. A message that alone exceeds the limit is processed when no other large one is, where it was always refused before.

Evidence: TestLargeMessagesLeaveMemoryToSmallOnes fails before ("large messages took the memory of small ones").

--- a/internal/adapter/api/budget.go
+++ b/internal/adapter/api/budget.go
@@ -7,10 +7,10 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
+	"golang.org/x/sync/semaphore"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	lentilwinchv1 "github.com/lentilwinch/lentilwinch/gen/lentilwinch/v1"
@@ -30,6 +30,11 @@
 	// messageCost is the memory that decoding a message takes, as a multiple of its
 	// size: the text, connect's buffer, which is doubled as it fills, and the result.
 	messageCost = 5
+	// smallMessageBytes is the size up to which messages may take all of the memory of
+	// messages in progress, and smallHeldShare the divisor of the part that larger ones
+	// leave to them.
+	smallMessageBytes = 16 << 10
+	smallHeldShare    = 4
 	// ticketCost is messageCost for a ticket. One of 1 MiB of empty workspaces took 25
 	// MB, most of it for the problems that are reported.
 	ticketCost = 32
@@ -37,19 +42,22 @@
 
 // LimitBytes returns a handler that receives messages of up to maxMessageBytes under
 // the bounds of the gate before it passes them on. The messages that are being
-// processed are bounded to heldLimit bytes in total until their calls return. A
-// message that exceeds a bound is rejected with fault.Overloaded; nothing was done for
-// it.
+// processed are bounded to heldLimit bytes in total until their calls return, a quarter of
+// which only small messages may take. A message that exceeds a bound is rejected with
+// fault.Overloaded; nothing was done for it. A larger message than the bound is processed
+// while there is no other large one.
 func LimitBytes(next http.Handler, gate *ingress.Gate, maxMessageBytes, heldLimit int64) http.Handler {
-	return &byteBudget{next: next, gate: gate, maxMessage: maxMessageBytes, limit: heldLimit, errorWriter: connect.NewErrorWriter()}
+	return &byteBudget{
+		next: next, gate: gate, maxMessage: maxMessageBytes, errorWriter: connect.NewErrorWriter(),
+		held: newHeldBytes(heldLimit),
+	}
 }
 
 type byteBudget struct {
 	next        http.Handler
 	gate        *ingress.Gate
 	maxMessage  int64
-	limit       int64
-	heldBytes   atomic.Int64
+	held        *heldBytes
 	errorWriter *connect.ErrorWriter
 }
 
@@ -73,11 +81,12 @@
 	if isCompressed(r.Header) {
 		size = b.maxMessage // which connect enforces for the decompressed message
 	}
-	defer b.heldBytes.Add(-size)
-	if b.heldBytes.Add(size) > b.limit {
+	release, ok := b.held.tryAcquire(size)
+	if !ok {
 		b.refuse(w, r, fault.New(fault.Overloaded, "the requests in progress exceed the byte limit of this instance"))
 		return
 	}
+	defer release()
 	cost := int64(messageCost)
 	if r.URL.Path == lentilwinchv1connect.SchedulerServiceApplyProcedure {
 		cost = ticketCost
@@ -95,6 +104,42 @@
 	b.next.ServeHTTP(w, r)
 }
 
+// heldBytes bounds the messages that are being processed.
+type heldBytes struct {
+	limit, largeLimit int64
+	all, large        *semaphore.Weighted
+}
+
+func newHeldBytes(limit int64) *heldBytes {
+	large := limit - limit/smallHeldShare
+	return &heldBytes{limit: limit, largeLimit: large, all: semaphore.NewWeighted(limit), large: semaphore.NewWeighted(large)}
+}
+
+// tryAcquire takes the bytes of a message if they are free. The caller must call release
+// if ok is set.
+func (h *heldBytes) tryAcquire(size int64) (release func(), ok bool) {
+	isLarge := size > smallMessageBytes
+	if isLarge {
+		size = min(size, h.largeLimit)
+		if !h.large.TryAcquire(size) {
+			return nil, false
+		}
+	}
+	free := func() {
+		if isLarge {
+			h.large.Release(size)
+		}
+	}
+	if !h.all.TryAcquire(size) {
+		free()
+		return nil, false
+	}
+	return func() {
+		h.all.Release(size)
+		free()
+	}, true
+}
+
 // refuse rejects a message of which nothing was done.
 func (b *byteBudget) refuse(w http.ResponseWriter, r *http.Request, err error) {
 	out := toConnectError(err)
--- a/internal/adapter/api/budget_test.go
+++ b/internal/adapter/api/budget_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -103,6 +104,44 @@
 	must.NoError(t, call())
 }
 
+// A compressed message counts as the largest permitted one, so that a few take all memory
+// of the calls in progress but what is reserved for small messages.
+func TestLargeMessagesLeaveMemoryToSmallOnes(t *testing.T) {
+	deps := new(fakeDeps)
+	slow := &slowDeps{deps, make(chan struct{}), make(chan struct{})}
+	const large = 3
+	client, url := serveLimited(t, slow, deps, (large+1)*int64(MaxMessageBytes(testMaxBodyBytes)))
+	release := sync.OnceFunc(func() { close(slow.release) })
+	t.Cleanup(release)
+	compressing := lentilwinchv1connect.NewSchedulerServiceClient(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, url, connect.WithSendGzip())
+	results := make(chan error, large+1)
+	call := func(c lentilwinchv1connect.SchedulerServiceClient) {
+		_, err := c.Request(t.Context(), connect.NewRequest(&lentilwinchv1.RequestRequest{Body: make([]byte, 1000)}))
+		results <- err
+	}
+	for range large {
+		go call(compressing)
+		<-slow.entered
+	}
+	go call(compressing)
+	select {
+	case <-slow.entered:
+		t.Fatal("large messages took the memory of small ones")
+	case err := <-results:
+		must.Eq(t, string(fault.Overloaded), detailOf(t, err).GetCode())
+	}
+	go call(client)
+	select {
+	case <-slow.entered:
+	case err := <-results:
+		t.Fatal(err)
+	}
+	release()
+	for range large + 1 {
+		must.NoError(t, <-results)
+	}
+}
+
 func TestUnknownProcedureIsRefusedWithoutItsBody(t *testing.T) {
 	deps := new(fakeDeps)
 	_, url := serveLimited(t, deps, deps, 64<<20)
