Ingress: connections aren't closed before their input is handled

Cause: with all places of a listener taken, Accept closes the oldest connection that hasn't completed its request. It can accept a whole backlog before the goroutines of the accepted ones run, so they displaced each other although their requests had arrived.

Change: a connection counts as having input from its acceptance until its goroutine reads from it again, or waits for the turn of its body. Such a connection isn't closed for a new one; Accept waits instead. If all others are being processed, the new one is refused at once, as before.

Evidence: TestConnectionsAreNotClosedBeforeTheirInputIsHandled and two cases of TestConnectionToCloseIsChosenByWhatItDoes fail with the check taken out.

--- a/internal/ingress/budget_test.go
+++ b/internal/ingress/budget_test.go
@@ -117,12 +117,14 @@
 		victim int
 	}{
 		"none":                           {nil, -1},
-		"requests are being processed":   {[]connInfo{{connBusy, 0}, {connBusy, stalled}}, -1},
-		"closing before stalled":         {[]connInfo{{connReceiving, stalled}, {connClosing, fresh}}, 1},
-		"stalled before idle":            {[]connInfo{{connIdle, 0}, {connReceiving, stalled}, {connNew, stalled + 1}}, 1},
-		"no request yet counts likewise": {[]connInfo{{connReceiving, stalled + 1}, {connSending, stalled + 2}, {connNew, stalled}}, 2},
-		"idle before fresh":              {[]connInfo{{connNew, fresh}, {connIdle, fresh}, {connIdle, fresh - 1}}, 2},
-		"oldest of the fresh":            {[]connInfo{{connBusy, 0}, {connNew, fresh}, {connReceiving, fresh - 1}}, 2},
+		"requests are being processed":   {[]connInfo{{connBusy, 0, false}, {connBusy, stalled, false}}, -1},
+		"closing before stalled":         {[]connInfo{{connReceiving, stalled, false}, {connClosing, fresh, false}}, 1},
+		"stalled before idle":            {[]connInfo{{connIdle, 0, false}, {connReceiving, stalled, false}, {connNew, stalled + 1, false}}, 1},
+		"no request yet counts likewise": {[]connInfo{{connReceiving, stalled + 1, false}, {connSending, stalled + 2, false}, {connNew, stalled, false}}, 2},
+		"idle before fresh":              {[]connInfo{{connNew, fresh, false}, {connIdle, fresh, false}, {connIdle, fresh - 1, false}}, 2},
+		"unhandled input":                {[]connInfo{{connNew, 0, true}, {connReceiving, 0, true}, {connNew, fresh, false}}, 2},
+		"only unhandled input":           {[]connInfo{{connNew, 0, true}, {connReceiving, 0, true}}, -1},
+		"oldest of the fresh":            {[]connInfo{{connBusy, 0, false}, {connNew, fresh, false}, {connReceiving, fresh - 1, false}}, 2},
 	} {
 		t.Run(name, func(t *testing.T) { must.EqOp(t, c.victim, chooseVictim(c.conns, now)) })
 	}
--- a/internal/ingress/conns.go
+++ b/internal/ingress/conns.go
@@ -30,16 +30,27 @@
 type connInfo struct {
 	state connState
 	since time.Duration // when the state was entered
+	// hasInput tells that the client has sent what the process hasn't handled yet.
+	hasInput bool
+}
+
+// isUnhandled reports whether the process has to act next, not the client, to complete a
+// request.
+func (c connInfo) isUnhandled() bool {
+	return c.hasInput && (c.state == connNew || c.state == connReceiving)
 }
 
 // chooseVictim returns the index of the connection to close for a new one, -1 if the
 // new one has to be refused. It prefers connections that are closing anyway, then
 // those that stall while the client has to send or to read, then idle ones, then any
-// others for which the client has to; of each kind the oldest. It never chooses one whose request is
-// being processed.
+// others for which the client has to; of each kind the oldest. It never chooses one whose
+// request is being processed, or of which the process hasn't handled what has arrived.
 func chooseVictim(conns []connInfo, now time.Duration) int {
 	best, bestRank := -1, 0
 	for i, c := range conns {
+		if c.isUnhandled() {
+			continue
+		}
 		rank := 0
 		switch c.state {
 		case connClosing:
--- a/internal/ingress/http.go
+++ b/internal/ingress/http.go
@@ -32,9 +32,13 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Unavailable, "listen on "+address, err)
 	}
+	return g.newListener(l, maxConns), nil
+}
+
+func (g *Gate) newListener(l net.Listener, maxConns int) *Listener {
 	out := &Listener{Listener: l, gate: g, maxConns: maxConns, conns: map[*Conn]struct{}{}}
-	out.released.L = &out.mu
-	return out, nil
+	out.changed.L = &out.mu
+	return out
 }
 
 // Listener accepts connections. If there are too many, it closes one that makes no
@@ -49,8 +53,11 @@
 	// evicted is the number of connections that were closed for new ones and that the
 	// HTTP server hasn't given up yet. After a request with a large unread body it holds a
 	// connection, with its buffers, for 500 ms. Lingering connections don't count.
-	evicted  int
-	released sync.Cond // signalled when evicted falls
+	evicted int
+	// changed is signalled when evicted falls or a connection may have become one that
+	// can be closed for a new one, while isFull is set.
+	changed sync.Cond
+	isFull  atomic.Bool // Accept waits for changed
 }
 
 // Accept implements net.Listener.
@@ -60,7 +67,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: raw, listener: l, state: connNew, since: l.gate.now()}
+		c := l.newConn(raw)
 		victim, ok := l.admit(c)
 		if victim != nil {
 			l.gate.refuse(ReasonConnections, victim.RemoteAddr().String(), 0)
@@ -74,21 +81,38 @@
 	}
 }
 
-// admit adds a connection if there are few enough, or instead of the returned one.
+func (l *Listener) newConn(raw net.Conn) *Conn {
+	c := &Conn{Conn: raw, listener: l, state: connNew, since: l.gate.now()}
+	c.hasInput.Store(true)
+	return c
+}
+
+// admit adds a connection if there are few enough, or instead of the returned one. It
+// waits while there are too many of which the process hasn't handled what they sent, so
+// that clients which open connections faster than that don't displace each other unserved.
 func (l *Listener) admit(c *Conn) (victim *Conn, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.isFull.Store(true) // before the states are read
+	defer l.isFull.Store(false)
 	// Clients that open connections faster than the server gives them up must not make
 	// it keep ever more of them.
 	for l.evicted >= l.maxConns {
-		l.released.Wait()
+		l.changed.Wait()
 	}
-	if len(l.conns) >= l.maxConns {
+	for len(l.conns) >= l.maxConns {
 		open, infos := make([]*Conn, 0, len(l.conns)), make([]connInfo, 0, len(l.conns))
+		hasInput := false
 		for o := range l.conns {
-			open, infos = append(open, o), append(infos, connInfo{o.state, o.since})
+			info := connInfo{o.state, o.since, o.hasInput.Load()}
+			open, infos = append(open, o), append(infos, info)
+			hasInput = hasInput || info.isUnhandled()
 		}
 		i := chooseVictim(infos, l.gate.now())
+		if i < 0 && hasInput {
+			l.changed.Wait()
+			continue
+		}
 		if i < 0 {
 			return nil, false
 		}
@@ -109,6 +133,16 @@
 	if _, ok := l.conns[c]; ok {
 		delete(l.conns, c)
 		l.gate.conns.Add(-1)
+		l.changed.Signal()
+	}
+}
+
+// signal wakes Accept if it waits.
+func (l *Listener) signal() {
+	if l.isFull.Load() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.changed.Signal()
 	}
 }
 
@@ -128,6 +162,9 @@
 	// nothing more can be written.
 	shouldLinger, isHalfClosed bool
 
+	// hasInput is set while the process has yet to handle what the client sent, and
+	// not while it waits for the client or for the turn of a body.
+	hasInput atomic.Bool
 	// receiving is the body that is being received, nil if none is.
 	receiving atomic.Pointer[reception]
 }
@@ -140,6 +177,9 @@
 
 // Read implements net.Conn. What it returns for a body is parsed in turn with others.
 func (c *Conn) Read(into []byte) (int, error) {
+	c.hasInput.Store(false)
+	c.listener.signal()
+	defer c.hasInput.Store(true)
 	r := c.receiving.Load()
 	if r == nil {
 		return c.Conn.Read(into)
@@ -182,7 +222,7 @@
 	if c.isEvicted {
 		c.isEvicted = false
 		c.listener.evicted--
-		c.listener.released.Signal()
+		c.listener.changed.Signal()
 	}
 }
 
@@ -212,6 +252,7 @@
 	defer c.listener.mu.Unlock()
 	before := c.state
 	c.state, c.since = s, c.listener.gate.now()
+	c.listener.changed.Signal()
 	return before
 }
 
--- a/internal/ingress/http_test.go
+++ b/internal/ingress/http_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -238,8 +239,7 @@
 // which keep new callers waiting: Accept waits while too many evicted ones are held.
 func TestEvictedLingeringConnectionsDoNotCount(t *testing.T) {
 	s := newSite(t, Derive(64<<20), 1)
-	l := &Listener{gate: s.Gate, maxConns: 1, conns: map[*Conn]struct{}{}}
-	l.released.L = &l.mu
+	l := s.newListener(nil, 1)
 	lingering := &Conn{listener: l, state: connClosing}
 	_, ok := l.admit(lingering)
 	must.True(t, ok)
@@ -250,6 +250,39 @@
 	must.EqOp(t, 0, l.evicted)
 }
 
+// A new connection waits until the process has handled what the others sent, instead of
+// displacing one whose request may have arrived.
+func TestConnectionsAreNotClosedBeforeTheirInputIsHandled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := New(Derive(64<<20), zap.NewNop(), func(Reason) {}).newListener(nil, 2)
+		connect := func() *Conn {
+			client, server := net.Pipe()
+			t.Cleanup(func() { client.Close() })
+			return l.newConn(server)
+		}
+		first, second := connect(), connect()
+		for _, c := range []*Conn{first, second} {
+			_, ok := l.admit(c)
+			must.True(t, ok)
+		}
+		var victim *Conn
+		admitted := make(chan struct{})
+		go func() {
+			defer close(admitted)
+			victim, _ = l.admit(connect())
+		}()
+		synctest.Wait()
+		select {
+		case <-admitted:
+			t.Fatal("a connection was closed before its input was handled")
+		default:
+		}
+		go func() { _, _ = second.Read(make([]byte, 1)) }() // fails at the end of the test
+		<-admitted
+		must.EqOp(t, second, victim, must.Sprint("the one that waits for its client"))
+	})
+}
+
 func TestTooManyHeaderLinesAreRefused(t *testing.T) {
 	s := newSite(t, Derive(64<<20), 10)
 	_, r := s.dial("POST /read HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n" + strings.Repeat("a: b\r\n", maxHeaderLines) + "\r\n")
