Observability: sizes, routes and durations of slow store calls

What an operator couldn't see: why a reading of the configuration was late. The log had neither the size of a response, nor its route, nor how much of it had arrived when it was given up.

A call that exceeds its hedge delay logs `slow store call` with each attempt's route, bytes, duration and outcome. Relays log the sizes and durations of what fails. The line `configuration in force` has the number of versions read, the bytes, and the time of reading, decoding and applying. No logic is changed.

--- a/internal/duty/intake/intake_test.go
+++ b/internal/duty/intake/intake_test.go
@@ -57,7 +57,7 @@
 	began := time.Now()
 	rows := fake.NewRows()
 	now := func() time.Duration { return time.Since(began) }
-	store := relay.New(rows, func() []port.RowStore { return nil }, now)
+	store := relay.New(rows, func() []port.RowStore { return nil }, now, zap.NewNop())
 	rep := replica.New(store, zap.NewNop(), now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/duty/intake/keys_test.go
+++ b/internal/duty/intake/keys_test.go
@@ -272,7 +272,7 @@
 			return testConfig(int64(i+1), model.workspaces[i], keys...)
 		}
 		rows := fake.NewRows()
-		health := relay.New(rows, func() []port.RowStore { return nil }, func() time.Duration { return now })
+		health := relay.New(rows, func() []port.RowStore { return nil }, func() time.Duration { return now }, zap.NewNop())
 		in := New(Deps{
 			Store: &randomClockStore{rows, t, advance}, Health: health, Log: zap.NewNop(), Now: func() time.Duration { return now },
 			Replica:   replica.New(rows, zap.NewNop(), func() time.Duration { return now }),
--- a/internal/duty/pool/cluster_test.go
+++ b/internal/duty/pool/cluster_test.go
@@ -130,7 +130,7 @@
 	if in.wrapStore != nil {
 		direct = in.wrapStore(direct)
 	}
-	store := relay.New(direct, in.peers, c.now)
+	store := relay.New(direct, in.peers, c.now, zap.NewNop())
 	rep := replica.New(store, zap.NewNop(), c.now)
 	deps := Deps{
 		Store: store, Workers: &faultyWorkerClient{in, c.workers}, Registry: c.registry, Replica: rep,
--- a/internal/duty/pool/partition_test.go
+++ b/internal/duty/pool/partition_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
 
 	"github.com/lentilwinch/lentilwinch/internal/duty/relay"
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
@@ -62,7 +63,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var down atomic.Bool
 		down.Store(true)
-		store := relay.New(&unreadableStore{c.store, unreadable, &down}, func() []port.RowStore { return nil }, c.now)
+		store := relay.New(&unreadableStore{c.store, unreadable, &down}, func() []port.RowStore { return nil }, c.now, zap.NewNop())
 		rep := replica.New(store, testLog(), c.now)
 		election := NewElection(Deps{
 			Store: store, Workers: c.workers, Registry: c.registry, Replica: rep, Log: testLog(), Now: c.now, Observer: NoObserver{},
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 )
@@ -47,6 +49,7 @@
 	direct port.RowStore
 	peers  func() []port.RowStore
 	now    func() time.Duration // a monotonic clock
+	log    *zap.Logger
 	// directFailingSince is when the direct route began to fail or to take longer than
 	// the hedge delay, 0 if it works. While it is set, a peer is called soon after the
 	// direct route. Like unavailableSince, it is in nanoseconds by now.
@@ -64,8 +67,8 @@
 
 // New returns a store that calls direct first. peers returns the current routes
 // through other instances. now is a monotonic clock.
-func New(direct port.RowStore, peers func() []port.RowStore, now func() time.Duration) *Store {
-	return &Store{direct: direct, peers: peers, now: now}
+func New(direct port.RowStore, peers func() []port.RowStore, now func() time.Duration, log *zap.Logger) *Store {
+	return &Store{direct: direct, peers: peers, now: now, log: log}
 }
 
 // Now implements port.RowStore.
@@ -89,14 +92,23 @@
 	route int // its index among the routes
 }
 
+// operation identifies a call in the log and by its scope.
+type operation struct {
+	name  string // of the method
+	table string
+	scope scope
+}
+
 // hedgedCall runs op on the direct route and, if that fails or takes longer than
 // hedgeDelay, through peers. While the direct route is failing, it waits for it only
 // for directHeadStart. It returns the first answer of the store. Without one it fails
 // with the last route's error, or with fault.Uncertain if any attempt may have taken
 // effect or ctx has ended.
-func hedgedCall[T any](ctx context.Context, s *Store, scope scope, hedgeDelay time.Duration, op func(context.Context, port.RowStore) (T, error)) (T, error) {
+func hedgedCall[T any](ctx context.Context, s *Store, call operation, hedgeDelay time.Duration, op func(context.Context, port.RowStore) (T, error)) (result T, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	trace := newTrace()
+	defer func() { s.logSlow(call, trace, hedgeDelay, err) }()
 	routes := []port.RowStore{s.direct}
 	routes = append(routes, s.choosePeers(s.peers(), int(s.nextPeer.Add(1)), maxPeersPerCall)...)
 	answers := make(chan answer[T], len(routes))
@@ -107,6 +119,7 @@
 		launched++
 		pending++
 		calledAt[k] = time.Now()
+		ctx := trace.attempt(ctx, s.routeName(routes[k]))
 		go func() {
 			v, err := op(ctx, routes[k])
 			answers <- answer[T]{v, err, k}
@@ -136,9 +149,10 @@
 		case a := <-answers:
 			pending--
 			calledAt[a.route] = time.Time{}
+			trace.ended(a.route, a.err)
 			s.recordResult(routes[a.route], a.err)
 			if !retryable(a.err) {
-				s.markAvailable(scope)
+				s.markAvailable(call.scope)
 				return a.value, a.err
 			}
 			uncertain = uncertain || !fault.NoEffect(a.err)
@@ -146,7 +160,7 @@
 			if launched < len(routes) {
 				launchNext()
 			} else if pending == 0 {
-				s.markUnavailable(scope)
+				s.markUnavailable(call.scope)
 				if uncertain && !fault.Is(lastErr, fault.Uncertain) {
 					lastErr = fault.Wrap(fault.Uncertain, "an earlier try may have been carried out", lastErr)
 				}
@@ -161,7 +175,7 @@
 				hedge.Reset(hedgeDelay)
 			}
 		case <-unavailable.C:
-			s.markUnavailable(scope)
+			s.markUnavailable(call.scope)
 		case <-ctx.Done():
 			return zero, fault.Wrap(fault.Uncertain, "the store did not answer in time", ctx.Err())
 		}
@@ -241,7 +255,7 @@
 // Commit implements port.RowStore. A conflict with rows that already hold the
 // values to be written means that an earlier attempt was applied.
 func (s *Store) Commit(ctx context.Context, txn port.RowTxn) (int64, error) {
-	version, err := timed(s, ctx, partitionOf(txn), func(ctx context.Context, route port.RowStore) (int64, error) {
+	version, err := timed(s, ctx, operation{"commit", tableOf(txn), partitionOf(txn)}, func(ctx context.Context, route port.RowStore) (int64, error) {
 		return route.Commit(ctx, txn)
 	})
 	var conflict *port.RowConflictError
@@ -280,10 +294,21 @@
 	return wholeStore
 }
 
+// tableOf returns the table of one of a transaction's rows, empty if it writes nothing.
+func tableOf(txn port.RowTxn) string {
+	for key := range txn.Puts {
+		return key.Table
+	}
+	for _, key := range txn.Deletes {
+		return key.Table
+	}
+	return ""
+}
+
 // timed runs a read or commit and records its latency if it was answered.
-func timed[T any](s *Store, ctx context.Context, scope scope, op func(context.Context, port.RowStore) (T, error)) (T, error) {
+func timed[T any](s *Store, ctx context.Context, call operation, op func(context.Context, port.RowStore) (T, error)) (T, error) {
 	began := time.Now()
-	v, err := hedgedCall(ctx, s, scope, s.HedgeDelay(), op)
+	v, err := hedgedCall(ctx, s, call, s.HedgeDelay(), op)
 	if !retryable(err) {
 		old := s.latency.Load()
 		s.latency.Store(old + int64(time.Since(began)-time.Duration(old))/latencySmoothing)
@@ -309,7 +334,7 @@
 
 // Scan implements port.RowStore.
 func (s *Store) Scan(ctx context.Context, table, partition, from, to string) ([]port.VersionedRow, int64, error) {
-	r, err := timed(s, ctx, scope(partition), func(ctx context.Context, route port.RowStore) (rowsResult, error) {
+	r, err := timed(s, ctx, operation{"scan", table, scope(partition)}, func(ctx context.Context, route port.RowStore) (rowsResult, error) {
 		list, version, err := route.Scan(ctx, table, partition, from, to)
 		return rowsResult{list, version}, err
 	})
@@ -318,14 +343,14 @@
 
 // Partitions implements port.RowStore.
 func (s *Store) Partitions(ctx context.Context, table string) ([]string, error) {
-	return timed(s, ctx, wholeStore, func(ctx context.Context, route port.RowStore) ([]string, error) {
+	return timed(s, ctx, operation{"partitions", table, wholeStore}, func(ctx context.Context, route port.RowStore) ([]string, error) {
 		return route.Partitions(ctx, table)
 	})
 }
 
 // Watch implements port.RowStore.
 func (s *Store) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]port.VersionedRow, int64, error) {
-	r, err := hedgedCall(ctx, s, wholeStore, wait+s.HedgeDelay(), func(ctx context.Context, route port.RowStore) (rowsResult, error) {
+	r, err := hedgedCall(ctx, s, operation{"watch", table, wholeStore}, wait+s.HedgeDelay(), func(ctx context.Context, route port.RowStore) (rowsResult, error) {
 		list, version, err := route.Watch(ctx, table, after, wait)
 		return rowsResult{list, version}, err
 	})
--- a/internal/duty/relay/relay_test.go
+++ b/internal/duty/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
 
 	"github.com/lentilwinch/lentilwinch/internal/fake"
 	"github.com/lentilwinch/lentilwinch/internal/fault"
@@ -63,7 +64,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				rows := fake.NewRows()
 				peers := []port.RowStore{newPeer(), newPeer(), &route{RowStore: rows}}
-				s := New(hanging(), func() []port.RowStore { return peers }, monotonicClock())
+				s := New(hanging(), func() []port.RowStore { return peers }, monotonicClock(), zap.NewNop())
 				for range 4 {
 					commitDuration(t, s)
 				}
@@ -80,7 +81,7 @@
 		rows := fake.NewRows()
 		direct := hanging()
 		direct.RowStore = rows
-		s := New(direct, func() []port.RowStore { return []port.RowStore{&route{RowStore: rows}} }, monotonicClock())
+		s := New(direct, func() []port.RowStore { return []port.RowStore{&route{RowStore: rows}} }, monotonicClock(), zap.NewNop())
 		must.EqOp(t, 0, s.DirectFailingFor())
 		commitDuration(t, s)
 		time.Sleep(time.Second)
@@ -103,7 +104,7 @@
 	var now time.Duration
 	rows := fake.NewRows()
 	rows.SetFaults(fake.Faults{Down: true})
-	s := New(rows, func() []port.RowStore { return nil }, func() time.Duration { return now })
+	s := New(rows, func() []port.RowStore { return nil }, func() time.Duration { return now }, zap.NewNop())
 	_, err := s.Partitions(t.Context(), "t")
 	must.Error(t, err)
 	now = time.Second
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -51,7 +51,7 @@
 	log := sink.Logger(logsink.Budget{}).With(zap.String("node", "north-1"))
 	startedAt := time.Now()
 	now := func() time.Duration { return time.Since(startedAt) }
-	store := relay.New(s.rows, func() []port.RowStore { return nil }, now)
+	store := relay.New(s.rows, func() []port.RowStore { return nil }, now, zap.NewNop())
 	rep := replica.New(store, log, now)
 	s.intake = intake.New(intake.Deps{
 		Store: store, Health: store, Replica: rep, Log: log, Now: now, KeyPolicy: func() keylease.Policy { return keylease.Policy{} },
--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -48,6 +48,10 @@
 	Complete    bool
 	// Version is the store's version from which to watch.
 	Version int64
+	// Configs is the number of configurations read, and Decoding how long it took to
+	// decode them.
+	Configs  int
+	Decoding time.Duration
 }
 
 // ConfigSource provides the operator's configuration.
