Store calls: a response that arrives is neither cut off nor repeated

What callers saw: calls handled by a configuration that had been replaced more than 3 s before, on instances that the store served, too.

Cause, first part: a read had a fixed time (2 to 5 s) whatever the size of its response, and began anew after it with nothing of what had arrived. A response that took longer than the hedge delay was also requested from up to three peers, over the same links.

While a response is arriving, no further route is called, the route doesn't count as failing and the store not as unavailable.

--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -11,6 +11,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/follow"
 	"github.com/lentilwinch/lentilwinch/internal/planner"
 	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/transfer"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -20,14 +21,15 @@
 	// bounds how often a registry of many workers wakes the owner.
 	registryWatchWait        = time.Second
 	registryMinWatchInterval = 250 * time.Millisecond
-	registryTimeout          = 4 * time.Second
+	// registryTimeout is how long a full read may receive nothing.
+	registryTimeout = 4 * time.Second
 )
 
 func (o *Owner) watchWorkers(ctx context.Context) {
 	follow.Run(ctx, o.log, follow.Source{
 		Name: "workers", MinWatchInterval: follow.ConstantInterval(registryMinWatchInterval),
 		List: func(ctx context.Context) (int64, error) {
-			ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+			ctx, _, cancel := transfer.WithStallTimeout(ctx, registryTimeout)
 			defer cancel()
 			list, version, err := o.deps.Registry.Workers(ctx)
 			readAt := o.now()
@@ -42,7 +44,7 @@
 			return version, nil
 		},
 		Watch: func(ctx context.Context, after int64) (int64, error) {
-			ctx, cancel := context.WithTimeout(ctx, registryWatchWait+registryTimeout/2)
+			ctx, _, cancel := transfer.WithStallTimeout(ctx, registryWatchWait+registryTimeout/2)
 			defer cancel()
 			changes, next, err := o.deps.Registry.WatchWorkers(ctx, after, registryWatchWait)
 			if err == nil && len(changes) > 0 {
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -101,7 +101,8 @@
 
 // hedgedCall runs op on the direct route and, if that fails or takes longer than
 // hedgeDelay, through peers. While the direct route is failing, it waits for it only
-// for directHeadStart. It returns the first answer of the store. Without one it fails
+// for directHeadStart. While a response is arriving it calls no further route, since the
+// same response on another one would take longer, and its bytes slow down both. It returns the first answer of the store. Without one it fails
 // with the last route's error, or with fault.Uncertain if any attempt may have taken
 // effect or ctx has ended.
 func hedgedCall[T any](ctx context.Context, s *Store, call operation, hedgeDelay time.Duration, op func(context.Context, port.RowStore) (T, error)) (result T, err error) {
@@ -127,7 +128,7 @@
 	}
 	defer func() {
 		for k := 1; k < launched; k++ {
-			if !calledAt[k].IsZero() && time.Since(calledAt[k]) >= hedgeDelay {
+			if !calledAt[k].IsZero() && time.Since(calledAt[k]) >= hedgeDelay && !trace.attempts[k].isReceiving(s.HedgeDelay()) {
 				s.peerFailures.record(routes[k]) // slower than another route
 			}
 		}
@@ -167,6 +168,10 @@
 				return zero, lastErr
 			}
 		case <-hedge.C:
+			if trace.isReceiving(s.HedgeDelay()) {
+				hedge.Reset(s.HedgeDelay())
+				continue
+			}
 			if time.Since(calledAt[0]) >= hedgeDelay {
 				s.setDirectFailing(true)
 			}
@@ -175,9 +180,13 @@
 				hedge.Reset(hedgeDelay)
 			}
 		case <-unavailable.C:
+			if trace.isReceiving(s.HedgeDelay()) {
+				unavailable.Reset(unavailableAfter)
+				continue
+			}
 			s.markUnavailable(call.scope)
 		case <-ctx.Done():
-			return zero, fault.Wrap(fault.Uncertain, "the store did not answer in time", ctx.Err())
+			return zero, fault.Wrap(fault.Uncertain, "the store did not answer in time", context.Cause(ctx))
 		}
 	}
 }
--- a/internal/duty/relay/relay_test.go
+++ b/internal/duty/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/fake"
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/transfer"
 )
 
 // route is a route to the store that never answers, fails after failAfter, or works
@@ -92,6 +94,59 @@
 	})
 }
 
+// trickling is a route whose response arrives in parts, one every pause.
+type trickling struct {
+	port.RowStore
+	parts int
+	pause time.Duration
+	calls atomic.Int64
+}
+
+func (r *trickling) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]port.VersionedRow, int64, error) {
+	r.calls.Add(1)
+	body := transfer.Reader(ctx, strings.NewReader(strings.Repeat("x", r.parts)), int64(r.parts))
+	for range r.parts {
+		select {
+		case <-time.After(r.pause):
+		case <-ctx.Done():
+			return nil, 0, fault.Wrap(fault.Uncertain, "response is incomplete", ctx.Err())
+		}
+		_, _ = body.Read(make([]byte, 1)) // doesn't fail
+	}
+	return r.RowStore.Watch(ctx, table, after, wait)
+}
+
+// Guards against further attempts for a response that is arriving, which fill the links that
+// it arrives on, and against timeouts that throw away what has arrived.
+func TestResponseThatArrivesIsNeitherRepeatedNorCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fake.NewRows()
+		direct, peer := &trickling{rows, 40, 200 * time.Millisecond, atomic.Int64{}}, &trickling{rows, 40, 200 * time.Millisecond, atomic.Int64{}}
+		s := New(direct, func() []port.RowStore { return []port.RowStore{peer} }, monotonicClock(), zap.NewNop())
+		ctx, _, cancel := transfer.WithStallTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		_, _, err := s.Watch(ctx, "t", 0, 0)
+		must.NoError(t, err)
+		must.EqOp(t, 0, peer.calls.Load())
+		must.EqOp(t, 0, s.DirectFailingFor())
+		must.EqOp(t, 0, s.UnavailableFor())
+	})
+}
+
+// A peer is called once the response stops arriving.
+func TestResponseThatStopsArrivingIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fake.NewRows()
+		direct := &trickling{rows, 2, time.Minute, atomic.Int64{}}
+		s := New(direct, func() []port.RowStore { return []port.RowStore{&route{RowStore: rows}} }, monotonicClock(), zap.NewNop())
+		startedAt := time.Now()
+		_, _, err := s.Watch(t.Context(), "t", 0, 0)
+		must.NoError(t, err)
+		must.Less(t, time.Second, time.Since(startedAt))
+		must.Positive(t, s.DirectFailingFor())
+	})
+}
+
 func monotonicClock() func() time.Duration {
 	startedAt := time.Now()
 	return func() time.Duration { return time.Since(startedAt) }
--- a/internal/duty/relay/trace.go
+++ b/internal/duty/relay/trace.go
@@ -11,7 +11,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/transfer"
 )
 
-// trace records the attempts of a call for the log. It isn't safe for concurrent use.
+// trace records the attempts of a call. It isn't safe for concurrent use.
 type trace struct {
 	startedAt time.Time
 	attempts  []*attempt
@@ -41,6 +41,22 @@
 	a.hasEnded, a.took, a.err = true, time.Since(a.calledAt), err
 }
 
+// isReceiving reports whether the response to an attempt is arriving: it has begun, and its
+// last bytes came less than quiet ago.
+func (t *trace) isReceiving(quiet time.Duration) bool {
+	for _, a := range t.attempts {
+		if a.isReceiving(quiet) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *attempt) isReceiving(quiet time.Duration) bool {
+	since, arrived := a.received.Since()
+	return !a.hasEnded && arrived && since < quiet
+}
+
 // String returns the attempt with its route, the bytes that have arrived, its duration and
 // its outcome.
 func (a *attempt) String() string {
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -15,6 +15,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/follow"
 	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/transfer"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
@@ -28,8 +29,8 @@
 	// it saves calls to the store.
 	ownerMinWatchInterval    = 60 * time.Millisecond
 	followerMinWatchInterval = 200 * time.Millisecond
-	// scanTimeout bounds a full read of the table. Partitions that aren't read
-	// within half of it are left for later.
+	// scanTimeout is how long a full read of the table may receive nothing. Partitions
+	// that aren't read when nothing has arrived for half of it are left for later.
 	scanTimeout = 5 * time.Second
 	// maxConcurrentScans bounds the partitions read at once. Concurrent reads keep
 	// the initial read short on a slow store.
@@ -111,7 +112,7 @@
 }
 
 func (r *Replica) list(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
+	ctx, _, cancel := transfer.WithStallTimeout(ctx, scanTimeout)
 	defer cancel()
 	// Watching resumes after the version that the store had before the partitions
 	// were listed, since a partition created after that is not read here.
@@ -148,7 +149,7 @@
 // scanPartitions reads partitions concurrently. It returns those that can't be read
 // as missing.
 func (r *Replica) scanPartitions(ctx context.Context, partitions []string) (rows []port.VersionedRow, missing []string) {
-	ctx, cancel := context.WithTimeout(ctx, scanTimeout/2)
+	ctx, _, cancel := transfer.WithStallTimeout(ctx, scanTimeout/2)
 	defer cancel()
 	var mu sync.Mutex
 	var group errgroup.Group
@@ -221,7 +222,7 @@
 }
 
 func (r *Replica) watch(ctx context.Context, after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+scanTimeout/2)
+	ctx, _, cancel := transfer.WithStallTimeout(ctx, watchWait+scanTimeout/2)
 	defer cancel()
 	r.readMissing(ctx)
 	rows, next, err := r.store.Watch(ctx, Table, after, r.nextWatchWait())
