Configuration: instances share what they have read

What callers saw: calls handled by a configuration that had been replaced more than 3 s before, on rejected instances and on those that the store served.

Peers get it only if it is newer than theirs. A direct response that is arriving is given up only for news.

--- a/internal/duty/intake/config.go
+++ b/internal/duty/intake/config.go
@@ -74,6 +74,16 @@
 	return 0
 }
 
+// ConfigConfirmed returns the latest time at which the configuration in force was known to be
+// the newest one. It reports false if there is none, or if a newer one can't be used.
+func (in *Intake) ConfigConfirmed() (time.Duration, bool) {
+	f := in.inForce.Load()
+	if f == nil || f.superseded {
+		return 0, false
+	}
+	return f.readAt, true
+}
+
 // KeysAccepted reports whether a configuration is in force and recent enough to
 // accept the keys that it contains.
 func (in *Intake) KeysAccepted() bool {
--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
+	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
 const (
@@ -99,85 +100,103 @@
 	scope scope
 }
 
-// hedgedCall runs op on the direct route and, if that fails or takes longer than
-// hedgeDelay, through peers. While the direct route is failing, it waits for it only
+// hedge is a call that may be sent on several routes.
+type hedge[T any] struct {
+	operation
+	// delay is how long a route may take before the next one is called, too.
+	delay time.Duration
+	run   func(context.Context, port.RowStore) (T, error)
+	// peersHaveAnswers is set if peers answer without reading from the store. They are then
+	// called even if the direct route's response is arriving.
+	peersHaveAnswers bool
+	// isNews reports whether a peer's answer is worth more than a response of the direct
+	// route that is arriving. It is nil if any answer is.
+	isNews func(T) bool
+}
+
+// hedgedCall runs a call on the direct route and, if that fails or takes longer than the
+// hedge delay, through peers. While the direct route is failing, it waits for it only
 // for directHeadStart. While a response is arriving it calls no further route, since the
-// same response on another one would take longer, and its bytes slow down both. It returns the first answer of the store. Without one it fails
+// same response on another one would take longer, and its bytes slow down both. It returns
+// the first answer of the store. Without one it fails
 // with the last route's error, or with fault.Uncertain if any attempt may have taken
 // effect or ctx has ended.
-func hedgedCall[T any](ctx context.Context, s *Store, call operation, hedgeDelay time.Duration, op func(context.Context, port.RowStore) (T, error)) (result T, err error) {
+func hedgedCall[T any](ctx context.Context, s *Store, call hedge[T]) (result T, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	trace := newTrace()
-	defer func() { s.logSlow(call, trace, hedgeDelay, err) }()
+	defer func() { s.logSlow(call.operation, trace, call.delay, err) }()
 	routes := []port.RowStore{s.direct}
 	routes = append(routes, s.choosePeers(s.peers(), int(s.nextPeer.Add(1)), maxPeersPerCall)...)
 	answers := make(chan answer[T], len(routes))
-	launched, pending := 0, 0
-	calledAt := make([]time.Time, len(routes)) // when each route was called; zero once it has answered
+	pending := 0
 	launchNext := func() {
-		k := launched
-		launched++
+		k := len(trace.attempts)
 		pending++
-		calledAt[k] = time.Now()
 		ctx := trace.attempt(ctx, s.routeName(routes[k]))
 		go func() {
-			v, err := op(ctx, routes[k])
+			v, err := call.run(ctx, routes[k])
 			answers <- answer[T]{v, err, k}
 		}()
 	}
-	defer func() {
-		for k := 1; k < launched; k++ {
-			if !calledAt[k].IsZero() && time.Since(calledAt[k]) >= hedgeDelay && !trace.attempts[k].isReceiving(s.HedgeDelay()) {
-				s.peerFailures.record(routes[k]) // slower than another route
-			}
-		}
-	}()
+	defer func() { s.recordSlowPeers(routes, trace, call.delay) }()
 	launchNext()
-	firstDelay := hedgeDelay
+	firstDelay := call.delay
 	if s.DirectFailingFor() > 0 {
 		firstDelay = directHeadStart
 	}
-	hedge := time.NewTimer(firstDelay)
-	defer hedge.Stop()
-	unavailable := time.NewTimer(hedgeDelay + unavailableAfter)
+	next := time.NewTimer(firstDelay)
+	defer next.Stop()
+	unavailable := time.NewTimer(call.delay + unavailableAfter)
 	defer unavailable.Stop()
-	var zero T
+	var fallback *T // an answer without news, while the direct route's response is arriving
 	var lastErr error
 	uncertain := false
 	for {
 		select {
 		case a := <-answers:
 			pending--
-			calledAt[a.route] = time.Time{}
 			trace.ended(a.route, a.err)
 			s.recordResult(routes[a.route], a.err)
 			if !retryable(a.err) {
 				s.markAvailable(call.scope)
+				if a.err == nil && a.route > 0 && call.isNews != nil && !call.isNews(a.value) && trace.attempts[0].isReceiving(s.HedgeDelay()) {
+					fallback = &a.value
+					continue
+				}
 				return a.value, a.err
 			}
+			if fallback != nil {
+				if a.route == 0 {
+					return *fallback, nil
+				}
+				continue
+			}
 			uncertain = uncertain || !fault.NoEffect(a.err)
 			lastErr = a.err
-			if launched < len(routes) {
+			if len(trace.attempts) < len(routes) {
 				launchNext()
 			} else if pending == 0 {
 				s.markUnavailable(call.scope)
 				if uncertain && !fault.Is(lastErr, fault.Uncertain) {
 					lastErr = fault.Wrap(fault.Uncertain, "an earlier try may have been carried out", lastErr)
 				}
-				return zero, lastErr
+				return result, lastErr
 			}
-		case <-hedge.C:
-			if trace.isReceiving(s.HedgeDelay()) {
-				hedge.Reset(s.HedgeDelay())
+		case <-next.C:
+			if fallback != nil && !trace.attempts[0].isReceiving(s.HedgeDelay()) {
+				return *fallback, nil
+			}
+			if trace.isReceiving(s.HedgeDelay()) && !call.peersHaveAnswers {
+				next.Reset(s.HedgeDelay())
 				continue
 			}
-			if time.Since(calledAt[0]) >= hedgeDelay {
+			if direct := trace.attempts[0]; time.Since(direct.calledAt) >= call.delay && !direct.isReceiving(s.HedgeDelay()) {
 				s.setDirectFailing(true)
 			}
-			if launched < len(routes) {
+			if len(trace.attempts) < len(routes) {
 				launchNext()
-				hedge.Reset(hedgeDelay)
+				next.Reset(call.delay)
 			}
 		case <-unavailable.C:
 			if trace.isReceiving(s.HedgeDelay()) {
@@ -186,7 +205,20 @@
 			}
 			s.markUnavailable(call.scope)
 		case <-ctx.Done():
-			return zero, fault.Wrap(fault.Uncertain, "the store did not answer in time", context.Cause(ctx))
+			if fallback != nil {
+				return *fallback, nil
+			}
+			return result, fault.Wrap(fault.Uncertain, "the store did not answer in time", context.Cause(ctx))
+		}
+	}
+}
+
+// recordSlowPeers records the peers that were called at least hedgeDelay ago and have sent
+// nothing, as another route was faster.
+func (s *Store) recordSlowPeers(routes []port.RowStore, t *trace, hedgeDelay time.Duration) {
+	for k, a := range t.attempts {
+		if k > 0 && !a.hasEnded && time.Since(a.calledAt) >= hedgeDelay && !a.isReceiving(s.HedgeDelay()) {
+			s.peerFailures.record(routes[k])
 		}
 	}
 }
@@ -317,7 +349,7 @@
 // timed runs a read or commit and records its latency if it was answered.
 func timed[T any](s *Store, ctx context.Context, call operation, op func(context.Context, port.RowStore) (T, error)) (T, error) {
 	began := time.Now()
-	v, err := hedgedCall(ctx, s, call, s.HedgeDelay(), op)
+	v, err := hedgedCall(ctx, s, hedge[T]{operation: call, delay: s.HedgeDelay(), run: op})
 	if !retryable(err) {
 		old := s.latency.Load()
 		s.latency.Store(old + int64(time.Since(began)-time.Duration(old))/latencySmoothing)
@@ -359,9 +391,29 @@
 
 // Watch implements port.RowStore.
 func (s *Store) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]port.VersionedRow, int64, error) {
-	r, err := hedgedCall(ctx, s, operation{"watch", table, wholeStore}, wait+s.HedgeDelay(), func(ctx context.Context, route port.RowStore) (rowsResult, error) {
-		list, version, err := route.Watch(ctx, table, after, wait)
-		return rowsResult{list, version}, err
+	r, err := hedgedCall(ctx, s, hedge[rowsResult]{
+		operation: operation{"watch", table, wholeStore}, delay: wait + s.HedgeDelay(),
+		run: func(ctx context.Context, route port.RowStore) (rowsResult, error) {
+			list, version, err := route.Watch(ctx, table, after, wait)
+			return rowsResult{list, version}, err
+		},
 	})
 	return r.rows, r.version, err
 }
+
+// ReadConfig reads the operator's configuration from the store with read or, if that fails
+// or takes longer than the hedge delay, from a peer that shares it. inForce, after and wait
+// are those of port.ConfigSource.WatchConfig.
+func (s *Store) ReadConfig(ctx context.Context, inForce *work.Config, after int64, wait time.Duration, read func(context.Context, port.RowStore) (port.ConfigReading, error)) (port.ConfigReading, error) {
+	return hedgedCall(ctx, s, hedge[port.ConfigReading]{
+		operation: operation{"configuration", "", wholeStore}, delay: wait + s.HedgeDelay(),
+		run: func(ctx context.Context, route port.RowStore) (port.ConfigReading, error) {
+			if sharer, ok := route.(port.ConfigSharer); ok {
+				return sharer.SharedConfig(ctx, inForce, after, wait)
+			}
+			return read(ctx, route)
+		},
+		peersHaveAnswers: true,
+		isNews:           func(r port.ConfigReading) bool { return r.Config != nil },
+	})
+}
--- a/internal/duty/relay/relay_test.go
+++ b/internal/duty/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/lentilwinch/lentilwinch/internal/fault"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/transfer"
+	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
 // route is a route to the store that never answers, fails after failAfter, or works
@@ -104,14 +105,8 @@
 
 func (r *trickling) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]port.VersionedRow, int64, error) {
 	r.calls.Add(1)
-	body := transfer.Reader(ctx, strings.NewReader(strings.Repeat("x", r.parts)), int64(r.parts))
-	for range r.parts {
-		select {
-		case <-time.After(r.pause):
-		case <-ctx.Done():
-			return nil, 0, fault.Wrap(fault.Uncertain, "response is incomplete", ctx.Err())
-		}
-		_, _ = body.Read(make([]byte, 1)) // doesn't fail
+	if err := receive(ctx, r.parts, r.pause); err != nil {
+		return nil, 0, err
 	}
 	return r.RowStore.Watch(ctx, table, after, wait)
 }
@@ -147,6 +142,86 @@
 	})
 }
 
+// sharer is a peer that shares a reading after a delay.
+type sharer struct {
+	port.RowStore
+	reading port.ConfigReading
+	delay   time.Duration
+	err     error
+}
+
+func (r *sharer) SharedConfig(ctx context.Context, _ *work.Config, _ int64, _ time.Duration) (port.ConfigReading, error) {
+	select {
+	case <-time.After(r.delay):
+		return r.reading, r.err
+	case <-ctx.Done():
+		return port.ConfigReading{}, fault.Wrap(fault.Uncertain, "no answer", ctx.Err())
+	}
+}
+
+// Guards against a transfer of the configuration that is thrown away because a peer doesn't
+// have the new one either, and against one that is awaited although a peer has it.
+func TestConfigurationArrivingIsGivenUpOnlyForNews(t *testing.T) {
+	news := port.ConfigReading{Config: &work.Config{Version: 2}, Shared: true}
+	noNews := port.ConfigReading{Shared: true, Age: time.Second}
+	const minute = time.Minute
+	for name, c := range map[string]struct {
+		parts  int           // of the direct response; 0 if the store rejects
+		pause  time.Duration // before each part
+		stalls bool          // after the parts
+		peers  []port.RowStore
+		shared bool
+		within time.Duration
+	}{
+		"peer has news":                         {40, 200 * time.Millisecond, false, []port.RowStore{&sharer{reading: news}}, true, time.Second},
+		"peer has no news":                      {20, 200 * time.Millisecond, false, []port.RowStore{&sharer{reading: noNews}}, false, 5 * time.Second},
+		"one of the peers has news":             {40, 200 * time.Millisecond, false, []port.RowStore{&sharer{reading: noNews}, &sharer{reading: news}, &sharer{reading: noNews}}, true, 2 * time.Second},
+		"peer doesn't read from the store":      {20, 200 * time.Millisecond, false, []port.RowStore{&sharer{err: fault.New(fault.Unavailable, "no offer")}}, false, 5 * time.Second},
+		"no news, and nothing arrives":          {2, minute, false, []port.RowStore{&sharer{reading: noNews}}, true, time.Second},
+		"no news, and nothing more arrives":     {2, 300 * time.Millisecond, true, []port.RowStore{&sharer{reading: noNews}}, true, 3 * time.Second},
+		"store rejects, peer has no news":       {0, 0, false, []port.RowStore{&sharer{reading: noNews}}, true, time.Second},
+		"store rejects, the first peer is late": {0, 0, false, []port.RowStore{&sharer{reading: news, delay: minute}, &sharer{reading: noNews}}, true, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rows := fake.NewRows()
+				s := New(rows, func() []port.RowStore { return c.peers }, monotonicClock(), zap.NewNop())
+				ctx, _, cancel := transfer.WithStallTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				startedAt := time.Now()
+				got, err := s.ReadConfig(ctx, nil, 0, 0, func(ctx context.Context, _ port.RowStore) (port.ConfigReading, error) {
+					if c.parts == 0 {
+						return port.ConfigReading{}, fault.New(fault.Unavailable, "rejected")
+					}
+					err := receive(ctx, c.parts, c.pause)
+					if c.stalls {
+						<-ctx.Done()
+						err = fault.Wrap(fault.Uncertain, "response is incomplete", ctx.Err())
+					}
+					return port.ConfigReading{}, err
+				})
+				must.NoError(t, err)
+				must.EqOp(t, c.shared, got.Shared)
+				must.LessEq(t, c.within, time.Since(startedAt))
+			})
+		})
+	}
+}
+
+// receive reports a response of some bytes to the meter of ctx, with a pause before each.
+func receive(ctx context.Context, bytes int, pause time.Duration) error {
+	body := transfer.Reader(ctx, strings.NewReader(strings.Repeat("x", bytes)), int64(bytes))
+	for range bytes {
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return fault.Wrap(fault.Uncertain, "response is incomplete", ctx.Err())
+		}
+		_, _ = body.Read(make([]byte, 1)) // doesn't fail
+	}
+	return nil
+}
+
 func monotonicClock() func() time.Duration {
 	startedAt := time.Now()
 	return func() time.Duration { return time.Since(startedAt) }
--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -48,6 +48,10 @@
 	Complete    bool
 	// Version is the store's version from which to watch.
 	Version int64
+	// Shared is set if another instance shared its reading, and Age is how long before the
+	// call that one was sent to the store.
+	Shared bool
+	Age    time.Duration
 	// Configs is the number of configurations read, and Decoding how long it took to
 	// decode them.
 	Configs  int
@@ -56,9 +60,18 @@
 
 // ConfigSource provides the operator's configuration.
 type ConfigSource interface {
-	// Config reads the configuration, with the errors of RowStore.Scan.
-	Config(ctx context.Context) (ConfigReading, error)
+	// Config reads the configuration, with the errors of RowStore.Scan. inForce is the one
+	// in force, nil if there is none.
+	Config(ctx context.Context, inForce *work.Config) (ConfigReading, error)
 	// WatchConfig waits for a change of the configuration after a version, with the
 	// errors of RowStore.Watch.
-	WatchConfig(ctx context.Context, after int64, wait time.Duration) (ConfigReading, error)
+	WatchConfig(ctx context.Context, inForce *work.Config, after int64, wait time.Duration) (ConfigReading, error)
+}
+
+// ConfigSharer is implemented by routes to other instances that share the configuration
+// that they have read from the store.
+type ConfigSharer interface {
+	// SharedConfig waits for a change of the configuration like ConfigSource.WatchConfig.
+	// It fails with fault.Unavailable if the instance has nothing to share.
+	SharedConfig(ctx context.Context, inForce *work.Config, after int64, wait time.Duration) (ConfigReading, error)
 }
