Own interface: each page of a read has its own timeout

What callers would see: an instance of lentilwinchd that starts, or was cut off for more than 64 tickets, isn't ready for as long as the table is slow, and an owner of a failure domain with thousands of jobs never loads them.

Peers hide it while they are connected: an instance then gets the configuration from one of them.

Change: ScanAll takes a timeout for each page. Tickets that were accepted during a scan are applied to it; they set or remove whole objects, so that it doesn't matter which of them the scan has seen.

No test shows it for the queue and the inbox of a domain; they call the same function.

--- a/internal/duty/config/keeper.go
+++ b/internal/duty/config/keeper.go
@@ -30,8 +30,8 @@
 type Settings struct {
 	// PollInterval is the longest interval between two reads of the version row.
 	PollInterval time.Duration
-	// ReadTimeout bounds the reads of one poll. Those of Accept end with its
-	// context.
+	// ReadTimeout bounds each read, of which a poll may take several. Those of Accept
+	// also end with its context.
 	ReadTimeout time.Duration
 	// StaleAfter is how long the configuration stays fresh after it was last
 	// verified by the table or a majority of the instances.
@@ -117,8 +117,6 @@
 }
 
 func (k *Keeper) poll(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, k.settings.ReadTimeout)
-	defer cancel()
 	if err := k.refresh(ctx); err != nil {
 		k.log.Warn("config_refresh_failed", zap.Error(err))
 	}
--- a/internal/duty/config/refresh.go
+++ b/internal/duty/config/refresh.go
@@ -48,7 +48,7 @@
 }
 
 func (k *Keeper) readVersion(ctx context.Context) (version, error) {
-	rows, err := k.store.Get(ctx, store.ConfigVersionKey)
+	rows, err := k.get(ctx, store.ConfigVersionKey)
 	if err != nil {
 		return version{}, err
 	}
@@ -65,25 +65,38 @@
 
 // applyDelta applies the tickets after the configuration in force up to v.
 func (k *Keeper) applyDelta(ctx context.Context, cfg *structs.Config, v version) error {
+	next, err := k.withTickets(ctx, cfg, v.number)
+	if fault.Is(err, fault.Unavailable) {
+		return err
+	}
+	if err != nil {
+		// An older release accepted a ticket that this one can't parse.
+		// The objects in force can be loaded without it.
+		return k.loadObjects(ctx, v)
+	}
+	k.adopt(next, v.revision, true)
+	return nil
+}
+
+// withTickets returns a configuration with the tickets after it up to a number. It fails
+// with fault.Unavailable, or with another code if one of them can't be decoded.
+func (k *Keeper) withTickets(ctx context.Context, cfg *structs.Config, number int64) (*structs.Config, error) {
 	var keys []string
-	for n := cfg.Number + 1; n <= v.number; n++ {
+	for n := cfg.Number + 1; n <= number; n++ {
 		keys = append(keys, store.TicketKey(n))
 	}
-	rows, err := k.store.Get(ctx, keys...)
+	rows, err := k.get(ctx, keys...)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	for _, key := range keys {
 		t, err := decodeTicket(rows, key)
 		if err != nil {
-			// An older release accepted a ticket that this one can't parse.
-			// The objects in force can be loaded without it.
-			return k.loadObjects(ctx, v)
+			return nil, err
 		}
 		cfg = ticket.Apply(cfg, t)
 	}
-	k.adopt(cfg, v.revision, true)
-	return nil
+	return cfg, nil
 }
 
 func decodeTicket(rows map[string]port.Row, key string) (structs.Ticket, error) {
@@ -98,31 +111,45 @@
 	return ticket.Parse(rec.Document)
 }
 
-// loadObjects loads all objects in force. It reads the version row again
-// afterwards and starts over if a ticket was accepted meanwhile, because the
-// scan may contain some of its objects.
+// loadObjects loads all objects in force. It reads the version row again afterwards. The
+// scan may contain some of the objects of tickets that were accepted meanwhile, so these
+// tickets are applied to it; they set or remove whole objects. It starts over if they are
+// too many or one can't be decoded.
 func (k *Keeper) loadObjects(ctx context.Context, v version) error {
 	for {
 		cfg, err := k.scanObjects(ctx)
 		if err != nil {
 			return err
 		}
+		cfg.Number = v.number
 		reread, err := k.readVersion(ctx)
 		if err != nil {
 			return err
 		}
-		if reread == v {
-			cfg.Number = v.number
-			k.adopt(cfg, v.revision, true)
+		if gap := reread.number - v.number; gap > 0 && gap <= maxDeltaTickets {
+			cfg, err = k.withTickets(ctx, cfg, reread.number)
+			if fault.Is(err, fault.Unavailable) {
+				return err
+			}
+		}
+		if err == nil && cfg.Number == reread.number {
+			k.adopt(cfg, reread.revision, true)
 			return nil
 		}
 		v = reread
 	}
 }
 
+// get reads rows within ReadTimeout.
+func (k *Keeper) get(ctx context.Context, keys ...string) (map[string]port.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, k.settings.ReadTimeout)
+	defer cancel()
+	return k.store.Get(ctx, keys...)
+}
+
 func (k *Keeper) scanObjects(ctx context.Context) (*structs.Config, error) {
 	cfg := ticket.EmptyConfig()
-	workspaces, err := k.store.ScanAll(ctx, store.WorkspacePrefix)
+	workspaces, err := k.store.ScanAll(ctx, store.WorkspacePrefix, k.settings.ReadTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -133,7 +160,7 @@
 		}
 		cfg.Workspaces[w.Name] = w
 	}
-	services, err := k.store.ScanAll(ctx, store.ServicePrefix)
+	services, err := k.store.ScanAll(ctx, store.ServicePrefix, k.settings.ReadTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -144,7 +171,7 @@
 		}
 		cfg.Services[s.Key()] = s
 	}
-	evacuated, err := k.store.ScanAll(ctx, store.EvacuatedPrefix)
+	evacuated, err := k.store.ScanAll(ctx, store.EvacuatedPrefix, k.settings.ReadTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/duty/gangs/load.go
+++ b/internal/duty/gangs/load.go
@@ -53,9 +53,7 @@
 }
 
 func (r *Runner) readQueueIndex(ctx context.Context) ([]structs.JobKey, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.settings.CallTimeout)
-	defer cancel()
-	rows, err := r.deps.Store.ScanAll(ctx, store.QueueDomainPrefix(r.grant.Domain))
+	rows, err := r.deps.Store.ScanAll(ctx, store.QueueDomainPrefix(r.grant.Domain), r.settings.CallTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -219,9 +217,7 @@
 }
 
 func (r *Runner) readInbox(ctx context.Context) inboxRead {
-	ctx, cancel := context.WithTimeout(ctx, r.settings.CallTimeout)
-	defer cancel()
-	rows, err := r.deps.Store.ScanAll(ctx, store.InboxDomainPrefix(r.grant.Domain))
+	rows, err := r.deps.Store.ScanAll(ctx, store.InboxDomainPrefix(r.grant.Domain), r.settings.CallTimeout)
 	if err != nil {
 		r.log.Warn("inbox_read_failed", zap.Error(err))
 		return inboxRead{}
@@ -242,6 +238,8 @@
 		in.submissions = append(in.submissions, submission{inboxRow: rowRef})
 		keys = append(keys, rec.Key)
 	}
+	ctx, cancel := context.WithTimeout(ctx, r.settings.CallTimeout)
+	defer cancel()
 	r.readSubmitted(ctx, in.submissions, keys)
 	return in
 }
--- a/internal/duty/ownership/ownership.go
+++ b/internal/duty/ownership/ownership.go
@@ -253,7 +253,7 @@
 func (o *Ownership) readOwners(ctx context.Context) (map[string]ownerRow, error) {
 	ctx, cancel := context.WithTimeout(ctx, o.timeout())
 	defer cancel()
-	rows, err := o.store.ScanAll(ctx, store.OwnerPrefix)
+	rows, err := o.store.ScanAll(ctx, store.OwnerPrefix, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/duty/retention/retention_test.go
+++ b/internal/duty/retention/retention_test.go
@@ -58,7 +58,7 @@
 		time.Sleep(time.Minute)
 		cancel()
 		<-done
-		rows, err := st.ScanAll(context.Background(), store.JobPrefix)
+		rows, err := st.ScanAll(context.Background(), store.JobPrefix, 0)
 		must.NoError(t, err)
 		must.SliceLen(t, len(keep), rows)
 		for _, row := range rows {
--- a/internal/duty/session/observer.go
+++ b/internal/duty/session/observer.go
@@ -117,7 +117,7 @@
 // scan reads all sessions and publishes an event if the live ones changed.
 func (s *Session) scan(ctx context.Context) error {
 	ctx, done := s.startOperation(ctx)
-	rows, err := s.store.ScanAll(ctx, store.SessionPrefix)
+	rows, err := s.store.ScanAll(ctx, store.SessionPrefix, 0)
 	done(err)
 	if err != nil {
 		return err
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -313,13 +313,14 @@
 	return out, nil
 }
 
-// ScanAll returns all rows with the prefix in key order. It fails with
-// fault.Unavailable and does not retry.
-func (s *Store) ScanAll(ctx context.Context, prefix string) ([]port.Row, error) {
+// ScanAll returns all rows with the prefix in key order. Each page may take pageTimeout, so
+// that the number of rows doesn't decide whether they can be read; 0 leaves the limit to ctx.
+// It fails with fault.Unavailable and does not retry.
+func (s *Store) ScanAll(ctx context.Context, prefix string, pageTimeout time.Duration) ([]port.Row, error) {
 	var out []port.Row
 	after := ""
 	for {
-		rows, more, err := s.table.Scan(ctx, prefix, after, scanPageRows)
+		rows, more, err := s.scanPage(ctx, prefix, after, pageTimeout)
 		if err != nil {
 			return nil, err
 		}
@@ -331,6 +332,15 @@
 	}
 }
 
+func (s *Store) scanPage(ctx context.Context, prefix, after string, timeout time.Duration) ([]port.Row, bool, error) {
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	return s.table.Scan(ctx, prefix, after, scanPageRows)
+}
+
 // Scan returns one page of the rows that have the prefix and a key greater than
 // after, and reports whether more follow. It fails with fault.Unavailable and
 // does not retry.
