--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -107,7 +107,8 @@
 	delay time.Duration
 	run   func(context.Context, port.RowStore) (T, error)
 	// peersHaveAnswers is set if peers answer without reading from the store. They are then
-	// called even if the direct route's response is arriving.
+	// called even if the direct route's response is arriving, and their answers don't tell
+	// that the store is available.
 	peersHaveAnswers bool
 	// isNews reports whether a peer's answer is worth more than a response of the direct
 	// route that is arriving. It is nil if any answer is.
@@ -118,9 +119,8 @@
 // hedge delay, through peers. While the direct route is failing, it waits for it only
 // for directHeadStart. While a response is arriving it calls no further route, since the
 // same response on another one would take longer, and its bytes slow down both. It returns
-// the first answer of the store. Without one it fails
-// with the last route's error, or with fault.Uncertain if any attempt may have taken
-// effect or ctx has ended.
+// the first answer of the store. Without one it fails with the last route's error, or with
+// fault.Uncertain if any attempt may have taken effect or ctx has ended.
 func hedgedCall[T any](ctx context.Context, s *Store, call hedge[T]) (result T, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -159,7 +159,9 @@
 			trace.ended(a.route, a.err)
 			s.recordResult(routes[a.route], a.err)
 			if !retryable(a.err) {
-				s.markAvailable(call.scope)
+				if a.route == 0 || !call.peersHaveAnswers {
+					s.markAvailable(call.scope)
+				}
 				if a.err == nil && a.route > 0 && call.isNews != nil && !call.isNews(a.value) && trace.attempts[0].isReceiving(s.HedgeDelay()) {
 					fallback = &a.value
 					continue
--- a/internal/duty/relay/relay_test.go
+++ b/internal/duty/relay/relay_test.go
@@ -208,6 +208,22 @@
 	}
 }
 
+// Guards against an outage that ends, as it seems, whenever a peer answers from its memory.
+func TestSharedConfigurationDoesNotEndAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := fake.NewRows()
+		rows.SetFaults(fake.Faults{Down: true})
+		s := New(rows, func() []port.RowStore { return []port.RowStore{&sharer{reading: port.ConfigReading{Shared: true}}} }, monotonicClock(), zap.NewNop())
+		s.markUnavailable(wholeStore)
+		time.Sleep(time.Second)
+		_, err := s.ReadConfig(t.Context(), nil, 0, 0, func(context.Context, port.RowStore) (port.ConfigReading, error) {
+			return port.ConfigReading{}, fault.New(fault.Unavailable, "down")
+		})
+		must.NoError(t, err)
+		must.Positive(t, s.UnavailableFor())
+	})
+}
+
 // receive reports a response of some bytes to the meter of ctx, with a pause before each.
 func receive(ctx context.Context, bytes int, pause time.Duration) error {
 	body := transfer.Reader(ctx, strings.NewReader(strings.Repeat("x", bytes)), int64(bytes))
