--- a/internal/transfer/stall.go
+++ b/internal/transfer/stall.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// maxDuration bounds a read that keeps receiving, as a server that sends a byte now and then
+// maxDuration bounds a read that keeps receiving. A server that sends a byte now and then
 // would hold it for ever.
 const maxDuration = 30 * time.Second
 
@@ -16,9 +16,9 @@
 	ctx, cancelLimit := context.WithTimeout(parent, maxDuration)
 	ctx, cancel := context.WithCancelCause(ctx)
 	ctx, meter := With(ctx)
-	timer := make(chan struct{})
+	done := make(chan struct{})
 	go func() {
-		defer close(timer)
+		defer close(done)
 		t := time.NewTimer(quiet)
 		defer t.Stop()
 		for {
@@ -38,6 +38,6 @@
 	return ctx, meter, func() {
 		cancel(context.Canceled)
 		cancelLimit()
-		<-timer
+		<-done
 	}
 }
