Relay: readings of shared configurations tell nothing about the store

Only a try that goes to the store tells whether it answers; the feed of jobs is one, at least once a second.

Change: readings that peers answer from memory neither begin nor end an outage.

Evidence: TestPeersWithoutConfigurationDoNotTellOfAnOutage fails before.

--- a/internal/duty/relay/relay.go
+++ b/internal/duty/relay/relay.go
@@ -107,8 +107,8 @@
 	delay time.Duration
 	run   func(context.Context, port.RowStore) (T, error)
 	// peersHaveAnswers is set if peers answer without reading from the store. They are then
-	// called even if the direct route's response is arriving, and their answers don't tell
-	// that the store is available.
+	// called even if the direct route's response is arriving, and neither their answers nor
+	// their failures tell whether the store is available.
 	peersHaveAnswers bool
 	// isNews reports whether a peer's answer is worth more than a response of the direct
 	// route that is arriving. It is nil if any answer is.
@@ -179,7 +179,9 @@
 			if len(trace.attempts) < len(routes) {
 				launchNext()
 			} else if pending == 0 {
-				s.markUnavailable(call.scope)
+				if !call.peersHaveAnswers {
+					s.markUnavailable(call.scope)
+				}
 				if uncertain && !fault.Is(lastErr, fault.Uncertain) {
 					lastErr = fault.Wrap(fault.Uncertain, "an earlier try may have been carried out", lastErr)
 				}
@@ -205,7 +207,9 @@
 				unavailable.Reset(unavailableAfter)
 				continue
 			}
-			s.markUnavailable(call.scope)
+			if !call.peersHaveAnswers {
+				s.markUnavailable(call.scope)
+			}
 		case <-ctx.Done():
 			if fallback != nil {
 				return *fallback, nil
--- a/internal/duty/relay/relay_test.go
+++ b/internal/duty/relay/relay_test.go
@@ -224,6 +224,20 @@
 	})
 }
 
+// Guards against callers that are rejected because the peers that were asked have no
+// configuration to share, although the store answers through relays.
+func TestPeersWithoutConfigurationDoNotTellOfAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		noOffer := &sharer{err: fault.New(fault.Unavailable, "no offer"), delay: 2 * unavailableAfter}
+		s := New(fake.NewRows(), func() []port.RowStore { return []port.RowStore{noOffer} }, monotonicClock(), zap.NewNop())
+		_, err := s.ReadConfig(t.Context(), nil, 0, 0, func(context.Context, port.RowStore) (port.ConfigReading, error) {
+			return port.ConfigReading{}, fault.New(fault.Unavailable, "rejected")
+		})
+		must.Error(t, err)
+		must.EqOp(t, 0, s.UnavailableFor())
+	})
+}
+
 // receive reports a response of some bytes to the meter of ctx, with a pause before each.
 func receive(ctx context.Context, bytes int, pause time.Duration) error {
 	body := transfer.Reader(ctx, strings.NewReader(strings.Repeat("x", bytes)), int64(bytes))
