Replica, owners: a job belongs to the pool that stored it first

Cause: a job's keys contain its queue's pool, so that the second submission stores a second row. The replica merged rows by ID alone. After a full read it notified the pool of the row that came first, with the record of the other pool, and the owner added it.

Change: the rows of a job are kept apart by pool, and each replica chooses the job's pool from them. The submission stored first has it: changes are applied in the order of their versions, so an owner that sees its own row sees each earlier one. A record by an owner goes before any submission. Rows that an earlier build left as taken in two pools go to one of them, and the other owner stops its runs. A job waits while a partition is unread that may hold its row in any pool. The rows of other pools are removed with the job, before the row that tells its end, so that none of them outlives it and runs again.

Nothing is read or stored in addition, and no key changes.

Ruled out: that the second owner took the row of its own pool by the order of its watch. It had it for two seconds before the history was lost, and did nothing.

--- a/internal/duty/intake/confirm.go
+++ b/internal/duty/intake/confirm.go
@@ -42,13 +42,13 @@
 // confirmAbsent reports whether the job certainly wasn't stored when it was called. It
 // returns false if that can't be found out in time.
 func (in *Intake) confirmAbsent(ctx context.Context, job *work.Job) bool {
-	if !in.replica.Absent(job.Pool, job.ID) {
+	if !in.replica.Absent(job.ID) {
 		return false
 	}
 	c := in.joinConfirmation(ctx, job.Pool)
 	select {
 	case <-c.done:
-		return c.err == nil && in.replica.Absent(job.Pool, job.ID)
+		return c.err == nil && in.replica.Absent(job.ID)
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/duty/pool/cluster_test.go
+++ b/internal/duty/pool/cluster_test.go
@@ -62,6 +62,7 @@
 type instance struct {
 	cluster        *cluster
 	name           string
+	pool           string // that it may own
 	incarnation    string
 	killed         atomic.Bool
 	dropCommits    atomic.Bool  // its commits are dropped and not answered
@@ -121,7 +122,7 @@
 func (c *cluster) launch() *instance { return c.launchWith(func(*instance) {}) }
 
 func (c *cluster) launchWith(change func(*instance)) *instance {
-	in := &instance{cluster: c, name: fmt.Sprintf("instance-%d", len(c.instances)), incarnation: fmt.Sprint(len(c.instances))}
+	in := &instance{cluster: c, pool: testPool, name: fmt.Sprintf("instance-%d", len(c.instances)), incarnation: fmt.Sprint(len(c.instances))}
 	change(in)
 	c.instances = append(c.instances, in)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -146,7 +147,7 @@
 	if c.policy != nil {
 		deps.PolicyClient = c.policy
 	}
-	in.election = NewElection(deps, testPool)
+	in.election = NewElection(deps, in.pool)
 	in.done.Go(func() { in.election.Run(ctx) })
 	return in
 }
@@ -159,7 +160,7 @@
 
 // restart starts the next incarnation of a killed instance.
 func (in *instance) restart() *instance {
-	return in.cluster.launchWith(func(next *instance) { next.name = in.name })
+	return in.cluster.launchWith(func(next *instance) { next.name, next.pool = in.name, in.pool })
 }
 
 func (in *instance) stop() {
--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -76,7 +76,7 @@
 // that this leaves.
 func (o *Owner) recordsRead(ctx context.Context, r commitResult) {
 	for i := range r.records {
-		if v, ok := o.deps.Replica.Job(r.records[i].Job.ID); ok {
+		if v, ok := o.deps.Replica.Job(r.records[i].Job.ID); ok && v.Record.Job.Pool == o.pool {
 			o.mergeRows(&v)
 		}
 	}
--- a/internal/duty/pool/recover.go
+++ b/internal/duty/pool/recover.go
@@ -173,8 +173,8 @@
 	if v.Record.State.Ended() || o.writer.added[id] {
 		return
 	}
-	if o.deps.Replica.HasUnreadPartition(o.pool, id) {
-		o.log.Info("job deferred, one of its rows may be in an unavailable partition", zap.String("job", id))
+	if o.deps.Replica.MayLackRow(id) {
+		o.log.Info("job deferred, one of its rows may not have been read", zap.String("job", id))
 		o.deferred[id] = true
 		return
 	}
@@ -208,13 +208,7 @@
 func (o *Owner) addChangedJobs(ctx context.Context, sub *replica.Subscription) {
 	complete := o.deps.Replica.Complete()
 	for _, v := range sub.Take() {
-		if o.writer.added[v.Record.Job.ID] {
-			o.mergeRows(&v)
-		}
-		o.addJob(&v, false)
-		if v.Cancelled {
-			o.planner.Cancel(v.Record.Job.ID, o.now())
-		}
+		o.jobChanged(&v)
 	}
 	o.addDeferredJobs()
 	o.resolveUnknownJobs(ctx, complete)
@@ -224,16 +218,45 @@
 // running tasks are reported by the next holds.
 func (o *Owner) addDeferredJobs() {
 	for id := range o.deferred {
-		if o.deps.Replica.HasUnreadPartition(o.pool, id) {
+		if o.deps.Replica.MayLackRow(id) {
 			continue
 		}
 		delete(o.deferred, id)
 		if v, ok := o.deps.Replica.Job(id); ok {
-			o.addJob(&v, false)
+			o.jobChanged(&v)
 		}
 	}
 }
 
+// jobChanged adds a job that is new to this owner and belongs to its pool, or brings one
+// that it has added up to date.
+func (o *Owner) jobChanged(v *replica.JobView) {
+	id := v.Record.Job.ID
+	if v.Record.Job.Pool != o.pool {
+		o.leaveJob(v)
+		return
+	}
+	if o.writer.added[id] {
+		o.mergeRows(v)
+	}
+	o.addJob(v, false)
+	if v.Cancelled {
+		o.planner.Cancel(id, o.now())
+	}
+}
+
+// leaveJob leaves a job with a row for this pool to the pool to which it belongs. This owner
+// has added it only if a build that didn't tell the pools of a job apart took it there.
+func (o *Owner) leaveJob(v *replica.JobView) {
+	id := v.Record.Job.ID
+	if o.deps.Replica.MayLackRow(id) {
+		o.deferred[id] = true
+		return
+	}
+	o.log.Info("job left to another pool", zap.String("job", id), zap.String("job_pool", v.Record.Job.Pool), zap.Int64("sequence", v.Record.Sequence), zap.Bool("added", o.writer.added[id]))
+	o.planner.Leave(id, o.now())
+}
+
 // mergePrevious merges, once, the records that the previous owner stored between
 // the takeover and the time it stopped.
 func (o *Owner) mergePrevious(ctx context.Context, now time.Duration) {
--- a/internal/duty/pool/retain.go
+++ b/internal/duty/pool/retain.go
@@ -44,17 +44,42 @@
 	}
 }
 
-// removeJob removes the rows of an ended job and its cancellation, the row that tells its
-// end last: with only an older row the job would count as running. It gives up if a row has
-// changed since v was read.
+// removeJob removes the rows of an ended job and its cancellation, those in other pools
+// first and the row that tells its end last: with only another row the job would count as
+// open. It gives up if a row has changed since v was read.
 func (o *Owner) removeJob(ctx context.Context, v *replica.JobView) {
 	id := v.Record.Job.ID
-	cancels := replica.CancelKeys(o.pool, id)
-	var txns, last []port.RowTxn
-	for i, key := range replica.JobKeys(o.pool, id) {
+	var txns []port.RowTxn
+	strays := map[string][]replica.JobRow{}
+	for _, row := range v.Strays {
+		strays[row.Record.Job.Pool] = append(strays[row.Record.Job.Pool], row)
+	}
+	for pool, rows := range strays {
+		open, ended := removals(pool, id, rows)
+		txns = append(append(txns, open...), ended...)
+	}
+	open, last := removals(o.pool, id, v.Rows)
+	txns = append(txns, open...)
+	for _, txn := range append(txns, last...) {
+		call, cancel := context.WithTimeout(ctx, commitTimeout)
+		_, err := o.deps.Store.Commit(call, txn)
+		cancel()
+		if err != nil && !isGone(err, txn) {
+			o.log.Info("ended job not removed yet", zap.String("job", id), zap.String("part", txn.Deletes[0].Partition), zap.Error(err))
+			return
+		}
+	}
+	o.post(event{kind: evJobRemoved, job: id})
+}
+
+// removals returns the transactions that remove a job's rows in a pool and its cancellation
+// there, those of rows that tell the job's end apart from the others.
+func removals(pool, id string, rows []replica.JobRow) (open, ended []port.RowTxn) {
+	cancels := replica.CancelKeys(pool, id)
+	for i, key := range replica.JobKeys(pool, id) {
 		txn := port.RowTxn{ExpectedVersions: map[port.RowKey]int64{key: 0}, Deletes: []port.RowKey{cancels[i]}}
 		ends := false
-		for _, row := range v.Rows {
+		for _, row := range rows {
 			if row.Partition == key.Partition {
 				txn.ExpectedVersions[key] = row.Version
 				txn.Deletes = append(txn.Deletes, key)
@@ -62,21 +87,12 @@
 			}
 		}
 		if ends {
-			last = append(last, txn)
+			ended = append(ended, txn)
 		} else {
-			txns = append(txns, txn)
-		}
-	}
-	for _, txn := range append(txns, last...) {
-		call, cancel := context.WithTimeout(ctx, commitTimeout)
-		_, err := o.deps.Store.Commit(call, txn)
-		cancel()
-		if err != nil && !isGone(err, txn) {
-			o.log.Info("ended job not removed yet", zap.String("job", id), zap.String("part", txn.Deletes[0].Partition), zap.Error(err))
-			return
+			open = append(open, txn)
 		}
 	}
-	o.post(event{kind: evJobRemoved, job: id})
+	return open, ended
 }
 
 // isGone reports whether the transaction failed because its rows are gone already, as after
--- a/internal/duty/replica/absent_test.go
+++ b/internal/duty/replica/absent_test.go
@@ -17,20 +17,20 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := fake.NewRows()
 		r := startReplica(t, store)
-		must.False(t, r.Absent(testPool, "a")) // nothing has been read
+		must.False(t, r.Absent("a")) // nothing has been read
 		time.Sleep(time.Second)
-		must.True(t, r.Absent(testPool, "a"))
+		must.True(t, r.Absent("a"))
 
 		r.mu.Lock()
 		r.missingPartitions = []string{jobPartitions(testPool, "a")[2]}
 		r.mu.Unlock()
-		must.False(t, r.Absent(testPool, "a"))
+		must.False(t, r.Absent("a"))
 		time.Sleep(3 * time.Second) // until it is read
-		must.True(t, r.Absent(testPool, "a"))
+		must.True(t, r.Absent("a"))
 
 		putJob(t, store, "a")
 		time.Sleep(time.Second)
-		must.False(t, r.Absent(testPool, "a"))
+		must.False(t, r.Absent("a"))
 	})
 }
 
@@ -48,14 +48,14 @@
 				_, err := store.Commit(t.Context(), port.RowTxn{Puts: map[port.RowKey][]byte{key: value}})
 				must.NoError(t, err)
 				time.Sleep(time.Second)
-				must.False(t, r.Absent(testPool, "a"))
+				must.False(t, r.Absent("a"))
 				sub := r.Subscribe(testPool, 1)
 				defer sub.Close()
-				must.False(t, r.Absent(testPool, "a"))
+				must.False(t, r.Absent("a"))
 				_, err = store.Commit(t.Context(), port.RowTxn{Deletes: []port.RowKey{key}})
 				must.NoError(t, err)
 				time.Sleep(time.Second)
-				must.True(t, r.Absent(testPool, "a"))
+				must.True(t, r.Absent("a"))
 			})
 		})
 	}
--- a/internal/duty/replica/apply.go
+++ b/internal/duty/replica/apply.go
@@ -107,7 +107,7 @@
 	r.cancelled[id] = true
 	if j := r.jobs[id]; j != nil {
 		j.Cancelled = true
-		r.notify(j)
+		r.notify(j.Record.Job.Pool, id)
 	}
 }
 
@@ -115,12 +115,15 @@
 	v := r.jobs[id]
 	delete(r.undecodable, row.RowKey)
 	if row.Deleted {
-		if v != nil {
-			v.Rows = slices.DeleteFunc(slices.Clone(v.Rows), func(o JobRow) bool { return o.Partition == row.Partition })
-			if len(v.Rows) == 0 {
-				delete(r.jobs, id)
-			}
+		if v == nil {
+			return nil
+		}
+		before := v.Record.Job.Pool
+		if v.removeRow(row.Partition) {
+			delete(r.jobs, id)
+			return nil
 		}
+		r.notifyMoved(v, before)
 		return nil
 	}
 	fresh := JobRow{Partition: row.Partition, Version: row.Version, encoded: row.Value}
@@ -132,21 +135,32 @@
 		v = &JobView{Cancelled: r.cancelled[id]}
 		r.jobs[id] = v
 	}
-	if !v.putRow(fresh) {
+	before := v.Record.Job.Pool
+	added, changed := v.putRow(fresh)
+	if !changed {
 		return nil
 	}
-	if len(v.Rows) == 1 && v.Record.Job.ID == "" {
-		v.Record = fresh.Record
-		r.notify(v)
-	} else {
+	if !r.notifyMoved(v, before) && fresh.pool() == before {
 		r.notifyOthers(v, fresh.Record.Epoch())
 	}
-	if fresh.Record.Supersedes(&v.Record) || len(v.Rows) == 1 {
-		v.Record = fresh.Record
+	if added && fresh.pool() != v.Record.Job.Pool {
+		r.notify(fresh.pool(), id)
 	}
 	return nil
 }
 
+// notifyMoved notifies the subscribers of a job's pool, and of the one that it had before,
+// if they differ. It reports whether they do.
+func (r *Replica) notifyMoved(v *JobView, before string) bool {
+	job := &v.Record.Job
+	if job.Pool == before {
+		return false
+	}
+	r.notify(before, job.ID)
+	r.notify(job.Pool, job.ID)
+	return true
+}
+
 // decode decodes the row's record, whole or its summary.
 func (row *JobRow) decode(whole bool) error {
 	if !whole {
@@ -167,7 +181,7 @@
 func (r *Replica) decodeAll() {
 	for id, v := range r.jobs {
 		var rows []JobRow // not in place, as views share the rows
-		for _, row := range v.Rows {
+		for _, row := range slices.Concat(v.Rows, v.Strays) {
 			if row.encoded != nil {
 				if err := row.decode(true); err != nil {
 					r.log.Error("row ignored", zap.String("part", row.Partition), zap.String("job", id), zap.Error(err))
@@ -181,38 +195,10 @@
 			delete(r.jobs, id)
 			continue
 		}
-		v.Rows = rows
-		v.chooseRecord()
+		v.arrange(rows)
 	}
 }
 
-// chooseRecord sets the record to the row's that supersedes the others.
-func (v *JobView) chooseRecord() {
-	for i := range v.Rows {
-		if i == 0 || v.Rows[i].Record.Supersedes(&v.Record) {
-			v.Record = v.Rows[i].Record
-		}
-	}
-}
-
-// putRow adds a row unless its partition's row is as new or newer, and reports
-// whether it did. It copies the rows, since views share them.
-func (v *JobView) putRow(row JobRow) bool {
-	rows := slices.Clone(v.Rows)
-	for i := range rows {
-		if rows[i].Partition == row.Partition {
-			if rows[i].Version >= row.Version {
-				return false
-			}
-			rows[i] = row
-			v.Rows = rows
-			return true
-		}
-	}
-	v.Rows = append(rows, row)
-	return true
-}
-
 // notifyOthers notifies the subscribers other than the owner that wrote the job's row.
 func (r *Replica) notifyOthers(v *JobView, epoch int64) {
 	for s := range r.subs {
@@ -222,10 +208,11 @@
 	}
 }
 
-func (r *Replica) notify(v *JobView) {
+// notify notifies the subscribers of a pool of a job.
+func (r *Replica) notify(pool, id string) {
 	for s := range r.subs {
-		if s.pool == v.Record.Job.Pool {
-			s.ids = append(s.ids, v.Record.Job.ID)
+		if s.pool == pool {
+			s.ids = append(s.ids, id)
 		}
 	}
 }
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -189,20 +189,17 @@
 	}
 }
 
-// HasUnreadPartition reports whether a row of the job may be in a partition that
-// couldn't be read yet. Before Ready it returns false.
-func (r *Replica) HasUnreadPartition(pool, id string) bool {
+// MayLackRow reports whether the replica may lack a row of the job, in any pool, that was
+// stored before the newest one that it holds, as a partition couldn't be read yet. Before
+// Ready it returns false.
+func (r *Replica) MayLackRow(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.missingPartitions) == 0 {
-		return false
-	}
-	for _, partition := range jobPartitions(pool, id) {
-		if slices.Contains(r.missingPartitions, partition) {
-			return true
-		}
-	}
-	return false
+	return r.mayLackRow(id)
+}
+
+func (r *Replica) mayLackRow(id string) bool {
+	return slices.ContainsFunc(r.missingPartitions, func(partition string) bool { return mayHoldJob(partition, id) })
 }
 
 // IsUnread reports whether a partition couldn't be read yet. Before Ready it returns
@@ -273,19 +270,21 @@
 	}
 }
 
-// Absent reports whether the store had no row of the job at the version that the replica
-// holds. It returns false if that isn't known: before Ready, or if a row may be in a
-// partition that couldn't be read yet or can't be decoded.
-func (r *Replica) Absent(pool, id string) bool {
+// Absent reports whether the store had no row of the job, in any pool, at the version that
+// the replica holds. It returns false if that isn't known: before Ready, or if a row may be
+// in a partition that couldn't be read yet or can't be decoded.
+func (r *Replica) Absent(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.ready || r.jobs[id] != nil {
+	if !r.ready || r.jobs[id] != nil || r.mayLackRow(id) {
 		return false
 	}
-	return !slices.ContainsFunc(JobKeys(pool, id), func(key port.RowKey) bool {
-		_, undecodable := r.undecodable[key]
-		return undecodable || slices.Contains(r.missingPartitions, key.Partition)
-	})
+	for key := range r.undecodable {
+		if key.Key == jobPrefix+id {
+			return false
+		}
+	}
+	return true
 }
 
 // Ready reports whether the initial read has finished. Partitions may still be
--- a/internal/duty/replica/rows.go
+++ b/internal/duty/replica/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -112,14 +113,19 @@
 }
 
 // JobView is a job in the replica. A job has more than one row if the partition
-// of its first row was unavailable. Its records are complete while there is a
-// subscription; otherwise they are those of work.DecodeSummary, as an instance that
+// of its first row was unavailable, or if it was submitted again after its queue had
+// moved to another pool. It belongs to one pool, that of Record.Job, which is the
+// same at every instance that holds the same rows. Its records are complete while there
+// is a subscription; otherwise they are those of work.DecodeSummary, as an instance that
 // owns no pool only tells callers a job's state.
 type JobView struct {
-	// Record is the record that supersedes those of the other rows.
+	// Record is the record that supersedes those of the other rows of its pool.
 	Record work.Record
-	// Rows is shared with other views and must not be modified.
-	Rows      []JobRow
+	// Rows are the job's rows in its pool. They are shared with other views and must not
+	// be modified.
+	Rows []JobRow
+	// Strays are its rows in other pools, which never run it. They are shared like Rows.
+	Strays    []JobRow
 	Cancelled bool
 }
 
@@ -179,6 +185,16 @@
 	return out
 }
 
+// mayHoldJob reports whether a partition may hold a row of the job, of whatever pool.
+func mayHoldJob(partition, id string) bool {
+	for _, candidate := range jobPartitions("", id) {
+		if strings.HasSuffix(partition, candidate) {
+			return true
+		}
+	}
+	return false
+}
+
 // partitionStride spaces the partitions of one job. It is coprime to
 // jobPartitionCount.
 const partitionStride = 5
--- a/internal/duty/replica/subscribe.go
+++ b/internal/duty/replica/subscribe.go
@@ -1,7 +1,8 @@
 package replica
 
-// Subscription reports which jobs of a pool were added or cancelled, or have a row by
-// the owner of another epoch that changed.
+// Subscription reports which jobs with a row for a pool were added or cancelled, turned out
+// to belong to the pool or to another one, or have a row by the owner of another epoch that
+// changed.
 type Subscription struct {
 	replica *Replica
 	pool    string
@@ -51,9 +52,11 @@
 	s.replica.mu.Lock()
 	defer s.replica.mu.Unlock()
 	var out []JobView
+	taken := make(map[string]bool, len(s.ids))
 	for _, id := range s.ids {
-		if j := s.replica.jobs[id]; j != nil {
+		if j := s.replica.jobs[id]; j != nil && !taken[id] {
 			out = append(out, *j)
+			taken[id] = true
 		}
 	}
 	s.ids = nil
--- a/internal/fake/rows.go
+++ b/internal/fake/rows.go
@@ -45,6 +45,17 @@
 	r.history, r.compacted = nil, r.version
 }
 
+// CompactUnseen drops the change history up to a version that no watch has reached, so that
+// every watch fails with fault.NotFound.
+func (r *Rows) CompactUnseen() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	r.history, r.compacted = nil, r.version
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 // Now implements port.RowStore.
 func (r *Rows) Now() (time.Duration, bool) { return time.Since(r.createdAt), true }
 
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -8,6 +8,7 @@
 	EventJobCompleted      = "job completed"    // age: time since acceptance
 	EventJobFailed         = "job failed"       // age: time since acceptance
 	EventJobCancelled      = "job cancelled"    // age: time since acceptance
+	EventJobLeft           = "job left"         // a job that another pool runs; age: time since acceptance
 	EventJobWaiting        = "job waiting"      // detail: cause and figures; count: tasks to be placed together; age: time since it was due
 	EventPreempted         = "preempted"        // detail: the job that preempts; count: tasks
 	EventWorkDiscarded     = "work lost"        // detail: cause; core_seconds: discarded work
--- a/internal/planner/jobs.go
+++ b/internal/planner/jobs.go
@@ -232,6 +232,18 @@
 	p.stopJob(j, now, "cancelled")
 }
 
+// Leave gives up a job that another pool runs, and stops its runs. It has no effect on
+// unknown or ended jobs.
+func (p *Planner) Leave(id string, now time.Duration) {
+	j := p.jobs[id]
+	if j == nil || !j.open() {
+		return
+	}
+	j.cancelled = true
+	p.log(LogEntry{Event: EventJobLeft, Job: id, Priority: j.rec.Job.Priority, Age: now - j.arrivedAt})
+	p.stopJob(j, now, "runs in another pool")
+}
+
 // DropEndedJobs drops ended and cancelled jobs that are stored and have no runs
 // left.
 func (p *Planner) DropEndedJobs() {
--- a/internal/work/codec.go
+++ b/internal/work/codec.go
@@ -54,6 +54,8 @@
 		ID    string `cbor:"1,keyasint"`
 		Pool  string `cbor:"2,keyasint"`
 		Queue string `cbor:"3,keyasint"`
+		// SubmittedAt is in the summary as it decides between rows of one job.
+		SubmittedAt time.Duration `cbor:"11,keyasint"`
 	} `cbor:"1,keyasint"`
 	State    State         `cbor:"2,keyasint"`
 	EndedAt  time.Duration `cbor:"4,keyasint"`
@@ -61,7 +63,7 @@
 }
 
 // DecodeSummary parses a stored record's state, end and sequence, and its job's ID,
-// pool and queue. It leaves the other fields empty, which takes a fraction of the
+// pool, queue and time of submission. It leaves the other fields empty, which takes a fraction of the
 // time of Decode. It fails with fault.Invalid.
 func DecodeSummary(b []byte) (Record, error) {
 	var s recordSummary
@@ -69,7 +71,7 @@
 		return Record{}, err
 	}
 	return Record{
-		Job: Job{ID: s.Job.ID, Pool: s.Job.Pool, Queue: s.Job.Queue}, State: s.State, EndedAt: s.EndedAt, Sequence: s.Sequence,
+		Job: Job{ID: s.Job.ID, Pool: s.Job.Pool, Queue: s.Job.Queue, SubmittedAt: s.Job.SubmittedAt}, State: s.State, EndedAt: s.EndedAt, Sequence: s.Sequence,
 	}, nil
 }
 
