Replica: rows of a full read count once they are of a single moment

What callers could see: a job that runs in another pool than the one that accepted it first, or in both, if its rows are stored while an owner's replica reads the table anew.

Cause: the partitions are read one after the other. The later row of one pool may be there without the earlier one of another until the next watch delivers it, and an owner that goes by the first row takes the job meanwhile. In the same way a row may be there whose job's end has been removed with another partition.

Change: after partitions were read, the replica reads the store's version, and jobs wait until the watch has reached it, as they do while a partition is unread. The watch doesn't wait meanwhile. It costs one read for each full read.

--- a/internal/duty/pool/moved_queue_test.go
+++ b/internal/duty/pool/moved_queue_test.go
@@ -1,7 +1,9 @@
 package pool
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -221,3 +223,65 @@
 		c.checkInvariants()
 	})
 }
+
+// interleavedStore stores two rows between a full read of the first one's partition and that
+// of the second one's, once it is armed.
+type interleavedStore struct {
+	port.RowStore
+	first, second string // partitions
+	armed         *atomic.Bool
+	store         func()
+	stored        chan struct{}
+}
+
+func (s *interleavedStore) Partitions(ctx context.Context, table string) ([]string, error) {
+	partitions, err := s.RowStore.Partitions(ctx, table)
+	for _, partition := range []string{s.first, s.second} {
+		if !slices.Contains(partitions, partition) {
+			partitions = append(partitions, partition)
+		}
+	}
+	return partitions, err
+}
+
+func (s *interleavedStore) Scan(ctx context.Context, table, partition, from, to string) ([]port.VersionedRow, int64, error) {
+	if s.armed.Load() && to == "" && partition == s.second {
+		<-s.stored
+	}
+	rows, version, err := s.RowStore.Scan(ctx, table, partition, from, to)
+	if s.armed.Load() && to == "" && partition == s.first {
+		s.store()
+		close(s.stored)
+		s.armed.Store(false)
+	}
+	return rows, version, err
+}
+
+// Guards against an owner that takes a job by a full read whose partitions are of different
+// moments: it has the later row of its pool and lacks the earlier one of another.
+func TestJobOfMovedQueueIsNotTakenByHalfOfAFullRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newClusterOfTwoPools(t, 2)
+		c.setDuration("job", 5, 0)
+		c.launchFor(testPool)
+		var armed atomic.Bool
+		c.launchWith(func(in *instance) {
+			in.pool = otherPool
+			in.wrapStore = func(next port.RowStore) port.RowStore {
+				return &interleavedStore{RowStore: next, armed: &armed, stored: make(chan struct{}),
+					first: replica.JobKeys(testPool, "job")[0].Partition, second: replica.JobKeys(otherPool, "job")[0].Partition,
+					store: func() {
+						c.storeIn(testPool, 0, "job", single(1, 5))
+						c.storeIn(otherPool, 0, "job", single(1, 5))
+					}}
+			}
+		})
+		time.Sleep(2 * time.Second)
+		armed.Store(true)
+		c.store.CompactUnseen()
+		time.Sleep(2 * time.Second)
+		must.False(t, armed.Load())
+		must.EqOp(t, 1, c.pool.RunningOn(address(0))+c.pool.RunningOn(address(1)))
+		must.EqOp(t, 1, c.pool.StartCount())
+	})
+}
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -60,7 +60,8 @@
 	// missingPartitions holds the partitions that couldn't be read yet.
 	missingPartitions []string
 	ready             bool
-	version           int64         // version of the store up to which changes are applied
+	version           int64 // version of the store up to which changes are applied
+	moment            moment
 	advanced          chan struct{} // closed when version grows
 	held              heldVersions
 	updatedAt         time.Duration
@@ -131,16 +132,18 @@
 	r.apply(rows)
 	r.missingPartitions = missing
 	r.ready = true
+	r.moment.scanned()
 	r.advance(after)
 	return after, nil
 }
 
 // nextWatchWait returns how long the next watch may wait for a change. After a
-// failure it doesn't wait, so that recovery of the store is detected at once.
+// failure it doesn't wait, so that recovery of the store is detected at once, nor while
+// the replica is of no single moment.
 func (r *Replica) nextWatchWait() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.failedAt > r.updatedAt {
+	if r.failedAt > r.updatedAt || !r.moment.reached(r.version) {
 		return 0
 	}
 	return watchWait
@@ -184,14 +187,17 @@
 	defer r.mu.Unlock()
 	r.apply(rows)
 	r.missingPartitions = missing
+	if len(rows) > 0 || len(missing) < len(partitions) {
+		r.moment.scanned()
+	}
 	if len(missing) < len(partitions) {
 		r.log.Info("missing partitions read", zap.Int("read", len(partitions)-len(missing)), zap.Strings("missing", missing))
 	}
 }
 
 // MayLackRow reports whether the replica may lack a row of the job, in any pool, that was
-// stored before the newest one that it holds, as a partition couldn't be read yet. Before
-// Ready it returns false.
+// stored before the newest one that it holds: a partition couldn't be read yet, or the
+// partitions were read at different moments. Before Ready it returns false.
 func (r *Replica) MayLackRow(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -199,7 +205,7 @@
 }
 
 func (r *Replica) mayLackRow(id string) bool {
-	return slices.ContainsFunc(r.missingPartitions, func(partition string) bool { return mayHoldJob(partition, id) })
+	return !r.moment.reached(r.version) || slices.ContainsFunc(r.missingPartitions, func(partition string) bool { return mayHoldJob(partition, id) })
 }
 
 // IsUnread reports whether a partition couldn't be read yet. Before Ready it returns
@@ -210,18 +216,19 @@
 	return slices.Contains(r.missingPartitions, partition)
 }
 
-// Complete reports whether every partition has been read. Before Ready it returns
-// true.
+// Complete reports whether every partition has been read, and the replica is of a single
+// moment. Before Ready it returns true.
 func (r *Replica) Complete() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.missingPartitions) == 0
+	return len(r.missingPartitions) == 0 && r.moment.reached(r.version)
 }
 
 func (r *Replica) watch(ctx context.Context, after int64) (int64, error) {
 	ctx, _, cancel := transfer.WithStallTimeout(ctx, watchWait+scanTimeout/2)
 	defer cancel()
 	r.readMissing(ctx)
+	r.readMoment(ctx)
 	rows, next, err := r.store.Watch(ctx, Table, after, r.nextWatchWait())
 	if err != nil {
 		return 0, err
