Intake: a job that is stored is known, whatever pool its queue has now

What callers saw: after a queue had moved to another pool, a submission that arrived once more stored a second row there, or was refused with 400 or 429 by what the new pool has, though the job was accepted and runs.

Cause: Submit found a known job only by the conflict with its row in the queue's present pool, and checked the submission against that pool before.

Change: a job that the replica holds is known, in whatever pool, before anything is checked or sent. It saves the write of most repeated submissions.

--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -127,7 +127,8 @@
 }
 
 // Submit stores a job. Submitting the same ID again succeeds, even with other
-// content. It fails with fault.Invalid, with fault.Unavailable if the job is
+// content or after the queue has moved to another pool, where the job might be refused. It
+// fails with fault.Invalid, with fault.Unavailable if the job is
 // certainly not stored, and with fault.Uncertain if it may be. During a store outage
 // it fails at once, with a *fault.RetryError of code fault.Unavailable. It fails with one
 // of code fault.Overloaded if the job certainly can't complete in useful time. The caller's
@@ -135,6 +136,9 @@
 // errors of Authorize if nothing was stored. A configuration must be in force.
 func (in *Intake) Submit(ctx context.Context, caller Caller, id string, sub work.Submission) error {
 	q := caller.Queue
+	if v, ok := in.replica.Job(id); ok {
+		return in.knownAlready(caller, id, v.Record.Job.Pool)
+	}
 	job, clockKnown := in.newJob(caller, id, sub)
 	value, away, err := in.check(&job, clockKnown)
 	if errors.Is(err, errStoreUnavailable) {
@@ -155,8 +159,7 @@
 		}
 	})
 	if fault.Is(err, fault.Conflict) {
-		in.log.Info("job known already", zap.String("job", id), zap.String("queue", q.Name))
-		return in.verifyDone(caller)
+		return in.knownAlready(caller, id, q.Pool)
 	}
 	if err != nil {
 		in.log.Warn(EventNotAccepted, zap.String("job", id), zap.String("queue", q.Name), zap.Error(err))
@@ -168,6 +171,12 @@
 	return in.verifyDone(caller)
 }
 
+// knownAlready accepts a job that is stored in a pool.
+func (in *Intake) knownAlready(caller Caller, id, pool string) error {
+	in.log.Info("job known already", zap.String("job", id), zap.String("queue", caller.Queue.Name), zap.String("pool", pool))
+	return in.verifyDone(caller)
+}
+
 // newJob returns the job of a submission, and whether the store's clock is known, by which
 // the job is dated.
 func (in *Intake) newJob(caller Caller, id string, sub work.Submission) (work.Job, bool) {
