Intake: jobs are looked up in each pool that their queue may have had

What callers saw: 410 for an accepted job, or for its cancellation, from an instance that has just started, after its queue had moved to another pool.

Cause: if the replica lacks a job, find reads the rows of the queue's present pool only.

Change: it reads those of each pool that the configuration or the replica names, and chooses between their rows as the replica does.

Test: TestJobOfMovedQueueIsFoundBeforeTheReplicaIsRead failed before.

--- a/internal/duty/intake/intake.go
+++ b/internal/duty/intake/intake.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -242,28 +243,56 @@
 
 // find looks a job up in the replica and, if it is not there, in the store, where it
 // doesn't look for a cancellation. It fails with fault.NotFound, with the store's
-// error, or with fault.Invalid if the row can't be decoded.
+// error, or with fault.Invalid if a row can't be decoded.
 func (in *Intake) find(ctx context.Context, q *work.Queue, id string) (replica.JobView, error) {
 	if v, ok := in.replica.Job(id); ok {
 		return v, nil
 	}
-	var scanErr error
-	for _, key := range replica.JobKeys(q.Pool, id) {
+	var rows []port.VersionedRow
+	var failure error
+	for _, pool := range in.poolsOf(q) {
+		row, err := in.readRow(ctx, pool, id)
+		switch {
+		case err == nil:
+			rows = append(rows, row)
+		case !fault.Is(err, fault.NotFound):
+			failure = err
+		}
+	}
+	switch {
+	case len(rows) > 0:
+		return replica.NewJobView(rows)
+	case failure != nil:
+		return replica.JobView{}, failure
+	}
+	return replica.JobView{}, fault.New(fault.NotFound, "no such job")
+}
+
+// readRow reads the first row that a job has in a pool. It fails with fault.NotFound or with
+// the store's error.
+func (in *Intake) readRow(ctx context.Context, pool, id string) (port.VersionedRow, error) {
+	failure := error(fault.New(fault.NotFound, "no such row"))
+	for _, key := range replica.JobKeys(pool, id) {
 		rows, _, err := in.store.Scan(ctx, key.Table, key.Partition, key.Key, key.Key+"\x00")
-		if err != nil {
-			scanErr = err
-			continue
+		if err == nil && len(rows) > 0 {
+			return rows[0], nil
 		}
-		if len(rows) > 0 {
-			var v replica.JobView
-			err := work.Decode(rows[0].Value, &v.Record)
-			return v, err
+		if err != nil {
+			failure = err
 		}
 	}
-	if scanErr != nil {
-		return replica.JobView{}, scanErr
+	return port.VersionedRow{}, failure
+}
+
+// poolsOf returns the pools that may have a job of the queue: its present one, and those
+// that it may have had before.
+func (in *Intake) poolsOf(q *work.Queue) []string {
+	pools := append(in.replica.PoolNames(), q.Pool)
+	if c := in.Config(); c != nil {
+		pools = append(pools, c.Pools...)
 	}
-	return replica.JobView{}, fault.New(fault.NotFound, "no such job")
+	slices.Sort(pools)
+	return slices.Compact(pools)
 }
 
 // State returns a job's state. A job with a stored cancellation counts as cancelled
--- a/internal/duty/intake/moved_queue_test.go
+++ b/internal/duty/intake/moved_queue_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
 
 	"github.com/lentilwinch/lentilwinch/internal/duty/replica"
+	"github.com/lentilwinch/lentilwinch/internal/keylease"
 	"github.com/lentilwinch/lentilwinch/internal/port"
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
@@ -57,3 +59,27 @@
 		must.EqOp(t, 0, env.rowsIn(t, "moved", "a"))
 	})
 }
+
+// Guards against an accepted job that is told not to exist: the queue has moved, and an
+// instance that has just started hasn't read the jobs yet.
+func TestJobOfMovedQueueIsFoundBeforeTheReplicaIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		must.NoError(t, env.submit("a"))
+		env.moveQueue(t)
+		env.intake = New(Deps{Store: env.store, Health: env.intake.health, Replica: replica.New(env.store, zap.NewNop(), env.now),
+			Log: zap.NewNop(), Now: env.now, KeyPolicy: func() keylease.Policy { return env.policy }})
+		env.moveQueue(t)
+		state, err := env.intake.State(t.Context(), env.caller(), "a")
+		must.NoError(t, err)
+		must.EqOp(t, work.Queued, state)
+		must.NoError(t, env.intake.Cancel(t.Context(), env.caller(), "a"))
+		cancelled := 0
+		for _, key := range replica.CancelKeys("p", "a") {
+			rows, _, err := env.rows.Scan(t.Context(), key.Table, key.Partition, key.Key, key.Key+"\x00")
+			must.NoError(t, err)
+			cancelled += len(rows)
+		}
+		must.EqOp(t, 1, cancelled)
+	})
+}
--- a/internal/duty/replica/jobview.go
+++ b/internal/duty/replica/jobview.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/lentilwinch/lentilwinch/internal/port"
 )
 
 // pool returns the pool that the row was stored for.
@@ -37,6 +39,21 @@
 	return cmp.Or(cmp.Compare(a.Record.Job.SubmittedAt, b.Record.Job.SubmittedAt), cmp.Compare(a.pool(), b.pool()))
 }
 
+// NewJobView returns the job of the given rows, at least one, without its cancellation. It
+// fails with fault.Invalid if a row can't be decoded.
+func NewJobView(rows []port.VersionedRow) (JobView, error) {
+	decoded := make([]JobRow, len(rows))
+	for i := range rows {
+		decoded[i] = JobRow{Partition: rows[i].Partition, Version: rows[i].Version, encoded: rows[i].Value}
+		if err := decoded[i].decode(true); err != nil {
+			return JobView{}, err
+		}
+	}
+	var v JobView
+	v.arrange(decoded)
+	return v, nil
+}
+
 // arrange replaces the job's rows by the given ones, at least one, and chooses its pool and
 // its record. A record that tells the job's end stays even if its row is gone, so that a job
 // whose rows are being removed doesn't count as open again.
--- a/internal/duty/replica/replica.go
+++ b/internal/duty/replica/replica.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -367,6 +368,13 @@
 	return PoolView{}
 }
 
+// PoolNames returns the names of the pools that the replica knows, in no particular order.
+func (r *Replica) PoolNames() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.pools))
+}
+
 // Instances returns the registered instances other than the one named self, in no
 // particular order.
 func (r *Replica) Instances(self string) []Instance {
