Planner: a worker is used by the description of its present incarnation only

What callers saw: work that requires a label began on a worker without it.

Cause: an owner learns of a restart by the answers of the worker, and of what the worker is by its registry entry, which it reads up to 250 ms later and the worker may write much later. WorkerRestarted forgot the runs, and left labels, rack, capacity, failure domain and state of the former incarnation in use. The entry names its incarnation (born), and nothing looked at it.

Change: an entry is decoded with its incarnation, and the planner places nothing on a worker whose answers are of another one, whichever of the two is newer: the description may be of an incarnation that is gone, or the runs on record may be. Starts that wait for their placement wait for this too, and a start isn't sent, or sent again, to an incarnation that it wasn't decided for. A worker that answers under the incarnation of its entry loses nothing. If entries don't tell their incarnation, one that was written later counts.

Two tests changed with it. The restart of TestTicketsExpireAndDoNotOutliveAWorkerRestart is followed by an entry, and the unseen one of TestStartBehindUnseenRestartHoldsTheLongestLease isn't, as the entry would tell of it.

--- a/internal/duty/pool/evacuation_test.go
+++ b/internal/duty/pool/evacuation_test.go
@@ -187,7 +187,7 @@
 		w := &suspendingWorkers{}
 		o, s, order, e := evacuatedStart(t, w)
 		e.set(o.now(), "near")
-		s.start(t.Context(), order, o.now())
+		s.start(t.Context(), order, 0, o.now())
 		must.EqOp(t, 0, w.starts)
 		ev := <-o.events
 		must.EqOp(t, evStartWithdrawn, ev.kind)
@@ -205,7 +205,7 @@
 		w := &suspendingWorkers{}
 		o, s, order, e := evacuatedStart(t, w)
 		time.AfterFunc(orderTimeout/2, func() { e.set(o.now(), "near") })
-		s.start(t.Context(), order, o.now())
+		s.start(t.Context(), order, 0, o.now())
 		must.EqOp(t, 1, w.starts)
 		ev := <-o.events
 		must.EqOp(t, evStartUnanswered, ev.kind)
--- a/internal/duty/pool/held.go
+++ b/internal/duty/pool/held.go
@@ -113,7 +113,7 @@
 }
 
 // releaseIf sends the held starts for which ready reports true and whose workers are in
-// the stored list, unless mayStart forbids it. Those in an evacuated failure domain
+// the stored list and described, unless mayStart forbids it. Those in an evacuated failure domain
 // are withdrawn. A unit that lost a run needs a heartbeat
 // that was confirmed since: another owner that reached the worker may have stored and
 // acknowledged the run's result. Starts whose runs have been given up are dropped: the
@@ -130,7 +130,7 @@
 			continue
 		}
 		confirmed := !order.AfterLoss || confirmedAt >= o.held[i].heldSince
-		if mayStart && confirmed && o.writer.workers.contains(order.Worker) && ready(&o.held[i]) {
+		if mayStart && confirmed && o.planner.Described(order.Worker) && o.writer.workers.contains(order.Worker) && ready(&o.held[i]) {
 			o.dispatch(ctx, o.held[i].order)
 			continue
 		}
--- a/internal/duty/pool/incarnation_test.go
+++ b/internal/duty/pool/incarnation_test.go
@@ -241,7 +241,7 @@
 				w := &restartingWorkers{loseStarts: 1}
 				o.deps.Workers = w
 				s.recordContact(port.WorkerClock{Now: time.Second, Incarnation: 7}, o.now())
-				s.start(t.Context(), start, o.now())
+				s.start(t.Context(), start, 0, o.now())
 				o.apply(t.Context(), <-o.events)
 				state := []port.RunState{{Task: start.Task, Run: start.Run}}
 				o.apply(t.Context(), event{kind: evReport, session: s, sentAt: o.now(), reply: port.HoldReply{Running: state}})
--- a/internal/duty/pool/lease_doubt_test.go
+++ b/internal/duty/pool/lease_doubt_test.go
@@ -28,11 +28,12 @@
 	c.submit(id, single(8*(c.size-1), 60))
 }
 
-// restartUnseen restarts worker 0 and loses its replies until starts have reached the new
-// incarnation. From then on the worker is cut off.
+// restartUnseen restarts worker 0, which doesn't write its entry in time, and loses its
+// replies until starts have reached the new incarnation. From then on the worker is cut off.
 func (c *cluster) restartUnseen() {
 	c.t.Helper()
 	c.pool.SetFaults(address(0), fake.PoolFaults{DropReplies: true})
+	c.pool.SetEntryDelay(time.Minute)
 	c.pool.Restart(address(0))
 	c.fill("unseen")
 	time.Sleep(100 * time.Millisecond)
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -357,7 +357,8 @@
 		startCtx, cancel := context.WithCancel(ctx)
 		o.cancelStarts[key] = cancel
 		decidedAt := o.now()
-		o.wg.Go(func() { s.start(startCtx, order, decidedAt) })
+		incarnation := s.appliedIncarnation
+		o.wg.Go(func() { s.start(startCtx, order, incarnation, decidedAt) })
 	}
 	o.log.Info(verb, zap.String("job", order.Task.Job), zap.Int("step", order.Task.Step), zap.Int("index", order.Task.Index),
 		zap.Int64("run", order.Run), zap.String("worker", order.Worker), zap.String("why", order.Why))
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -319,12 +319,13 @@
 	}
 }
 
-// start sends a start until it is answered, at most maxStartTries times. It resends
+// start sends a start until it is answered, at most maxStartTries times, or the worker is
+// known to be of another incarnation than the one that the start was decided for. It resends
 // a start whose lease had expired on arrival, unless the worker's failure domain has been
 // evacuated since. The same run may be resent while the
 // owner may act, but not after this process was suspended: its ownership has to be
 // confirmed first.
-func (s *session) start(ctx context.Context, order planner.Order, decidedAt time.Duration) {
+func (s *session) start(ctx context.Context, order planner.Order, incarnation int, decidedAt time.Duration) {
 	unanswered, sent := false, false
 	for range maxStartTries {
 		now := s.owner.now()
@@ -345,6 +346,12 @@
 		}
 		decidedAt, sent = now, true
 		s.mu.Lock()
+		if s.incarnation != incarnation {
+			s.mu.Unlock()
+			s.owner.log.Info("start not sent, the worker has restarted since it was decided", zap.String("job", order.Task.Job), zap.Int("step", order.Task.Step),
+				zap.Int("index", order.Task.Index), zap.Int64("run", order.Run), zap.String("worker", s.target.ID))
+			break
+		}
 		startOrder := port.StartOrder{
 			Task: order.Task, Run: order.Run, Spec: order.Spec, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
 			FencingToken: s.owner.epoch, LeaseEnd: s.clock.extend(now, leaseDuration),
--- a/internal/duty/pool/suspended_test.go
+++ b/internal/duty/pool/suspended_test.go
@@ -49,7 +49,7 @@
 			w := &suspendingWorkers{suspendFor: skipped}
 			o := suspendableOwner(w)
 			s := newSession(o, port.WorkerTarget{ID: "w"})
-			s.start(t.Context(), planner.Order{Task: work.TaskID{Job: "a"}, Run: 1}, o.now())
+			s.start(t.Context(), planner.Order{Task: work.TaskID{Job: "a"}, Run: 1}, 0, o.now())
 			must.EqOp(t, want, w.starts)
 			must.EqOp(t, evStartUnanswered, (<-o.events).kind)
 		})
--- a/internal/duty/pool/workers.go
+++ b/internal/duty/pool/workers.go
@@ -154,6 +154,10 @@
 		o.endSession(s, "address changed")
 		s = nil
 	}
+	if before, known := o.planner.Worker(w.ID); known && before.Incarnation != w.Incarnation {
+		o.log.Info("worker described anew", zap.String("worker", w.ID), zap.Int64("born", w.Incarnation), zap.Int64("born_before", before.Incarnation),
+			zap.Strings("labels", w.Labels), zap.String("rack", w.Rack), zap.Int64("version", w.EntryVersion))
+	}
 	if w.Draining && !o.planner.Draining(w.ID) {
 		o.log.Info("worker draining", zap.String("worker", w.ID))
 	}
--- a/internal/fake/pool.go
+++ b/internal/fake/pool.go
@@ -36,6 +36,10 @@
 	startedJobs map[string]bool // jobs of which a run has started
 	succeeded   map[work.TaskID]bool
 	failedRuns  map[work.TaskID]map[int64]bool // numbers of the failed runs
+	// entries is the version of the registry, which starts at 1.
+	entries int64
+	// entryDelay is how long after its restart a worker writes its entry.
+	entryDelay time.Duration
 	// needs returns what a task needs; nil while the workers don't guard their
 	// capacity.
 	needs func(work.TaskID) work.Resources
@@ -72,6 +76,10 @@
 	lastEnded    map[work.TaskID]int64 // highest run number that ended or was stopped
 	faults       PoolFaults
 	held         Held[PoolFaults]
+	// entry is the worker's entry in the registry. entryChangedAt is the version of the
+	// registry that changed it last.
+	entry          work.Worker
+	entryChangedAt int64
 }
 
 // PoolFaults configures the faults of a worker. The zero value is healthy.
@@ -95,7 +103,7 @@
 
 // NewPool returns a pool without workers.
 func NewPool() *Pool {
-	return &Pool{GangTimeout: 3 * time.Second, StopDuration: 400 * time.Millisecond, workers: map[string]*PoolWorker{},
+	return &Pool{entries: 1, GangTimeout: 3 * time.Second, StopDuration: 400 * time.Millisecond, workers: map[string]*PoolWorker{},
 		successes: map[work.TaskID][]*success{}, completedAt: map[string]time.Time{}, succeeded: map[work.TaskID]bool{}, failedRuns: map[work.TaskID]map[int64]bool{}, profiles: map[string]Profile{}, startedJobs: map[string]bool{}}
 }
 
@@ -103,8 +111,10 @@
 func (p *Pool) Add(info work.Worker) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.workers[info.Address] = &PoolWorker{pool: p, info: info, incarnation: time.Now().UnixMilli(), started: time.Now(), clockRate: 1,
+	w := &PoolWorker{pool: p, info: info, incarnation: time.Now().UnixMilli(), started: time.Now(), clockRate: 1,
 		runs: map[work.TaskID]*poolRun{}, lastEnded: map[work.TaskID]int64{}}
+	w.entry = w.describe()
+	p.workers[info.Address] = w
 }
 
 // SetProfile sets the profile of the tasks whose jobs have the given spec. Without
@@ -157,15 +167,20 @@
 
 // Restart ends all runs of the worker at an address, if it exists, and starts a new
 // incarnation with the same ID.
-func (p *Pool) Restart(address string) {
+func (p *Pool) Restart(address string) { p.RestartAs(address, func(*work.Worker) {}) }
+
+// RestartAs is Restart of a worker that comes back with a changed description.
+func (p *Pool) RestartAs(address string, change func(*work.Worker)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := p.workers[address]
 	if w == nil {
 		return
 	}
+	change(&w.info)
 	w.incarnation, w.started, w.fencingToken, w.leaseExpiry = time.Now().UnixMilli(), time.Now(), 0, time.Time{}
 	w.runs, w.lastEnded, w.results, w.lastSequence = map[work.TaskID]*poolRun{}, map[work.TaskID]int64{}, nil, 0
+	p.register(w)
 }
 
 // Incarnation returns the start time of the current incarnation of the worker at an
--- a/internal/planner/kinds_test.go
+++ b/internal/planner/kinds_test.go
@@ -232,6 +232,8 @@
 	must.EqOp(t, 1, r.answerQuery(time.Minute)) // only the worker with the expired ticket; the other may not run the step
 	r.p.WorkerRestarted(r.now, "w00")
 	r.p.HandleReport(r.now, r.now, "w00", port.HoldReply{})
+	described, _ := r.p.Worker("w00")
+	r.p.PutWorker(described)
 	must.SliceLen(t, 0, r.advance(100*time.Millisecond))
 	must.EqOp(t, 1, r.answerQuery(time.Minute))
 	must.SliceLen(t, 1, r.advance(100*time.Millisecond))
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -233,6 +233,11 @@
 	coldUntil   time.Duration // the worker is slow until then, after a restart
 	reportedAt  time.Duration // when its last report was handled
 	incarnation int           // counts the observed restarts
+	// answering is the incarnation of the last report, 0 if it isn't known.
+	answering int64
+	// restarted is set if info may be older than the last observed restart: info doesn't tell
+	// its incarnation, or the worker hasn't reported since.
+	restarted bool
 	// longLeaseUntil is the time until which its lease may exceed what this owner asked
 	// for, as another incarnation or owner was the one that asked.
 	longLeaseUntil time.Duration
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -15,6 +15,9 @@
 	if w == nil {
 		w = p.addWorker(info)
 	}
+	if info.Incarnation == 0 && (info.EntryVersion == 0 || info.EntryVersion != w.info.EntryVersion) {
+		w.restarted = false // it has been written since, as far as that can be told
+	}
 	w.free = w.free.Add(info.Capacity.Sub(w.info.Capacity))
 	w.info, w.listed, w.listedBefore = info, true, true
 	w.evacuated = p.evacuated[info.Zone]
@@ -35,6 +38,22 @@
 	return w
 }
 
+// described reports whether the worker's description is of the incarnation that answers. Of
+// another one neither labels nor capacity are known.
+func (w *worker) described() bool {
+	if w.info.Incarnation == 0 || w.answering == 0 {
+		return !w.restarted
+	}
+	return w.info.Incarnation == w.answering
+}
+
+// Described reports whether the worker is known and its description is of the incarnation
+// that answers.
+func (p *Planner) Described(id string) bool {
+	w := p.workers[id]
+	return w != nil && w.described()
+}
+
 // Worker returns a worker as it was last put or inherited.
 func (p *Planner) Worker(id string) (work.Worker, bool) {
 	if w := p.workers[id]; w != nil {
@@ -194,6 +213,7 @@
 		return
 	}
 	w.incarnation++
+	w.answering, w.restarted = 0, true
 	p.speeds.Forget(id)
 	w.lastResult, w.acknowledgeable, w.unacked = 0, 0, nil
 	p.log(LogEntry{Event: EventWorkerRestarted, Worker: id, Count: len(w.runs)})
@@ -224,6 +244,7 @@
 	}
 	var newResults []port.RunResult
 	w.contacted, w.reachable = true, true
+	w.answering = reply.Clock.Incarnation
 	for _, result := range reply.Results {
 		if result.Sequence <= w.lastResult {
 			continue // handled before; workers repeat a result until it is acknowledged
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -396,6 +396,10 @@
 	ColdFor time.Duration
 	// EntryVersion is the store's version that wrote this entry, 0 if it isn't known.
 	EntryVersion int64
+	// Incarnation identifies the worker's incarnation that wrote this entry, as the worker
+	// states it in its answers; 0 if the entry doesn't tell. Another one may differ from it in
+	// everything but the ID.
+	Incarnation int64
 }
 
 // HasLabel reports whether the worker has the label.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -150,7 +150,7 @@
 		w.proxy.setMode(to)
 	case 8:
 		action = "restart worker " + w.id
-		c.site.Pool.Restart(w.address)
+		c.site.RestartRunner(w.id)
 	case 9:
 		faults := []fake.PoolFaults{{}, {DropReplies: true}, {StartDelay: 1500 * time.Millisecond}, {StallRuns: true}, {FailRuns: true}}[rng.IntN(5)]
 		action = fmt.Sprintf("faults of worker %s: %+v", w.id, faults)
