Owners: nothing is started on a worker between a broken call and its next report

Cause: a hold that fails while the worker counts as reachable was followed by another long poll of up to 1 s, and until 0.9 s of silence starts were placed there. What answers them may be the next incarnation.

Change: after a hold without an answer the next one doesn't wait, and nothing is placed on the worker, nor a held start sent, before it is answered. A worker that lost one answer gets work again within a round trip.

TestWorkerGetsWorkSoonAfterALostAnswer guards the other side.

What remains: a worker that crashes without breaking its connections and restarts within one long poll isn't noticed before that ends, 1.7 s for an idle one. The protocol lets an order name the worker's ID, and not its incarnation.

--- a/internal/duty/pool/described_test.go
+++ b/internal/duty/pool/described_test.go
@@ -108,3 +108,43 @@
 		c.checkInvariants()
 	})
 }
+
+// Guards against work that is started on a worker of which nobody knows what it has become:
+// its connection has broken, and its new incarnation isn't asked until the next long poll ends.
+func TestWorkerGetsNoWorkBetweenABrokenCallAndItsNextReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newLabelledCluster(t)
+		c.pool.SetEntryDelay(3 * time.Second)
+		c.launch()
+		time.Sleep(2300 * time.Millisecond) // early in a long poll
+		for i := range 6 {
+			c.pool.RestartAs(address(i), asSlow)
+		}
+		time.Sleep(50 * time.Millisecond) // the broken calls are noticed
+		for range 10 {
+			id := fmt.Sprintf("job-%d", len(c.jobIDs))
+			c.setDuration(id, 1, 0)
+			s := single(4, 1)
+			s.RequiredLabel = "fast"
+			c.submit(id, s)
+			time.Sleep(100 * time.Millisecond)
+		}
+		c.await(20 * time.Second)
+		c.checkInvariants()
+	})
+}
+
+// Guards against a worker that counts as restarted because one of its answers was lost.
+func TestWorkerGetsWorkSoonAfterALostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newLabelledCluster(t)
+		owner := c.launch()
+		time.Sleep(2 * time.Second)
+		owner.holdsToLose.Store(8) // one of each worker
+		time.Sleep(2 * time.Second)
+		must.LessEq(t, 0, owner.holdsToLose.Load())
+		c.submitFast("job")
+		time.Sleep(300 * time.Millisecond)
+		must.EqOp(t, 64, c.pool.Running())
+	})
+}
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -428,6 +428,8 @@
 	case evRestarted: // already applied above
 	case evFirstFailure:
 		o.planner.ContactFailed(id)
+	case evGap:
+		o.planner.ContactBroken(id)
 	case evUnreachable:
 		o.planner.SetReachable(id, false)
 		o.updateLeft(id)
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -133,7 +133,8 @@
 
 // hold sends one hold, a long poll for the worker's runs and results. It renews the
 // lease if the worker answered recently and the owner may renew. It doesn't wait
-// for a result at a worker that is unreachable.
+// for a result at a worker that is unreachable, or that has left the last hold without an
+// answer.
 func (s *session) hold(ctx context.Context) (port.HoldReply, error) {
 	req := port.HoldRequest{FencingToken: s.owner.epoch}
 	s.mu.Lock()
@@ -151,6 +152,8 @@
 	grace := probeTimeout
 	switch {
 	case !s.clock.hasReading || !s.reachable:
+	case !s.sameIncarnation: // a restart is to be noticed at once
+		grace = holdGrace
 	case s.busy:
 		req.Wait, grace = busyHoldWait, busyHoldGrace
 	default:
@@ -252,14 +255,17 @@
 	return s.answeredAt
 }
 
-func (s *session) setSameIncarnation(same bool) {
+// setSameIncarnation reports whether it changed sameIncarnation.
+func (s *session) setSameIncarnation(same bool) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	changed = s.sameIncarnation != same
 	s.sameIncarnation = same
+	return changed
 }
 
 func (s *session) callFailed(err error) {
-	s.setSameIncarnation(false)
+	gap := s.setSameIncarnation(false)
 	if fault.Is(err, fault.Fenced) {
 		s.owner.resign(reasonFenced)
 		return
@@ -276,6 +282,9 @@
 	if firstFailure {
 		s.owner.post(event{kind: evFirstFailure, session: s})
 	}
+	if gap {
+		s.owner.post(event{kind: evGap, session: s})
+	}
 	if unreachable {
 		s.owner.log.Warn("worker silent", zap.String("worker", s.target.ID), zap.Duration("silent", sinceContact), zap.Error(err))
 		s.owner.post(event{kind: evUnreachable, session: s})
--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -182,7 +182,7 @@
 		return false // silent ones too
 	}
 	switch w.unusableCause(now) {
-	case "", "not heard", "silent", "not listed", "restarted, not described", "quarantined", "unknown runs":
+	case "", "not heard", "silent", "call unanswered", "not listed", "restarted, not described", "quarantined", "unknown runs":
 		return true
 	}
 	return false
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -233,6 +233,9 @@
 	coldUntil   time.Duration // the worker is slow until then, after a restart
 	reportedAt  time.Duration // when its last report was handled
 	incarnation int           // counts the observed restarts
+	// broken is set while a call has gone unanswered since the last report. The worker may
+	// have restarted.
+	broken bool
 	// answering is the incarnation of the last report, 0 if it isn't known.
 	answering int64
 	// restarted is set if info may be older than the last observed restart: info doesn't tell
--- a/internal/planner/waiting.go
+++ b/internal/planner/waiting.go
@@ -146,7 +146,7 @@
 		bestRack = max(bestRack, onRack)
 	}
 	out := fmt.Sprintf("%d of %d tasks fit, %d on one rack; %d workers usable", fit, u.count, bestRack, len(v.workers))
-	for _, cause := range []string{"not heard", "silent", "not listed", "restarted, not described", "draining", causeEvacuated, "quarantined", "unknown runs", "label or neighbours", "no ticket", "headroom", "failed or stalled there"} {
+	for _, cause := range []string{"not heard", "silent", "call unanswered", "not listed", "restarted, not described", "draining", causeEvacuated, "quarantined", "unknown runs", "label or neighbours", "no ticket", "headroom", "failed or stalled there"} {
 		if n := excluded[cause]; n > 0 {
 			out += fmt.Sprintf(", %d %s", n, cause)
 		}
@@ -161,6 +161,8 @@
 		return "not heard"
 	case !w.reachable:
 		return "silent"
+	case w.broken:
+		return "call unanswered"
 	case !w.listed:
 		return "not listed"
 	case !w.described():
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -47,11 +47,11 @@
 	return w.info.Incarnation == w.answering
 }
 
-// Described reports whether the worker is known and its description is of the incarnation
-// that answers.
+// Described reports whether the worker is known, its description is of the incarnation that
+// answers, and none of its calls has gone unanswered since.
 func (p *Planner) Described(id string) bool {
 	w := p.workers[id]
-	return w != nil && w.described()
+	return w != nil && w.described() && !w.broken
 }
 
 // Worker returns a worker as it was last put or inherited.
@@ -77,6 +77,14 @@
 	}
 }
 
+// ContactBroken records that the worker has left a call unanswered. Until its next report it
+// may be of another incarnation.
+func (p *Planner) ContactBroken(id string) {
+	if w := p.workers[id]; w != nil {
+		w.broken = true
+	}
+}
+
 // WorkerLost drops all runs of a worker whose leases are certain to have expired
 // or whose process is known to have exited. If remove is set, the worker is
 // removed too.
@@ -243,7 +251,7 @@
 		return nil
 	}
 	var newResults []port.RunResult
-	w.contacted, w.reachable = true, true
+	w.contacted, w.reachable, w.broken = true, true, false
 	w.answering = reply.Clock.Incarnation
 	for _, result := range reply.Results {
 		if result.Sequence <= w.lastResult {
