Soak: queues move between two services, accepted jobs arrive once more

TestSoakWithMovingQueues plays the faults of the soak while two queues move between two services every 0.2 to 1.5 s, and half of the accepted submissions arrive once more within 3 s.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -60,10 +60,12 @@
 		seeds = append(seeds, s)
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, 0) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, options{services: oneService}) })
 	}
 }
 
+var oneService = []string{"triage"}
+
 // delegatingShare is a share of a core so small that an owner of eight workers calls
 // them through all other instances.
 const delegatingShare = 0.02
@@ -71,12 +73,20 @@
 // The same faults where the owner calls its workers through other instances.
 func TestSoakWithDelegates(t *testing.T) {
 	for s := *firstSeed; s < *firstSeed+*seedCount; s++ {
-		t.Run(fmt.Sprint(s), func(t *testing.T) { runSoak(t, s, delegatingShare) })
+		t.Run(fmt.Sprint(s), func(t *testing.T) { runSoak(t, s, options{cpuShare: delegatingShare, services: oneService}) })
+	}
+}
+
+// The same faults while queues move between two services and callers send accepted jobs
+// once more.
+func TestSoakWithMovingQueues(t *testing.T) {
+	for s := *firstSeed; s < *firstSeed+*seedCount; s++ {
+		t.Run(fmt.Sprint(s), func(t *testing.T) { runSoak(t, s, options{services: []string{"triage", "imagery"}}) })
 	}
 }
 
-func runSoak(t *testing.T, seed uint64, cpuShare float64) {
-	c := newCluster(t, filepath.Join(binDir, "lentilwinch-poold"), *instanceCount, *workerCount, cpuShare)
+func runSoak(t *testing.T, seed uint64, o options) {
+	c := newCluster(t, filepath.Join(binDir, "lentilwinch-poold"), *instanceCount, *workerCount, o)
 	t.Cleanup(func() {
 		if t.Failed() && *logDir != "" {
 			path := filepath.Join(*logDir, fmt.Sprintf("soak-%d.log", seed))
@@ -92,6 +102,10 @@
 		callerRNG := rand.New(rand.NewPCG(seed, uint64(i)+100))
 		group.Go(func() { load.run(callerRNG, i, stop) })
 	}
+	if len(c.services) > 1 {
+		moves := rand.New(rand.NewPCG(seed, 50))
+		group.Go(func() { c.moveQueues(moves, stop) })
+	}
 	deadline := time.Now().Add(time.Duration(*faultSeconds * float64(time.Second)))
 	for time.Now().Before(deadline) {
 		for range 1 + rng.IntN(3) {
@@ -102,11 +116,12 @@
 	close(stop)
 	c.restore(recoveryTimeout)
 	group.Wait()
+	load.repeats.Wait()
 	load.check(completionTimeout)
 	for _, violation := range c.site.Pool.Violations() {
 		t.Error(violation)
 	}
-	must.EqOp(t, cpuShare > 0, strings.Contains(c.logs.String(), "delegate linked"))
+	must.EqOp(t, c.cpuShare > 0, strings.Contains(c.logs.String(), "delegate linked"))
 }
 
 // randomProxyMode returns a fault mode with probability 3/4 and forward otherwise.
@@ -166,6 +181,20 @@
 	c.t.Logf("%6.2f %s", time.Since(c.startedAt).Seconds(), action)
 }
 
+// moveQueues has the queues move between the services until stop is closed.
+func (c *cluster) moveQueues(rng *rand.Rand, stop <-chan struct{}) {
+	for version := 2; ; version++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(200+rng.IntN(1300)) * time.Millisecond):
+		}
+		urgent, batch := c.services[rng.IntN(len(c.services))], c.services[rng.IntN(len(c.services))]
+		err := c.configure(version, urgent, batch)
+		c.t.Logf("%6.2f urgent work goes to %s, batch work to %s: %v", time.Since(c.startedAt).Seconds(), urgent, batch, err)
+	}
+}
+
 // restore ends all faults and waits until every instance serves requests. It
 // fails the test after the timeout.
 func (c *cluster) restore(timeout time.Duration) {
@@ -206,6 +235,7 @@
 	cluster *cluster
 	mu      sync.Mutex
 	jobs    map[string]*job
+	repeats sync.WaitGroup
 }
 
 // jobTemplates are job documents with a placeholder for the spec, which is the
@@ -235,7 +265,11 @@
 		c.mu.Lock()
 		c.jobs[id] = j
 		c.mu.Unlock()
-		c.submit(rng, client, j, fmt.Sprintf(jobTemplates[template], id))
+		body := fmt.Sprintf(jobTemplates[template], id)
+		c.submit(rng, client, j, body)
+		if j.accepted && len(c.cluster.services) > 1 && rng.IntN(2) == 0 {
+			c.repeat(rng, client, j.path, body)
+		}
 		if j.accepted && rng.IntN(8) == 0 {
 			j.cancelled = true
 			c.randomInstance(rng).call(client, http.MethodDelete, j.path, "")
@@ -243,6 +277,15 @@
 	}
 }
 
+// repeat has the submission of an accepted job arrive once more within three seconds.
+func (c *callers) repeat(rng *rand.Rand, client *http.Client, path, body string) {
+	in, delay := c.randomInstance(rng), time.Duration(rng.IntN(3000))*time.Millisecond
+	c.repeats.Go(func() {
+		time.Sleep(delay)
+		in.call(client, http.MethodPost, path, body)
+	})
+}
+
 func (c *callers) randomInstance(rng *rand.Rand) *instance {
 	return c.cluster.instances[rng.IntN(len(c.cluster.instances))]
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -34,7 +34,13 @@
 	workers   []*worker
 	logs      *syncBuffer
 	startedAt time.Time
-	cpuShare  float64 // that the instances' settings state, 0 for a whole core
+	options
+}
+
+// options are what the soaks differ in.
+type options struct {
+	cpuShare float64  // that the instances' settings state, 0 for a whole core
+	services []string // of the workers in turn; queues move between them if there are several
 }
 
 // instance is an instance of lentilwinch-poold. Its process may stop and start
@@ -78,13 +84,10 @@
 	return b.buf.String()
 }
 
-func newCluster(t *testing.T, program string, instances, workers int, cpuShare float64) *cluster {
-	c := &cluster{t: t, program: program, site: standin.NewSite(), logs: &syncBuffer{}, startedAt: time.Now(), cpuShare: cpuShare}
+func newCluster(t *testing.T, program string, instances, workers int, o options) *cluster {
+	c := &cluster{t: t, program: program, site: standin.NewSite(), logs: &syncBuffer{}, startedAt: time.Now(), options: o}
 	t.Cleanup(c.site.Close)
-	must.NoError(t, c.site.Configure(standin.NewManifest(1, standin.Key, "triage", 16,
-		standin.Route{Prefix: "/urgent/", MaxAttempts: 6, Stretch: 3},
-		standin.Route{Prefix: "/batch/", Priority: 1, MaxAttempts: 6, Stretch: 3},
-	)))
+	must.NoError(t, c.configure(1, o.services[0], o.services[0]))
 	for i := range workers {
 		c.addWorker(i)
 	}
@@ -94,10 +97,23 @@
 	return c
 }
 
+// configure has the queues lead to the given services. It fails with the store's faults.
+func (c *cluster) configure(version int, urgent, batch string) error {
+	m := standin.NewManifest(version, standin.Key, c.services[0], 16,
+		standin.Route{Prefix: "/urgent/", MaxAttempts: 6, Stretch: 3},
+		standin.Route{Prefix: "/batch/", Priority: 1, MaxAttempts: 6, Stretch: 3},
+	)
+	m.Routes[0].Backend, m.Routes[1].Backend = urgent, batch
+	for _, service := range c.services[1:] {
+		m.AddService(service)
+	}
+	return c.site.Configure(m)
+}
+
 func (c *cluster) addWorker(i int) {
 	w := &worker{id: fmt.Sprintf("i-%d", i)}
 	capacity := work.Resources{CPU: 16000, MemMB: 16000, Accel: 8}
-	address, err := c.site.AddProxiedWorker(w.id, "triage", fmt.Sprintf("r%d", i/4), capacity, func(address string) string {
+	address, err := c.site.AddProxiedWorker(w.id, c.services[i%len(c.services)], fmt.Sprintf("r%d", i/4), capacity, func(address string) string {
 		w.proxy = newProxy(c.t, address)
 		return w.proxy.address()
 	})
