--- a/internal/duty/pool/events.go
+++ b/internal/duty/pool/events.go
@@ -14,7 +14,7 @@
 	evReport               eventKind = iota + 1 // session, incarnation, sentAt, reply: a worker reported its runs and results
 	evRestarted                                 // session, incarnation: the worker has restarted
 	evUnreachable                               // session: the worker has become unreachable
-	evGap                                       // session: a hold failed after one that was answered
+	evContactBroken                             // session: a hold failed after one that was answered
 	evFirstFailure                              // session: a hold at the worker failed for the first time
 	evStartAnswered                             // session, incarnation, order, rejected, resent: a start was answered
 	evStartUnanswered                           // session, order: a start was not answered
--- a/internal/duty/pool/owner.go
+++ b/internal/duty/pool/owner.go
@@ -428,7 +428,7 @@
 	case evRestarted: // already applied above
 	case evFirstFailure:
 		o.planner.ContactFailed(id)
-	case evGap:
+	case evContactBroken:
 		o.planner.ContactBroken(id)
 	case evUnreachable:
 		o.planner.SetReachable(id, false)
--- a/internal/duty/pool/session.go
+++ b/internal/duty/pool/session.go
@@ -283,7 +283,7 @@
 		s.owner.post(event{kind: evFirstFailure, session: s})
 	}
 	if gap {
-		s.owner.post(event{kind: evGap, session: s})
+		s.owner.post(event{kind: evContactBroken, session: s})
 	}
 	if unreachable {
 		s.owner.log.Warn("worker silent", zap.String("worker", s.target.ID), zap.Duration("silent", sinceContact), zap.Error(err))
--- a/internal/duty/pool/unknown.go
+++ b/internal/duty/pool/unknown.go
@@ -31,8 +31,7 @@
 	for id, since := range reported {
 		v, found := o.deps.Replica.Job(id)
 		switch {
-		case o.deferred[id]:
-		case o.writer.added[id], found && v.Record.State.Ended(), complete && since <= o.unknown.readAt:
+		case o.writer.added[id], found && v.Record.State.Ended(), complete && since <= o.unknown.readAt && !o.deferred[id]:
 			o.planner.DropUnknownJob(id)
 			delete(reported, id)
 		}
