Tests: one way to store a submission in a given partition

storeDuplicate and the storeIn that came with the moved queues did the same. storeIn takes over its condition that the row doesn't exist, which also holds for the tests of moved queues.

--- a/internal/duty/pool/duplicate_test.go
+++ b/internal/duty/pool/duplicate_test.go
@@ -13,16 +13,6 @@
 	"github.com/lentilwinch/lentilwinch/internal/work"
 )
 
-// storeDuplicate stores the submission of a job once more, in its k-th partition.
-func (c *cluster) storeDuplicate(id string, k int, steps ...work.Step) {
-	c.t.Helper()
-	value, err := work.Encode(work.Record{Job: work.Job{ID: id, Pool: testPool, Queue: "q", Spec: id, Steps: steps, MaxAttempts: 4, Stretch: 3, SubmittedAt: c.storeNow()}, State: work.Queued})
-	must.NoError(c.t, err)
-	key := replica.JobKeys(testPool, id)[k]
-	_, err = c.store.Commit(c.t.Context(), port.RowTxn{ExpectedVersions: map[port.RowKey]int64{key: 0}, Puts: map[port.RowKey][]byte{key: value}})
-	must.NoError(c.t, err)
-}
-
 // A submission arrives again and is stored in another partition while the job runs, and
 // once more after it has completed. It stays one job, also for later owners: one that
 // can't read the partition in which the job has completed at first, and one whose
@@ -35,10 +25,10 @@
 		c.setDuration("job", 2, 0)
 		c.submit("job", single(4, 2))
 		time.Sleep(time.Second)
-		c.storeDuplicate("job", 1, single(4, 2))
+		c.storeIn(testPool, 1, "job", single(4, 2))
 		c.await(5 * time.Second)
 		time.Sleep(time.Second)
-		c.storeDuplicate("job", 2, single(4, 2))
+		c.storeIn(testPool, 2, "job", single(4, 2))
 		time.Sleep(time.Second)
 		c.store.Compact()
 		time.Sleep(2 * time.Second)
--- a/internal/duty/pool/moved_queue_test.go
+++ b/internal/duty/pool/moved_queue_test.go
@@ -40,11 +40,13 @@
 	c.putRow(pool, k, work.Record{Job: work.Job{ID: id, Pool: pool, Queue: "q", Spec: id, Steps: steps, MaxAttempts: 4, Stretch: 3, SubmittedAt: c.storeNow()}, State: work.Queued})
 }
 
+// putRow stores the first row that a job has in the k-th partition of a pool.
 func (c *cluster) putRow(pool string, k int, rec work.Record) {
 	c.t.Helper()
 	value, err := work.Encode(rec)
 	must.NoError(c.t, err)
-	_, err = c.store.Commit(c.t.Context(), port.RowTxn{Puts: map[port.RowKey][]byte{replica.JobKeys(pool, rec.Job.ID)[k]: value}})
+	key := replica.JobKeys(pool, rec.Job.ID)[k]
+	_, err = c.store.Commit(c.t.Context(), port.RowTxn{ExpectedVersions: map[port.RowKey]int64{key: 0}, Puts: map[port.RowKey][]byte{key: value}})
 	must.NoError(c.t, err)
 }
 
